--- /dev/null
+++ b/reason.go
@@ -0,0 +1,37 @@
+package snipefront
+
+// Reason names why a request was refused or an attempt was retried. It labels
+// metrics and stands in problem bodies, so its texts are stable.
+type Reason string
+
+// Reasons for refusing a request.
+const (
+	ReasonBadRequest       Reason = "bad_request"
+	ReasonUnknownService   Reason = "unknown_service"
+	ReasonTooLarge         Reason = "too_large"
+	ReasonNoLease          Reason = "no_lease"
+	ReasonNotOwner         Reason = "not_owner"
+	ReasonDataCentreOut    Reason = "data_centre_out"
+	ReasonNoBackendServer  Reason = "no_backend_server"
+	ReasonOverload         Reason = "overload"
+	ReasonDeadline         Reason = "deadline"
+	ReasonCanceled         Reason = "canceled"
+	ReasonStopping         Reason = "stopping"
+	ReasonQuarantined      Reason = "quarantined"
+	ReasonClaimUnavailable Reason = "claim_unavailable"
+	ReasonClaimPending     Reason = "claim_pending"
+	ReasonClaimMismatch    Reason = "claim_mismatch"
+	ReasonRetryBudget      Reason = "retry_budget"
+)
+
+// Reasons for retrying an attempt elsewhere, or for giving it up.
+const (
+	ReasonConnect       Reason = "connect"
+	ReasonShed          Reason = "shed"
+	ReasonBrokenAnswer  Reason = "broken_answer"
+	ReasonAnswerTooBig  Reason = "answer_too_big"
+	ReasonAttemptLate   Reason = "attempt_late"
+	ReasonPeer          Reason = "peer"
+	ReasonHedge         Reason = "hedge"
+	ReasonBackendServer Reason = "backend_server"
+)
--- /dev/null
+++ b/request.go
@@ -0,0 +1,65 @@
+package snipefront
+
+import (
+	"context"
+	"net/http"
+	"time"
+)
+
+// Request is a caller's request, read whole before any dispatch.
+type Request struct {
+	// Service is the first segment of the request's path.
+	Service string
+	// Method is the HTTP method.
+	Method string
+	// Target is the path and query, sent to the backend server unchanged.
+	Target string
+	// Header holds the end-to-end header fields, without hop-by-hop ones.
+	Header http.Header
+	// Body is the whole body. It is never written to after the request is read.
+	Body []byte
+	// Deadline is the instant at which an answer becomes worthless.
+	Deadline time.Time
+	// Importance ranks requests when not all can be served.
+	Importance Importance
+	// IdempotencyKey is the caller's key for a request that may run only once.
+	// It is empty where the caller sent none.
+	IdempotencyKey string
+	// Fingerprint identifies the content: method, target, body and key.
+	Fingerprint uint64
+	// Idempotent is true where a second run does no harm.
+	Idempotent bool
+	// Forwarded is true where another instance accepted the request.
+	Forwarded bool
+}
+
+// Response is a whole answer of a backend server.
+type Response struct {
+	Status int
+	Header http.Header
+	Body   []byte
+	// BackendServer names the backend server that answered.
+	BackendServer string
+}
+
+// Handler answers a request or returns an *Error.
+type Handler interface {
+	Serve(ctx context.Context, r *Request) (*Response, error)
+}
+
+// Filter is one step of the path of a request. It answers by itself or calls
+// next, at most once for a request that is not idempotent.
+type Filter interface {
+	Filter(ctx context.Context, r *Request, next Handler) (*Response, error)
+}
+
+// Importance ranks requests. The zero value is the lowest.
+type Importance uint8
+
+// The ranks of importance. Background work may wait; critical work has a
+// person waiting for it.
+const (
+	Background Importance = iota
+	Normal
+	Critical
+)
