--- a/config.go
+++ b/config.go
@@ -37,6 +37,9 @@
 	// ColdLimit is the most requests at once at a backend server that may be in
 	// cold start. At least 1.
 	ColdLimit int
+	// WarmUp is the time after its start for which a backend server is held to
+	// ColdLimit.
+	WarmUp time.Duration
 	// RetryBudget is the share of requests, 0 to 1, that may be retried.
 	RetryBudget float64
 	// HedgeBudget is the share of requests, 0 to 1, that may be sent a second
--- /dev/null
+++ b/internal/control/leader/leader.go
@@ -0,0 +1,266 @@
+// Package leader grants membership leases and moves the fleet from epoch to
+// epoch. It runs on every member of the control quorum and acts on the one that
+// leads the log.
+//
+// Grants are kept in memory only. A new leader cannot know what its predecessor
+// granted, so for the first lease after its election it drops nobody and
+// reports nothing as settled or in force that an unheard instance could
+// contradict. The log stays free of renewals.
+package leader
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/control/state"
+)
+
+// Margin is what a lease is extended by before its holder is dropped, for the
+// difference in rate between two monotonic clocks.
+const Margin = 100 * time.Millisecond
+
+// Renewal is what an instance says of itself when it renews its lease.
+type Renewal struct {
+	Instance snipefront.Instance
+	// Epoch is the last epoch for which it has let go of all cells it lost.
+	Epoch uint64
+	// Held is the last epoch that it has seen.
+	Held uint64
+	// Revision is the configuration in force at the instance.
+	Revision uint64
+	// Leaving is true where it is stopping and wants no cells.
+	Leaving bool
+	// Gone is true where it has stopped: its lease ends with this renewal.
+	Gone bool
+}
+
+// Grant is the answer to a Renewal.
+type Grant struct {
+	// Granted is false where this instance does not lead, or where an earlier
+	// incarnation still holds the lease. All fields but Leader are then unset.
+	Granted bool
+	// Leader is who leads, where known.
+	Leader string
+	// Lease counts from when the renewal was sent.
+	Lease time.Duration
+	Epoch snipefront.Epoch
+	// Settled is the latest epoch that all holders of a lease have confirmed.
+	Settled uint64
+	Config  state.Delta
+}
+
+// Member is an instance that holds or held a lease.
+type Member struct {
+	Renewal
+	// Renewed is when the last renewal arrived.
+	Renewed time.Time
+}
+
+// Leader serves renewals. Set the exported fields before Run.
+type Leader struct {
+	Log   snipefront.Log
+	State *state.State
+	// Lease is the length of a granted lease.
+	Lease  time.Duration
+	Logger *slog.Logger
+
+	mu      sync.Mutex
+	term    uint64
+	since   time.Time
+	members map[string]Member
+}
+
+// Renew renews a lease at the instant now.
+func (l *Leader) Renew(now time.Time, r Renewal) Grant {
+	ld := l.Log.Leadership()
+	if !ld.Self {
+		return Grant{Leader: ld.Leader}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.enter(now, ld.Term)
+	old, known := l.members[r.Instance.Name]
+	if known && old.Instance.Incarnation != r.Instance.Incarnation && l.holds(now, old) {
+		return Grant{Leader: ld.Leader}
+	}
+	if r.Gone {
+		delete(l.members, r.Instance.Name)
+	} else {
+		l.members[r.Instance.Name] = Member{Renewal: r, Renewed: now}
+	}
+	return Grant{
+		Granted: true,
+		Leader:  ld.Leader,
+		Lease:   l.Lease,
+		Epoch:   l.State.Epoch(),
+		Settled: l.settled(now),
+		Config:  l.State.Since(r.Revision),
+	}
+}
+
+// InForce returns whether every holder of a lease has confirmed revision, and
+// the names of those that have not. Where this instance does not lead, ok is
+// false.
+func (l *Leader) InForce(now time.Time, revision uint64) (inForce bool, waiting []string, ok bool) {
+	ld := l.Log.Leadership()
+	if !ld.Self {
+		return false, nil, false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.enter(now, ld.Term)
+	for n, m := range l.members {
+		if l.holds(now, m) && m.Revision < revision {
+			waiting = append(waiting, n)
+		}
+	}
+	waiting = append(waiting, l.unheard(now)...)
+	return len(waiting) == 0 && l.State.Revision() >= revision, waiting, true
+}
+
+// Members returns what the holders of leases last said.
+func (l *Leader) Members() []Member {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	list := make([]Member, 0, len(l.members))
+	for _, m := range l.members {
+		list = append(list, m)
+	}
+	return list
+}
+
+// Plan returns the change of epoch that is due at the instant now, or nil.
+func (l *Leader) Plan(now time.Time) *state.EpochChange {
+	ld := l.Log.Leadership()
+	if !ld.Self {
+		return nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.enter(now, ld.Term)
+	current := l.State.Epoch()
+	next := l.successors(now, current)
+	if sameInstances(current.Instances, next) {
+		return nil
+	}
+	return &state.EpochChange{From: current.Number, Instances: next}
+}
+
+// Run proposes changes of epoch as they fall due, until ctx ends.
+func (l *Leader) Run(ctx context.Context) error {
+	t := time.NewTicker(l.Lease / 20)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+			l.step(ctx)
+		}
+	}
+}
+
+func (l *Leader) step(ctx context.Context) {
+	c := l.Plan(time.Now())
+	if c == nil {
+		return
+	}
+	b, err := state.Command{Epoch: c}.Encode()
+	if err != nil {
+		l.Logger.Error("epoch not encoded", "error", err)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, l.Lease)
+	defer cancel()
+	if _, err := l.Log.Propose(ctx, b); err != nil {
+		l.Logger.Warn("epoch not accepted", "from", c.From, "error", err)
+		return
+	}
+	l.Logger.Info("epoch changed", "from", c.From, "instances", len(c.Instances))
+}
+
+// enter forgets the grants of an earlier term. The lock is held.
+func (l *Leader) enter(now time.Time, term uint64) {
+	if l.members != nil && l.term == term {
+		return
+	}
+	l.term = term
+	l.since = now
+	l.members = map[string]Member{}
+}
+
+// holds returns whether m may still hold its lease.
+func (l *Leader) holds(now time.Time, m Member) bool {
+	return now.Before(m.Renewed.Add(l.Lease + Margin))
+}
+
+// unheard returns the instances of the epoch that may hold a lease of an earlier
+// leader and have not renewed it here.
+func (l *Leader) unheard(now time.Time) []string {
+	if !now.Before(l.since.Add(l.Lease + Margin)) {
+		return nil
+	}
+	var names []string
+	for _, n := range l.State.Epoch().Instances {
+		if _, heard := l.members[n.Name]; !heard {
+			names = append(names, n.Name)
+		}
+	}
+	return names
+}
+
+func (l *Leader) settled(now time.Time) uint64 {
+	if len(l.unheard(now)) > 0 {
+		return 0
+	}
+	low := l.State.Epoch().Number
+	for _, m := range l.members {
+		if l.holds(now, m) {
+			low = min(low, m.Epoch)
+		}
+	}
+	return low
+}
+
+// successors returns the instances of the next epoch: the holders of leases that
+// are not leaving, and those of the current epoch that may hold an old lease.
+func (l *Leader) successors(now time.Time, current snipefront.Epoch) []snipefront.Instance {
+	var next []snipefront.Instance
+	for n, m := range l.members {
+		if !l.holds(now, m) {
+			delete(l.members, n)
+			continue
+		}
+		if !m.Leaving {
+			next = append(next, m.Instance)
+		}
+	}
+	if !now.Before(l.since.Add(l.Lease + Margin)) {
+		return next
+	}
+	for _, n := range current.Instances {
+		if _, heard := l.members[n.Name]; !heard {
+			next = append(next, n)
+		}
+	}
+	return next
+}
+
+func sameInstances(a, b []snipefront.Instance) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	have := make(map[snipefront.Instance]bool, len(a))
+	for _, n := range a {
+		have[n] = true
+	}
+	for _, n := range b {
+		if !have[n] {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/control/leader/overview.go
@@ -0,0 +1,77 @@
+package leader
+
+import (
+	"sort"
+	"time"
+
+	"github.com/snipefront/snipefront/internal/control/state"
+)
+
+// Overview is what the leader knows of the fleet.
+type Overview struct {
+	Leader   string
+	Term     uint64
+	Epoch    uint64
+	Settled  uint64
+	Revision uint64
+	// InForce is true where every holder of a lease has confirmed the revision
+	// that was asked about.
+	InForce bool
+	// Waiting names the holders of leases that have not.
+	Waiting []string
+	Members []MemberInfo
+	// Claims is the number of kept claims.
+	Claims int
+}
+
+// MemberInfo is one holder of a lease.
+type MemberInfo struct {
+	Name          string
+	DataCentre    string
+	CallerAddress string
+	PeerAddress   string
+	Epoch         uint64
+	Revision      uint64
+	Leaving       bool
+}
+
+// History is the accepted changes of the configuration, oldest first.
+type History struct {
+	Changes []state.Change
+}
+
+// Overview returns the state of the fleet at the instant now. Where this
+// instance does not lead, ok is false.
+func (l *Leader) Overview(now time.Time, revision uint64) (v Overview, ok bool) {
+	in, waiting, ok := l.InForce(now, revision)
+	if !ok {
+		return Overview{}, false
+	}
+	ld := l.Log.Leadership()
+	v = Overview{
+		Leader:   ld.Leader,
+		Term:     ld.Term,
+		Epoch:    l.State.Epoch().Number,
+		Revision: l.State.Revision(),
+		InForce:  in,
+		Waiting:  waiting,
+		Claims:   l.State.Claims(),
+	}
+	sort.Strings(v.Waiting)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	v.Settled = l.settled(now)
+	for _, m := range l.members {
+		v.Members = append(v.Members, MemberInfo{
+			Name:          m.Instance.Name,
+			DataCentre:    m.Instance.DataCentre,
+			CallerAddress: m.Instance.CallerAddress,
+			PeerAddress:   m.Instance.PeerAddress,
+			Epoch:         m.Epoch,
+			Revision:      m.Revision,
+			Leaving:       m.Leaving,
+		})
+	}
+	sort.Slice(v.Members, func(i, j int) bool { return v.Members[i].Name < v.Members[j].Name })
+	return v, true
+}
--- /dev/null
+++ b/internal/control/owner/owner.go
@@ -0,0 +1,81 @@
+// Package owner maps cells to the instances that own them.
+//
+// The mapping is a rendezvous hash over the instances of the cell's data
+// centre, or over all instances where that data centre has none. It depends on
+// nothing but the cell and the epoch, so instances that hold the same epoch
+// agree without a message, and a change of one instance moves only its cells.
+package owner
+
+import (
+	"hash/fnv"
+	"sort"
+
+	"github.com/snipefront/snipefront"
+)
+
+// Rank returns the instances that may own c, the owner first. The second takes
+// over when the first leaves.
+func Rank(e snipefront.Epoch, c snipefront.Cell) []snipefront.Instance {
+	list := within(e.Instances, c.DataCentre)
+	if len(list) == 0 {
+		list = append(list, e.Instances...)
+	}
+	weights := make(map[string]uint64, len(list))
+	for _, n := range list {
+		weights[n.Name] = weight(c, n.Name)
+	}
+	sort.Slice(list, func(i, j int) bool {
+		a, b := weights[list[i].Name], weights[list[j].Name]
+		return a > b || a == b && list[i].Name < list[j].Name
+	})
+	return list
+}
+
+// Of returns the owner of c, and false where the epoch has no instance.
+func Of(e snipefront.Epoch, c snipefront.Cell) (snipefront.Instance, bool) {
+	list := Rank(e, c)
+	if len(list) == 0 {
+		return snipefront.Instance{}, false
+	}
+	return list[0], true
+}
+
+// DataCentres returns the data centres of the epoch's instances, sorted.
+func DataCentres(e snipefront.Epoch) []string {
+	var names []string
+	seen := map[string]bool{}
+	for _, n := range e.Instances {
+		if !seen[n.DataCentre] {
+			seen[n.DataCentre] = true
+			names = append(names, n.DataCentre)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
+func within(list []snipefront.Instance, dataCentre string) []snipefront.Instance {
+	var in []snipefront.Instance
+	for _, n := range list {
+		if n.DataCentre == dataCentre {
+			in = append(in, n)
+		}
+	}
+	return in
+}
+
+func weight(c snipefront.Cell, name string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(c.Service + "\x00" + c.DataCentre + "\x00" + name))
+	return mix(h.Sum64())
+}
+
+// mix spreads the bits of x, since FNV alone orders similar names alike.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	x ^= x >> 33
+	return x
+}
--- /dev/null
+++ b/internal/control/state/config.go
@@ -0,0 +1,166 @@
+package state
+
+import (
+	"bytes"
+	"sort"
+)
+
+// historyLength is the number of changes whose results are kept.
+const historyLength = 4096
+
+// Change is one accepted change of the configuration.
+type Change struct {
+	Revision   uint64
+	ChangeID   string
+	Version    uint64
+	Written    []string
+	Removed    []string
+	UnixMillis int64
+}
+
+// storedFile is a file with the revision that last wrote it.
+type storedFile struct {
+	Content  []byte
+	Revision uint64
+}
+
+// Delta is what changed in the configuration after a revision.
+type Delta struct {
+	Revision uint64
+	Files    []File
+	Removed  []string
+	// Whole is true where Files is the whole configuration.
+	Whole bool
+}
+
+// Revision returns the current revision.
+func (s *State) Revision() uint64 {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.data.Revision
+}
+
+// Since returns what changed after revision held.
+func (s *State) Since(held uint64) Delta {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	d := Delta{Revision: s.data.Revision}
+	if held == s.data.Revision {
+		return d
+	}
+	d.Whole = held < s.oldestDelta() || held > s.data.Revision
+	for n, f := range s.data.Files {
+		if d.Whole || f.Revision > held {
+			d.Files = append(d.Files, File{Name: n, Content: f.Content})
+		}
+	}
+	sort.Slice(d.Files, func(i, j int) bool { return d.Files[i].Name < d.Files[j].Name })
+	if !d.Whole {
+		d.Removed = s.removedSince(held)
+	}
+	return d
+}
+
+// History returns the accepted changes that are kept, oldest first.
+func (s *State) History() []Change {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return append([]Change(nil), s.data.History...)
+}
+
+// oldestDelta is the lowest revision after which the kept history is complete.
+func (s *State) oldestDelta() uint64 {
+	if len(s.data.History) == 0 {
+		return s.data.Revision
+	}
+	return s.data.History[0].Revision - 1
+}
+
+func (s *State) removedSince(held uint64) []string {
+	var names []string
+	seen := map[string]bool{}
+	for i := len(s.data.History) - 1; i >= 0 && s.data.History[i].Revision > held; i-- {
+		for _, n := range s.data.History[i].Removed {
+			if _, back := s.data.Files[n]; back || seen[n] {
+				continue
+			}
+			seen[n] = true
+			names = append(names, n)
+		}
+	}
+	return names
+}
+
+func (s *State) applyConfig(c *ConfigChange, unixMillis int64) ConfigResult {
+	if h, ok := s.findChange(c); ok {
+		return ConfigResult{Revision: h.Revision, Repeated: true}
+	}
+	if c.Version != s.data.Revision {
+		return s.conflict()
+	}
+	h := Change{
+		Revision:   s.data.Revision + 1,
+		ChangeID:   c.ChangeID,
+		Version:    c.Version,
+		UnixMillis: unixMillis,
+	}
+	kept := make(map[string]bool, len(c.Files))
+	for _, f := range c.Files {
+		kept[f.Name] = true
+		if old, ok := s.data.Files[f.Name]; ok && bytes.Equal(old.Content, f.Content) {
+			continue
+		}
+		s.data.Files[f.Name] = storedFile{Content: f.Content, Revision: h.Revision}
+		h.Written = append(h.Written, f.Name)
+	}
+	for n := range s.data.Files {
+		if !kept[n] {
+			delete(s.data.Files, n)
+			h.Removed = append(h.Removed, n)
+		}
+	}
+	sort.Strings(h.Removed)
+	s.data.Revision = h.Revision
+	s.data.History = append(s.data.History, h)
+	if over := len(s.data.History) - historyLength; over > 0 {
+		s.data.History = append([]Change(nil), s.data.History[over:]...)
+	}
+	return ConfigResult{Revision: h.Revision}
+}
+
+// findChange returns the accepted change that c resends: the same ChangeID, or
+// the same content made against the same version.
+func (s *State) findChange(c *ConfigChange) (Change, bool) {
+	for i := len(s.data.History) - 1; i >= 0; i-- {
+		h := s.data.History[i]
+		if h.ChangeID == c.ChangeID {
+			return h, true
+		}
+	}
+	last := len(s.data.History) - 1
+	if last < 0 || s.data.History[last].Version != c.Version || !s.sameFiles(c.Files) {
+		return Change{}, false
+	}
+	return s.data.History[last], true
+}
+
+func (s *State) sameFiles(files []File) bool {
+	if len(files) != len(s.data.Files) {
+		return false
+	}
+	for _, f := range files {
+		old, ok := s.data.Files[f.Name]
+		if !ok || !bytes.Equal(old.Content, f.Content) {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *State) conflict() ConfigResult {
+	r := ConfigResult{Revision: s.data.Revision, Conflict: true}
+	if last := len(s.data.History) - 1; last >= 0 {
+		r.Winner = s.data.History[last].ChangeID
+	}
+	return r
+}
--- /dev/null
+++ b/internal/control/state/epoch.go
@@ -0,0 +1,38 @@
+package state
+
+import (
+	"sort"
+
+	"github.com/snipefront/snipefront"
+)
+
+// EpochChange replaces the set of instances.
+type EpochChange struct {
+	// From is the epoch that the change was worked out from.
+	From uint64
+	// Instances is the new set.
+	Instances []snipefront.Instance
+}
+
+// EpochResult tells what became of an EpochChange.
+type EpochResult struct {
+	Accepted bool
+	Number   uint64
+}
+
+// Epoch returns the current epoch.
+func (s *State) Epoch() snipefront.Epoch {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.data.Epoch
+}
+
+func (s *State) applyEpoch(c *EpochChange) EpochResult {
+	if c.From != s.data.Epoch.Number {
+		return EpochResult{Number: s.data.Epoch.Number}
+	}
+	list := append([]snipefront.Instance(nil), c.Instances...)
+	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
+	s.data.Epoch = snipefront.Epoch{Number: c.From + 1, Instances: list}
+	return EpochResult{Accepted: true, Number: s.data.Epoch.Number}
+}
--- /dev/null
+++ b/internal/control/state/state.go
@@ -0,0 +1,94 @@
+package state
+
+import (
+	"encoding/json"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"github.com/snipefront/snipefront"
+)
+
+// State implements snipefront.Machine. Its zero value is empty and ready. Reads
+// may come from any goroutine.
+type State struct {
+	mu   sync.RWMutex
+	data snapshot
+}
+
+// snapshot is the whole state as it is stored.
+type snapshot struct {
+	Revision   uint64
+	Files      map[string]storedFile
+	History    []Change
+	Epoch      snipefront.Epoch
+	Claims     map[string]claimRecord
+	ClaimOrder []claimAge
+}
+
+// failure is the result of a command that no part of the state understands.
+type failure struct {
+	Failure string
+}
+
+// Apply applies one encoded Command and returns its encoded result.
+func (s *State) Apply(_ uint64, command []byte) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.data.init()
+	var c Command
+	if err := json.Unmarshal(command, &c); err != nil {
+		return encode(failure{Failure: err.Error()})
+	}
+	switch {
+	case c.Config != nil:
+		return encode(s.applyConfig(c.Config, c.UnixMillis))
+	case c.Epoch != nil:
+		return encode(s.applyEpoch(c.Epoch))
+	case c.Claim != nil:
+		return encode(s.applyClaim(c.Claim, c.UnixMillis))
+	case c.Settle != nil:
+		return encode(s.applySettle(c.Settle))
+	default:
+		return encode(failure{Failure: "command without a kind"})
+	}
+}
+
+// Snapshot returns the whole state as JSON.
+func (s *State) Snapshot() ([]byte, error) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	b, err := json.Marshal(s.data)
+	return b, errors.Wrap(err, "encode state")
+}
+
+// Restore replaces the whole state. On an error the state is unchanged.
+func (s *State) Restore(b []byte) error {
+	var d snapshot
+	if err := json.Unmarshal(b, &d); err != nil {
+		return errors.Wrap(err, "decode state")
+	}
+	d.init()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.data = d
+	return nil
+}
+
+func (d *snapshot) init() {
+	if d.Files == nil {
+		d.Files = map[string]storedFile{}
+	}
+	if d.Claims == nil {
+		d.Claims = map[string]claimRecord{}
+	}
+}
+
+// encode returns the JSON of a result, whose types cannot fail to encode.
+func encode(v any) []byte {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return []byte(`{"Failure":"result cannot be encoded"}`)
+	}
+	return b
+}
--- /dev/null
+++ b/internal/dispatch/cell/slot.go
@@ -0,0 +1,170 @@
+package cell
+
+import (
+	"context"
+	"time"
+
+	"github.com/snipefront/snipefront"
+)
+
+const (
+	// retrySoon is the time after which a caller may ask again where the cause
+	// passes within moments.
+	retrySoon = 500 * time.Millisecond
+	// retryLater is the same where the cause may last.
+	retryLater = 2 * time.Second
+	// serviceWeight is the inverse weight of one request in the service time.
+	serviceWeight = 16
+)
+
+// Wanted is what a request asks of a cell.
+type Wanted struct {
+	Importance snipefront.Importance
+	Deadline   time.Time
+	// MayQueue lets the request wait for a slot.
+	MayQueue bool
+	// Avoid names a backend server not to use, or none.
+	Avoid string
+}
+
+// Outcome tells the cell how an attempt went.
+type Outcome uint8
+
+// The outcomes of an attempt.
+const (
+	// Answered is a whole answer in time.
+	Answered Outcome = iota
+	// Troubled is a refusal, a failure or a late answer.
+	Troubled
+	// Canceled tells nothing of the backend server.
+	Canceled
+)
+
+// Slot is the right to have one request in flight at a backend server. Done
+// must be called exactly once.
+type Slot struct {
+	// BackendServer is where the request goes.
+	BackendServer snipefront.BackendServer
+
+	cell   *Cell
+	server *server
+	taken  time.Time
+}
+
+// Acquire takes a slot, waiting for one where w allows it. It returns a
+// *snipefront.Error as soon as the request cannot be answered in time.
+func (c *Cell) Acquire(ctx context.Context, w Wanted) (*Slot, error) {
+	now := time.Now()
+	c.mu.Lock()
+	if err := c.refusal(now, w); err != nil {
+		c.mu.Unlock()
+		return nil, err
+	}
+	if c.queue.Len() == 0 || !w.MayQueue {
+		if s := c.pick(now, w.Avoid); s != nil {
+			slot := c.take(now, s)
+			c.mu.Unlock()
+			return slot, nil
+		}
+	}
+	if !w.MayQueue {
+		c.mu.Unlock()
+		return nil, snipefront.Refused(snipefront.ReasonOverload, retrySoon, "no free slot in the cell")
+	}
+	x := &waiter{wanted: w, granted: make(chan grant, 1)}
+	if err := c.enqueue(now, x); err != nil {
+		c.mu.Unlock()
+		return nil, err
+	}
+	c.mu.Unlock()
+	return c.await(ctx, x)
+}
+
+// refusal returns why no request may be dispatched now, or nil.
+func (c *Cell) refusal(now time.Time, w Wanted) error {
+	switch {
+	case !c.open:
+		return snipefront.Refused(snipefront.ReasonNotOwner, retrySoon, "the cell is not open at this instance")
+	case c.rules.Out:
+		return snipefront.Refused(snipefront.ReasonDataCentreOut, retryLater, "the data centre is out of service")
+	case !now.Before(w.Deadline):
+		return snipefront.Refused(snipefront.ReasonDeadline, 0, "the deadline has passed")
+	}
+	for _, s := range c.order {
+		if s.usable(now) {
+			return nil
+		}
+	}
+	return snipefront.Refused(snipefront.ReasonNoBackendServer, retryLater, "no backend server of the cell accepts work")
+}
+
+// await waits until x is granted or refused, or until it is too late.
+func (c *Cell) await(ctx context.Context, x *waiter) (*Slot, error) {
+	t := time.NewTimer(time.Until(x.giveUp))
+	defer t.Stop()
+	select {
+	case g := <-x.granted:
+		return g.slot, g.err
+	case <-ctx.Done():
+		return c.withdraw(x, snipefront.Refused(snipefront.ReasonCanceled, 0, "the caller went away"))
+	case <-t.C:
+		return c.withdraw(x, snipefront.Refused(snipefront.ReasonOverload, retrySoon, "no slot became free in time"))
+	}
+}
+
+// withdraw takes x out of the queue. A slot that was granted meanwhile is given
+// back.
+func (c *Cell) withdraw(x *waiter, err *snipefront.Error) (*Slot, error) {
+	c.mu.Lock()
+	c.queue.remove(x)
+	c.mu.Unlock()
+	select {
+	case g := <-x.granted:
+		if g.slot != nil {
+			g.slot.Done(Canceled)
+		}
+	default:
+	}
+	return nil, err
+}
+
+// take gives a slot of s. The lock is held.
+func (c *Cell) take(now time.Time, s *server) *Slot {
+	s.inFlight++
+	c.inFlight++
+	return &Slot{BackendServer: s.announced, cell: c, server: s, taken: now}
+}
+
+// Done gives the slot back with the outcome of the attempt.
+func (s *Slot) Done(o Outcome) {
+	now := time.Now()
+	held := now.Sub(s.taken)
+	c := s.cell
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s.server.inFlight--
+	c.inFlight--
+	if s.server.announced.Incarnation == s.BackendServer.Incarnation {
+		s.learn(now, held, o)
+	}
+	c.serve(now)
+}
+
+func (s *Slot) learn(now time.Time, held time.Duration, o Outcome) {
+	switch o {
+	case Answered:
+		s.server.limiter.Answered(now, held)
+		s.cell.average(held)
+	case Troubled:
+		s.server.limiter.Troubled(now)
+	case Canceled:
+	}
+}
+
+func (c *Cell) average(held time.Duration) {
+	if c.service == 0 {
+		c.service = held
+		return
+	}
+	c.service += (held - c.service) / serviceWeight
+}
--- /dev/null
+++ b/internal/dispatch/cells/cells.go
@@ -0,0 +1,154 @@
+// Package cells holds the cells for which an instance knows backend servers,
+// and opens those that it owns.
+//
+// The set of cells is replaced as a whole when a cell is added, so that the
+// path of a request reads it without a lock.
+package cells
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/control/member"
+	"github.com/snipefront/snipefront/internal/dispatch/cell"
+	"github.com/snipefront/snipefront/internal/dispatch/local"
+)
+
+// expiryInterval is the time between looks for lapsed announcements.
+const expiryInterval = 250 * time.Millisecond
+
+// Set is the cells of one instance. Set the exported fields before Run.
+type Set struct {
+	// Make returns a new closed cell with its dispatcher.
+	Make func(snipefront.Cell) *local.Dispatcher
+
+	mu    sync.Mutex
+	view  *member.View
+	cells atomic.Pointer[map[snipefront.Cell]*local.Dispatcher]
+}
+
+// Get returns the dispatcher of c, or nil.
+func (s *Set) Get(c snipefront.Cell) *local.Dispatcher {
+	return s.All()[c]
+}
+
+// All returns the cells. The map is never changed.
+func (s *Set) All() map[snipefront.Cell]*local.Dispatcher {
+	if m := s.cells.Load(); m != nil {
+		return *m
+	}
+	return nil
+}
+
+// Announce takes in the announcement of a backend server and returns whether
+// this instance owns its cell.
+func (s *Set) Announce(now time.Time, b snipefront.BackendServer) bool {
+	d := s.Get(b.CellOf())
+	if d == nil {
+		d = s.add(now, b.CellOf())
+	}
+	d.Cell.Announce(now, b)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.view != nil && s.view.Owns(b.CellOf())
+}
+
+// Adopt implements member.Cells.
+func (s *Set) Adopt(v *member.View) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.view = v
+	for n, d := range s.All() {
+		s.place(time.Now(), n, d)
+	}
+}
+
+// Drained implements member.Cells.
+func (s *Set) Drained() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.view == nil {
+		return true
+	}
+	for n, d := range s.All() {
+		if !s.view.Owns(n) && d.Cell.InFlight() > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// InFlight returns the number of requests that the cells run.
+func (s *Set) InFlight() int {
+	n := 0
+	for _, d := range s.All() {
+		n += d.Cell.InFlight()
+	}
+	return n
+}
+
+// Run forgets lapsed announcements until ctx ends.
+func (s *Set) Run(ctx context.Context) error {
+	t := time.NewTicker(expiryInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-t.C:
+			for _, d := range s.All() {
+				d.Cell.Expire(now)
+			}
+		}
+	}
+}
+
+func (s *Set) add(now time.Time, c snipefront.Cell) *local.Dispatcher {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old := s.All()
+	if d := old[c]; d != nil {
+		return d
+	}
+	next := make(map[snipefront.Cell]*local.Dispatcher, len(old)+1)
+	for n, d := range old {
+		next[n] = d
+	}
+	d := s.Make(c)
+	next[c] = d
+	s.cells.Store(&next)
+	s.place(now, c, d)
+	return d
+}
+
+// place opens or closes a cell and gives it its rules. The lock is held.
+func (s *Set) place(now time.Time, c snipefront.Cell, d *local.Dispatcher) {
+	if s.view == nil {
+		return
+	}
+	d.Cell.Rule(now, rules(s.view.Config, c))
+	if s.view.Owns(c) {
+		d.Cell.Open(now)
+		return
+	}
+	d.Cell.Close()
+}
+
+func rules(f *snipefront.Config, c snipefront.Cell) cell.Rules {
+	s := f.Services[c.Service]
+	r := cell.Rules{
+		ColdLimit: max(1, s.ColdLimit),
+		WarmUp:    s.WarmUp,
+		Out:       f.DataCentresOut[c.DataCentre],
+		Spares:    map[string]bool{},
+	}
+	for n := range f.Spares {
+		if n.Service == c.Service {
+			r.Spares[n.BackendServer] = true
+		}
+	}
+	return r
+}
--- /dev/null
+++ b/internal/entry/front/front.go
@@ -0,0 +1,234 @@
+// Package front speaks HTTP with callers.
+//
+// A request is read whole and checked before it goes down the path, and an
+// answer is held whole before its first byte goes out. A final answer that is
+// not a backend server's is a problem document with the verdict, the reason and
+// the time after which the caller may ask again in its header.
+package front
+
+import (
+	"context"
+	"encoding/json"
+	"hash/fnv"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/snipefront/snipefront"
+)
+
+// The header fields of requests and answers.
+const (
+	TimeoutHeader        = "X-Request-Timeout"
+	IdempotencyKeyHeader = "Idempotency-Key"
+	VerdictHeader        = "X-Snipefront-Verdict"
+	ReasonHeader         = "X-Snipefront-Reason"
+	BackendHeader        = "X-Snipefront-Backend"
+)
+
+const (
+	// maxTimeout is the longest deadline that a caller may ask for.
+	maxTimeout = 10 * time.Minute
+	// maxKeyBytes is the longest idempotency key.
+	maxKeyBytes = 256
+)
+
+// Counter counts final answers.
+type Counter interface {
+	Answered(service string, status int, taken time.Duration)
+	Refused(service string, e *snipefront.Error)
+}
+
+// Front implements http.Handler. Set the exported fields before use.
+type Front struct {
+	Next snipefront.Handler
+	// Config returns the configuration in force.
+	Config func() *snipefront.Config
+	// MaxBodyBytes bounds the body of a request.
+	MaxBodyBytes int64
+	Counter      Counter
+}
+
+// ServeHTTP implements http.Handler.
+func (f *Front) ServeHTTP(w http.ResponseWriter, h *http.Request) {
+	arrived := time.Now()
+	r, err := f.read(arrived, h)
+	if err != nil {
+		f.refuse(w, "unknown", err)
+		return
+	}
+	resp, err := f.serve(h.Context(), r)
+	if err != nil {
+		f.refuse(w, r.Service, err)
+		return
+	}
+	f.Counter.Answered(r.Service, resp.Status, time.Since(arrived))
+	write(w, resp)
+}
+
+func (f *Front) serve(ctx context.Context, r *snipefront.Request) (*snipefront.Response, error) {
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	defer cancel()
+	return f.Next.Serve(ctx, r)
+}
+
+// read reads and checks the whole request.
+func (f *Front) read(arrived time.Time, h *http.Request) (*snipefront.Request, error) {
+	name, _, _ := strings.Cut(strings.TrimPrefix(h.URL.Path, "/"), "/")
+	s, ok := f.Config().Services[name]
+	if !ok {
+		return nil, snipefront.Rejected(snipefront.ReasonUnknownService, http.StatusNotFound, "no service is configured for the first segment of the path")
+	}
+	timeout, err := timeoutOf(h.Header, s.Deadline)
+	if err != nil {
+		return nil, err
+	}
+	key, err := keyOf(h.Header)
+	if err != nil {
+		return nil, err
+	}
+	body, err := f.readBody(h)
+	if err != nil {
+		return nil, err
+	}
+	r := &snipefront.Request{
+		Service:        name,
+		Method:         h.Method,
+		Target:         h.URL.RequestURI(),
+		Header:         endToEnd(h.Header),
+		Body:           body,
+		Deadline:       arrived.Add(timeout),
+		Importance:     s.Importance,
+		IdempotencyKey: key,
+		Idempotent:     key == "" && isIdempotent(h.Method),
+	}
+	if isSafe(h.Method) {
+		r.IdempotencyKey = ""
+		r.Idempotent = true
+	}
+	r.Fingerprint = fingerprint(r)
+	return r, nil
+}
+
+func (f *Front) readBody(h *http.Request) ([]byte, error) {
+	if h.ContentLength > f.MaxBodyBytes {
+		return nil, tooLarge()
+	}
+	if h.Body == nil || h.ContentLength == 0 {
+		return nil, nil
+	}
+	b, err := io.ReadAll(io.LimitReader(h.Body, f.MaxBodyBytes+1))
+	if err != nil {
+		return nil, snipefront.Rejected(snipefront.ReasonBadRequest, http.StatusBadRequest, "the body was cut short: "+err.Error())
+	}
+	if int64(len(b)) > f.MaxBodyBytes {
+		return nil, tooLarge()
+	}
+	return b, nil
+}
+
+func tooLarge() error {
+	return snipefront.Rejected(snipefront.ReasonTooLarge, http.StatusRequestEntityTooLarge, "the body is over the size limit")
+}
+
+// timeoutOf returns the time that the caller allows, or otherwise.
+func timeoutOf(h http.Header, otherwise time.Duration) (time.Duration, error) {
+	values := h.Values(TimeoutHeader)
+	if len(values) == 0 {
+		return otherwise, nil
+	}
+	ms, err := strconv.ParseInt(values[0], 10, 64)
+	if err != nil || len(values) > 1 || ms < 1 || ms > maxTimeout.Milliseconds() {
+		return 0, snipefront.Rejected(snipefront.ReasonBadRequest, http.StatusBadRequest, TimeoutHeader+" must be one whole number of milliseconds from 1 to "+strconv.FormatInt(maxTimeout.Milliseconds(), 10))
+	}
+	return time.Duration(ms) * time.Millisecond, nil
+}
+
+func keyOf(h http.Header) (string, error) {
+	values := h.Values(IdempotencyKeyHeader)
+	if len(values) == 0 {
+		return "", nil
+	}
+	if len(values) > 1 || values[0] == "" || len(values[0]) > maxKeyBytes {
+		return "", snipefront.Rejected(snipefront.ReasonBadRequest, http.StatusBadRequest, IdempotencyKeyHeader+" must be one value of 1 to "+strconv.Itoa(maxKeyBytes)+" bytes")
+	}
+	return values[0], nil
+}
+
+// endToEnd returns the header without the fields that concern one connection.
+func endToEnd(h http.Header) http.Header {
+	out := h.Clone()
+	for _, v := range out.Values("Connection") {
+		for _, n := range strings.Split(v, ",") {
+			out.Del(strings.TrimSpace(n))
+		}
+	}
+	for _, n := range hopByHop {
+		out.Del(n)
+	}
+	return out
+}
+
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", TimeoutHeader,
+	VerdictHeader, ReasonHeader, BackendHeader,
+}
+
+func isSafe(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		return true
+	}
+	return false
+}
+
+func isIdempotent(method string) bool {
+	return isSafe(method) || method == http.MethodPut || method == http.MethodDelete
+}
+
+func fingerprint(r *snipefront.Request) uint64 {
+	h := fnv.New64a()
+	for _, part := range []string{r.Method, r.Target, r.IdempotencyKey} {
+		_, _ = io.WriteString(h, part)
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.Write(r.Body)
+	return h.Sum64()
+}
+
+// write sends a whole answer.
+func write(w http.ResponseWriter, resp *snipefront.Response) {
+	out := w.Header()
+	for n, v := range endToEnd(resp.Header) {
+		out[n] = v
+	}
+	out.Set(BackendHeader, resp.BackendServer)
+	out.Set("Content-Length", strconv.Itoa(len(resp.Body)))
+	w.WriteHeader(resp.Status)
+	_, _ = w.Write(resp.Body)
+}
+
+// refuse sends a final answer that is not a backend server's.
+func (f *Front) refuse(w http.ResponseWriter, service string, err error) {
+	e := snipefront.AsError(err)
+	f.Counter.Refused(service, e)
+	h := w.Header()
+	h.Set("Content-Type", "application/problem+json")
+	h.Set(VerdictHeader, e.Verdict.String())
+	h.Set(ReasonHeader, string(e.Reason))
+	if e.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
+	}
+	w.WriteHeader(e.Status)
+	_ = json.NewEncoder(w).Encode(struct {
+		Title   string `json:"title"`
+		Status  int    `json:"status"`
+		Detail  string `json:"detail"`
+		Reason  string `json:"reason"`
+		Verdict string `json:"verdict"`
+	}{http.StatusText(e.Status), e.Status, e.Detail, string(e.Reason), e.Verdict.String()})
+}
--- /dev/null
+++ b/internal/observe/stats/stats.go
@@ -0,0 +1,69 @@
+// Package stats holds the metrics of an instance.
+package stats
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"github.com/snipefront/snipefront"
+)
+
+// Stats counts what happens on the path of requests.
+type Stats struct {
+	registry *prometheus.Registry
+	answers  *prometheus.CounterVec
+	refusals *prometheus.CounterVec
+	retries  *prometheus.CounterVec
+	latency  *prometheus.HistogramVec
+}
+
+// New returns metrics in a registry of their own.
+func New() *Stats {
+	s := &Stats{
+		registry: prometheus.NewRegistry(),
+		answers: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "snipefront_answers_total",
+			Help: "Answers of backend servers by service and status.",
+		}, []string{"service", "status"}),
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "snipefront_refusals_total",
+			Help: "Final answers without a backend server's answer, by service, reason and verdict.",
+		}, []string{"service", "reason", "verdict"}),
+		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "snipefront_retries_total",
+			Help: "Attempts that were repeated at another backend server or cell, by service and reason.",
+		}, []string{"service", "reason"}),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "snipefront_request_seconds",
+			Help:    "Time from the request's arrival to its answer, by service.",
+			Buckets: prometheus.ExponentialBuckets(0.0005, 2, 14),
+		}, []string{"service"}),
+	}
+	s.registry.MustRegister(s.answers, s.refusals, s.retries, s.latency)
+	s.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return s
+}
+
+// Gatherer returns the source of all metrics.
+func (s *Stats) Gatherer() prometheus.Gatherer {
+	return s.registry
+}
+
+// Answered counts an answer of a backend server.
+func (s *Stats) Answered(service string, status int, taken time.Duration) {
+	s.answers.WithLabelValues(service, strconv.Itoa(status)).Inc()
+	s.latency.WithLabelValues(service).Observe(taken.Seconds())
+}
+
+// Refused counts a final answer that is not a backend server's.
+func (s *Stats) Refused(service string, e *snipefront.Error) {
+	s.refusals.WithLabelValues(service, string(e.Reason), e.Verdict.String()).Inc()
+}
+
+// Retried counts a repeated attempt.
+func (s *Stats) Retried(service string, reason snipefront.Reason) {
+	s.retries.WithLabelValues(service, string(reason)).Inc()
+}
--- /dev/null
+++ b/internal/quorum/solo/solo.go
@@ -0,0 +1,34 @@
+// Package solo is a log of one replica in memory. It serves tests and fleets
+// of one control instance that may forget everything at a restart.
+package solo
+
+import (
+	"context"
+	"sync"
+
+	"github.com/snipefront/snipefront"
+)
+
+// Log implements snipefront.Log over Machine.
+type Log struct {
+	// Name is the instance, which always leads.
+	Name string
+	// Machine is driven by the log. It must be set.
+	Machine snipefront.Machine
+
+	mu    sync.Mutex
+	index uint64
+}
+
+// Propose applies command at once.
+func (l *Log) Propose(_ context.Context, command []byte) ([]byte, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.index++
+	return l.Machine.Apply(l.index, command), nil
+}
+
+// Leadership returns that this instance leads.
+func (l *Log) Leadership() snipefront.Leadership {
+	return snipefront.Leadership{Leader: l.Name, Self: true, Term: 1}
+}
--- /dev/null
+++ b/internal/rpc/peers/server.go
@@ -0,0 +1,160 @@
+package peers
+
+import (
+	"context"
+	"encoding/json"
+	"math"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/pkg/errors"
+
+	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/control/leader"
+	"github.com/snipefront/snipefront/internal/rpc/wire"
+)
+
+// Owner runs requests in the cells of this instance.
+type Owner interface {
+	// Forwarded runs r in c and returns the counts of c. An error is always a
+	// *snipefront.Error.
+	Forwarded(ctx context.Context, c snipefront.Cell, r *snipefront.Request, mayQueue bool) (Answer, error)
+	// Announced takes in an announcement and returns whether this instance owns
+	// its cell.
+	Announced(b snipefront.BackendServer) bool
+}
+
+// Server answers the calls of other instances. Set the exported fields before
+// Route.
+type Server struct {
+	Owner Owner
+	// Leader and Log are nil where this instance is not in the control quorum.
+	Leader *leader.Leader
+	Log    snipefront.Log
+	// Steps takes in messages of the replicated log. It may be nil.
+	Steps func(ctx context.Context, from string, messages []byte) error
+}
+
+// Route adds the services to r.
+func (s *Server) Route(r *mux.Router) {
+	r.PathPrefix(wire.PeerPathPrefix).Handler(wire.NewPeerServer(s))
+	if s.Leader != nil {
+		r.PathPrefix(wire.ControlPathPrefix).Handler(wire.NewControlServer(s))
+	}
+	r.NotFoundHandler = http.NotFoundHandler()
+}
+
+// Forward implements wire.Peer.
+func (s *Server) Forward(ctx context.Context, f *wire.ForwardRequest) (*wire.ForwardResponse, error) {
+	c := snipefront.Cell{Service: f.Service, DataCentre: f.DataCentre}
+	a, err := s.Owner.Forwarded(ctx, c, requestOf(f), f.MayQueue)
+	m := &wire.ForwardResponse{Free: int32(a.Free), Queued: int32(a.Queued)}
+	if err != nil {
+		m.Refusal = refusalMessage(snipefront.AsError(err))
+		return m, nil
+	}
+	m.Status = int32(a.Response.Status)
+	m.Header = fields(a.Response.Header)
+	m.Body = a.Response.Body
+	m.BackendServer = a.Response.BackendServer
+	return m, nil
+}
+
+// Announce implements wire.Peer.
+func (s *Server) Announce(_ context.Context, a *wire.AnnounceRequest) (*wire.AnnounceResponse, error) {
+	own := s.Owner.Announced(snipefront.BackendServer{
+		Name:        a.Name,
+		Service:     a.Service,
+		DataCentre:  a.DataCentre,
+		Address:     a.Address,
+		Incarnation: a.Incarnation,
+		Slots:       int(a.Slots),
+		Draining:    a.Draining,
+		Expires:     time.Now().Add(time.Duration(a.LeaseMillis) * time.Millisecond),
+	})
+	return &wire.AnnounceResponse{Owner: own}, nil
+}
+
+// Renew implements wire.Control.
+func (s *Server) Renew(_ context.Context, r *wire.RenewRequest) (*wire.RenewResponse, error) {
+	g := s.Leader.Renew(time.Now(), leader.Renewal{
+		Instance: instanceOf(r.Instance),
+		Epoch:    r.Epoch,
+		Revision: r.Revision,
+		Leaving:  r.Leaving,
+		Gone:     r.Gone,
+	})
+	m := &wire.RenewResponse{
+		NotLeader:   !g.Granted,
+		Leader:      g.Leader,
+		LeaseMillis: g.Lease.Milliseconds(),
+		Epoch:       g.Epoch.Number,
+		Settled:     g.Settled,
+		Revision:    g.Config.Revision,
+		Removed:     g.Config.Removed,
+		Whole:       g.Config.Whole,
+	}
+	if g.Epoch.Number != r.HeldEpoch {
+		for _, n := range g.Epoch.Instances {
+			m.Instances = append(m.Instances, instanceMessage(n))
+		}
+	}
+	for _, f := range g.Config.Files {
+		m.Files = append(m.Files, &wire.File{Name: f.Name, Content: f.Content})
+	}
+	return m, nil
+}
+
+// Propose implements wire.Control.
+func (s *Server) Propose(ctx context.Context, p *wire.ProposeRequest) (*wire.ProposeResponse, error) {
+	b, err := s.Log.Propose(ctx, p.Command)
+	if err == snipefront.ErrNotLeader {
+		return &wire.ProposeResponse{NotLeader: true, Leader: s.Log.Leadership().Leader}, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	return &wire.ProposeResponse{Result: b}, nil
+}
+
+// Read implements wire.Control.
+func (s *Server) Read(_ context.Context, r *wire.ReadRequest) (*wire.ReadResponse, error) {
+	v, ok := s.Leader.Overview(time.Now(), r.Revision)
+	if !ok {
+		return &wire.ReadResponse{NotLeader: true, Leader: s.Log.Leadership().Leader}, nil
+	}
+	var answer any = v
+	if r.What == "History" {
+		answer = leader.History{Changes: s.Leader.State.History()}
+	}
+	b, err := json.Marshal(answer)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode")
+	}
+	return &wire.ReadResponse{Leader: v.Leader, Json: b}, nil
+}
+
+// Step implements wire.Control.
+func (s *Server) Step(ctx context.Context, m *wire.StepRequest) (*wire.StepResponse, error) {
+	if s.Steps == nil {
+		return &wire.StepResponse{}, nil
+	}
+	return &wire.StepResponse{}, s.Steps(ctx, m.From, m.Messages)
+}
+
+func requestOf(f *wire.ForwardRequest) *snipefront.Request {
+	return &snipefront.Request{
+		Service:        f.Service,
+		Method:         f.Method,
+		Target:         f.Target,
+		Header:         headerOf(f.Header),
+		Body:           f.Body,
+		Deadline:       time.Now().Add(time.Duration(f.TimeoutMicros) * time.Microsecond),
+		Importance:     snipefront.Importance(min(f.Importance, math.MaxUint8)),
+		IdempotencyKey: f.IdempotencyKey,
+		Fingerprint:    f.Fingerprint,
+		Idempotent:     f.Idempotent,
+		Forwarded:      true,
+	}
+}
