config: merge the operators' intents and read an instance's settings

An instance needs its settings and the operators' folder checked before anything starts, with every mistake named at once by file, field, value and what is expected. encoding/json by itself takes field names in any case, keeps the last of two equal keys, skips null and stops at the first wrong kind, and DisallowUnknownFields names no path. Decoding therefore walks the target type by reflection and leaves each value to encoding/json; the walk is shared by intents and settings.

Files merge in the order of their names, whatever the order in which they are handed in; without the sort the property test and the table test fail. Two files of one name are refused, since neither is the later one. A spare of a service that no file states is refused, since it is most likely misspelt.

--- /dev/null
+++ b/internal/config/intent/kinds.go
@@ -0,0 +1,170 @@
+package intent
+
+import (
+	"fmt"
+	"net/http"
+	"net/url"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/config/strict"
+)
+
+// The kinds of intent.
+const (
+	kindService         = "Service"
+	kindDataCentreOut   = "DataCentreOut"
+	kindSpare           = "Spare"
+	kindMeasuringBudget = "MeasuringBudget"
+
+	kindExpected = "Service, DataCentreOut, Spare or MeasuringBudget"
+)
+
+// Defaults and bounds of a service.
+const (
+	defaultDeadline    = time.Second
+	minDeadline        = time.Millisecond
+	maxDeadline        = 10 * time.Minute
+	defaultColdLimit   = 1
+	maxColdLimit       = 10_000
+	defaultRetryBudget = 0.1
+	defaultHedgeBudget = 0.05
+	maxProbePathBytes  = 1024
+	maxProbesPerSecond = 1_000_000
+	maxStatus          = 599
+)
+
+const (
+	importanceExpected = "Critical, Normal or Background"
+	shareExpected      = "a number from 0 to 1"
+)
+
+func (m *merger) service(r *strict.Report, content []byte) {
+	f := struct {
+		Kind            string
+		Name            string
+		Importance      string `want:"Critical, Normal or Background"`
+		Deadline        time.Duration
+		ColdLimit       int
+		RetryBudget     float64 `want:"a number from 0 to 1"`
+		HedgeBudget     float64 `want:"a number from 0 to 1"`
+		RefusalStatuses []int
+		ProbePath       string
+	}{
+		Importance:  "Normal",
+		Deadline:    defaultDeadline,
+		ColdLimit:   defaultColdLimit,
+		RetryBudget: defaultRetryBudget,
+		HedgeBudget: defaultHedgeBudget,
+	}
+	r.Decode(content, &f)
+	importance, ok := parseImportance(f.Importance)
+	r.Require(strict.IsName(f.Name), "Name", f.Name, strict.NameExpected)
+	r.Require(ok, "Importance", f.Importance, importanceExpected)
+	r.Require(f.Deadline >= minDeadline && f.Deadline <= maxDeadline, "Deadline", f.Deadline,
+		fmt.Sprintf("a duration from %v to %v", minDeadline, maxDeadline))
+	r.Require(f.ColdLimit >= 1 && f.ColdLimit <= maxColdLimit, "ColdLimit", f.ColdLimit,
+		fmt.Sprintf("a whole number from 1 to %d", maxColdLimit))
+	r.Require(isShare(f.RetryBudget), "RetryBudget", f.RetryBudget, shareExpected)
+	r.Require(isShare(f.HedgeBudget), "HedgeBudget", f.HedgeBudget, shareExpected)
+	checkStatuses(r, f.RefusalStatuses)
+	r.Require(f.ProbePath == "" || isProbePath(f.ProbePath), "ProbePath", f.ProbePath,
+		"an absolute URL path such as /health")
+	if len(r.Problems) > 0 {
+		return
+	}
+	m.config.Services[f.Name] = snipefront.Service{
+		Name:            f.Name,
+		Importance:      importance,
+		Deadline:        f.Deadline,
+		ColdLimit:       f.ColdLimit,
+		RetryBudget:     f.RetryBudget,
+		HedgeBudget:     f.HedgeBudget,
+		RefusalStatuses: f.RefusalStatuses,
+		ProbePath:       f.ProbePath,
+	}
+}
+
+func (m *merger) dataCentreOut(r *strict.Report, content []byte) {
+	f := struct {
+		Kind       string
+		DataCentre string
+		Out        bool
+	}{Out: true}
+	r.Decode(content, &f)
+	r.Require(strict.IsName(f.DataCentre), "DataCentre", f.DataCentre, strict.NameExpected)
+	switch {
+	case len(r.Problems) > 0:
+	case f.Out:
+		m.config.DataCentresOut[f.DataCentre] = true
+	default:
+		delete(m.config.DataCentresOut, f.DataCentre)
+	}
+}
+
+func (m *merger) spare(r *strict.Report, content []byte) {
+	f := struct {
+		Kind          string
+		Service       string
+		BackendServer string
+		Spare         bool
+	}{Spare: true}
+	r.Decode(content, &f)
+	r.Require(strict.IsName(f.Service), "Service", f.Service, strict.NameExpected)
+	r.Require(strict.IsServerName(f.BackendServer), "BackendServer", f.BackendServer, strict.ServerNameExpected)
+	name := snipefront.SpareName{Service: f.Service, BackendServer: f.BackendServer}
+	switch {
+	case len(r.Problems) > 0:
+	case f.Spare:
+		m.config.Spares[name] = true
+		m.spareFiles[name] = r.File
+	default:
+		delete(m.config.Spares, name)
+	}
+}
+
+func (m *merger) measuringBudget(r *strict.Report, content []byte) {
+	f := struct {
+		Kind            string
+		ProbesPerSecond float64
+	}{ProbesPerSecond: -1}
+	r.Decode(content, &f)
+	ok := f.ProbesPerSecond >= 0 && f.ProbesPerSecond <= maxProbesPerSecond
+	r.Require(ok, "ProbesPerSecond", f.ProbesPerSecond, fmt.Sprintf("a number from 0 to %d", maxProbesPerSecond))
+	if len(r.Problems) == 0 {
+		m.config.ProbesPerSecond = f.ProbesPerSecond
+	}
+}
+
+func checkStatuses(r *strict.Report, statuses []int) {
+	for i, s := range statuses {
+		ok := s >= http.StatusBadRequest && s <= maxStatus && !slices.Contains(statuses[:i], s)
+		r.Require(ok, fmt.Sprintf("RefusalStatuses[%d]", i), s, "a status from 400 to 599, each once")
+	}
+}
+
+func parseImportance(s string) (snipefront.Importance, bool) {
+	switch s {
+	case "Critical":
+		return snipefront.Critical, true
+	case "Normal":
+		return snipefront.Normal, true
+	case "Background":
+		return snipefront.Background, true
+	default:
+		return 0, false
+	}
+}
+
+func isShare(f float64) bool { return f >= 0 && f <= 1 }
+
+// isProbePath reports whether s is an absolute path without a host.
+func isProbePath(s string) bool {
+	if len(s) > maxProbePathBytes || !strings.HasPrefix(s, "/") || strings.HasPrefix(s, "//") {
+		return false
+	}
+	u, err := url.ParseRequestURI(s)
+	return err == nil && u.Host == "" && !strings.ContainsAny(s, " #")
+}
--- /dev/null
+++ b/internal/config/intent/load.go
@@ -0,0 +1,88 @@
+package intent
+
+import (
+	"fmt"
+	"io"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/snipefront/snipefront/internal/config/strict"
+)
+
+// Load reads the files of the folder dir, without looking into their content.
+// Hidden files and editor backups that end in ~ are passed over. Anything else
+// that is not a regular file with a name in .json is a problem.
+func Load(dir string) ([]File, []Problem, error) {
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "read folder of intents")
+	}
+	var files []File
+	var problems []Problem
+	for _, e := range entries {
+		if strings.HasPrefix(e.Name(), ".") || strings.HasSuffix(e.Name(), "~") {
+			continue
+		}
+		if p := checkEntry(e); p != nil {
+			problems = append(problems, *p)
+			continue
+		}
+		content, err := readFile(filepath.Join(dir, e.Name()))
+		if err != nil {
+			return nil, nil, errors.Wrap(err, "read intent")
+		}
+		files = append(files, File{Name: e.Name(), Content: content})
+	}
+	return files, problems, nil
+}
+
+// LoadAndMerge reads and merges the folder dir. All problems of both steps are
+// returned together.
+func LoadAndMerge(dir string) ([]File, []Problem, error) {
+	files, problems, err := Load(dir)
+	if err != nil {
+		return nil, nil, err
+	}
+	_, merged := Merge(files)
+	return files, append(problems, merged...), nil
+}
+
+func checkEntry(e fs.DirEntry) *Problem {
+	r := strict.Report{File: e.Name()}
+	if !e.Type().IsRegular() {
+		r.Add("", entryKind(e.Type()), "a regular file")
+	}
+	if !isFileName(e.Name()) {
+		r.Add("", e.Name(), fileNameExpected)
+	}
+	if len(r.Problems) == 0 {
+		return nil
+	}
+	return &r.Problems[0]
+}
+
+func entryKind(m fs.FileMode) string {
+	switch {
+	case m.IsDir():
+		return "folder"
+	case m&fs.ModeSymlink != 0:
+		return "symbolic link"
+	default:
+		return fmt.Sprintf("file of mode %v", m)
+	}
+}
+
+// readFile returns the content of a file, cut one byte past MaxFileBytes so
+// that Merge refuses a file that is too long.
+func readFile(path string) ([]byte, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	return io.ReadAll(io.LimitReader(f, MaxFileBytes+1))
+}
--- /dev/null
+++ b/internal/config/intent/merge_test.go
@@ -0,0 +1,153 @@
+package intent_test
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/config/intent"
+)
+
+func file(name, content string) intent.File {
+	return intent.File{Name: name, Content: []byte(content)}
+}
+
+func TestLaterFileWinsWhole(t *testing.T) {
+	got, problems := intent.Merge([]intent.File{
+		file("90.json", `{"Kind":"DataCentreOut","DataCentre":"dc2","Out":false}`),
+		file("20.json", `{"Kind":"Service","Name":"balance","Importance":"Critical","RefusalStatuses":[503],"HedgeBudget":0}`),
+		file("10.json", `{"Kind":"Service","Name":"balance","Deadline":"250ms","ProbePath":"/health"}`),
+		file("30.json", `{"Kind":"DataCentreOut","DataCentre":"dc2"}`),
+		file("31.json", `{"Kind":"DataCentreOut","DataCentre":"dc3"}`),
+		file("40.json", `{"Kind":"Spare","Service":"balance","BackendServer":"b7"}`),
+		file("50.json", `{"Kind":"MeasuringBudget","ProbesPerSecond":20}`),
+	})
+	if len(problems) > 0 {
+		t.Fatal(problems)
+	}
+	want := snipefront.Config{
+		Services: map[string]snipefront.Service{"balance": {
+			Name: "balance", Importance: snipefront.Critical, Deadline: time.Second,
+			ColdLimit: 1, RetryBudget: 0.1, RefusalStatuses: []int{503},
+		}},
+		DataCentresOut:  map[string]bool{"dc3": true},
+		Spares:          map[snipefront.SpareName]bool{{Service: "balance", BackendServer: "b7"}: true},
+		ProbesPerSecond: 20,
+	}
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
+
+func TestOrderOfFilesHasNoInfluence(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		files := rapid.SliceOfN(rapid.Custom(drawFile), 0, 12).Draw(t, "files")
+		config, problems := intent.Merge(files)
+		shuffled := rapid.Permutation(files).Draw(t, "shuffled")
+		config2, problems2 := intent.Merge(shuffled)
+		if duplicated(files) {
+			if len(problems) == 0 || len(problems2) == 0 {
+				t.Fatal("two files of one name were accepted")
+			}
+			return
+		}
+		if !reflect.DeepEqual(config, config2) || !reflect.DeepEqual(problems, problems2) {
+			t.Fatalf("order matters:\n%+v %v\n%+v %v", config, problems, config2, problems2)
+		}
+	})
+}
+
+func drawFile(t *rapid.T) intent.File {
+	one := rapid.IntRange(1, 3)
+	content := rapid.SampledFrom([]string{
+		fmt.Sprintf(`{"Kind":"Service","Name":"s%d","ColdLimit":%d}`, one.Draw(t, "service"), one.Draw(t, "limit")),
+		fmt.Sprintf(`{"Kind":"DataCentreOut","DataCentre":"dc%d","Out":%t}`, one.Draw(t, "dc"), rapid.Bool().Draw(t, "out")),
+		fmt.Sprintf(`{"Kind":"Spare","Service":"s%d","BackendServer":"b","Spare":%t}`, one.Draw(t, "of"), rapid.Bool().Draw(t, "spare")),
+		fmt.Sprintf(`{"Kind":"MeasuringBudget","ProbesPerSecond":%d}`, one.Draw(t, "probes")),
+		`{"Kind":"Service","Name":"s1","ColdLimit":0,"Extra":1}`,
+	}).Draw(t, "content")
+	return file(fmt.Sprintf("%02d.json", rapid.IntRange(0, 40).Draw(t, "name")), content)
+}
+
+func duplicated(files []intent.File) bool {
+	seen := make(map[string]bool)
+	for _, f := range files {
+		if seen[f.Name] {
+			return true
+		}
+		seen[f.Name] = true
+	}
+	return false
+}
+
+func TestSizes(t *testing.T) {
+	big := `{"Kind":"Service","Name":"a"` + strings.Repeat(" ", intent.MaxFileBytes) + "}"
+	if _, p := intent.Merge([]intent.File{file("a.json", big)}); len(p) != 1 {
+		t.Errorf("a file over size gave %v", p)
+	}
+	if _, p := intent.Merge(make([]intent.File, intent.MaxFiles+1)); len(p) != 1 {
+		t.Errorf("a folder over size gave %d problems", len(p))
+	}
+}
+
+func TestLoadPassesOverAndRefuses(t *testing.T) {
+	dir := t.TempDir()
+	for _, name := range []string{"a.json", ".hidden.json", "a.json~", "b.txt"} {
+		if err := os.WriteFile(filepath.Join(dir, name), []byte("{}"), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := os.Symlink("a.json", filepath.Join(dir, "c.json")); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Mkdir(filepath.Join(dir, "d.json"), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	files, problems, err := intent.Load(dir)
+	if err != nil || len(files) != 1 || files[0].Name != "a.json" {
+		t.Errorf("files %v, error %v", files, err)
+	}
+	var refused []string
+	for _, p := range problems {
+		refused = append(refused, p.File)
+	}
+	if want := []string{"b.txt", "c.json", "d.json"}; !reflect.DeepEqual(refused, want) {
+		t.Errorf("refused %v, want %v", refused, want)
+	}
+}
+
+func FuzzMerge(f *testing.F) {
+	f.Add("a.json", `{"Kind":"Service","Name":"balance","Deadline":"250ms","RefusalStatuses":[503]}`)
+	f.Add("a.json", `{"Kind":"Service","Name":"balance","Name":"other","deadline":1,"RetryBudget":1e99}`)
+	f.Add("b.json", `{"Kind":"Spare","Service":"other","BackendServer":"b7"} trailing`)
+	f.Add(".c.json", `{"Kind":"DataCentreOut","DataCentre":null}`)
+	f.Add("d.json", `[{"Kind":7}]`)
+	f.Add("e.json", `{"Kind":"MeasuringBudget","ProbesPerSecond":-0}`)
+	f.Fuzz(func(t *testing.T, name, content string) {
+		base := file("0.json", `{"Kind":"Service","Name":"other"}`)
+		config, problems := intent.Merge([]intent.File{file(name, content), base})
+		for _, p := range problems {
+			if p.Expected == "" || p.Error() == "" {
+				t.Errorf("problem without an expectation: %+v", p)
+			}
+		}
+		if len(problems) > 0 {
+			if config.Services != nil {
+				t.Errorf("problems %v came with a configuration", problems)
+			}
+			return
+		}
+		for name, s := range config.Services {
+			if name != s.Name || s.Deadline <= 0 || s.ColdLimit < 1 || s.RetryBudget < 0 || s.RetryBudget > 1 {
+				t.Errorf("accepted %q as %+v", content, s)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/config/sets/sets.go
@@ -0,0 +1,209 @@
+// Package sets reads the settings of one instance: a JSON file that is read
+// once, when the process starts.
+//
+// Settings say who the instance is, where it listens, and which instances form
+// the control quorum. Everything that operators change while the system runs
+// is an intent instead, and reaches all instances through the quorum.
+package sets
+
+import (
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/snipefront/snipefront/internal/config/strict"
+)
+
+// Defaults and bounds.
+const (
+	DefaultMaxBodyBytes   = 1 << 20
+	DefaultMaxHeaderBytes = 16 << 10
+	DefaultLease          = 2 * time.Second
+	DefaultRenew          = 400 * time.Millisecond
+
+	maxMaxBodyBytes   = 1 << 30
+	minMaxHeaderBytes = 1 << 10
+	maxMaxHeaderBytes = 1 << 20
+	minRenew          = 10 * time.Millisecond
+	maxLease          = time.Minute
+	minRenewsPerLease = 3
+	maxControl        = 9
+)
+
+const logLevelExpected = "Debug, Info, Warn or Error"
+
+// Problem is one mistake in the settings.
+type Problem = strict.Problem
+
+// ControlMember is an instance of the control quorum.
+type ControlMember struct {
+	Instance    string
+	PeerAddress string
+}
+
+// Settings are the settings of one instance.
+type Settings struct {
+	// Instance is the name of this instance, unique in the fleet.
+	Instance string
+	// DataCentre is where this instance runs.
+	DataCentre string
+	// CallerAddress is host:port for callers and backend servers. It is given
+	// to callers, so it is never the unspecified address.
+	CallerAddress string
+	// PeerAddress is host:port for other instances.
+	PeerAddress string
+	// OperatorAddress is host:port for operators and metrics.
+	OperatorAddress string
+	// DataFolder holds the files of a member of the control quorum. It is set
+	// on these instances only.
+	DataFolder string
+	// Control lists the control quorum, 1 to 9 instances, each once. An even
+	// number bears no more losses than the odd number below it.
+	Control []ControlMember
+	// MaxBodyBytes is the most bytes in the body of a request.
+	MaxBodyBytes int64
+	// MaxHeaderBytes is the most bytes in the header of a request.
+	MaxHeaderBytes int
+	// Lease is how long a membership lease lasts. At least 3 times Renew.
+	Lease time.Duration
+	// Renew is the time between renewals of the lease.
+	Renew time.Duration
+	// LogLevel is the lowest level that is logged: Debug, Info, Warn or Error.
+	LogLevel string
+}
+
+// Level returns LogLevel as log/slog has it, and the level Info for a text
+// that Parse would refuse.
+func (s *Settings) Level() slog.Level {
+	var l slog.Level
+	if l.UnmarshalText([]byte(s.LogLevel)) != nil {
+		return slog.LevelInfo
+	}
+	return l
+}
+
+// IsControl reports whether the instance is a member of the control quorum.
+func (s *Settings) IsControl() bool {
+	for _, c := range s.Control {
+		if c.Instance == s.Instance {
+			return true
+		}
+	}
+	return false
+}
+
+// ProblemsError is returned by Load for a file with problems.
+type ProblemsError struct {
+	// Problems holds at least one problem.
+	Problems []Problem
+}
+
+// Error returns the problems, one a line.
+func (e *ProblemsError) Error() string {
+	lines := make([]string, len(e.Problems))
+	for i, p := range e.Problems {
+		lines[i] = p.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Load reads the settings from the file at path. The error of a file that was
+// read but has problems is a *ProblemsError.
+func Load(path string) (Settings, error) {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, errors.Wrap(err, "read settings")
+	}
+	s, problems := Parse(filepath.Base(path), content)
+	if len(problems) > 0 {
+		return Settings{}, &ProblemsError{Problems: problems}
+	}
+	return s, nil
+}
+
+// Parse returns the settings that content gives, or all of its problems. The
+// problems carry name as the name of the file.
+func Parse(name string, content []byte) (Settings, []Problem) {
+	s := Settings{
+		MaxBodyBytes:   DefaultMaxBodyBytes,
+		MaxHeaderBytes: DefaultMaxHeaderBytes,
+		Lease:          DefaultLease,
+		Renew:          DefaultRenew,
+		LogLevel:       "Info",
+	}
+	r := &strict.Report{File: name}
+	r.Decode(content, &s)
+	s.checkIdentity(r)
+	s.checkControl(r)
+	s.checkLimits(r)
+	if len(r.Problems) > 0 {
+		return Settings{}, r.Problems
+	}
+	return s, nil
+}
+
+func (s *Settings) checkIdentity(r *strict.Report) {
+	r.Require(strict.IsName(s.Instance), "Instance", s.Instance, strict.NameExpected)
+	r.Require(strict.IsName(s.DataCentre), "DataCentre", s.DataCentre, strict.NameExpected)
+	r.Require(strict.IsAddress(s.CallerAddress), "CallerAddress", s.CallerAddress, strict.AddressExpected)
+	r.Require(strict.IsAddress(s.PeerAddress), "PeerAddress", s.PeerAddress, strict.AddressExpected)
+	r.Require(strict.IsAddress(s.OperatorAddress), "OperatorAddress", s.OperatorAddress, strict.AddressExpected)
+	const expected = "an address that no other field has"
+	r.Require(!sameAddress(s.PeerAddress, s.CallerAddress), "PeerAddress", s.PeerAddress, expected)
+	operatorShared := sameAddress(s.OperatorAddress, s.CallerAddress) || sameAddress(s.OperatorAddress, s.PeerAddress)
+	r.Require(!operatorShared, "OperatorAddress", s.OperatorAddress, expected)
+}
+
+func (s *Settings) checkControl(r *strict.Report) {
+	r.Require(len(s.Control) >= 1 && len(s.Control) <= maxControl, "Control",
+		fmt.Sprintf("%d instances", len(s.Control)), fmt.Sprintf("1 to %d instances", maxControl))
+	for i, c := range s.Control {
+		instance := fmt.Sprintf("Control[%d].Instance", i)
+		address := fmt.Sprintf("Control[%d].PeerAddress", i)
+		r.Require(strict.IsName(c.Instance), instance, c.Instance, strict.NameExpected)
+		r.Require(strict.IsAddress(c.PeerAddress), address, c.PeerAddress, strict.AddressExpected)
+		for _, o := range s.Control[:i] {
+			r.Require(o.Instance != c.Instance, instance, c.Instance, "each instance once")
+			r.Require(!sameAddress(o.PeerAddress, c.PeerAddress), address, c.PeerAddress, "each address once")
+		}
+		if c.Instance == s.Instance {
+			r.Require(c.PeerAddress == s.PeerAddress, address, c.PeerAddress,
+				"the PeerAddress of this instance, "+s.PeerAddress)
+		}
+	}
+	if s.IsControl() {
+		r.Require(s.DataFolder != "", "DataFolder", s.DataFolder, "a folder, since Control lists this instance")
+		return
+	}
+	r.Require(s.DataFolder == "", "DataFolder", s.DataFolder, "no folder, since Control does not list this instance")
+}
+
+func (s *Settings) checkLimits(r *strict.Report) {
+	r.Require(s.MaxBodyBytes >= 1 && s.MaxBodyBytes <= maxMaxBodyBytes, "MaxBodyBytes", s.MaxBodyBytes,
+		fmt.Sprintf("1 to %d", maxMaxBodyBytes))
+	headerOK := s.MaxHeaderBytes >= minMaxHeaderBytes && s.MaxHeaderBytes <= maxMaxHeaderBytes
+	r.Require(headerOK, "MaxHeaderBytes", s.MaxHeaderBytes,
+		fmt.Sprintf("%d to %d", minMaxHeaderBytes, maxMaxHeaderBytes))
+	r.Require(s.Renew >= minRenew, "Renew", s.Renew, fmt.Sprintf("at least %v", minRenew))
+	r.Require(s.Lease <= maxLease && s.Lease >= minRenewsPerLease*s.Renew, "Lease", s.Lease,
+		fmt.Sprintf("%d times Renew (%v) to %v", minRenewsPerLease, s.Renew, maxLease))
+	switch s.LogLevel {
+	case "Debug", "Info", "Warn", "Error":
+	default:
+		r.Add("LogLevel", s.LogLevel, logLevelExpected)
+	}
+}
+
+// sameAddress reports whether two sockets could not listen on a and b. Port 0
+// is a different port each time.
+func sameAddress(a, b string) bool {
+	x, errX := netip.ParseAddrPort(a)
+	y, errY := netip.ParseAddrPort(b)
+	return errX == nil && errY == nil && x == y && x.Port() != 0
+}
