--- a/internal/config/intent/kinds.go
+++ b/internal/config/intent/kinds.go
@@ -28,6 +28,8 @@
 	minDeadline        = time.Millisecond
 	maxDeadline        = 10 * time.Minute
 	defaultColdLimit   = 1
+	defaultWarmUp      = time.Second
+	maxWarmUp          = time.Hour
 	maxColdLimit       = 10_000
 	defaultRetryBudget = 0.1
 	defaultHedgeBudget = 0.05
@@ -48,6 +50,7 @@
 		Importance      string `want:"Critical, Normal or Background"`
 		Deadline        time.Duration
 		ColdLimit       int
+		WarmUp          time.Duration
 		RetryBudget     float64 `want:"a number from 0 to 1"`
 		HedgeBudget     float64 `want:"a number from 0 to 1"`
 		RefusalStatuses []int
@@ -56,6 +59,7 @@
 		Importance:  "Normal",
 		Deadline:    defaultDeadline,
 		ColdLimit:   defaultColdLimit,
+		WarmUp:      defaultWarmUp,
 		RetryBudget: defaultRetryBudget,
 		HedgeBudget: defaultHedgeBudget,
 	}
@@ -67,6 +71,8 @@
 		fmt.Sprintf("a duration from %v to %v", minDeadline, maxDeadline))
 	r.Require(f.ColdLimit >= 1 && f.ColdLimit <= maxColdLimit, "ColdLimit", f.ColdLimit,
 		fmt.Sprintf("a whole number from 1 to %d", maxColdLimit))
+	r.Require(f.WarmUp >= 0 && f.WarmUp <= maxWarmUp, "WarmUp", f.WarmUp,
+		fmt.Sprintf("a duration from 0s to %v", maxWarmUp))
 	r.Require(isShare(f.RetryBudget), "RetryBudget", f.RetryBudget, shareExpected)
 	r.Require(isShare(f.HedgeBudget), "HedgeBudget", f.HedgeBudget, shareExpected)
 	checkStatuses(r, f.RefusalStatuses)
@@ -80,6 +86,7 @@
 		Importance:      importance,
 		Deadline:        f.Deadline,
 		ColdLimit:       f.ColdLimit,
+		WarmUp:          f.WarmUp,
 		RetryBudget:     f.RetryBudget,
 		HedgeBudget:     f.HedgeBudget,
 		RefusalStatuses: f.RefusalStatuses,
--- a/internal/control/member/member.go
+++ b/internal/control/member/member.go
@@ -15,12 +15,14 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"maps"
 	"sync/atomic"
 	"time"
 
 	"github.com/snipefront/snipefront"
 	"github.com/snipefront/snipefront/internal/config/intent"
 	"github.com/snipefront/snipefront/internal/control/leader"
+	"github.com/snipefront/snipefront/internal/control/state"
 )
 
 // hasteDivisor shortens the wait between renewals while a change is waiting for
@@ -55,7 +57,6 @@
 
 	view      atomic.Pointer[View]
 	leaving   atomic.Bool
-	files     map[string]json.RawMessage
 	confirmed uint64
 	revised   bool
 	target    int
@@ -74,6 +75,11 @@
 	m.leaving.Store(true)
 }
 
+// Leaving returns whether Leave was called.
+func (m *Member) Leaving() bool {
+	return m.leaving.Load()
+}
+
 // Run renews until ctx ends, and then ends the lease.
 func (m *Member) Run(ctx context.Context) error {
 	for {
@@ -176,7 +182,7 @@
 		next.Waiting = false
 		next.Before = nil
 	}
-	next.Config = m.configure(old.Config, g)
+	m.configure(&next, g)
 	if next.Epoch.Number != old.Epoch.Number || next.Waiting != old.Waiting || next.Config != old.Config {
 		m.view.Store(&next)
 		m.Cells.Adopt(&next)
@@ -188,36 +194,39 @@
 	}
 }
 
-// configure returns the configuration after a grant. It keeps the current one
-// where the grant's is not newer.
-func (m *Member) configure(current *snipefront.Config, g leader.Grant) *snipefront.Config {
+// configure puts the configuration of a grant into next, where it is newer.
+func (m *Member) configure(next *View, g leader.Grant) {
 	d := g.Config
-	if d.Revision <= current.Revision {
-		return current
-	}
-	files := make(map[string]json.RawMessage, len(m.files)+len(d.Files))
-	if !d.Whole {
-		for n, c := range m.files {
-			files[n] = c
-		}
-	}
-	for _, n := range d.Removed {
-		delete(files, n)
-	}
-	for _, f := range d.Files {
-		files[f.Name] = f.Content
+	if d.Revision <= next.Config.Revision {
+		return
 	}
+	files := patch(next.Files, d)
 	list := make([]intent.File, 0, len(files))
 	for n, c := range files {
 		list = append(list, intent.File{Name: n, Content: c})
 	}
 	c, problems := intent.Merge(list)
 	if len(problems) > 0 {
-		m.Logger.Error("accepted configuration not understood", "revision", d.Revision, "problem", problems[0])
-		return current
+		m.Logger.Error("accepted configuration not understood", "revision", d.Revision, "problem", problems[0].Error())
+		return
 	}
-	m.files = files
 	c.Revision = d.Revision
+	next.Config = &c
+	next.Files = files
 	m.Logger.Info("configuration in force", "revision", d.Revision, "files", len(files))
-	return &c
+}
+
+// patch returns the files after d, leaving old as it is.
+func patch(old map[string]json.RawMessage, d state.Delta) map[string]json.RawMessage {
+	files := make(map[string]json.RawMessage, len(old)+len(d.Files))
+	if !d.Whole {
+		maps.Copy(files, old)
+	}
+	for _, n := range d.Removed {
+		delete(files, n)
+	}
+	for _, f := range d.Files {
+		files[f.Name] = f.Content
+	}
+	return files
 }
--- a/internal/control/member/view.go
+++ b/internal/control/member/view.go
@@ -1,6 +1,8 @@
 package member
 
 import (
+	"encoding/json"
+
 	"github.com/snipefront/snipefront"
 	"github.com/snipefront/snipefront/internal/control/owner"
 )
@@ -13,6 +15,8 @@
 	Epoch snipefront.Epoch
 	// Config is never nil.
 	Config *snipefront.Config
+	// Files holds the files that Config was merged from, by name.
+	Files map[string]json.RawMessage
 	// Waiting is true until all holders of a lease have confirmed Epoch.
 	Waiting bool
 	// Before is the view of the epoch before, while Waiting. It is nil where the
--- /dev/null
+++ b/internal/daemon/module/module.go
@@ -0,0 +1,180 @@
+// Package module builds an instance from its parts with fx.
+//
+// Each part is a plain struct with exported fields. The functions here set the
+// fields, and the lifecycle opens the listeners, starts the controllers and
+// stops everything in the order of a planned stop.
+package module
+
+import (
+	"log/slog"
+	"strconv"
+
+	"go.uber.org/fx"
+
+	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/config/sets"
+	"github.com/snipefront/snipefront/internal/control/access"
+	"github.com/snipefront/snipefront/internal/control/leader"
+	"github.com/snipefront/snipefront/internal/control/member"
+	"github.com/snipefront/snipefront/internal/control/state"
+	"github.com/snipefront/snipefront/internal/dispatch/budget"
+	"github.com/snipefront/snipefront/internal/dispatch/cell"
+	"github.com/snipefront/snipefront/internal/dispatch/cells"
+	"github.com/snipefront/snipefront/internal/dispatch/local"
+	"github.com/snipefront/snipefront/internal/dispatch/picker"
+	"github.com/snipefront/snipefront/internal/dispatch/sender"
+	"github.com/snipefront/snipefront/internal/entry/admin"
+	"github.com/snipefront/snipefront/internal/entry/front"
+	"github.com/snipefront/snipefront/internal/entry/locate"
+	"github.com/snipefront/snipefront/internal/entry/notice"
+	"github.com/snipefront/snipefront/internal/observe/stats"
+	"github.com/snipefront/snipefront/internal/quorum/solo"
+	"github.com/snipefront/snipefront/internal/request/chain"
+	"github.com/snipefront/snipefront/internal/request/claim"
+	"github.com/snipefront/snipefront/internal/request/route"
+	"github.com/snipefront/snipefront/internal/rpc/peers"
+)
+
+const (
+	// maxAnswerBytes bounds the answer of a backend server that is held.
+	maxAnswerBytes = 8 << 20
+	// maxQueue is the most requests that wait in one cell.
+	maxQueue = 1000
+)
+
+// Options returns the parts of an instance with the settings s.
+func Options(s sets.Settings, sock Sockets, logger *slog.Logger) fx.Option {
+	return fx.Options(
+		fx.NopLogger,
+		fx.Supply(s, sock, logger),
+		fx.Provide(
+			stats.New, newInstance, newControl, newClient, newSender, newState, newLog, newLeader,
+			newAccess, newCells, newMember, newRouter, newClaim, newFront, newLocate, newNotice,
+			newAdmin, newServer, newLifecycle,
+		),
+		fx.Invoke(func(l fx.Lifecycle, n *Lifecycle) {
+			l.Append(fx.Hook{OnStart: n.Start, OnStop: n.Stop})
+		}),
+	)
+}
+
+func newInstance(s sets.Settings, sock Sockets) snipefront.Instance {
+	return snipefront.Instance{
+		Name:          s.Instance,
+		DataCentre:    s.DataCentre,
+		CallerAddress: sock.Caller.Addr().String(),
+		PeerAddress:   sock.Peer.Addr().String(),
+		Incarnation:   incarnation(),
+	}
+}
+
+// control is the members of the control quorum.
+type control []snipefront.Instance
+
+func newControl(s sets.Settings) control {
+	var list control
+	for _, c := range s.Control {
+		list = append(list, snipefront.Instance{Name: c.Instance, PeerAddress: c.PeerAddress})
+	}
+	return list
+}
+
+func newClient() *peers.Client { return &peers.Client{} }
+
+func newSender() *sender.Sender { return &sender.Sender{MaxAnswerBytes: maxAnswerBytes} }
+
+func newState() *state.State { return &state.State{} }
+
+func newLog(s sets.Settings, st *state.State) snipefront.Log {
+	if s.Control[0].Instance != s.Instance {
+		return nil
+	}
+	return &solo.Log{Name: s.Instance, Machine: st}
+}
+
+func newLeader(s sets.Settings, l snipefront.Log, st *state.State, logger *slog.Logger) *leader.Leader {
+	if l == nil {
+		return nil
+	}
+	return &leader.Leader{Log: l, State: st, Lease: s.Lease, Logger: logger}
+}
+
+func newAccess(c control, p *peers.Client) *access.Access {
+	return &access.Access{Control: c, Caller: p}
+}
+
+func newCells(s *sender.Sender, n *stats.Stats) *cells.Set {
+	return &cells.Set{Make: func(c snipefront.Cell) *local.Dispatcher {
+		return &local.Dispatcher{
+			Cell:    &cell.Cell{Name: c, Picker: picker.Free{}, MaxQueue: maxQueue},
+			Sender:  s,
+			Budget:  &budget.Share{},
+			Counter: n,
+		}
+	}}
+}
+
+func newMember(s sets.Settings, n snipefront.Instance, c control, p *peers.Client, l *cells.Set, logger *slog.Logger) *member.Member {
+	return &member.Member{
+		Instance: n,
+		Control:  c,
+		Renewer:  p,
+		Cells:    l,
+		Interval: s.Renew,
+		Logger:   logger,
+	}
+}
+
+func newRouter(n snipefront.Instance, m *member.Member, l *cells.Set, p *peers.Client, c *stats.Stats) *route.Router {
+	return &route.Router{
+		Self:      n.Name,
+		View:      m.View,
+		Lease:     &m.Lease,
+		Cells:     l,
+		Forwarder: p,
+		Counter:   c,
+	}
+}
+
+func newClaim(n snipefront.Instance, a *access.Access, logger *slog.Logger) *claim.Filter {
+	return &claim.Filter{
+		Proposer: a,
+		Origin:   n.Name + "/" + strconv.FormatUint(n.Incarnation, 36),
+		Logger:   logger,
+	}
+}
+
+// newFront joins the path of a request.
+func newFront(s sets.Settings, m *member.Member, c *claim.Filter, t *route.Router, n *stats.Stats) *front.Front {
+	return &front.Front{
+		Next:         chain.Join(t, c),
+		Config:       func() *snipefront.Config { return m.View().Config },
+		MaxBodyBytes: s.MaxBodyBytes,
+		Counter:      n,
+	}
+}
+
+func newLocate(m *member.Member, t *route.Router) *locate.Handler {
+	return &locate.Handler{View: m.View, Owners: t, Lifetime: addressLifetime}
+}
+
+func newNotice(m *member.Member, p *peers.Client) *notice.Handler {
+	return &notice.Handler{View: m.View, Passer: p, Lease: announcementLease}
+}
+
+func newAdmin(n snipefront.Instance, m *member.Member, l *cells.Set, a *access.Access, c *stats.Stats, logger *slog.Logger) *admin.Admin {
+	return &admin.Admin{
+		Self:     n.Name,
+		View:     m.View,
+		Lease:    &m.Lease,
+		Cells:    l,
+		Control:  a,
+		Metrics:  c.Gatherer(),
+		Stopping: m.Leaving,
+		Logger:   logger,
+	}
+}
+
+func newServer(t *route.Router, d *leader.Leader, l snipefront.Log) *peers.Server {
+	return &peers.Server{Owner: t, Leader: d, Log: l}
+}
