stand/server: add a stand-in backend server

Cause: tests and trials of the request path need backend servers with slots, cold starts that fall over above their bearing, refusals, drains, crashes and silent connections, both within one process and as processes.

Ruled out: httptest servers in each test, which would repeat the faults and record no double runs; freezing the listener, which would shut out the switch that ends the freeze, so a freeze holds requests instead.

Before: none. Each test was seen to fail against a change of the line that it guards: bearing off by one, no second cold start, ignored cancellation, double runs not counted, no drain announced, connections not silenced, no crash.

Conclusion: the work inside counts waiting requests, since a backend server that queues bears them too. A key counts as run from the moment its run begins.

--- /dev/null
+++ b/internal/stand/server/handle.go
@@ -0,0 +1,155 @@
+package server
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/snipefront/snipefront/internal/stand/answer"
+)
+
+// serveRequest runs one request of a caller.
+func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, mostBodyBytes))
+	if err != nil {
+		http.Error(w, "body: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	ctx, cancel, err := withTimeout(r.Context(), r.Header.Get(headerTimeout))
+	if err != nil {
+		http.Error(w, headerTimeout+": not a number of milliseconds", http.StatusBadRequest)
+		return
+	}
+	defer cancel()
+	s.awaitThaw(r.Context().Done())
+	if s.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	p, a := s.admit(time.Now())
+	switch a {
+	case refused:
+		refuse(w)
+	case failing:
+		s.fail(ctx, w)
+	case admitted:
+		defer func() { s.leave(p, time.Now()) }()
+		s.runAdmitted(ctx, w, r, body, p)
+	}
+}
+
+func (s *Server) runAdmitted(ctx context.Context, w http.ResponseWriter, r *http.Request, body []byte, p *period) {
+	select {
+	case s.slots <- struct{}{}:
+		defer func() { <-s.slots }()
+	case <-ctx.Done():
+		refuse(w)
+		return
+	case <-p.lost.Done():
+		panic(http.ErrAbortHandler)
+	case <-s.crashed:
+		panic(http.ErrAbortHandler)
+	}
+	if ctx.Err() != nil {
+		refuse(w)
+		return
+	}
+	s.runs.record(r)
+	if r.Header.Get(headerCrash) == "1" {
+		s.Log.Warn("crashing on a marked request", "name", s.Name)
+		s.die()
+		panic(http.ErrAbortHandler)
+	}
+	if !s.work(ctx, p) {
+		s.count(func(c *Report) { c.Canceled++ })
+		http.Error(w, "canceled or timed out while running", http.StatusGatewayTimeout)
+		return
+	}
+	s.awaitThaw(r.Context().Done())
+	s.reply(w, r, body)
+}
+
+// work takes the service time. It returns false where ctx ended first.
+func (s *Server) work(ctx context.Context, p *period) bool {
+	t := time.NewTimer(s.serviceTime(p, time.Now()))
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	case <-p.lost.Done():
+		panic(http.ErrAbortHandler)
+	case <-s.crashed:
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (s *Server) reply(w http.ResponseWriter, r *http.Request, body []byte) {
+	q := answer.Question{
+		Target:         r.URL.RequestURI(),
+		IdempotencyKey: r.Header.Get(headerKey),
+		RequestID:      r.Header.Get(headerRequestID),
+		Body:           body,
+	}
+	m := s.currentMode()
+	if m.Cross {
+		q.RequestID += " of another"
+	}
+	b := q.Answer()
+	w.Header().Set("Content-Type", "text/plain")
+	w.Header().Set("Content-Length", strconv.Itoa(len(b)))
+	w.Header().Set(headerName, s.Name)
+	s.count(func(c *Report) { c.Answered++ })
+	if !m.Truncate {
+		w.Write(b)
+		return
+	}
+	w.Write(b[:len(b)/2])
+	if err := http.NewResponseController(w).Flush(); err != nil {
+		s.Log.Warn("flush", "name", s.Name, "error", err)
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// fail answers as a server that has fallen over: by turns a late 500 and a
+// dropped connection.
+func (s *Server) fail(ctx context.Context, w http.ResponseWriter) {
+	failed := 0
+	s.count(func(c *Report) {
+		c.Failed++
+		failed = c.Failed
+	})
+	if failed%2 == 0 {
+		panic(http.ErrAbortHandler)
+	}
+	t := time.NewTimer(slowFailureDuration)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	http.Error(w, "fallen over", http.StatusInternalServerError)
+}
+
+// refuse answers a request that has not run and will not.
+func refuse(w http.ResponseWriter) {
+	w.Header().Set("Retry-After", retryAfterSeconds)
+	http.Error(w, "not run", http.StatusServiceUnavailable)
+}
+
+// withTimeout returns ctx bounded by text, the milliseconds that the caller has
+// left. An empty text sets no bound.
+func withTimeout(ctx context.Context, text string) (context.Context, context.CancelFunc, error) {
+	if text == "" {
+		ctx, cancel := context.WithCancel(ctx)
+		return ctx, cancel, nil
+	}
+	ms, err := strconv.ParseUint(text, 10, 31)
+	if err != nil {
+		return nil, nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(ms)*time.Millisecond)
+	return ctx, cancel, nil
+}
--- /dev/null
+++ b/internal/stand/server/server_test.go
@@ -0,0 +1,273 @@
+package server_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/snipefront/snipefront/internal/stand/answer"
+	"github.com/snipefront/snipefront/internal/stand/server"
+)
+
+const hang = time.Minute
+
+// ask lets s answer a request without a socket and returns the status, or 0
+// where the server dropped the connection.
+func ask(ctx context.Context, s *server.Server, method, key string) (status int) {
+	defer func() {
+		if recover() != nil {
+			status = 0
+		}
+	}()
+	r := httptest.NewRequestWithContext(ctx, method, "/balance/1", nil)
+	if key != "" {
+		r.Header.Set("Idempotency-Key", key)
+	}
+	w := httptest.NewRecorder()
+	s.ServeHTTP(w, r)
+	return w.Code
+}
+
+func TestFallsOverAboveColdBearingAndStartsColdAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &server.Server{Slots: 3, Latency: 10 * time.Millisecond, Fixed: true,
+			ColdFor: time.Second, ColdBearing: 1, FallOverFor: time.Second}
+		if got := ask(t.Context(), s, "GET", ""); got != 200 {
+			t.Fatalf("one request in cold start got %d", got)
+		}
+		first := make(chan int)
+		go func() { first <- ask(t.Context(), s, "GET", "") }()
+		synctest.Wait()
+		if got := ask(t.Context(), s, "GET", ""); got != 0 {
+			t.Errorf("request above the bearing got %d", got)
+		}
+		if got := <-first; got != 0 {
+			t.Errorf("request in flight at the fall got %d", got)
+		}
+		if got := ask(t.Context(), s, "GET", ""); got != 500 {
+			t.Errorf("request after the fall got %d", got)
+		}
+		time.Sleep(time.Second)
+		if got := ask(t.Context(), s, "GET", ""); got != 200 {
+			t.Errorf("request after the restart got %d", got)
+		}
+		go func() { first <- ask(t.Context(), s, "GET", "") }()
+		synctest.Wait()
+		ask(t.Context(), s, "GET", "")
+		<-first
+		if r := s.Report(); r.FellOver != 2 || r.MostAtOnceCold != 2 {
+			t.Errorf("fell over %d times, most at once cold %d", r.FellOver, r.MostAtOnceCold)
+		}
+	})
+}
+
+func TestWarmServerBearsItsSlotsAndQueuesTheRest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &server.Server{Slots: 2, Latency: 10 * time.Millisecond, Fixed: true, ReportLag: time.Second}
+		done := make(chan int)
+		start := time.Now()
+		for range 4 {
+			go func() { done <- ask(t.Context(), s, "GET", "") }()
+		}
+		for range 4 {
+			if got := <-done; got != 200 {
+				t.Errorf("got %d", got)
+			}
+		}
+		// The clock of the bubble is exact.
+		if took := time.Since(start); took != 20*time.Millisecond {
+			t.Errorf("two rounds on two slots took %v", took)
+		}
+		if r := s.Report(); r.MostAtOnce != 4 || r.FellOver != 0 {
+			t.Errorf("report %+v", r)
+		}
+		time.Sleep(995 * time.Millisecond)
+		w := httptest.NewRecorder()
+		s.ServeHTTP(w, httptest.NewRequest("GET", "/.stand/load", nil))
+		if got := w.Body.String(); got != `{"InFlight":2,"Slots":2}` {
+			t.Errorf("load one second late: %s", got)
+		}
+	})
+}
+
+func TestCanceledRequestsStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &server.Server{Slots: 1, Latency: time.Hour, Fixed: true}
+		ctx, cancel := context.WithCancel(t.Context())
+		running, waiting := make(chan int), make(chan int)
+		go func() { running <- ask(ctx, s, "POST", "a") }()
+		synctest.Wait()
+		go func() { waiting <- ask(ctx, s, "POST", "b") }()
+		synctest.Wait()
+		cancel()
+		if got := <-running; got != 504 {
+			t.Errorf("canceled while running: %d", got)
+		}
+		if got := <-waiting; got != 503 {
+			t.Errorf("canceled while waiting: %d", got)
+		}
+		if k := s.Keys(); !slices.Equal(k, []server.KeyRuns{{Key: "a", Runs: 1}}) {
+			t.Errorf("keys that ran: %v", k)
+		}
+	})
+}
+
+func TestDoubleRunsAreCounted(t *testing.T) {
+	a, b := &server.Server{}, &server.Server{}
+	ask(t.Context(), a, "POST", "twice")
+	ask(t.Context(), a, "POST", "once")
+	a.SetMode(server.Mode{Shed: true})
+	if got := ask(t.Context(), a, "POST", "once"); got != 503 {
+		t.Errorf("shed request got %d", got)
+	}
+	ask(t.Context(), b, "POST", "twice")
+	if got := server.Double(a, b); !slices.Equal(got, []string{"twice"}) {
+		t.Errorf("double on both: %v", got)
+	}
+	ask(t.Context(), b, "POST", "twice")
+	if r := b.Report(); !slices.Equal(r.Double, []string{"twice"}) || r.Runs != 2 {
+		t.Errorf("report %+v", r)
+	}
+}
+
+// start runs s on a loopback listener and returns its URL and its end.
+func start(t *testing.T, ctx context.Context, s *server.Server) (string, <-chan error) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Listener = l
+	s.DrainFor = time.Millisecond
+	ended := make(chan error, 1)
+	go func() { ended <- s.Run(ctx) }()
+	return "http://" + l.Addr().String(), ended
+}
+
+func TestMarkedRequestCrashes(t *testing.T) {
+	s := &server.Server{}
+	url, ended := start(t, t.Context(), s)
+	r, err := http.NewRequest("POST", url+"/charge/1", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("X-Stand-Crash", "1")
+	if w, err := http.DefaultClient.Do(r); err == nil {
+		t.Errorf("the crashing request got %s", w.Status)
+	}
+	select {
+	case err := <-ended:
+		if !errors.Is(err, server.ErrCrashed) {
+			t.Errorf("ended with %v", err)
+		}
+	case <-time.After(hang):
+		t.Fatal("still running")
+	}
+	if w, err := http.Get(url + "/.stand/health"); err == nil {
+		t.Errorf("after the crash: %s", w.Status)
+	}
+	if n := s.Report().Runs; n != 1 {
+		t.Errorf("%d runs", n)
+	}
+}
+
+func TestStopFinishesRequestsInFlightAndAnnouncesTheDrain(t *testing.T) {
+	drains := make(chan bool, 64)
+	instance := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var a struct{ Draining bool }
+		if err := json.NewDecoder(r.Body).Decode(&a); err != nil {
+			t.Error(err)
+		}
+		drains <- a.Draining
+		w.Write([]byte(`{"LeaseMilliseconds":600000}`))
+	}))
+	defer instance.Close()
+	ctx, stop := context.WithCancel(t.Context())
+	s := &server.Server{Latency: 100 * time.Millisecond, Fixed: true, Seeds: []string{instance.Listener.Addr().String()}}
+	url, ended := start(t, ctx, s)
+	if <-drains {
+		t.Error("draining at the start")
+	}
+	got := make(chan error, 1)
+	go func() {
+		got <- whole(url + "/balance/1")
+	}()
+	for s.Report().Runs == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	stop()
+	if !<-drains {
+		t.Error("no drain announced")
+	}
+	if err := <-got; err != nil {
+		t.Error(err)
+	}
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
+
+func TestSilencedConnectionsStaySilentAndNewOnesWork(t *testing.T) {
+	s := &server.Server{}
+	ctx, stop := context.WithCancel(t.Context())
+	url, ended := start(t, ctx, s)
+	old := &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1}}
+	get := func(c *http.Client, timeout time.Duration) error {
+		ctx, cancel := context.WithTimeout(t.Context(), timeout)
+		defer cancel()
+		r, err := http.NewRequestWithContext(ctx, "GET", url+"/.stand/health", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		w, err := c.Do(r)
+		if err == nil {
+			w.Body.Close()
+		}
+		return err
+	}
+	if err := get(old, hang); err != nil {
+		t.Fatal(err)
+	}
+	fresh := &http.Client{Transport: &http.Transport{}}
+	w, err := fresh.Post(url+"/.stand/mode", "application/json", bytes.NewReader([]byte(`{"SilentOld":true}`)))
+	if err != nil || w.StatusCode != 204 {
+		t.Fatal(w, err)
+	}
+	if err := get(old, 50*time.Millisecond); !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("old connection: %v", err)
+	}
+	if err := get(&http.Client{Transport: &http.Transport{}}, hang); err != nil {
+		t.Errorf("new connection: %v", err)
+	}
+	stop()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
+
+// whole gets url and checks the answer.
+func whole(url string) error {
+	w, err := http.Get(url)
+	if err != nil {
+		return err
+	}
+	defer w.Body.Close()
+	b, err := io.ReadAll(w.Body)
+	if err != nil {
+		return err
+	}
+	q := answer.Question{Target: w.Request.URL.RequestURI()}
+	if f := q.Check(b); f != answer.Whole {
+		return errors.New("not the whole answer: " + string(b))
+	}
+	return nil
+}
