module: close servers and controllers through their channels

The linter found contexts that did not inherit, an error compared by identity and the end of each goroutine read without its error. The stop now returns the first error of any controller or server. The path was run before and after as 16 instances with 34 stand-in backend servers in separate processes: a lookup, a charge and its resend through another instance were answered alike.

--- a/cmd/snipefront/main.go
+++ b/cmd/snipefront/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"io"
@@ -69,10 +70,11 @@
 
 // parse parses args with f. Where the command is over, done is true.
 func parse(f *flag.FlagSet, args []string) (status int, done bool) {
-	switch err := f.Parse(args); err {
-	case nil:
+	err := f.Parse(args)
+	switch {
+	case err == nil:
 		return 0, false
-	case flag.ErrHelp:
+	case errors.Is(err, flag.ErrHelp):
 		return 0, true
 	default:
 		return exitUsage, true
@@ -108,7 +110,7 @@
 
 // runInstance runs an instance until ctx ends, and then stops it as planned.
 func runInstance(ctx context.Context, s sets.Settings, errs io.Writer) error {
-	sock, err := module.Listen(s)
+	sock, err := module.Listen(ctx, s)
 	if err != nil {
 		return err
 	}
--- a/internal/control/member/member.go
+++ b/internal/control/member/member.go
@@ -86,7 +86,7 @@
 		m.renew(ctx, false)
 		select {
 		case <-ctx.Done():
-			m.end()
+			m.end(ctx)
 			return nil
 		case <-time.After(m.wait()):
 		}
@@ -94,9 +94,9 @@
 }
 
 // end tells the leader that this instance no longer needs its lease.
-func (m *Member) end() {
+func (m *Member) end(ctx context.Context) {
 	m.Lease.drop()
-	ctx, cancel := context.WithTimeout(context.Background(), m.Interval)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), m.Interval)
 	defer cancel()
 	m.renew(ctx, true)
 }
--- a/internal/daemon/module/lifecycle.go
+++ b/internal/daemon/module/lifecycle.go
@@ -101,8 +101,8 @@
 }
 
 // Start starts the servers and the controllers.
-func (n *Lifecycle) Start(context.Context) error {
-	ctx, cancel := context.WithCancel(context.Background())
+func (n *Lifecycle) Start(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	n.cancel = cancel
 	n.serve(n.peer, n.sockets.Peer)
 	n.serve(n.operator, n.sockets.Operator)
@@ -133,20 +133,16 @@
 	n.await(ctx, func() bool { return n.cells.InFlight() == 0 && n.claims.Pending() == 0 })
 	n.cancel()
 	for range n.controllers {
-		<-n.ended
+		err = first(err, <-n.ended)
 	}
 	return n.closeRest(ctx, err)
 }
 
 func (n *Lifecycle) closeRest(ctx context.Context, err error) error {
-	if e := n.peer.Shutdown(ctx); err == nil {
-		err = e
-	}
-	if e := n.operator.Shutdown(ctx); err == nil {
-		err = e
-	}
+	err = first(err, n.peer.Shutdown(ctx))
+	err = first(err, n.operator.Shutdown(ctx))
 	for range n.servers {
-		<-n.closed
+		err = first(err, <-n.closed)
 	}
 	n.logger.Info("stopped", "instance", n.settings.Instance)
 	return errors.Wrap(err, "stop")
@@ -180,12 +176,23 @@
 	n.servers++
 	go func() {
 		err := s.Serve(l)
-		if !errors.Is(err, http.ErrServerClosed) {
+		if errors.Is(err, http.ErrServerClosed) {
+			err = nil
+		}
+		if err != nil {
 			n.logger.Error("server ended", "address", l.Addr(), "error", err)
 		}
 		n.closed <- err
 	}()
 }
 
+// first returns the earlier of two errors that is not nil.
+func first(a, b error) error {
+	if a != nil {
+		return a
+	}
+	return b
+}
+
 // incarnation returns a number that differs between starts of a process.
 func incarnation() uint64 { return uint64(time.Now().UnixNano()) }
--- a/internal/daemon/module/socket.go
+++ b/internal/daemon/module/socket.go
@@ -1,6 +1,7 @@
 package module
 
 import (
+	"context"
 	"net"
 
 	"github.com/pkg/errors"
@@ -17,8 +18,9 @@
 
 // Listen opens the listeners that the settings name. Where one fails, none stays
 // open.
-func Listen(s sets.Settings) (Sockets, error) {
+func Listen(ctx context.Context, s sets.Settings) (Sockets, error) {
 	var sock Sockets
+	var listener net.ListenConfig
 	for _, l := range []struct {
 		into    *net.Listener
 		address string
@@ -27,7 +29,7 @@
 		{&sock.Peer, s.PeerAddress},
 		{&sock.Operator, s.OperatorAddress},
 	} {
-		n, err := net.Listen("tcp", l.address)
+		n, err := listener.Listen(ctx, "tcp", l.address)
 		if err != nil {
 			sock.Close()
 			return Sockets{}, errors.Wrap(err, "listen")
--- a/internal/dispatch/local/local.go
+++ b/internal/dispatch/local/local.go
@@ -11,6 +11,8 @@
 	"net/http"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/snipefront/snipefront"
 	"github.com/snipefront/snipefront/internal/dispatch/budget"
 	"github.com/snipefront/snipefront/internal/dispatch/cell"
@@ -75,7 +77,7 @@
 	switch {
 	case a.Response != nil && a.Response.Status < http.StatusInternalServerError:
 		return cell.Answered
-	case a.Response == nil && context.Cause(ctx) == context.Canceled:
+	case a.Response == nil && errors.Is(ctx.Err(), context.Canceled):
 		return cell.Canceled
 	default:
 		return cell.Troubled
--- a/internal/rpc/peers/server.go
+++ b/internal/rpc/peers/server.go
@@ -109,7 +109,7 @@
 // Propose implements wire.Control.
 func (s *Server) Propose(ctx context.Context, p *wire.ProposeRequest) (*wire.ProposeResponse, error) {
 	b, err := s.Log.Propose(ctx, p.Command)
-	if err == snipefront.ErrNotLeader {
+	if errors.Is(err, snipefront.ErrNotLeader) {
 		return &wire.ProposeResponse{NotLeader: true, Leader: s.Log.Leadership().Leader}, nil
 	}
 	if err != nil {
