intent: expect the default warm-up in the whole merged configuration

The service gained the time for which a start counts as cold, one second where a file does not set it. The test compares the whole value, so it names the new field and is as strict as before.

--- a/internal/config/intent/merge_test.go
+++ b/internal/config/intent/merge_test.go
@@ -35,7 +35,7 @@
 	want := snipefront.Config{
 		Services: map[string]snipefront.Service{"balance": {
 			Name: "balance", Importance: snipefront.Critical, Deadline: time.Second,
-			ColdLimit: 1, RetryBudget: 0.1, RefusalStatuses: []int{503},
+			ColdLimit: 1, WarmUp: time.Second, RetryBudget: 0.1, RefusalStatuses: []int{503},
 		}},
 		DataCentresOut:  map[string]bool{"dc3": true},
 		Spares:          map[snipefront.SpareName]bool{{Service: "balance", BackendServer: "b7"}: true},
