snipectl: add the operators' command and its client

Operators need to check a folder without any instance, see what it would change, apply it so that a lost answer does no harm, and see why a backend server gets no work.

apply prints the ID of its change before anything is sent, sends it again under that ID to the next address after an answer that is missing, cut short or a server error, and waits until the revision is in force. Where the wait ends first it names the instances, or says how to ask for the result again. A lost race names the winning change. Each attempt opens a new connection with its own time limit, since an open one may have gone silent. A folder without intents is applied only with -empty, because it removes every service.

Seen to fail first, each with the part taken out: with a transport error taken as final, the script of a lost answer; without the time limit of an attempt, the client's test with a silent address, after its 60 s. The problems of a folder are now sorted by file also across its checks.

The fleet in these tests is a fake of the HTTP interface; a run against real instances has not been made.

--- /dev/null
+++ b/cmd/snipectl/apply.go
@@ -0,0 +1,128 @@
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/snipefront/snipefront/internal/config/client"
+	"github.com/snipefront/snipefront/internal/config/intent"
+)
+
+// shownUnit is the precision of the times that apply prints.
+const shownUnit = time.Millisecond
+
+// application is one run of apply.
+type application struct {
+	terminal *terminal
+	client   *client.Client
+	changeID string
+	// version is the revision that the change is made against.
+	version uint64
+}
+
+func apply(ctx context.Context, t *terminal, args []string) error {
+	f := newFlags(t, "apply", "DIR", "apply -addr 10.1.0.4:8082,10.2.0.4:8082 -wait 10s intents/")
+	r := f.remote()
+	changeID := f.String("change", "", "`ID` of a change that is sent again; a random one if empty")
+	version := newVersion(f, "version", "the revision that the change was made against; the current one if not given")
+	empty := f.Bool("empty", false, "accept a folder without any intent")
+	if err := f.parse(args, 1); err != nil {
+		return err
+	}
+	files, err := loadFolder(f.Arg(0))
+	if err != nil {
+		return err
+	}
+	if len(files) == 0 && !*empty {
+		return errors.New(f.Arg(0) + " holds no intent; -empty applies it nevertheless")
+	}
+	a := &application{terminal: t, client: r.client(), changeID: *changeID, version: version.number}
+	if a.changeID == "" {
+		a.changeID = rand.Text()
+	}
+	fmt.Fprintf(t.Output, "change %s\n", a.changeID)
+	ctx, cancel := context.WithTimeout(ctx, r.wait)
+	defer cancel()
+	if !version.given {
+		if err := a.readVersion(ctx); err != nil {
+			return err
+		}
+	}
+	return a.run(ctx, files)
+}
+
+func (a *application) readVersion(ctx context.Context) error {
+	accepted, err := a.client.Config(ctx)
+	a.version = accepted.Revision
+	return err
+}
+
+// run sends the change and waits until it is in force.
+func (a *application) run(ctx context.Context, files []intent.File) error {
+	fmt.Fprintf(a.terminal.Output, "made against revision %d\n", a.version)
+	start := time.Now()
+	change := client.Change{ChangeID: a.changeID, Version: a.version, Files: toWire(files)}
+	accepted, err := a.client.Apply(ctx, change)
+	if err != nil {
+		return a.explain(err)
+	}
+	how := "accepted"
+	if accepted.Repeated {
+		how = "accepted before"
+	}
+	fmt.Fprintf(a.terminal.Output, "%s as revision %d, answered after %v\n", how, accepted.Revision, since(start))
+	if err := a.client.WaitInForce(ctx, accepted.Revision); err != nil {
+		return err
+	}
+	fmt.Fprintf(a.terminal.Output, "in force everywhere after %v\n", since(start))
+	return nil
+}
+
+// explain adds to err how to go on where the result of the change is unknown.
+func (a *application) explain(err error) error {
+	var conflict *client.ConflictError
+	var refused *client.RefusedError
+	if errors.As(err, &conflict) || errors.As(err, &refused) {
+		return err
+	}
+	return fmt.Errorf("%w\nthe change may or may not be accepted; to send it again, add -change %s -version %d",
+		err, a.changeID, a.version)
+}
+
+func since(start time.Time) time.Duration {
+	return time.Since(start).Round(shownUnit)
+}
+
+// versionFlag is a revision that may be left out. Zero is a revision.
+type versionFlag struct {
+	number uint64
+	given  bool
+}
+
+func newVersion(f *flags, name, usage string) *versionFlag {
+	v := new(versionFlag)
+	f.Var(v, name, usage)
+	return v
+}
+
+// String returns the revision, or nothing where it was not given.
+func (v *versionFlag) String() string {
+	if !v.given {
+		return ""
+	}
+	return strconv.FormatUint(v.number, 10)
+}
+
+// Set sets the revision.
+func (v *versionFlag) Set(s string) error {
+	number, err := strconv.ParseUint(s, 10, 64)
+	if err != nil {
+		return errors.New("want a whole number")
+	}
+	v.number, v.given = number, true
+	return nil
+}
--- /dev/null
+++ b/cmd/snipectl/script_test.go
@@ -0,0 +1,187 @@
+package main_test
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"strconv"
+	"sync"
+	"testing"
+
+	"github.com/gorilla/mux"
+	"github.com/rogpeppe/go-internal/testscript"
+
+	main "github.com/snipefront/snipefront/cmd/snipectl"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){"snipectl": main.Main})
+}
+
+// TestScripts runs each script against a fresh fake of the fleet, whose
+// address is in ADDR. The command fleet sets what the fake does next.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:           "testdata",
+		UpdateScripts: os.Getenv("UPDATE_SCRIPTS") != "",
+		Setup: func(e *testscript.Env) error {
+			f := &fakeFleet{results: make(map[string]uint64)}
+			server := httptest.NewServer(f.router())
+			e.Defer(server.Close)
+			e.Vars = append(e.Vars, "ADDR="+server.Listener.Addr().String())
+			e.Values["fleet"] = f
+			return nil
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){"fleet": setFleet, "status": checkStatus},
+	})
+}
+
+// fakeFleet answers as one instance with a quorum behind it.
+type fakeFleet struct {
+	mutex    sync.Mutex
+	revision uint64
+	winner   string
+	files    json.RawMessage
+	results  map[string]uint64
+	posts    int
+	// lost is the number of answers to changes that are still to be cut off.
+	lost int
+	// refused is the number of calls that are still to be answered with 503.
+	refused int
+	// waiting is the number of questions to be answered as not yet in force.
+	waiting int
+}
+
+// setFleet runs "fleet lose|refuse|wait N", which sets what the fake does, or
+// "fleet posts|revision N", which checks what it has seen.
+func setFleet(ts *testscript.TestScript, _ bool, args []string) {
+	f := ts.Value("fleet").(*fakeFleet)
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	n, err := strconv.Atoi(args[1])
+	ts.Check(err)
+	switch args[0] {
+	case "lose":
+		f.lost = n
+	case "refuse":
+		f.refused = n
+	case "wait":
+		f.waiting = n
+	case "posts":
+		if f.posts != n {
+			ts.Fatalf("%d calls with changes, want %d", f.posts, n)
+		}
+	case "revision":
+		if f.revision != uint64(n) {
+			ts.Fatalf("revision %d, want %d", f.revision, n)
+		}
+	default:
+		ts.Fatalf("unknown %q", args[0])
+	}
+}
+
+// checkStatus runs "status N command argument..." and checks the exit status.
+func checkStatus(ts *testscript.TestScript, _ bool, args []string) {
+	got := 0
+	var failure *exec.ExitError
+	if err := ts.Exec(args[1], args[2:]...); errors.As(err, &failure) {
+		got = failure.ExitCode()
+	} else {
+		ts.Check(err)
+	}
+	if strconv.Itoa(got) != args[0] {
+		ts.Fatalf("exit status %d, want %s", got, args[0])
+	}
+}
+
+func (f *fakeFleet) router() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/v1/config", f.locked(f.post)).Methods(http.MethodPost)
+	r.HandleFunc("/v1/config", f.locked(f.get)).Methods(http.MethodGet)
+	r.HandleFunc("/v1/config/inforce", f.locked(f.inForce))
+	r.HandleFunc("/v1/config/history", f.locked(f.history))
+	r.HandleFunc("/v1/status", f.locked(f.status))
+	return r
+}
+
+func (f *fakeFleet) locked(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		f.mutex.Lock()
+		defer f.mutex.Unlock()
+		if f.refused > 0 {
+			f.refused--
+			w.Header().Set("Retry-After", "0")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			fmt.Fprint(w, `{"Detail":"no quorum"}`)
+			return
+		}
+		next(w, r)
+	}
+}
+
+func (f *fakeFleet) post(w http.ResponseWriter, r *http.Request) {
+	var change struct {
+		ChangeID string
+		Version  uint64
+		Files    json.RawMessage
+	}
+	if err := json.NewDecoder(r.Body).Decode(&change); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	f.posts++
+	first, repeated := f.results[change.ChangeID]
+	switch {
+	case repeated:
+	case change.ChangeID == "wrong":
+		w.WriteHeader(http.StatusBadRequest)
+		fmt.Fprint(w, `{"Problems":[{"File":"a.json","Field":"Name","Value":"x","Expected":"y"}]}`)
+		return
+	case change.Version != f.revision:
+		w.WriteHeader(http.StatusConflict)
+		fmt.Fprintf(w, `{"Revision":%d,"ChangeID":%q,"Detail":"version %d is not current"}`, f.revision, f.winner, change.Version)
+		return
+	default:
+		f.revision++
+		first = f.revision
+		f.winner, f.files, f.results[change.ChangeID] = change.ChangeID, change.Files, first
+	}
+	if f.lost > 0 {
+		f.lost--
+		panic(http.ErrAbortHandler)
+	}
+	fmt.Fprintf(w, `{"Revision":%d,"Repeated":%t}`, first, repeated)
+}
+
+func (f *fakeFleet) get(w http.ResponseWriter, _ *http.Request) {
+	files := f.files
+	if files == nil {
+		files = json.RawMessage("[]")
+	}
+	fmt.Fprintf(w, `{"Revision":%d,"Files":%s}`, f.revision, files)
+}
+
+func (f *fakeFleet) inForce(w http.ResponseWriter, r *http.Request) {
+	if f.waiting > 0 {
+		f.waiting--
+		fmt.Fprintf(w, `{"Revision":%s,"InForce":false,"Waiting":["a1","b2"]}`, r.FormValue("revision"))
+		return
+	}
+	fmt.Fprintf(w, `{"Revision":%s,"InForce":true,"Waiting":[]}`, r.FormValue("revision"))
+}
+
+func (f *fakeFleet) history(w http.ResponseWriter, _ *http.Request) {
+	fmt.Fprintf(w, `{"Changes":[{"Revision":%d,"ChangeID":%q,"Written":["a.json","b.json"],"Removed":[]}]}`, f.revision, f.winner)
+}
+
+func (f *fakeFleet) status(w http.ResponseWriter, _ *http.Request) {
+	fmt.Fprint(w, `{"Instance":"a1","Leader":"a1","Term":3,"Epoch":4,"Settled":4,"Revision":7,"LeaseMilliseconds":1500,
+"Members":[{"Name":"a1","DataCentre":"dc1","CallerAddress":"127.0.1.1:80","PeerAddress":"127.0.1.1:81","Epoch":4,"Revision":7}],
+"Cells":[{"Service":"balance","DataCentre":"dc1","Owner":"a1","InFlight":2,"Queued":0,"Free":1,"BackendServers":[
+{"Name":"b1","Address":"127.0.1.9:80","State":"Warm","Limit":3,"Slots":3,"InFlight":2,"Reason":""},
+{"Name":"b2","Address":"127.0.1.8:80","State":"Draining","Limit":0,"Slots":3,"InFlight":0,"Reason":"it is draining"}]}]}`)
+}
--- /dev/null
+++ b/internal/config/intent/diff.go
@@ -0,0 +1,111 @@
+package intent
+
+import (
+	"bytes"
+	"encoding/json"
+	"maps"
+	"slices"
+	"strings"
+)
+
+// Change is the difference that a new folder makes to one file.
+type Change struct {
+	// Name is the name of the file.
+	Name string
+	// Old is the content before, on one line. It is empty where the file is new.
+	Old string
+	// New is the content after, on one line. It is empty where the file is gone.
+	New string
+	// Fields holds the fields that differ, by name, where the file is in both
+	// folders.
+	Fields []FieldChange
+}
+
+// FieldChange is the difference in one field of a file.
+type FieldChange struct {
+	Name string
+	// Old and New are JSON values. They are empty where the file leaves the
+	// field to its default.
+	Old string
+	New string
+}
+
+// Diff returns the changes from the folder before to the folder after, sorted
+// by file name. Spaces and the order of fields make no difference.
+func Diff(before, after []File) []Change {
+	from, to := byName(before), byName(after)
+	names := maps.Clone(from)
+	maps.Copy(names, to)
+	var changes []Change
+	for _, name := range slices.Sorted(maps.Keys(names)) {
+		c := Change{Name: name, Old: compact(from[name]), New: compact(to[name])}
+		if c.Old != "" && c.New != "" {
+			c.Fields = diffFields(from[name], to[name])
+		}
+		if c.Old == "" || c.New == "" || len(c.Fields) > 0 {
+			changes = append(changes, c)
+		}
+	}
+	return changes
+}
+
+func byName(files []File) map[string][]byte {
+	contents := make(map[string][]byte, len(files))
+	for _, f := range files {
+		contents[f.Name] = f.Content
+	}
+	return contents
+}
+
+func diffFields(before, after []byte) []FieldChange {
+	from, to := fields(before), fields(after)
+	names := maps.Clone(from)
+	maps.Copy(names, to)
+	var changes []FieldChange
+	for _, name := range slices.Sorted(maps.Keys(names)) {
+		if from[name] != to[name] {
+			changes = append(changes, FieldChange{Name: name, Old: from[name], New: to[name]})
+		}
+	}
+	return changes
+}
+
+// fields returns the fields of an object, each value in compact form. Content
+// that is not an object counts as one field without a name.
+func fields(content []byte) map[string]string {
+	var object map[string]json.RawMessage
+	if json.Unmarshal(content, &object) != nil {
+		return map[string]string{"": compact(content)}
+	}
+	values := make(map[string]string, len(object))
+	for name, value := range object {
+		values[name] = canonical(value)
+	}
+	return values
+}
+
+// canonical returns value with the fields of its objects sorted, and with
+// numbers and strings in one form.
+func canonical(value []byte) string {
+	d := json.NewDecoder(bytes.NewReader(value))
+	d.UseNumber()
+	var v any
+	if d.Decode(&v) != nil {
+		return string(value)
+	}
+	var b strings.Builder
+	e := json.NewEncoder(&b)
+	e.SetEscapeHTML(false)
+	if e.Encode(v) != nil {
+		return string(value)
+	}
+	return strings.TrimSuffix(b.String(), "\n")
+}
+
+func compact(content []byte) string {
+	var b bytes.Buffer
+	if json.Compact(&b, content) != nil {
+		return string(content)
+	}
+	return b.String()
+}
--- a/internal/config/intent/intent.go
+++ b/internal/config/intent/intent.go
@@ -68,6 +68,7 @@
 	}
 	m.checkSpares()
 	if len(m.problems) > 0 {
+		sortProblems(m.problems)
 		return snipefront.Config{}, m.problems
 	}
 	return m.config, nil
@@ -125,16 +126,10 @@
 
 // checkSpares refuses spares of services that the folder does not have.
 func (m *merger) checkSpares() {
-	names := make([]snipefront.SpareName, 0, len(m.config.Spares))
 	for n := range m.config.Spares {
-		if _, ok := m.config.Services[n.Service]; !ok {
-			names = append(names, n)
+		if _, ok := m.config.Services[n.Service]; ok {
+			continue
 		}
-	}
-	slices.SortFunc(names, func(a, b snipefront.SpareName) int {
-		return strings.Compare(m.spareFiles[a], m.spareFiles[b])
-	})
-	for _, n := range names {
 		m.problems = append(m.problems, Problem{
 			File:     m.spareFiles[n],
 			Field:    "Service",
@@ -144,6 +139,11 @@
 	}
 }
 
+// sortProblems sorts by file and keeps the order within a file.
+func sortProblems(problems []Problem) {
+	slices.SortStableFunc(problems, func(a, b Problem) int { return strings.Compare(a.File, b.File) })
+}
+
 // kindOf returns the kind that content gives, or what stands in its place.
 func kindOf(content []byte) string {
 	var object struct{ Kind json.RawMessage }
--- a/internal/config/intent/load.go
+++ b/internal/config/intent/load.go
@@ -48,7 +48,9 @@
 		return nil, nil, err
 	}
 	_, merged := Merge(files)
-	return files, append(problems, merged...), nil
+	problems = append(problems, merged...)
+	sortProblems(problems)
+	return files, problems, nil
 }
 
 func checkEntry(e fs.DirEntry) *Problem {
--- a/internal/config/intent/merge_test.go
+++ b/internal/config/intent/merge_test.go
@@ -151,3 +151,16 @@
 		}
 	})
 }
+
+func TestDiffIgnoresSpacesAndOrder(t *testing.T) {
+	before := []intent.File{file("a.json", `{"A":1,"B":"<"}`), file("b.json", `{"A":1}`), file("c.json", `{}`)}
+	after := []intent.File{file("d.json", `{}`), file("b.json", `{"A":2}`), file("a.json", "{ \"B\":\"\\u003c\",\n\"A\":1}")}
+	want := []intent.Change{
+		{Name: "b.json", Old: `{"A":1}`, New: `{"A":2}`, Fields: []intent.FieldChange{{Name: "A", Old: "1", New: "2"}}},
+		{Name: "c.json", Old: "{}"},
+		{Name: "d.json", New: "{}"},
+	}
+	if got := intent.Diff(before, after); !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
--- a/internal/config/sets/sets.go
+++ b/internal/config/sets/sets.go
@@ -12,7 +12,6 @@
 	"net/netip"
 	"os"
 	"path/filepath"
-	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -105,13 +104,7 @@
 }
 
 // Error returns the problems, one a line.
-func (e *ProblemsError) Error() string {
-	lines := make([]string, len(e.Problems))
-	for i, p := range e.Problems {
-		lines[i] = p.Error()
-	}
-	return strings.Join(lines, "\n")
-}
+func (e *ProblemsError) Error() string { return strict.Lines(e.Problems) }
 
 // Load reads the settings from the file at path. The error of a file that was
 // read but has problems is a *ProblemsError.
--- a/internal/config/strict/strict.go
+++ b/internal/config/strict/strict.go
@@ -43,6 +43,15 @@
 	return fmt.Sprintf("%s: %s is %q, want %s", p.File, subject, p.Value, p.Expected)
 }
 
+// Lines returns the texts of problems, one a line.
+func Lines(problems []Problem) string {
+	lines := make([]string, len(problems))
+	for i, p := range problems {
+		lines[i] = p.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
 // Report collects the problems of one file.
 type Report struct {
 	// File is the name that the problems carry.
