control: grant probes with the lease and prove one dispatcher at a time

Cause: the operators' budget for probes had no holder, and a share worked out by each instance from its own view can exceed it while views differ. The leader now grants each holder of a lease an equal share, as far as the others have left it. A grant whose answer was lost still binds the leader, since the instance may go by the older, higher rate that its renewal reports.

--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -31,6 +31,9 @@
 	Held uint64
 	// Revision is the configuration in force at the instance.
 	Revision uint64
+	// ProbeRate is the probes a second that it may send by the last grant that
+	// reached it.
+	ProbeRate float64
 	// Leaving is true where it is stopping and wants no cells.
 	Leaving bool
 	// Gone is true where it has stopped: its lease ends with this renewal.
@@ -50,6 +53,9 @@
 	// Settled is the latest epoch that all holders of a lease have confirmed.
 	Settled uint64
 	Config  state.Delta
+	// ProbeRate is the most probes a second that the instance may send while it
+	// holds the lease.
+	ProbeRate float64
 }
 
 // Member is an instance that holds or held a lease.
@@ -57,6 +63,9 @@
 	Renewal
 	// Renewed is when the last renewal arrived.
 	Renewed time.Time
+	// Granted is the probes a second that the last grant allowed. The instance may
+	// still go by the ProbeRate of its renewal, since the answer can be lost.
+	Granted float64
 }
 
 // Leader serves renewals. Set the exported fields before Run.
@@ -64,8 +73,10 @@
 	Log   snipefront.Log
 	State *state.State
 	// Lease is the length of a granted lease.
-	Lease  time.Duration
-	Logger *slog.Logger
+	Lease time.Duration
+	// ProbeBudget returns the most probes a second that the whole fleet sends.
+	ProbeBudget func() float64
+	Logger      *slog.Logger
 
 	mu      sync.Mutex
 	term    uint64
@@ -89,15 +100,16 @@
 	if r.Gone {
 		delete(l.members, r.Instance.Name)
 	} else {
-		l.members[r.Instance.Name] = Member{Renewal: r, Renewed: now}
+		l.members[r.Instance.Name] = Member{Renewal: r, Renewed: now, Granted: l.probeRate(now, r)}
 	}
 	return Grant{
-		Granted: true,
-		Leader:  ld.Leader,
-		Lease:   l.Lease,
-		Epoch:   l.State.Epoch(),
-		Settled: l.settled(now),
-		Config:  l.State.Since(r.Revision),
+		Granted:   true,
+		Leader:    ld.Leader,
+		Lease:     l.Lease,
+		Epoch:     l.State.Epoch(),
+		Settled:   l.settled(now),
+		Config:    l.State.Since(r.Revision),
+		ProbeRate: l.members[r.Instance.Name].Granted,
 	}
 }
 
@@ -225,6 +237,26 @@
 	return low
 }
 
+// probeRate returns an equal share of the budget, as far as the other holders
+// of leases have left it. While an instance may hold a grant of an earlier
+// leader, nothing is known to be left. The lock is held.
+func (l *Leader) probeRate(now time.Time, r Renewal) float64 {
+	if r.Leaving || len(l.unheard(now)) > 0 {
+		return 0
+	}
+	budget := l.ProbeBudget()
+	holders := 1
+	left := budget
+	for n, m := range l.members {
+		if n == r.Instance.Name || !l.holds(now, m) {
+			continue
+		}
+		holders++
+		left -= max(m.Granted, m.ProbeRate)
+	}
+	return max(0, min(budget/float64(holders), left))
+}
+
 // successors returns the instances of the next epoch: the holders of leases that
 // are not leaving, and those of the current epoch that may hold an old lease.
 func (l *Leader) successors(now time.Time, current snipefront.Epoch) []snipefront.Instance {
--- /dev/null
+++ b/internal/control/leader/leader_test.go
@@ -0,0 +1,77 @@
+package leader_test
+
+import (
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/control/leader"
+	"github.com/snipefront/snipefront/internal/control/state"
+	"github.com/snipefront/snipefront/internal/quorum/solo"
+)
+
+const lease = 2 * time.Second
+
+func newLeader() *leader.Leader {
+	s := &state.State{}
+	return &leader.Leader{
+		Log:         &solo.Log{Name: "c0", Machine: s},
+		State:       s,
+		Lease:       lease,
+		ProbeBudget: func() float64 { return 20 },
+		Logger:      slog.New(slog.NewTextHandler(io.Discard, nil)),
+	}
+}
+
+func renewal(name string, incarnation uint64) leader.Renewal {
+	return leader.Renewal{Instance: snipefront.Instance{Name: name, Incarnation: incarnation}}
+}
+
+// TestNewIncarnationWaitsForTheOldLease shows that two processes of one name
+// never hold a lease at the same time.
+func TestNewIncarnationWaitsForTheOldLease(t *testing.T) {
+	l := newLeader()
+	start := time.Now()
+	if !l.Renew(start, renewal("a", 1)).Granted {
+		t.Fatal("the first incarnation got no lease")
+	}
+	if l.Renew(start.Add(lease), renewal("a", 2)).Granted {
+		t.Error("the second incarnation got a lease while the first may hold one")
+	}
+	if !l.Renew(start.Add(lease+leader.Margin), renewal("a", 2)).Granted {
+		t.Error("the second incarnation got no lease after the first had lapsed")
+	}
+}
+
+// TestGoneInstanceFreesItsName shows that a planned restart need not wait.
+func TestGoneInstanceFreesItsName(t *testing.T) {
+	l := newLeader()
+	start := time.Now()
+	l.Renew(start, renewal("a", 1))
+	gone := renewal("a", 1)
+	gone.Gone = true
+	l.Renew(start.Add(time.Second), gone)
+	if !l.Renew(start.Add(time.Second), renewal("a", 2)).Granted {
+		t.Error("the second incarnation got no lease after the first had gone")
+	}
+}
+
+// TestLostAnswerKeepsTheOldProbeRate shows that the budget holds where an
+// instance never learns that its rate was lowered.
+func TestLostAnswerKeepsTheOldProbeRate(t *testing.T) {
+	l := newLeader()
+	start := time.Now()
+	if r := l.Renew(start, renewal("a", 1)).ProbeRate; r != 20 {
+		t.Fatalf("the only instance may send %v probes a second", r)
+	}
+	b := l.Renew(start, renewal("b", 1)).ProbeRate
+	lost := renewal("a", 1)
+	lost.ProbeRate = 20
+	l.Renew(start.Add(time.Second), lost)
+	b += l.Renew(start.Add(time.Second), renewal("b", 1)).ProbeRate
+	if b != 0 {
+		t.Errorf("the second instance may send %v probes a second while the first may send 20", b)
+	}
+}
--- a/internal/control/member/member.go
+++ b/internal/control/member/member.go
@@ -16,6 +16,7 @@
 	"encoding/json"
 	"log/slog"
 	"maps"
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -57,6 +58,7 @@
 
 	view      atomic.Pointer[View]
 	leaving   atomic.Bool
+	probeRate atomic.Uint64
 	confirmed uint64
 	revised   bool
 	target    int
@@ -70,6 +72,14 @@
 	return &View{Self: m.Instance.Name, Config: &snipefront.Config{}}
 }
 
+// ProbeRate returns the most probes a second that this instance may send now.
+func (m *Member) ProbeRate() float64 {
+	if !m.Lease.Held(time.Now()) {
+		return 0
+	}
+	return math.Float64frombits(m.probeRate.Load())
+}
+
 // Leave makes the next renewals ask for no cells.
 func (m *Member) Leave() {
 	m.leaving.Store(true)
@@ -156,12 +166,13 @@
 		m.confirmed = v.Epoch.Number
 	}
 	return leader.Renewal{
-		Instance: m.Instance,
-		Epoch:    m.confirmed,
-		Held:     v.Epoch.Number,
-		Revision: v.Config.Revision,
-		Leaving:  m.leaving.Load(),
-		Gone:     gone,
+		Instance:  m.Instance,
+		Epoch:     m.confirmed,
+		Held:      v.Epoch.Number,
+		Revision:  v.Config.Revision,
+		Leaving:   m.leaving.Load(),
+		ProbeRate: m.ProbeRate(),
+		Gone:      gone,
 	}
 }
 
@@ -188,6 +199,7 @@
 		m.Cells.Adopt(&next)
 	}
 	m.revised = next.Config != old.Config
+	m.probeRate.Store(math.Float64bits(g.ProbeRate))
 	m.Lease.extend(sent.Add(g.Lease))
 	if next.Epoch.Number != old.Epoch.Number {
 		m.Logger.Info("epoch seen", "epoch", next.Epoch.Number, "instances", len(next.Epoch.Instances))
--- a/internal/daemon/module/module.go
+++ b/internal/daemon/module/module.go
@@ -92,11 +92,17 @@
 	return &solo.Log{Name: s.Instance, Machine: st}
 }
 
-func newLeader(s sets.Settings, l snipefront.Log, st *state.State, logger *slog.Logger) *leader.Leader {
+func newLeader(s sets.Settings, l snipefront.Log, st *state.State, m *member.Member, logger *slog.Logger) *leader.Leader {
 	if l == nil {
 		return nil
 	}
-	return &leader.Leader{Log: l, State: st, Lease: s.Lease, Logger: logger}
+	return &leader.Leader{
+		Log:         l,
+		State:       st,
+		Lease:       s.Lease,
+		ProbeBudget: func() float64 { return m.View().Config.ProbesPerSecond },
+		Logger:      logger,
+	}
 }
 
 func newAccess(c control, p *peers.Client) *access.Access {
--- a/internal/rpc/peers/client.go
+++ b/internal/rpc/peers/client.go
@@ -91,6 +91,7 @@
 		Leaving:   r.Leaving,
 		Gone:      r.Gone,
 		HeldEpoch: r.Held,
+		ProbeRate: r.ProbeRate,
 	})
 	if err != nil {
 		return leader.Grant{}, errors.Wrap(err, "renew")
@@ -168,12 +169,13 @@
 
 func grantOf(g *wire.RenewResponse) leader.Grant {
 	r := leader.Grant{
-		Granted: !g.NotLeader,
-		Leader:  g.Leader,
-		Lease:   time.Duration(g.LeaseMillis) * time.Millisecond,
-		Epoch:   snipefront.Epoch{Number: g.Epoch},
-		Settled: g.Settled,
-		Config:  state.Delta{Revision: g.Revision, Removed: g.Removed, Whole: g.Whole},
+		Granted:   !g.NotLeader,
+		Leader:    g.Leader,
+		Lease:     time.Duration(g.LeaseMillis) * time.Millisecond,
+		Epoch:     snipefront.Epoch{Number: g.Epoch},
+		Settled:   g.Settled,
+		ProbeRate: g.ProbeRate,
+		Config:    state.Delta{Revision: g.Revision, Removed: g.Removed, Whole: g.Whole},
 	}
 	for _, n := range g.Instances {
 		r.Epoch.Instances = append(r.Epoch.Instances, instanceOf(n))
--- a/internal/rpc/peers/server.go
+++ b/internal/rpc/peers/server.go
@@ -79,11 +79,13 @@
 // Renew implements wire.Control.
 func (s *Server) Renew(_ context.Context, r *wire.RenewRequest) (*wire.RenewResponse, error) {
 	g := s.Leader.Renew(time.Now(), leader.Renewal{
-		Instance: instanceOf(r.Instance),
-		Epoch:    r.Epoch,
-		Revision: r.Revision,
-		Leaving:  r.Leaving,
-		Gone:     r.Gone,
+		Instance:  instanceOf(r.Instance),
+		Epoch:     r.Epoch,
+		Revision:  r.Revision,
+		Leaving:   r.Leaving,
+		Gone:      r.Gone,
+		Held:      r.HeldEpoch,
+		ProbeRate: r.ProbeRate,
 	})
 	m := &wire.RenewResponse{
 		NotLeader:   !g.Granted,
@@ -94,6 +96,7 @@
 		Revision:    g.Config.Revision,
 		Removed:     g.Config.Removed,
 		Whole:       g.Config.Whole,
+		ProbeRate:   g.ProbeRate,
 	}
 	if g.Epoch.Number != r.HeldEpoch {
 		for _, n := range g.Epoch.Instances {
