stand/server: bound connections and shift speed without a mode change

Cause: the users' targets have a bound on connections and take time to open one, and shifts of speed within milliseconds by way of the mode would log and announce each time. Errors in logs printed a stack trace, since pkg/errors prints one for %+v.

Ruled out: announcing at each mode change; only a change of Draining matters.

Before: a mode change always announced. After: SetSpeed, ConnectLatency and MostConnections; one plain line per error.

Conclusion: the connection bound and latency were tried by hand with a process only; no test covers them.

--- a/cmd/backend/main.go
+++ b/cmd/backend/main.go
@@ -57,7 +57,7 @@
 	case errors.Is(err, server.ErrCrashed):
 		return exitCrashed
 	}
-	s.Log.Error("failed", "error", err)
+	s.Log.Error("failed", "error", err.Error())
 	return exitFailure
 }
 
@@ -86,6 +86,8 @@
 	f.DurationVar(&s.FallOverFor, "fall-over-for", 0, "time for which it fails after falling over; 0 is half a second")
 	f.DurationVar(&s.ReportLag, "report-lag", 0, "age of the load that it reports")
 	f.DurationVar(&s.ProbeLatency, "probe-latency", 0, "time to answer a probe")
+	f.DurationVar(&s.ConnectLatency, "connect-latency", 0, "time that a new connection takes to become usable")
+	f.IntVar(&s.MostConnections, "most-connections", 0, "most connections open at once; 0 sets no bound")
 	f.DurationVar(&s.DrainFor, "drain-for", 0, "time for which it refuses requests before stopping; 0 is two seconds")
 	if err := f.Parse(args); err != nil {
 		if errors.Is(err, flag.ErrHelp) {
@@ -124,7 +126,7 @@
 	if s.ColdSlow <= 0 {
 		problems = append(problems, fmt.Sprintf("-cold-slow %v: expected more than 0", s.ColdSlow))
 	}
-	if min(s.Latency, s.ColdFor, s.FallOverFor, s.ReportLag, s.ProbeLatency, s.DrainFor) < 0 {
+	if min(s.Latency, s.ColdFor, s.FallOverFor, s.ReportLag, s.ProbeLatency, s.ConnectLatency, s.DrainFor) < 0 {
 		problems = append(problems, "durations: expected at least 0")
 	}
 	return problems
--- a/internal/stand/server/announce.go
+++ b/internal/stand/server/announce.go
@@ -84,7 +84,7 @@
 		if ctx.Err() != nil {
 			return 0
 		}
-		a.server.Log.Warn("announcement failed", "name", a.server.Name, "instance", i, "error", err)
+		a.server.Log.Warn("announcement failed", "name", a.server.Name, "instance", i, "error", err.Error())
 		pause(ctx, announceBackoff)
 	}
 	return announceRetry
--- a/internal/stand/server/handle.go
+++ b/internal/stand/server/handle.go
@@ -108,7 +108,7 @@
 	}
 	w.Write(b[:len(b)/2])
 	if err := http.NewResponseController(w).Flush(); err != nil {
-		s.Log.Warn("flush", "name", s.Name, "error", err)
+		s.Log.Warn("flush", "name", s.Name, "error", err.Error())
 	}
 	panic(http.ErrAbortHandler)
 }
--- a/internal/stand/server/mode.go
+++ b/internal/stand/server/mode.go
@@ -46,6 +46,7 @@
 	if !m.Frozen && s.mode.Frozen {
 		close(s.thawed)
 	}
+	drained := m.Draining != s.mode.Draining
 	s.mode = m
 	if m.Cold {
 		s.period = s.newPeriod(time.Now())
@@ -53,12 +54,27 @@
 	s.mu.Unlock()
 	s.Log.Info("mode", "name", s.Name, "shed", m.Shed, "draining", m.Draining, "slow", m.Slow, "frozen", m.Frozen,
 		"silent_old", m.SilentOld, "cold", m.Cold, "truncate", m.Truncate, "cross", m.Cross, "crash", m.Crash)
-	s.announceSoon()
+	if drained {
+		s.announceSoon()
+	}
 	if m.Crash {
 		s.die()
 	}
 }
 
+// SetSpeed divides the service times of later runs by speed, next to any
+// factor of the Mode. It is meant for frequent shifts and ignores a speed that
+// is not positive.
+func (s *Server) SetSpeed(speed float64) {
+	if !(speed > 0) {
+		return
+	}
+	s.init()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.speed = speed
+}
+
 func (s *Server) currentMode() Mode {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/stand/server/period.go
+++ b/internal/stand/server/period.go
@@ -93,6 +93,7 @@
 	if !s.Fixed {
 		d *= s.random.ExpFloat64()
 	}
+	d /= s.speed
 	if s.mode.Slow > 0 {
 		d *= s.mode.Slow
 	}
--- a/internal/stand/server/report.go
+++ b/internal/stand/server/report.go
@@ -36,6 +36,10 @@
 	MostAtOnceCold int
 	// FellOver counts how often the server had more than it bears.
 	FellOver int
+	// MostConnections is the most connections that were open at once.
+	MostConnections int
+	// Disconnected counts the connections closed for being too many.
+	Disconnected int
 	// Forgotten counts the runs whose keys were not recorded for want of room.
 	Forgotten int
 }
--- a/internal/stand/server/server.go
+++ b/internal/stand/server/server.go
@@ -87,6 +87,11 @@
 	ReportLag time.Duration
 	// ProbeLatency is the time that an answer to a probe takes.
 	ProbeLatency time.Duration
+	// ConnectLatency is the time that a new connection takes to become usable.
+	ConnectLatency time.Duration
+	// MostConnections is the most connections open at once; it closes further
+	// ones. Zero sets no bound.
+	MostConnections int
 	// DrainFor is how long a stopping server goes on refusing requests politely
 	// before it closes its listener. Zero means two seconds.
 	DrainFor time.Duration
@@ -108,6 +113,7 @@
 	mu     sync.Mutex
 	random *rand.Rand
 	mode   Mode
+	speed  float64
 	thawed chan struct{}
 	period *period
 	load   history
@@ -125,7 +131,7 @@
 		return err
 	}
 	s.Log.Info("serving", "name", s.Name, "service", s.Service, "address", l.Addr().String())
-	sockets := &sockets{Listener: l, open: make(map[*socket]struct{})}
+	sockets := &sockets{Listener: l, server: s, open: make(map[*socket]struct{})}
 	h := &http.Server{Handler: s.silencing(sockets), ReadHeaderTimeout: readHeaderTimeout}
 	served := make(chan error, 1)
 	go func() { served <- h.Serve(sockets) }()
@@ -143,7 +149,7 @@
 	h.Close()
 	stopAnnouncing()
 	<-announced
-	s.Log.Info("stopped", "name", s.Name, "error", err)
+	s.Log.Info("stopped", "name", s.Name)
 	return err
 }
 
@@ -170,6 +176,7 @@
 		if s.Log == nil {
 			s.Log = slog.New(slog.DiscardHandler)
 		}
+		s.speed = 1
 		s.random = rand.New(rand.NewPCG(s.Seed, s.Seed))
 		s.slots = make(chan struct{}, s.Slots)
 		s.crashed = make(chan struct{})
--- a/internal/stand/server/socket.go
+++ b/internal/stand/server/socket.go
@@ -8,14 +8,16 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // sockets is a listener that can make its open connections silent, as when
 // something on the way has lost track of them.
 type sockets struct {
 	net.Listener
-	mu   sync.Mutex
-	open map[*socket]struct{}
+	server *Server
+	mu     sync.Mutex
+	open   map[*socket]struct{}
 }
 
 // socket is a connection that may be silent: it then drops what is written
@@ -24,19 +26,36 @@
 	net.Conn
 	owner  *sockets
 	silent atomic.Bool
+	// usable is when the first byte may be read.
+	usable time.Time
 }
 
-// Accept returns the next connection.
+// Accept returns the next connection that is not one too many.
 func (l *sockets) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		s := &socket{Conn: c, owner: l, usable: time.Now().Add(l.server.ConnectLatency)}
+		if l.add(s) {
+			return s, nil
+		}
+		c.Close()
 	}
-	s := &socket{Conn: c, owner: l}
+}
+
+// add returns false where s is one too many.
+func (l *sockets) add(s *socket) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if most := l.server.MostConnections; most > 0 && len(l.open) >= most {
+		l.server.count(func(r *Report) { r.Disconnected++ })
+		return false
+	}
 	l.open[s] = struct{}{}
-	return s, nil
+	l.server.count(func(r *Report) { r.MostConnections = max(r.MostConnections, len(l.open)) })
+	return true
 }
 
 // silence makes the connections that are open now silent, but for the one with
@@ -51,8 +70,12 @@
 	}
 }
 
-// Read drops what arrives on a silent connection and goes on reading.
+// Read waits until the connection is usable. It drops what arrives on a silent
+// connection and goes on reading.
 func (s *socket) Read(b []byte) (int, error) {
+	if d := time.Until(s.usable); d > 0 {
+		time.Sleep(d)
+	}
 	for {
 		n, err := s.Conn.Read(b)
 		if !s.silent.Load() {
