stand/caller: add an open-loop caller that checks its answers

Cause: latency, refusals and the promises to callers need a caller that asks for addresses, keeps the answer, sends on a schedule that does not wait for answers, and knows its own answer from others.

Ruled out: counting latency from the sending, which hides the waiting; telling a failed connection by the error's text, since a transport may repeat a GET and fail to connect only then, so a trace tells whether a connection was obtained; letting the transport repeat a POST by itself.

Before: none.

Conclusion: a request waits where all connections are in use, and its latency includes that; give the caller more connections than the load needs.

--- /dev/null
+++ b/internal/stand/caller/result.go
@@ -0,0 +1,251 @@
+package caller
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/snipefront/snipefront"
+)
+
+const (
+	longestMicroseconds = 600_000_000
+	significantFigures  = 3
+	mostOutcomes        = 1 << 20
+	p50                 = 50
+	p99                 = 99
+	p999                = 99.9
+)
+
+// Result is what came of a run.
+type Result struct {
+	// Seconds is the time from the start to the last answer.
+	Seconds float64
+	// MissedShare is the share of requests without a whole answer in time, each
+	// counted by the weight of its service.
+	MissedShare float64
+	// Services are in the order of the Caller's.
+	Services []ServiceResult
+}
+
+// ServiceResult is what came of the requests to one service. Arrived is the sum
+// of OK, Late, the refusals, Crossed and CutShort.
+type ServiceResult struct {
+	Name   string
+	Weight float64
+	// Arrived counts the requests of the schedule.
+	Arrived int
+	// Sent counts those that were sent.
+	Sent int
+	// OK counts the whole answers in time.
+	OK int
+	// Late counts the requests without an answer in time.
+	Late int
+	// AnsweredLate counts those of Late that got a whole answer after all.
+	AnsweredLate int
+	// Refused counts the requests that ended without an answer of a backend
+	// server, by reason.
+	Refused []ReasonCount
+	// NotRun, MayHaveRun and Ran count the refusals by verdict.
+	NotRun, MayHaveRun, Ran int
+	// Advised counts the refusals that said when to come back.
+	Advised int
+	// Crossed counts the successes with the answer to another request.
+	Crossed int
+	// CutShort counts the successes with an answer that is not whole.
+	CutShort int
+	// Resent counts the repeated sendings.
+	Resent int
+	// P50Milliseconds and the further percentiles are latencies from the
+	// scheduled arrival, of the requests in OK and Late. A late one without an
+	// answer counts with the time at which it was given up.
+	P50Milliseconds, P99Milliseconds, P999Milliseconds float64
+	// Histogram has the latencies in microseconds.
+	Histogram *hdrhistogram.Histogram `json:"-"`
+	// Outcomes has an entry for each POST, up to a bound of about a million.
+	Outcomes []Outcome `json:"-"`
+}
+
+// ReasonCount is the number of refusals for one reason.
+type ReasonCount struct {
+	Reason snipefront.Reason
+	Count  int
+}
+
+// Outcome is what the caller was told of a request with a key.
+type Outcome struct {
+	Key string
+	// Answered is true after a whole answer.
+	Answered bool
+	// NotRun is true where each attempt ended with the promise that it was not
+	// run, or without a connection.
+	NotRun bool
+}
+
+// ending is a finished request.
+type ending struct {
+	outcome
+	key     string
+	notRun  bool
+	resends int
+	latency time.Duration
+	timeout time.Duration
+}
+
+// tally counts the requests to one service.
+type tally struct {
+	mu      sync.Mutex
+	result  ServiceResult
+	reasons map[snipefront.Reason]int
+}
+
+func (t *tally) init() {
+	t.reasons = make(map[snipefront.Reason]int)
+	t.result.Histogram = hdrhistogram.New(1, longestMicroseconds, significantFigures)
+}
+
+func (t *tally) arrive() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.result.Arrived++
+}
+
+func (t *tally) notSent(latency time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.result.Late++
+	t.record(latency)
+}
+
+// end counts a finished request that was sent.
+func (t *tally) end(e *ending) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := &t.result
+	c.Sent++
+	c.Resent += e.resends
+	if e.key != "" && len(c.Outcomes) < mostOutcomes {
+		c.Outcomes = append(c.Outcomes, Outcome{Key: e.key, Answered: e.kind == answered, NotRun: e.notRun})
+	}
+	switch e.kind {
+	case answered:
+		t.answer(e)
+	case late:
+		c.Late++
+		t.record(e.latency)
+	case crossed:
+		c.Crossed++
+	case cutShort:
+		c.CutShort++
+	case refused:
+		t.refuse(e)
+	}
+}
+
+func (t *tally) answer(e *ending) {
+	t.record(e.latency)
+	if e.latency <= e.timeout {
+		t.result.OK++
+		return
+	}
+	t.result.Late++
+	t.result.AnsweredLate++
+}
+
+func (t *tally) refuse(e *ending) {
+	c := &t.result
+	t.reasons[e.reason]++
+	if e.advised {
+		c.Advised++
+	}
+	switch e.verdict {
+	case snipefront.NotRun:
+		c.NotRun++
+	case snipefront.Ran:
+		c.Ran++
+	default:
+		c.MayHaveRun++
+	}
+}
+
+func (t *tally) record(latency time.Duration) {
+	us := min(max(latency.Microseconds(), 1), longestMicroseconds)
+	// The value is within the histogram's range, so it is never refused.
+	_ = t.result.Histogram.RecordValue(us)
+}
+
+func (r *run) result(elapsed time.Duration) *Result {
+	all := &Result{Seconds: elapsed.Seconds()}
+	weight, missed := 0.0, 0.0
+	for _, s := range r.streams {
+		c := s.tally.close(&s.Service)
+		all.Services = append(all.Services, c)
+		weight += s.Weight * float64(c.Arrived)
+		missed += s.Weight * float64(c.Arrived-c.OK)
+	}
+	if weight > 0 {
+		all.MissedShare = missed / weight
+	}
+	return all
+}
+
+func (t *tally) close(s *Service) ServiceResult {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := t.result
+	c.Name, c.Weight = s.Name, s.Weight
+	c.P50Milliseconds = milliseconds(c.Histogram.ValueAtQuantile(p50))
+	c.P99Milliseconds = milliseconds(c.Histogram.ValueAtQuantile(p99))
+	c.P999Milliseconds = milliseconds(c.Histogram.ValueAtQuantile(p999))
+	c.Refused = []ReasonCount{}
+	for reason, n := range t.reasons {
+		c.Refused = append(c.Refused, ReasonCount{Reason: reason, Count: n})
+	}
+	slices.SortFunc(c.Refused, func(a, b ReasonCount) int { return cmp.Compare(a.Reason, b.Reason) })
+	return c
+}
+
+// Faulty returns the number of successes that were crossed or cut short.
+func (r *Result) Faulty() int {
+	n := 0
+	for i := range r.Services {
+		n += r.Services[i].Crossed + r.Services[i].CutShort
+	}
+	return n
+}
+
+// Print writes a table for people.
+func (r *Result) Print(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "service\tarrived\tok\tlate\trefused\tnot run\tmay have run\tcrossed\tcut short\tresent\tp50 ms\tp99 ms\tp99.9 ms\t")
+	for i := range r.Services {
+		s := &r.Services[i]
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.2f\t%.2f\t%.2f\t\n", s.Name, s.Arrived, s.OK, s.Late,
+			s.refusals(), s.NotRun, s.MayHaveRun, s.Crossed, s.CutShort, s.Resent,
+			s.P50Milliseconds, s.P99Milliseconds, s.P999Milliseconds)
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	for i := range r.Services {
+		for _, c := range r.Services[i].Refused {
+			fmt.Fprintf(w, "refused: %s %s %d\n", r.Services[i].Name, c.Reason, c.Count)
+		}
+	}
+	_, err := fmt.Fprintf(w, "missed, by weight: %.2f%% in %.1f s\n", 100*r.MissedShare, r.Seconds)
+	return err
+}
+
+func (s *ServiceResult) refusals() int {
+	return s.NotRun + s.MayHaveRun + s.Ran
+}
+
+func milliseconds(us int64) float64 {
+	return float64(us) / 1000
+}
