stand/server: test announcements, freezes and the connection bound

Cause: these three were tried by hand only.

Ruled out: counting announcements in a time, which depends on the machine; the test checks only their order.

Before: untested. After: a test each, seen to fail with the named instances forgotten, a refusal taken as a lease, a freeze that holds nothing, and no bound.

Conclusion: the latency of new connections and the commands' exit statuses still have no test.

--- /dev/null
+++ b/internal/stand/server/announce_test.go
@@ -0,0 +1,113 @@
+package server_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/snipefront/snipefront/internal/stand/server"
+)
+
+// instance is a fake that reports each announcement and answers by script.
+func instance(t *testing.T, name string, got chan<- string, answer func() (int, string)) string {
+	h := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var a struct {
+			Name, Service, DataCentre, Address string
+			Incarnation                        uint64
+			Slots                              int
+			Draining                           bool
+		}
+		d := json.NewDecoder(r.Body)
+		d.DisallowUnknownFields()
+		if err := d.Decode(&a); err != nil || r.Method != "POST" || r.URL.Path != "/.well-known/snipefront/announce" {
+			t.Errorf("%s %s: %v", r.Method, r.URL, err)
+		}
+		select {
+		case got <- fmt.Sprint(name, " ", a.Name, " ", a.Service, " ", a.DataCentre, " ", a.Incarnation, " ", a.Slots):
+		default:
+		}
+		status, body := answer()
+		w.WriteHeader(status)
+		w.Write([]byte(body))
+	}))
+	t.Cleanup(h.Close)
+	return h.Listener.Addr().String()
+}
+
+func TestAnnouncesToTheNamedInstancesAndThenTheSeeds(t *testing.T) {
+	got := make(chan string, 5)
+	var named string
+	named = instance(t, "named", got, func() (int, string) {
+		return 503, `{"LeaseMilliseconds":60,"Instances":["` + named + `"]}`
+	})
+	seed := instance(t, "seed", got, func() (int, string) {
+		return 200, `{"LeaseMilliseconds":60,"Instances":["` + named + `"]}`
+	})
+	ctx, stop := context.WithCancel(t.Context())
+	s := &server.Server{Name: "b1", Service: "balance", DataCentre: "dc1", Incarnation: 7, Slots: 3, Seeds: []string{seed}}
+	_, ended := start(t, ctx, s)
+	for _, want := range []string{"seed", "named", "seed", "named", "seed"} {
+		if a := <-got; a != want+" b1 balance dc1 7 3" {
+			t.Errorf("got %q, want it at %s", a, want)
+		}
+	}
+	stop()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
+
+func TestFrozenServerAnswersNothingUntilThawed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &server.Server{}
+		s.SetMode(server.Mode{Frozen: true})
+		got := make(chan int, 1)
+		go func() { got <- ask(t.Context(), s, "GET", "") }()
+		time.Sleep(time.Hour)
+		if len(got) != 0 || s.Report().Runs != 0 {
+			t.Errorf("frozen: %d answers, %d runs", len(got), s.Report().Runs)
+		}
+		s.SetMode(server.Mode{})
+		if status := <-got; status != 200 {
+			t.Errorf("thawed: %d", status)
+		}
+	})
+}
+
+func TestConnectionsAboveTheBoundAreClosed(t *testing.T) {
+	ctx, stop := context.WithCancel(t.Context())
+	s := &server.Server{MostConnections: 1}
+	url, ended := start(t, ctx, s)
+	address := url[len("http://"):]
+	first, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer first.Close()
+	fmt.Fprint(first, "GET /.stand/health HTTP/1.1\r\nHost: x\r\n\r\n")
+	if _, err := first.Read(make([]byte, 1)); err != nil {
+		t.Errorf("first connection: %v", err)
+	}
+	second, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer second.Close()
+	if b, err := io.ReadAll(second); len(b) > 0 {
+		t.Errorf("second connection: %q, %v", b, err)
+	}
+	if r := s.Report(); r.MostConnections != 1 || r.Disconnected != 1 {
+		t.Errorf("report %+v", r)
+	}
+	stop()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
