cells: let announcements hold longer where many backend servers are known

Cause: each backend server announced itself every second whatever the size of the fleet. At 33,000 targets over some 300 instances that is 110 announcements a second for each owner and as many for its standby, tens of kilobytes a second against the 3 KB that control may take. The owner now states the lease, and it grows with the backend servers it knows so that about four announcements a second arrive, between 3 s and a minute.

Ruled out: sending only changes, since an owner that starts anew would learn nothing; longer leases for all, since at today's sizes a silent loss should show within seconds. A drain is still announced at once, and a lost backend server still shows by its connections before its lease lapses. Not measured yet.

--- a/internal/daemon/module/lifecycle.go
+++ b/internal/daemon/module/lifecycle.go
@@ -25,8 +25,6 @@
 const (
 	// addressLifetime is for how long a caller may keep an address.
 	addressLifetime = 3 * time.Second
-	// announcementLease is for how long an announcement holds.
-	announcementLease = 3 * time.Second
 	// headerTimeout bounds reading the header of a request.
 	headerTimeout = 5 * time.Second
 	// idleTimeout bounds how long a connection without a request stays open.
--- a/internal/daemon/module/module.go
+++ b/internal/daemon/module/module.go
@@ -165,7 +165,7 @@
 }
 
 func newNotice(m *member.Member, p *peers.Client) *notice.Handler {
-	return &notice.Handler{View: m.View, Passer: p, Lease: announcementLease}
+	return &notice.Handler{View: m.View, Passer: p}
 }
 
 func newAdmin(n snipefront.Instance, m *member.Member, l *cells.Set, a *access.Access, c *stats.Stats, logger *slog.Logger) *admin.Admin {
--- a/internal/dispatch/cell/cell.go
+++ b/internal/dispatch/cell/cell.go
@@ -148,6 +148,13 @@
 	c.order = kept
 }
 
+// Size returns the number of backend servers that are known.
+func (c *Cell) Size() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.order)
+}
+
 // InFlight returns the number of slots taken.
 func (c *Cell) InFlight() int {
 	c.mu.Lock()
--- a/internal/dispatch/cells/cells.go
+++ b/internal/dispatch/cells/cells.go
@@ -43,17 +43,17 @@
 	return nil
 }
 
-// Announce takes in the announcement of a backend server and returns whether
-// this instance owns its cell.
-func (s *Set) Announce(now time.Time, b snipefront.BackendServer) bool {
+// Announce takes in the announcement of a backend server and returns for how long
+// it holds.
+func (s *Set) Announce(now time.Time, b snipefront.BackendServer) time.Duration {
+	lease := s.lease()
+	b.Expires = now.Add(lease)
 	d := s.Get(b.CellOf())
 	if d == nil {
 		d = s.add(now, b.CellOf())
 	}
 	d.Cell.Announce(now, b)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.view != nil && s.view.Owns(b.CellOf())
+	return lease
 }
 
 // Adopt implements member.Cells.
--- a/internal/entry/notice/notice.go
+++ b/internal/entry/notice/notice.go
@@ -10,6 +10,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -37,15 +38,14 @@
 
 // Passer passes an announcement on to the instance at address.
 type Passer interface {
-	Announce(ctx context.Context, address string, b snipefront.BackendServer, lease time.Duration) (bool, error)
+	// Announce returns for how long the announcement holds there.
+	Announce(ctx context.Context, address string, b snipefront.BackendServer) (time.Duration, error)
 }
 
 // Handler implements http.Handler. Set the exported fields before use.
 type Handler struct {
 	View   func() *member.View
 	Passer Passer
-	// Lease is for how long an announcement holds.
-	Lease time.Duration
 }
 
 // announcement is the body of an announcement.
@@ -76,7 +76,7 @@
 		Slots:       a.Slots,
 		Draining:    a.Draining,
 	}
-	reached := d.pass(h.Context(), v, b)
+	lease, reached := d.pass(h.Context(), v, b)
 	if len(reached) == 0 {
 		w.Header().Set("Retry-After", "1")
 		http.Error(w, "the owner of the cell cannot be reached", http.StatusServiceUnavailable)
@@ -86,40 +86,45 @@
 	_ = json.NewEncoder(w).Encode(struct {
 		LeaseMilliseconds int64
 		Instances         []string
-	}{d.Lease.Milliseconds(), reached})
+	}{lease.Milliseconds(), reached})
 }
 
-// pass passes b on and returns the caller addresses of those that took it in.
-func (d *Handler) pass(ctx context.Context, v *member.View, b snipefront.BackendServer) []string {
+// pass passes b on and returns the caller addresses of those that took it in,
+// with the shortest time for which it holds.
+func (d *Handler) pass(ctx context.Context, v *member.View, b snipefront.BackendServer) (time.Duration, []string) {
 	ranked := owner.Rank(v.Epoch, b.CellOf())
 	ranked = ranked[:min(standbys, len(ranked))]
-	done := make(chan string, len(ranked))
-	for _, n := range ranked {
+	ctx, cancel := context.WithTimeout(ctx, passTimeout)
+	defer cancel()
+	done := make(chan passed, len(ranked))
+	for i, n := range ranked {
 		go func() {
-			done <- d.passTo(ctx, n, b)
+			l, err := d.Passer.Announce(ctx, n.PeerAddress, b)
+			done <- passed{rank: i, lease: l, err: err}
 		}()
 	}
-	took := map[string]bool{}
+	took := make([]bool, len(ranked))
+	lease := time.Duration(math.MaxInt64)
 	for range ranked {
-		took[<-done] = true
+		if p := <-done; p.err == nil {
+			took[p.rank] = true
+			lease = min(lease, p.lease)
+		}
 	}
 	var reached []string
-	for _, n := range ranked {
-		if took[n.CallerAddress] {
+	for i, n := range ranked {
+		if took[i] {
 			reached = append(reached, n.CallerAddress)
 		}
 	}
-	return reached
+	return lease, reached
 }
 
-// passTo returns the caller address of n, or nothing where it was not reached.
-func (d *Handler) passTo(ctx context.Context, n snipefront.Instance, b snipefront.BackendServer) string {
-	ctx, cancel := context.WithTimeout(ctx, passTimeout)
-	defer cancel()
-	if _, err := d.Passer.Announce(ctx, n.PeerAddress, b, d.Lease); err != nil {
-		return ""
-	}
-	return n.CallerAddress
+// passed is what passing an announcement on to one instance came to.
+type passed struct {
+	rank  int
+	lease time.Duration
+	err   error
 }
 
 func read(body io.Reader) (announcement, error) {
--- a/internal/request/route/route.go
+++ b/internal/request/route/route.go
@@ -99,7 +99,7 @@
 }
 
 // Announced implements peers.Owner.
-func (t *Router) Announced(b snipefront.BackendServer) bool {
+func (t *Router) Announced(b snipefront.BackendServer) time.Duration {
 	return t.Cells.Announce(time.Now(), b)
 }
 
--- a/internal/rpc/peers/client.go
+++ b/internal/rpc/peers/client.go
@@ -64,8 +64,8 @@
 	return a, nil
 }
 
-// Announce passes on an announcement that lapses after lease.
-func (c *Client) Announce(ctx context.Context, address string, b snipefront.BackendServer, lease time.Duration) (bool, error) {
+// Announce passes on an announcement and returns for how long it holds there.
+func (c *Client) Announce(ctx context.Context, address string, b snipefront.BackendServer) (time.Duration, error) {
 	r, err := c.peerAt(address).Announce(ctx, &wire.AnnounceRequest{
 		Name:        b.Name,
 		Service:     b.Service,
@@ -74,12 +74,11 @@
 		Incarnation: b.Incarnation,
 		Slots:       int32(b.Slots),
 		Draining:    b.Draining,
-		LeaseMillis: lease.Milliseconds(),
 	})
 	if err != nil {
-		return false, errors.Wrap(err, "announce")
+		return 0, errors.Wrap(err, "announce")
 	}
-	return r.Owner, nil
+	return time.Duration(r.LeaseMillis) * time.Millisecond, nil
 }
 
 // Renew implements member.Renewer.
--- a/internal/rpc/peers/server.go
+++ b/internal/rpc/peers/server.go
@@ -20,9 +20,8 @@
 	// Forwarded runs r in c and returns the counts of c. An error is always a
 	// *snipefront.Error.
 	Forwarded(ctx context.Context, c snipefront.Cell, r *snipefront.Request, mayQueue bool) (Answer, error)
-	// Announced takes in an announcement and returns whether this instance owns
-	// its cell.
-	Announced(b snipefront.BackendServer) bool
+	// Announced takes in an announcement and returns for how long it holds.
+	Announced(b snipefront.BackendServer) time.Duration
 }
 
 // Server answers the calls of other instances. Set the exported fields before
@@ -63,7 +62,7 @@
 
 // Announce implements wire.Peer.
 func (s *Server) Announce(_ context.Context, a *wire.AnnounceRequest) (*wire.AnnounceResponse, error) {
-	own := s.Owner.Announced(snipefront.BackendServer{
+	lease := s.Owner.Announced(snipefront.BackendServer{
 		Name:        a.Name,
 		Service:     a.Service,
 		DataCentre:  a.DataCentre,
@@ -71,9 +70,8 @@
 		Incarnation: a.Incarnation,
 		Slots:       int(a.Slots),
 		Draining:    a.Draining,
-		Expires:     time.Now().Add(time.Duration(a.LeaseMillis) * time.Millisecond),
 	})
-	return &wire.AnnounceResponse{Owner: own}, nil
+	return &wire.AnnounceResponse{LeaseMillis: lease.Milliseconds()}, nil
 }
 
 // Renew implements wire.Control.
