intent: read a file again only where it has changed

Cause: each instance merged the whole folder at each change.

Ruled out: keeping the merged configuration and editing it in place, since the published one is never changed and a later file may bring back an earlier one. A mutation that takes the known file without comparing its content fails TestMergerForgetsWhatChanged.

--- a/internal/config/intent/intent.go
+++ b/internal/config/intent/intent.go
@@ -11,6 +11,7 @@
 package intent
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"slices"
@@ -49,6 +50,21 @@
 // Where there is any problem it returns all of them, by the name of their
 // file, and an empty configuration.
 func Merge(files []File) (snipefront.Config, []Problem) {
+	var m Merger
+	return m.Merge(files)
+}
+
+// Merger merges folders that differ little from one to the next: it reads a file
+// again only where the file has changed. Its zero value is ready. It is not safe
+// for concurrent use.
+type Merger struct {
+	// known holds what the files of the last folder say, by name. None of them
+	// has a problem.
+	known map[string]parsed
+}
+
+// Merge is as the function Merge.
+func (g *Merger) Merge(files []File) (snipefront.Config, []Problem) {
 	if len(files) > MaxFiles {
 		return snipefront.Config{}, []Problem{{
 			File:     "folder",
@@ -59,13 +75,21 @@
 	sorted := slices.Clone(files)
 	slices.SortStableFunc(sorted, func(a, b File) int { return strings.Compare(a.Name, b.Name) })
 	m := newMerger()
+	known := make(map[string]parsed, len(sorted))
 	for i, f := range sorted {
 		if i > 0 && sorted[i-1].Name == f.Name {
 			m.problems = append(m.problems, Problem{File: f.Name, Value: f.Name, Expected: "each file name once"})
 			continue
 		}
-		m.add(f)
+		p := g.parse(f)
+		if len(p.problems) > 0 {
+			m.problems = append(m.problems, p.problems...)
+			continue
+		}
+		known[f.Name] = p
+		p.effect(m, f.Name)
 	}
+	g.known = known
 	m.checkSpares()
 	if len(m.problems) > 0 {
 		sortProblems(m.problems)
@@ -74,6 +98,24 @@
 	return m.config, nil
 }
 
+// parse returns what f says, from the last folder where it is the same there.
+func (g *Merger) parse(f File) parsed {
+	if p, ok := g.known[f.Name]; ok && bytes.Equal(p.content, f.Content) {
+		return p
+	}
+	return parse(f)
+}
+
+// effect is what a file without a problem does to a folder.
+type effect func(m *merger, file string)
+
+// parsed is one file as it was read.
+type parsed struct {
+	content  []byte
+	effect   effect
+	problems []Problem
+}
+
 // merger collects the intents of one folder.
 type merger struct {
 	config snipefront.Config
@@ -93,35 +135,42 @@
 	}
 }
 
-// add takes in the intent of f, or its problems.
-func (m *merger) add(f File) {
+// parse reads one file.
+func parse(f File) parsed {
 	r := &strict.Report{File: f.Name}
-	defer func() { m.problems = append(m.problems, r.Problems...) }()
-	if !isFileName(f.Name) {
+	p := parsed{content: f.Content}
+	switch {
+	case !isFileName(f.Name):
 		r.Add("", f.Name, fileNameExpected)
-		return
-	}
-	if len(f.Content) > MaxFileBytes {
+	case len(f.Content) > MaxFileBytes:
 		r.Add("", fmt.Sprintf("%d bytes", len(f.Content)), fmt.Sprintf("at most %d bytes", MaxFileBytes))
-		return
+	default:
+		p.effect = parseKind(r, f.Content)
 	}
-	switch kind := kindOf(f.Content); kind {
+	p.problems = r.Problems
+	return p
+}
+
+// parseKind reads the intent according to its kind.
+func parseKind(r *strict.Report, content []byte) effect {
+	kind := kindOf(content)
+	switch kind {
 	case kindService:
-		m.service(r, f.Content)
+		return parseService(r, content)
 	case kindDataCentreOut:
-		m.dataCentreOut(r, f.Content)
+		return parseDataCentreOut(r, content)
 	case kindSpare:
-		m.spare(r, f.Content)
+		return parseSpare(r, content)
 	case kindMeasuringBudget:
-		m.measuringBudget(r, f.Content)
-	default:
-		var object struct{ Kind any }
-		if json.Unmarshal(f.Content, &object) != nil {
-			r.Decode(f.Content, &struct{ Kind string }{})
-			return
-		}
-		r.Add("Kind", kind, kindExpected)
+		return parseMeasuringBudget(r, content)
+	}
+	var object struct{ Kind any }
+	if json.Unmarshal(content, &object) != nil {
+		r.Decode(content, &struct{ Kind string }{})
+		return nil
 	}
+	r.Add("Kind", kind, kindExpected)
+	return nil
 }
 
 // checkSpares refuses spares of services that the folder does not have.
--- a/internal/config/intent/kinds.go
+++ b/internal/config/intent/kinds.go
@@ -43,7 +43,7 @@
 	shareExpected      = "a number from 0 to 1"
 )
 
-func (m *merger) service(r *strict.Report, content []byte) {
+func parseService(r *strict.Report, content []byte) effect {
 	f := struct {
 		Kind            string
 		Name            string
@@ -78,10 +78,7 @@
 	checkStatuses(r, f.RefusalStatuses)
 	r.Require(f.ProbePath == "" || isProbePath(f.ProbePath), "ProbePath", f.ProbePath,
 		"an absolute URL path such as /health")
-	if len(r.Problems) > 0 {
-		return
-	}
-	m.config.Services[f.Name] = snipefront.Service{
+	s := snipefront.Service{
 		Name:            f.Name,
 		Importance:      importance,
 		Deadline:        f.Deadline,
@@ -92,9 +89,10 @@
 		RefusalStatuses: f.RefusalStatuses,
 		ProbePath:       f.ProbePath,
 	}
+	return func(m *merger, _ string) { m.config.Services[s.Name] = s }
 }
 
-func (m *merger) dataCentreOut(r *strict.Report, content []byte) {
+func parseDataCentreOut(r *strict.Report, content []byte) effect {
 	f := struct {
 		Kind       string
 		DataCentre string
@@ -102,16 +100,16 @@
 	}{Out: true}
 	r.Decode(content, &f)
 	r.Require(strict.IsName(f.DataCentre), "DataCentre", f.DataCentre, strict.NameExpected)
-	switch {
-	case len(r.Problems) > 0:
-	case f.Out:
-		m.config.DataCentresOut[f.DataCentre] = true
-	default:
+	return func(m *merger, _ string) {
+		if f.Out {
+			m.config.DataCentresOut[f.DataCentre] = true
+			return
+		}
 		delete(m.config.DataCentresOut, f.DataCentre)
 	}
 }
 
-func (m *merger) spare(r *strict.Report, content []byte) {
+func parseSpare(r *strict.Report, content []byte) effect {
 	f := struct {
 		Kind          string
 		Service       string
@@ -122,17 +120,17 @@
 	r.Require(strict.IsName(f.Service), "Service", f.Service, strict.NameExpected)
 	r.Require(strict.IsServerName(f.BackendServer), "BackendServer", f.BackendServer, strict.ServerNameExpected)
 	name := snipefront.SpareName{Service: f.Service, BackendServer: f.BackendServer}
-	switch {
-	case len(r.Problems) > 0:
-	case f.Spare:
-		m.config.Spares[name] = true
-		m.spareFiles[name] = r.File
-	default:
+	return func(m *merger, file string) {
+		if f.Spare {
+			m.config.Spares[name] = true
+			m.spareFiles[name] = file
+			return
+		}
 		delete(m.config.Spares, name)
 	}
 }
 
-func (m *merger) measuringBudget(r *strict.Report, content []byte) {
+func parseMeasuringBudget(r *strict.Report, content []byte) effect {
 	f := struct {
 		Kind            string
 		ProbesPerSecond float64
@@ -140,9 +138,7 @@
 	r.Decode(content, &f)
 	ok := f.ProbesPerSecond >= 0 && f.ProbesPerSecond <= maxProbesPerSecond
 	r.Require(ok, "ProbesPerSecond", f.ProbesPerSecond, fmt.Sprintf("a number from 0 to %d", maxProbesPerSecond))
-	if len(r.Problems) == 0 {
-		m.config.ProbesPerSecond = f.ProbesPerSecond
-	}
+	return func(m *merger, _ string) { m.config.ProbesPerSecond = f.ProbesPerSecond }
 }
 
 func checkStatuses(r *strict.Report, statuses []int) {
--- a/internal/config/intent/merge_test.go
+++ b/internal/config/intent/merge_test.go
@@ -164,3 +164,19 @@
 		t.Errorf("got %+v, want %+v", got, want)
 	}
 }
+
+// TestMergerForgetsWhatChanged shows that a series of folders merges as each of
+// them does alone.
+func TestMergerForgetsWhatChanged(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var m intent.Merger
+		for range rapid.IntRange(1, 6).Draw(t, "folders") {
+			files := rapid.SliceOfN(rapid.Custom(drawFile), 0, 12).Draw(t, "files")
+			want, wantProblems := intent.Merge(files)
+			got, problems := m.Merge(files)
+			if !reflect.DeepEqual(got, want) || !reflect.DeepEqual(problems, wantProblems) {
+				t.Fatalf("got %+v and %v, want %+v and %v", got, problems, want, wantProblems)
+			}
+		}
+	})
+}
--- a/internal/control/member/member.go
+++ b/internal/control/member/member.go
@@ -59,6 +59,7 @@
 	view      atomic.Pointer[View]
 	leaving   atomic.Bool
 	probeRate atomic.Uint64
+	merger    intent.Merger
 	confirmed uint64
 	revised   bool
 	target    int
@@ -217,7 +218,7 @@
 	for n, c := range files {
 		list = append(list, intent.File{Name: n, Content: c})
 	}
-	c, problems := intent.Merge(list)
+	c, problems := m.merger.Merge(list)
 	if len(problems) > 0 {
 		m.Logger.Error("accepted configuration not understood", "revision", d.Revision, "problem", problems[0].Error())
 		return
