state: bound what claims cost and let them age on a measured clock

Cause: claims lived 24 hours with their answers in memory, and lapsed by the wall clock of whichever instance proposed last. At 200 charges a second that is some 3 GB against 64 MB, and one wrong clock would have let every claim lapse, which is a second run of a charge.

A claim now keeps a hash of its key, a fingerprint and a hash of its token for an hour, its answer for two minutes and at most 16 MB of answers, and beyond 300,000 claims a new one is refused, which is truthful. Claims age by a clock in the state that the leader moves each 10 s by what it measured itself; the time between two leaders is not counted, so a claim lives longer, never shorter.

Seen failing first: the step's origin, the lifetime of answers and the restore of claims, each taken out, fail TestClaimsOutliveRestartsAndWrongClocks.

--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -22,6 +22,9 @@
 // difference in rate between two monotonic clocks.
 const Margin = 100 * time.Millisecond
 
+// ageInterval is the time between steps of the clock by which claims age.
+const ageInterval = 10 * time.Second
+
 // Renewal is what an instance says of itself when it renews its lease.
 type Renewal struct {
 	Instance snipefront.Instance
@@ -163,14 +166,19 @@
 
 // Run proposes changes of epoch as they fall due, until ctx ends.
 func (l *Leader) Run(ctx context.Context) error {
-	t := time.NewTicker(l.Lease / 20)
-	defer t.Stop()
+	plans := time.NewTicker(l.Lease / 20)
+	defer plans.Stop()
+	ages := time.NewTicker(ageInterval)
+	defer ages.Stop()
+	var aged age
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-t.C:
+		case <-plans.C:
 			l.step(ctx)
+		case <-ages.C:
+			aged = l.age(ctx, aged)
 		}
 	}
 }
@@ -180,20 +188,48 @@
 	if c == nil {
 		return
 	}
-	b, err := state.Command{Epoch: c}.Encode()
-	if err != nil {
-		l.Logger.Error("epoch not encoded", "error", err)
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, l.Lease)
-	defer cancel()
-	if _, err := l.Log.Propose(ctx, b); err != nil {
+	if err := l.propose(ctx, state.Command{Epoch: c}); err != nil {
 		l.Logger.Warn("epoch not accepted", "from", c.From, "error", err)
 		return
 	}
 	l.Logger.Info("epoch changed", "from", c.From, "instances", len(c.Instances))
 }
 
+// age is the last known pair of an instant and the clock of the state.
+type age struct {
+	term  uint64
+	at    time.Time
+	clock int64
+}
+
+// age moves the clock of the state by the time since a, which this instance must
+// have measured while it led. The time between two leaders is not counted.
+func (l *Leader) age(ctx context.Context, a age) age {
+	ld := l.Log.Leadership()
+	if !ld.Self {
+		return age{}
+	}
+	now := time.Now()
+	if a.term == ld.Term && a.clock == l.State.Clock() {
+		step := &state.Advance{From: a.clock, Millis: now.Sub(a.at).Milliseconds()}
+		if err := l.propose(ctx, state.Command{Advance: step}); err != nil {
+			l.Logger.Warn("clock not moved", "error", err)
+		}
+	}
+	return age{term: ld.Term, at: now, clock: l.State.Clock()}
+}
+
+func (l *Leader) propose(ctx context.Context, c state.Command) error {
+	b, err := c.Encode()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, l.Lease)
+	defer cancel()
+	_, err = l.Log.Propose(ctx, b)
+	return err
+}
+
 // enter forgets the grants of an earlier term. The lock is held.
 func (l *Leader) enter(now time.Time, term uint64) {
 	if l.members != nil && l.term == term {
--- a/internal/control/state/claim.go
+++ b/internal/control/state/claim.go
@@ -1,9 +1,10 @@
 package state
 
-import "github.com/snipefront/snipefront"
+import (
+	"crypto/sha256"
 
-// claimLifetimeMillis is the time for which a claim and its answer are kept.
-const claimLifetimeMillis = 24 * 60 * 60 * 1000
+	"github.com/snipefront/snipefront"
+)
 
 // Claim asks for the right to run a request that may run only once.
 type Claim struct {
@@ -47,6 +48,9 @@
 	ClaimRan ClaimOutcome = "ran"
 	// ClaimMismatch means that the key stands for a different request.
 	ClaimMismatch ClaimOutcome = "mismatch"
+	// ClaimFull means that no more claims can be kept, so that the request must
+	// not run.
+	ClaimFull ClaimOutcome = "full"
 )
 
 // ClaimResult tells what became of a Claim.
@@ -61,35 +65,57 @@
 	Verdict snipefront.Verdict
 }
 
-// claimRecord is a claim as it is stored.
-type claimRecord struct {
-	Fingerprint uint64
-	Token       string
-	UnixMillis  int64
-	Ran         bool
-	Answer      *Answer `json:",omitempty"`
+// Advance moves the clock by which claims age. The leader measures the step on
+// its monotonic clock, so that no wrong clock of any instance lets a claim lapse
+// early.
+type Advance struct {
+	// From is the clock that the step was measured from, in milliseconds.
+	From int64
+	// Millis is the length of the step.
+	Millis int64
+}
+
+// AdvanceResult tells where the clock stands.
+type AdvanceResult struct {
+	Clock int64
 }
 
 // Claims returns the number of claims that are kept.
 func (s *State) Claims() int {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	return len(s.data.Claims)
+	return len(s.claims.records)
 }
 
-func (s *State) applyClaim(c *Claim, unixMillis int64) ClaimResult {
-	s.expireClaims(unixMillis)
-	r, ok := s.data.Claims[c.Key]
+// Clock returns the clock by which claims age, in milliseconds.
+func (s *State) Clock() int64 {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.data.Clock
+}
+
+func (s *State) applyAdvance(c *Advance) AdvanceResult {
+	if c.From == s.data.Clock && c.Millis > 0 {
+		s.data.Clock += c.Millis
+		s.claims.expire(s.data.Clock)
+	}
+	return AdvanceResult{Clock: s.data.Clock}
+}
+
+func (s *State) applyClaim(c *Claim) ClaimResult {
+	k := claimKeyOf(c.Key)
+	r, ok := s.claims.records[k]
 	switch {
+	case !ok && len(s.claims.records) >= maxClaims:
+		return ClaimResult{Outcome: ClaimFull}
 	case !ok:
-		s.data.Claims[c.Key] = claimRecord{Fingerprint: c.Fingerprint, Token: c.Token, UnixMillis: unixMillis}
-		s.data.ClaimOrder = append(s.data.ClaimOrder, claimAge{Key: c.Key, UnixMillis: unixMillis})
+		s.claims.add(k, claimRecord{Fingerprint: c.Fingerprint, Token: tokenOf(c.Token), Clock: s.data.Clock})
 		return ClaimResult{Outcome: ClaimGranted}
 	case r.Fingerprint != c.Fingerprint:
 		return ClaimResult{Outcome: ClaimMismatch}
 	case r.Ran:
-		return ClaimResult{Outcome: ClaimRan, Answer: r.Answer}
-	case r.Token == c.Token:
+		return ClaimResult{Outcome: ClaimRan, Answer: s.claims.answer(k)}
+	case r.Token == tokenOf(c.Token):
 		return ClaimResult{Outcome: ClaimGranted}
 	default:
 		return ClaimResult{Outcome: ClaimPending}
@@ -97,40 +123,25 @@
 }
 
 func (s *State) applySettle(c *Settle) SettleResult {
-	r, ok := s.data.Claims[c.Key]
-	if !ok || r.Token != c.Token || r.Ran {
+	k := claimKeyOf(c.Key)
+	r, ok := s.claims.records[k]
+	if !ok || r.Token != tokenOf(c.Token) || r.Ran {
 		return SettleResult{}
 	}
 	if c.Release {
-		delete(s.data.Claims, c.Key)
+		s.claims.remove(k)
 		return SettleResult{Verdict: snipefront.NotRun}
 	}
-	r.Ran = true
-	r.Answer = c.Answer
-	s.data.Claims[c.Key] = r
+	s.claims.finish(k, s.data.Clock, c.Answer)
 	return SettleResult{Verdict: snipefront.Ran}
 }
 
-// claimAge is an entry of the queue of claims by age.
-type claimAge struct {
-	Key        string
-	UnixMillis int64
+func claimKeyOf(key string) claimKey {
+	sum := sha256.Sum256([]byte(key))
+	return claimKey(sum[:claimKeyBytes])
 }
 
-// expireClaims drops the claims that are older than their lifetime. A key that
-// was released and claimed again has a later record, which stays.
-func (s *State) expireClaims(unixMillis int64) {
-	n := 0
-	for _, a := range s.data.ClaimOrder {
-		if unixMillis-a.UnixMillis < claimLifetimeMillis {
-			break
-		}
-		if r, ok := s.data.Claims[a.Key]; ok && r.UnixMillis == a.UnixMillis {
-			delete(s.data.Claims, a.Key)
-		}
-		n++
-	}
-	if n > 0 {
-		s.data.ClaimOrder = append([]claimAge(nil), s.data.ClaimOrder[n:]...)
-	}
+func tokenOf(token string) claimToken {
+	sum := sha256.Sum256([]byte(token))
+	return claimToken(sum[:claimTokenBytes])
 }
--- a/internal/control/state/command.go
+++ b/internal/control/state/command.go
@@ -4,9 +4,9 @@
 //
 // A State is driven by a snipefront.Log. Each change is a Command with exactly
 // one field set. Applying a command again gives its first result again, so a
-// proposer that lost an answer proposes the same command once more. Time enters
-// only as the stamp that the proposer put into the command; the state never
-// reads a clock.
+// proposer that lost an answer proposes the same command once more. The state
+// never reads a clock: claims age by a clock of its own, which the leader moves
+// in measured steps.
 package state
 
 import (
@@ -17,13 +17,14 @@
 
 // Command is one change of the state. Exactly one pointer is set.
 type Command struct {
-	// UnixMillis is the proposer's clock. It only bounds how long results and
-	// claims are kept.
+	// UnixMillis is the proposer's clock. It stands in the history for people and
+	// decides nothing.
 	UnixMillis int64         `json:",omitempty"`
 	Config     *ConfigChange `json:",omitempty"`
 	Epoch      *EpochChange  `json:",omitempty"`
 	Claim      *Claim        `json:",omitempty"`
 	Settle     *Settle       `json:",omitempty"`
+	Advance    *Advance      `json:",omitempty"`
 }
 
 // Encode returns c as the text that a Log carries.
--- a/internal/control/state/state.go
+++ b/internal/control/state/state.go
@@ -12,18 +12,21 @@
 // State implements snipefront.Machine. Its zero value is empty and ready. Reads
 // may come from any goroutine.
 type State struct {
-	mu   sync.RWMutex
-	data snapshot
+	mu     sync.RWMutex
+	data   snapshot
+	claims claimTable
 }
 
 // snapshot is the whole state as it is stored.
 type snapshot struct {
-	Revision   uint64
-	Files      map[string]storedFile
-	History    []Change
-	Epoch      snipefront.Epoch
-	Claims     map[string]claimRecord
-	ClaimOrder []claimAge
+	Revision uint64
+	Files    map[string]storedFile
+	History  []Change
+	Epoch    snipefront.Epoch
+	// Clock is the time by which claims age, in milliseconds.
+	Clock int64
+	// Claims is set in a stored snapshot only.
+	Claims claimSnapshot
 }
 
 // failure is the result of a command that no part of the state understands.
@@ -36,6 +39,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.data.init()
+	s.claims.init()
 	var c Command
 	if err := json.Unmarshal(command, &c); err != nil {
 		return encode(failure{Failure: err.Error()})
@@ -46,9 +50,11 @@
 	case c.Epoch != nil:
 		return encode(s.applyEpoch(c.Epoch))
 	case c.Claim != nil:
-		return encode(s.applyClaim(c.Claim, c.UnixMillis))
+		return encode(s.applyClaim(c.Claim))
 	case c.Settle != nil:
 		return encode(s.applySettle(c.Settle))
+	case c.Advance != nil:
+		return encode(s.applyAdvance(c.Advance))
 	default:
 		return encode(failure{Failure: "command without a kind"})
 	}
@@ -58,7 +64,13 @@
 func (s *State) Snapshot() ([]byte, error) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	b, err := json.Marshal(s.data)
+	claims, err := s.claims.snapshot()
+	if err != nil {
+		return nil, err
+	}
+	d := s.data
+	d.Claims = claims
+	b, err := json.Marshal(d)
 	return b, errors.Wrap(err, "encode state")
 }
 
@@ -68,10 +80,16 @@
 	if err := json.Unmarshal(b, &d); err != nil {
 		return errors.Wrap(err, "decode state")
 	}
+	claims, err := restoreClaims(d.Claims)
+	if err != nil {
+		return err
+	}
 	d.init()
+	d.Claims = claimSnapshot{}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.data = d
+	s.claims = claims
 	return nil
 }
 
@@ -79,9 +97,6 @@
 	if d.Files == nil {
 		d.Files = map[string]storedFile{}
 	}
-	if d.Claims == nil {
-		d.Claims = map[string]claimRecord{}
-	}
 }
 
 // encode returns the JSON of a result, whose types cannot fail to encode.
--- a/internal/control/state/state_test.go
+++ b/internal/control/state/state_test.go
@@ -136,6 +136,81 @@
 	return true
 }
 
+// claim asks for the key k and returns the outcome.
+func claim(t interface{ Fatal(...any) }, s *state.State, k, token string) state.ClaimResult {
+	var r state.ClaimResult
+	apply(t, s, state.Command{Claim: &state.Claim{Key: k, Fingerprint: 1, Token: token}}, &r)
+	return r
+}
+
+// TestClaimsOutliveRestartsAndWrongClocks shows that a claim lapses only by the
+// measured clock, also after a restart, and that its answer goes before it.
+func TestClaimsOutliveRestartsAndWrongClocks(t *testing.T) {
+	s := &state.State{}
+	claim(t, s, "k", "first")
+	var settled state.SettleResult
+	apply(t, s, state.Command{Settle: &state.Settle{Key: "k", Token: "first", Answer: &state.Answer{Status: 201, Body: []byte("x")}}}, &settled)
+	advance := func(millis int64) {
+		var r state.AdvanceResult
+		apply(t, s, state.Command{UnixMillis: 1 << 60, Advance: &state.Advance{From: s.Clock(), Millis: millis}}, &r)
+		apply(t, s, state.Command{Advance: &state.Advance{From: r.Clock - millis, Millis: millis}}, &r)
+	}
+	restart := func() {
+		b, err := s.Snapshot()
+		if err != nil {
+			t.Fatal(err)
+		}
+		s = &state.State{}
+		if err := s.Restore(b); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, x := range []struct {
+		millis  int64
+		outcome state.ClaimOutcome
+		kept    bool
+	}{
+		{0, state.ClaimRan, true},
+		{119_999, state.ClaimRan, true},
+		{1, state.ClaimRan, false},
+		{3_479_999, state.ClaimRan, false},
+		{1, state.ClaimGranted, false},
+	} {
+		advance(x.millis)
+		restart()
+		r := claim(t, s, "k", "second")
+		if r.Outcome != x.outcome || (r.Answer != nil) != x.kept {
+			t.Errorf("at %d ms: %+v", s.Clock(), r)
+		}
+	}
+}
+
+// TestReleasedClaimsLeaveNothing shows that claims which come and go do not grow
+// the state.
+func TestReleasedClaimsLeaveNothing(t *testing.T) {
+	s := &state.State{}
+	size := func() int {
+		b, err := s.Snapshot()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return len(b)
+	}
+	cycle := func(k string) {
+		claim(t, s, k, k)
+		var r state.SettleResult
+		apply(t, s, state.Command{Settle: &state.Settle{Key: k, Token: k, Release: true}}, &r)
+	}
+	cycle("first")
+	one := size()
+	for n := range 5000 {
+		cycle(fmt.Sprint(n))
+	}
+	if s.Claims() != 0 || size() != one {
+		t.Errorf("%d claims and %d bytes are left, want 0 and %d", s.Claims(), size(), one)
+	}
+}
+
 // TestClaimRunsOnce shows the claims of racing executions of one request.
 func TestClaimRunsOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
