--- /dev/null
+++ b/internal/daemon/module/bench_test.go
@@ -0,0 +1,159 @@
+package module_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"go.uber.org/fx"
+
+	"github.com/snipefront/snipefront/internal/config/sets"
+	"github.com/snipefront/snipefront/internal/daemon/module"
+)
+
+// post sends body as JSON and returns the status.
+func post(b *testing.B, url string, body any) int {
+	t, err := json.Marshal(body)
+	if err != nil {
+		b.Error(err)
+		return 0
+	}
+	r, err := http.Post(url, "application/json", bytes.NewReader(t))
+	if err != nil {
+		return 0
+	}
+	defer r.Body.Close()
+	_, _ = io.Copy(io.Discard, r.Body)
+	return r.StatusCode
+}
+
+// start runs an instance that is its own control quorum, and returns its
+// addresses for callers and operators.
+func start(b *testing.B) (callers, operators string) {
+	s := sets.Settings{
+		Instance:        "a",
+		DataCentre:      "dc1",
+		CallerAddress:   "127.0.0.1:0",
+		PeerAddress:     "127.0.0.1:0",
+		OperatorAddress: "127.0.0.1:0",
+		DataFolder:      b.TempDir(),
+		MaxBodyBytes:    1 << 20,
+		MaxHeaderBytes:  16 << 10,
+		Lease:           2 * time.Second,
+		Renew:           400 * time.Millisecond,
+	}
+	sock, err := module.Listen(b.Context(), s)
+	if err != nil {
+		b.Fatal(err)
+	}
+	s.Control = []sets.ControlMember{{Instance: "a", PeerAddress: sock.Peer.Addr().String()}}
+	app := fx.New(module.Options(s, sock, slog.New(slog.NewTextHandler(io.Discard, nil))))
+	if err := app.Start(context.Background()); err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() {
+		if err := app.Stop(context.Background()); err != nil {
+			b.Error(err)
+		}
+	})
+	return sock.Caller.Addr().String(), sock.Operator.Addr().String()
+}
+
+// fleet starts one instance and one backend server with many slots, and returns
+// the URLs of the service through the instance and direct.
+func fleet(b *testing.B) (through, direct string) {
+	callers, operators := start(b)
+	back := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain")
+		_, _ = w.Write(bytes.Repeat([]byte("x"), 512))
+	}))
+	b.Cleanup(back.Close)
+	config := struct {
+		ChangeID string
+		Version  uint64
+		Files    []any
+	}{ChangeID: "c", Files: []any{struct {
+		Name    string
+		Content any
+	}{"a.json", json.RawMessage(`{"Kind":"Service","Name":"balance","ColdLimit":64,"WarmUp":"0s"}`)}}}
+	announcement := struct {
+		Name, Service, DataCentre, Address string
+		Incarnation                        uint64
+		Slots                              int
+	}{"b", "balance", "dc1", back.Listener.Addr().String(), 1, 64}
+	await(b, func() bool { return post(b, "http://"+operators+"/v1/config", config) == http.StatusOK })
+	await(b, func() bool {
+		return post(b, "http://"+callers+"/.well-known/snipefront/announce", announcement) == http.StatusOK
+	})
+	go func() {
+		for b.Context().Err() == nil {
+			time.Sleep(time.Second)
+			post(b, "http://"+callers+"/.well-known/snipefront/announce", announcement)
+		}
+	}()
+	through = "http://" + callers + "/balance/17"
+	await(b, func() bool { return get(b, through) == nil })
+	return through, back.URL + "/balance/17"
+}
+
+func await(b *testing.B, ok func() bool) {
+	for range 1000 {
+		if ok() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	b.Fatal("the instance did not become ready")
+}
+
+var client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, DialContext: (&net.Dialer{}).DialContext}}
+
+func get(b *testing.B, url string) error {
+	r, err := client.Get(url)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer r.Body.Close()
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return err
+	}
+	if r.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %d", r.StatusCode)
+	}
+	return nil
+}
+
+// BenchmarkCall measures a call through an instance and direct, one at a time
+// and from all cores at once.
+func BenchmarkCall(b *testing.B) {
+	through, direct := fleet(b)
+	for _, x := range []struct{ name, url string }{{"direct", direct}, {"through", through}} {
+		b.Run(x.name+"/single", func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if err := get(b, x.url); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+		b.Run(x.name+"/parallel", func(b *testing.B) {
+			b.ReportAllocs()
+			b.RunParallel(func(p *testing.PB) {
+				for p.Next() {
+					if err := get(b, x.url); err != nil {
+						b.Error(err)
+						return
+					}
+				}
+			})
+		})
+	}
+}
