stand/bench: compare the cells with independent choosers under load

Cause: no change of the policy could be measured, and the router could not run without sockets, since it held the concrete set of cells and lease.

The router now sees the cells and the lease through interfaces of its own package; cells.Set answers Count and Serve. The picker package has random, round robin, two choices and least loaded as implementations of the root interface. The bench runs these, each as 14 independent choosers on reports 20 to 25 ms old, and the real routers, cells, limiters and picker, against the same arrivals and the same work, in the fake time of testing/synctest.

Ruled out: starting at full load.

--- a/internal/dispatch/cell/cell.go
+++ b/internal/dispatch/cell/cell.go
@@ -37,6 +37,8 @@
 	Picker snipefront.Picker
 	// MaxQueue is the most requests that wait at once.
 	MaxQueue int
+	// Random returns uniform numbers. Nil is a source seeded by chance.
+	Random func() uint64
 
 	mu       sync.Mutex
 	rules    Rules
@@ -267,13 +269,20 @@
 		})
 		from = append(from, s)
 	}
-	i := c.Picker.Pick(list, rand.Uint64())
+	i := c.Picker.Pick(list, c.random())
 	if i < 0 {
 		return nil
 	}
 	return from[i]
 }
 
+func (c *Cell) random() uint64 {
+	if c.Random != nil {
+		return c.Random()
+	}
+	return rand.Uint64()
+}
+
 // candidateRoom is the number of backend servers up to which a choice does not
 // allocate.
 const candidateRoom = 32
--- /dev/null
+++ b/internal/dispatch/cells/serve.go
@@ -0,0 +1,32 @@
+package cells
+
+import (
+	"context"
+	"time"
+
+	"github.com/snipefront/snipefront"
+)
+
+// retryLater is the time after which a caller may ask again where no backend
+// server is known.
+const retryLater = 2 * time.Second
+
+// Count returns the free slots of c and the requests that wait there, and false
+// where c is unknown.
+func (s *Set) Count(now time.Time, c snipefront.Cell) (free, queued int, known bool) {
+	d := s.Get(c)
+	if d == nil {
+		return 0, 0, false
+	}
+	free, queued = d.Cell.Count(now)
+	return free, queued, true
+}
+
+// Serve runs r in c, waiting for a slot where mayQueue allows it.
+func (s *Set) Serve(ctx context.Context, c snipefront.Cell, r *snipefront.Request, v snipefront.Service, mayQueue bool) (*snipefront.Response, error) {
+	d := s.Get(c)
+	if d == nil {
+		return nil, snipefront.Refused(snipefront.ReasonNoBackendServer, retryLater, "no backend server of the cell has announced itself")
+	}
+	return d.Run(ctx, r, v, mayQueue)
+}
--- a/internal/dispatch/picker/picker.go
+++ b/internal/dispatch/picker/picker.go
@@ -1,5 +1,6 @@
 // Package picker chooses a backend server among candidates. Free serves the
-// dispatcher of a cell, whose counts are exact.
+// dispatcher of a cell, whose counts are exact. The others are what independent
+// choosers do with reports, and serve for comparison.
 package picker
 
 import "github.com/snipefront/snipefront"
--- a/internal/request/route/route.go
+++ b/internal/request/route/route.go
@@ -17,7 +17,6 @@
 	"github.com/snipefront/snipefront"
 	"github.com/snipefront/snipefront/internal/control/member"
 	"github.com/snipefront/snipefront/internal/control/owner"
-	"github.com/snipefront/snipefront/internal/dispatch/cells"
 	"github.com/snipefront/snipefront/internal/rpc/peers"
 )
 
@@ -35,13 +34,30 @@
 	Retried(service string, reason snipefront.Reason)
 }
 
+// Lease tells whether this instance may dispatch.
+type Lease interface {
+	Held(now time.Time) bool
+}
+
+// Cells runs requests in the cells of this instance.
+type Cells interface {
+	// Announce takes in an announcement and returns whether this instance owns
+	// the cell.
+	Announce(now time.Time, b snipefront.BackendServer) bool
+	// Count returns the free slots of c and the requests that wait there, and
+	// false where c is unknown.
+	Count(now time.Time, c snipefront.Cell) (free, queued int, known bool)
+	// Serve runs r in c, waiting for a slot where mayQueue allows it.
+	Serve(ctx context.Context, c snipefront.Cell, r *snipefront.Request, s snipefront.Service, mayQueue bool) (*snipefront.Response, error)
+}
+
 // Router implements snipefront.Handler. Set the exported fields before use.
 type Router struct {
 	// Self is the name of this instance.
 	Self      string
 	View      func() *member.View
-	Lease     *member.Lease
-	Cells     *cells.Set
+	Lease     Lease
+	Cells     Cells
 	Forwarder Forwarder
 	Counter   Counter
 
@@ -92,9 +108,7 @@
 func (t *Router) Forwarded(ctx context.Context, c snipefront.Cell, r *snipefront.Request, mayQueue bool) (peers.Answer, error) {
 	resp, err := t.run(ctx, t.View(), c, r, mayQueue)
 	a := peers.Answer{Response: resp}
-	if d := t.Cells.Get(c); d != nil {
-		a.Free, a.Queued = d.Cell.Count(time.Now())
-	}
+	a.Free, a.Queued, a.Counted = t.Cells.Count(time.Now(), c)
 	return a, err
 }
 
@@ -133,11 +147,7 @@
 	if c.owner.Name != t.Self {
 		return t.hints.Free(now, c.cell)
 	}
-	d := t.Cells.Get(c.cell)
-	if d == nil {
-		return 0
-	}
-	free, queued := d.Cell.Count(now)
+	free, queued, _ := t.Cells.Count(now, c.cell)
 	return free - queued
 }
 
@@ -174,11 +184,7 @@
 	if !t.Lease.Held(time.Now()) {
 		return nil, noLease()
 	}
-	d := t.Cells.Get(c)
-	if d == nil {
-		return nil, snipefront.Refused(snipefront.ReasonNoBackendServer, retryLater, "no backend server of the cell has announced itself")
-	}
-	return d.Run(ctx, r, v.Config.Services[c.Service], mayQueue)
+	return t.Cells.Serve(ctx, c, r, v.Config.Services[c.Service], mayQueue)
 }
 
 // mayMoveOn returns whether another cell may be asked after err, and counts it.
--- /dev/null
+++ b/internal/stand/bench/choose.go
@@ -0,0 +1,84 @@
+package bench
+
+import (
+	"context"
+	"time"
+
+	"github.com/snipefront/snipefront"
+)
+
+const (
+	// reportAge is the least age of a report.
+	reportAge = 20 * time.Millisecond
+	// reportInterval is the time between reports.
+	reportInterval = 5 * time.Millisecond
+)
+
+// choosers are independent instances that go by reports.
+type choosers struct {
+	pickers []snipefront.Picker
+	groups  map[string]*group
+}
+
+// group is the backend servers of a service with their reports.
+type group struct {
+	servers []*backend
+	// reports holds samples of the loads, the oldest first.
+	reports [][]snipefront.Candidate
+}
+
+func newChoosers(z Size, servers []*backend, pick func() snipefront.Picker) *choosers {
+	c := &choosers{groups: map[string]*group{}}
+	for range z.Entries {
+		c.pickers = append(c.pickers, pick())
+	}
+	for _, b := range servers {
+		n := b.announced.Service
+		if c.groups[n] == nil {
+			c.groups[n] = &group{}
+		}
+		c.groups[n].servers = append(c.groups[n].servers, b)
+	}
+	c.sample()
+	return c
+}
+
+// sample takes a report of each backend server.
+func (c *choosers) sample() {
+	for _, g := range c.groups {
+		list := make([]snipefront.Candidate, len(g.servers))
+		for i, b := range g.servers {
+			list[i] = snipefront.Candidate{Name: b.announced.Name, InFlight: b.load(), Limit: cap(b.slots)}
+		}
+		g.reports = append(g.reports, list)
+		if len(g.reports) > int(reportAge/reportInterval) {
+			g.reports = g.reports[1:]
+		}
+	}
+}
+
+// serve sends c to the choice of one chooser, and to another choice after a
+// refusal.
+func (c *choosers) serve(ctx context.Context, l call) status {
+	entry := l.random % uint64(len(c.pickers))
+	g := c.groups[l.service.Name]
+	s := shed
+	for i := range uint64(maxAttempts) {
+		b := g.servers[c.pickers[entry].Pick(g.reports[0], mix(l.random+i))]
+		hop := near
+		if dataCentre(int(entry)) != b.announced.DataCentre {
+			hop = far
+		}
+		if !sleep(ctx, hop) {
+			return late
+		}
+		s = b.serve(ctx, l.work)
+		if s == late || !sleep(ctx, hop) {
+			return late
+		}
+		if s != shed {
+			return s
+		}
+	}
+	return s
+}
--- /dev/null
+++ b/internal/stand/bench/compare_test.go
@@ -0,0 +1,120 @@
+package bench_test
+
+import (
+	"flag"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/dispatch/picker"
+	"github.com/snipefront/snipefront/internal/stand/bench"
+)
+
+// A full comparison:
+//
+//	go test ./internal/stand/bench -run TestCompare -v -args -loads 40,70,90,130 -length 3s
+var (
+	loads    = flag.String("loads", "", "percentages of the capacity to compare at; empty checks the cells alone")
+	length   = flag.Duration("length", time.Second, "time for which each run sends")
+	seed     = flag.Uint64("seed", 1, "seed of the first run")
+	seeds    = flag.Uint64("seeds", 1, "number of seeds to run")
+	sizes    = flag.String("sizes", "counters,chairs", "sizes to compare")
+	shift    = flag.String("shift", "false,true", "whether speeds shift")
+	policies = flag.String("policies", "random,round-robin,two-choices,least-loaded,cells", "policies to compare")
+	fault    = flag.String("fault", "", "one of chill, fail and leave")
+)
+
+var known = []bench.Policy{
+	{Name: "random", Pick: func() snipefront.Picker { return picker.Random{} }},
+	{Name: "round-robin", Pick: func() snipefront.Picker { return &picker.RoundRobin{} }},
+	{Name: "two-choices", Pick: func() snipefront.Picker { return picker.TwoChoices{} }},
+	{Name: "least-loaded", Pick: func() snipefront.Picker { return picker.LeastLoaded{} }},
+	{Name: "cells"},
+}
+
+func TestCompare(t *testing.T) {
+	if *loads == "" {
+		t.Skip("no -loads: see TestCellsKeepLimits")
+	}
+	t.Log(bench.Header)
+	for _, z := range []bench.Size{bench.Counters(), bench.Chairs()} {
+		if !strings.Contains(*sizes, z.Name) {
+			continue
+		}
+		for _, l := range requested(t) {
+			for _, p := range known {
+				if strings.Contains(*policies, p.Name) {
+					t.Log("\n" + run(t, z, p, l).String())
+				}
+			}
+		}
+	}
+}
+
+func requested(t *testing.T) []bench.Load {
+	var list []bench.Load
+	for _, s := range strings.Split(*shift, ",") {
+		for _, x := range strings.Split(*loads, ",") {
+			n, err := strconv.ParseFloat(x, 64)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for i := range *seeds {
+				list = append(list, bench.Load{
+					Share: n / 100, Shifting: s == "true", Length: *length, Seed: *seed + i,
+					Chill: *fault == "chill", Fail: *fault == "fail", Leave: *fault == "leave",
+				})
+			}
+		}
+	}
+	return list
+}
+
+// TestCellsKeepLimits asserts what holds for cells at any load.
+func TestCellsKeepLimits(t *testing.T) {
+	for _, z := range []bench.Size{bench.Counters(), bench.Chairs()} {
+		for _, l := range []bench.Load{
+			{Share: 0.7, Length: 300 * time.Millisecond, Seed: 1},
+			{Share: 1.3, Length: 300 * time.Millisecond, Seed: 2, Shifting: true},
+			{Share: 0.9, Length: 300 * time.Millisecond, Seed: 3, Leave: true},
+		} {
+			r := run(t, z, bench.Policy{Name: "cells"}, l)
+			for i, s := range r.Services {
+				check(t, s, z.Services[i].Deadline)
+			}
+			if t.Failed() {
+				t.Log("\n" + bench.Header + "\n" + r.String())
+			}
+		}
+	}
+}
+
+func check(t *testing.T, s bench.ServiceResult, deadline time.Duration) {
+	t.Helper()
+	if s.Most > s.Slots {
+		t.Errorf("%s: %d requests at once at a backend server of %d slots", s.Name, s.Most, s.Slots)
+	}
+	if s.OverCold > 0 {
+		t.Errorf("%s: %d requests over the cold limit", s.Name, s.OverCold)
+	}
+	if s.AfterOut > 0 {
+		t.Errorf("%s: %d requests in a data centre out of service", s.Name, s.AfterOut)
+	}
+	if n := s.Answered + s.Late + s.Refused + s.Failed; n != s.Sent {
+		t.Errorf("%s: %d requests sent and %d ended", s.Name, s.Sent, n)
+	}
+	if s.LastRefusal > deadline {
+		t.Errorf("%s: a refusal took %v, the deadline is %v", s.Name, s.LastRefusal, deadline)
+	}
+}
+
+func run(t *testing.T, z bench.Size, p bench.Policy, l bench.Load) (r bench.Result) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		r = bench.Run(t.Context(), z, p, l)
+	})
+	return r
+}
--- /dev/null
+++ b/internal/stand/bench/fleet.go
@@ -0,0 +1,210 @@
+package bench
+
+import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/control/member"
+	"github.com/snipefront/snipefront/internal/dispatch/cell"
+	"github.com/snipefront/snipefront/internal/dispatch/picker"
+	"github.com/snipefront/snipefront/internal/request/route"
+	"github.com/snipefront/snipefront/internal/rpc/peers"
+)
+
+const (
+	// maxQueue is the most requests that wait in one cell.
+	maxQueue = 1000
+	// maxAttempts is the most attempts of one request.
+	maxAttempts = 3
+	// staleCallers is one in how many callers that go by an old directory answer.
+	staleCallers = 5
+)
+
+// fleet is the real routers and cells over stand-in backend servers.
+type fleet struct {
+	size    Size
+	config  atomic.Pointer[snipefront.Config]
+	epoch   snipefront.Epoch
+	routers []*route.Router
+	cells   map[snipefront.Cell]*cell.Cell
+	servers map[string]*backend
+	retried atomic.Int64
+}
+
+func newFleet(z Size, servers []*backend, seed uint64) *fleet {
+	f := &fleet{size: z, cells: map[snipefront.Cell]*cell.Cell{}, servers: map[string]*backend{}}
+	f.epoch.Number = 1
+	for i := range z.Entries {
+		n := strconv.Itoa(i)
+		f.epoch.Instances = append(f.epoch.Instances, snipefront.Instance{
+			Name: n, PeerAddress: n, DataCentre: dataCentre(i),
+		})
+	}
+	for _, n := range f.epoch.Instances {
+		f.routers = append(f.routers, &route.Router{
+			Self: n.Name, View: f.view(n.Name), Lease: held{}, Cells: f,
+			Forwarder: forwarder{from: n, fleet: f}, Counter: f,
+		})
+	}
+	f.publish(nil)
+	for _, b := range servers {
+		f.servers[b.announced.Name] = b
+		f.announce(b.announced, seed)
+	}
+	return f
+}
+
+func (f *fleet) announce(b snipefront.BackendServer, seed uint64) {
+	n := b.CellOf()
+	c := f.cells[n]
+	if c == nil {
+		source := rand.NewPCG(seed, uint64(len(f.cells)))
+		c = &cell.Cell{Name: n, Picker: picker.Free{}, MaxQueue: maxQueue, Random: source.Uint64}
+		f.cells[n] = c
+		c.Rule(time.Now(), f.rules(n))
+		c.Open(time.Now())
+	}
+	c.Announce(time.Now(), b)
+}
+
+// publish puts a configuration in force in which the named data centres are out.
+func (f *fleet) publish(out map[string]bool) {
+	v := &snipefront.Config{Services: map[string]snipefront.Service{}, DataCentresOut: out}
+	for _, s := range f.size.Services {
+		v.Services[s.Name] = s.Service
+	}
+	f.config.Store(v)
+	for n, c := range f.cells {
+		c.Rule(time.Now(), f.rules(n))
+	}
+}
+
+func (f *fleet) rules(c snipefront.Cell) cell.Rules {
+	v := f.config.Load()
+	s := v.Services[c.Service]
+	return cell.Rules{ColdLimit: s.ColdLimit, WarmUp: s.WarmUp, Out: v.DataCentresOut[c.DataCentre]}
+}
+
+func (f *fleet) view(self string) func() *member.View {
+	var last atomic.Pointer[member.View]
+	return func() *member.View {
+		v := last.Load()
+		if c := f.config.Load(); v == nil || v.Config != c {
+			v = &member.View{Self: self, Epoch: f.epoch, Config: c}
+			last.Store(v)
+		}
+		return v
+	}
+}
+
+// serve enters at the owner of one of the cells, or at any instance for a
+// caller with an old directory answer.
+func (f *fleet) serve(ctx context.Context, c call) status {
+	t := f.routers[c.random%uint64(len(f.routers))]
+	if c.random>>32%staleCallers != 0 {
+		owners, _ := t.Choices(time.Now(), c.service.Name)
+		t = f.router(owners[c.random>>8%uint64(len(owners))].Name)
+	}
+	r := &snipefront.Request{
+		Service: c.service.Name, Importance: c.service.Importance, Deadline: c.deadline,
+		Idempotent: true, Body: encode(c.work),
+	}
+	resp, err := t.Serve(ctx, r)
+	switch {
+	case ctx.Err() != nil:
+		return late
+	case err != nil:
+		return shed
+	case resp.Status != okStatus:
+		return failed
+	}
+	return answered
+}
+
+func (f *fleet) router(name string) *route.Router {
+	i, _ := strconv.Atoi(name)
+	return f.routers[i]
+}
+
+// Announce implements route.Cells.
+func (f *fleet) Announce(time.Time, snipefront.BackendServer) bool { return true }
+
+// Count implements route.Cells.
+func (f *fleet) Count(now time.Time, c snipefront.Cell) (free, queued int, known bool) {
+	d := f.cells[c]
+	if d == nil {
+		return 0, 0, false
+	}
+	free, queued = d.Count(now)
+	return free, queued, true
+}
+
+// Serve implements route.Cells.
+func (f *fleet) Serve(ctx context.Context, n snipefront.Cell, r *snipefront.Request, _ snipefront.Service, mayQueue bool) (*snipefront.Response, error) {
+	d := f.cells[n]
+	if d == nil {
+		return nil, snipefront.Refused(snipefront.ReasonNoBackendServer, time.Second, "no cell")
+	}
+	w := cell.Wanted{Importance: r.Importance, Deadline: r.Deadline, MayQueue: mayQueue}
+	for i := 1; ; i++ {
+		slot, err := d.Acquire(ctx, w)
+		if err != nil {
+			return nil, err
+		}
+		s := f.servers[slot.BackendServer.Name].serve(ctx, decode(r.Body))
+		slot.Done(outcomeOf(s))
+		switch {
+		case s == answered:
+			return &snipefront.Response{Status: okStatus}, nil
+		case s == failed:
+			return &snipefront.Response{Status: failedStatus}, nil
+		case s == late || i == maxAttempts:
+			return nil, snipefront.Refused(snipefront.ReasonShed, time.Second, "shed")
+		}
+		w.Avoid = slot.BackendServer.Name
+	}
+}
+
+func outcomeOf(s status) cell.Outcome {
+	switch s {
+	case answered:
+		return cell.Answered
+	default:
+		return cell.Troubled
+	}
+}
+
+// Retried implements route.Counter.
+func (f *fleet) Retried(string, snipefront.Reason) { f.retried.Add(1) }
+
+// held is a lease that never lapses.
+type held struct{}
+
+// Held implements route.Lease.
+func (held) Held(time.Time) bool { return true }
+
+// forwarder carries requests between routers.
+type forwarder struct {
+	from  snipefront.Instance
+	fleet *fleet
+}
+
+// Forward implements route.Forwarder.
+func (f forwarder) Forward(ctx context.Context, address string, _ uint64, c snipefront.Cell, r *snipefront.Request, mayQueue bool) (peers.Answer, error) {
+	hop := near
+	if f.from.DataCentre != c.DataCentre {
+		hop = far
+	}
+	if !sleep(ctx, hop) {
+		return peers.Answer{}, context.DeadlineExceeded
+	}
+	a, err := f.fleet.router(address).Forwarded(ctx, c, r, mayQueue)
+	if !sleep(ctx, hop) {
+		return peers.Answer{}, context.DeadlineExceeded
+	}
+	return a, err
+}
