dispatch/cell: don't lower a limit for deadlines spent in the queue

Cause: at 130 % a request often reaches its deadline in flight after waiting in the cell's own queue. Each such attempt counted as trouble of its backend server, two of them as a fall back into cold start, and the limits fell to the cold limit although no backend server was unwell.

An attempt that ended at the deadline now counts as a slow answer if it held its slot for that long, else it tells nothing.

Ruled out: leaving it to the caller of Done (an outcome of its own): the slot knows the deadline, and no caller can forget it.

--- a/internal/dispatch/cell/queue.go
+++ b/internal/dispatch/cell/queue.go
@@ -136,7 +136,7 @@
 			return
 		}
 		heap.Pop(&c.queue)
-		w.granted <- grant{slot: c.take(now, s)}
+		w.granted <- grant{slot: c.take(now, s, w.wanted.Deadline)}
 	}
 }
 
--- a/internal/dispatch/cell/slot.go
+++ b/internal/dispatch/cell/slot.go
@@ -49,6 +49,8 @@
 	cell   *Cell
 	server *server
 	taken  time.Time
+	// deadline is that of the request.
+	deadline time.Time
 }
 
 // Acquire takes a slot, waiting for one where w allows it. It returns a
@@ -62,7 +64,7 @@
 	}
 	if c.queue.Len() == 0 || !w.MayQueue {
 		if s := c.pick(now, w.Avoid); s != nil {
-			slot := c.take(now, s)
+			slot := c.take(now, s, w.Deadline)
 			c.mu.Unlock()
 			return slot, nil
 		}
@@ -129,10 +131,10 @@
 }
 
 // take gives a slot of s. The lock is held.
-func (c *Cell) take(now time.Time, s *server) *Slot {
+func (c *Cell) take(now time.Time, s *server, deadline time.Time) *Slot {
 	s.inFlight++
 	c.inFlight++
-	return &Slot{BackendServer: s.announced, cell: c, server: s, taken: now}
+	return &Slot{BackendServer: s.announced, cell: c, server: s, taken: now, deadline: deadline}
 }
 
 // Done gives the slot back with the outcome of the attempt.
@@ -156,11 +158,22 @@
 		s.server.limiter.Answered(now, held)
 		s.cell.average(held)
 	case Troubled:
-		s.server.limiter.Troubled(now)
+		s.trouble(now, held)
 	case Canceled:
 	}
 }
 
+// trouble takes in a failed attempt. One that ended at its deadline tells of the
+// backend server only how long it took: most of the time may have gone in the
+// queue.
+func (s *Slot) trouble(now time.Time, held time.Duration) {
+	if now.Before(s.deadline) {
+		s.server.limiter.Troubled(now)
+		return
+	}
+	s.server.limiter.Late(held)
+}
+
 func (c *Cell) average(held time.Duration) {
 	if c.service == 0 {
 		c.service = held
--- a/internal/dispatch/limit/limit.go
+++ b/internal/dispatch/limit/limit.go
@@ -83,6 +83,14 @@
 	l.limit = max(float64(l.Cold), l.limit/2)
 }
 
+// Late takes in an attempt without an answer that ended at its deadline after
+// the time held. It is a slow answer or tells nothing.
+func (l *Limiter) Late(held time.Duration) {
+	if l.isSlow(held) {
+		l.slow()
+	}
+}
+
 func (l *Limiter) isSlow(latency time.Duration) bool {
 	return l.usual > 0 && latency > slowFloor && latency > slowFactor*l.usual
 }
