dispatch/cell: bound the wait in the queue and make it cheap

Cause: the queue let a request in as long as its expected wait fitted its deadline, so under overload every answer took nearly the whole deadline and many came late. The admission looked at each waiter, and the one to give up was searched for among all. A retry that avoids the only backend server with a free slot held up everyone behind it. Waiters of a cell whose last backend server left were told only near their deadline.

The expected wait may now take an eighth of the time left; three mean service times are kept for the answer. Waiters are in one heap for each importance: admission counts waiters by importance, a full queue gives up a less important one, both without a search. A retry that avoids a backend server lets others pass. Where no backend server accepts work the waiters are refused at once. Retry-After is twice the backlog, at least 500 ms.

Each test was seen failing with its mechanism taken out: draining ignored, the data centre's state ignored on entry and for waiters, the head blocking, no displacement, no bound on the wait, waiters not told, spares used first.

--- a/internal/dispatch/cell/cell.go
+++ b/internal/dispatch/cell/cell.go
@@ -148,6 +148,7 @@
 	}
 	clear(c.order[len(kept):])
 	c.order = kept
+	c.serve(now)
 }
 
 // InFlight returns the number of slots taken.
@@ -181,14 +182,14 @@
 func (c *Cell) Count(now time.Time) (free, queued int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.free(now), c.queue.Len()
+	return c.free(now), c.queue.len()
 }
 
 // Load returns the whole state.
 func (c *Cell) Load(now time.Time) Load {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	l := Load{Free: c.free(now), Queued: c.queue.Len(), InFlight: c.inFlight}
+	l := Load{Free: c.free(now), Queued: c.queue.len(), InFlight: c.inFlight}
 	for _, s := range c.order {
 		l.Servers = append(l.Servers, ServerLoad{
 			Announced: s.announced,
--- a/internal/dispatch/cell/cell_test.go
+++ b/internal/dispatch/cell/cell_test.go
@@ -83,3 +83,154 @@
 		}
 	})
 }
+
+// waiting asks for a slot in the background. The channel yields the grant or
+// the refusal.
+type result struct {
+	slot *cell.Slot
+	err  error
+}
+
+func waiting(t *testing.T, c *cell.Cell, w cell.Wanted) <-chan result {
+	t.Helper()
+	done := make(chan result, 1)
+	w.MayQueue = true
+	go func() {
+		s, err := c.Acquire(t.Context(), w)
+		done <- result{s, err}
+	}()
+	synctest.Wait()
+	return done
+}
+
+// ended returns what came of a request, and fails where it still waits.
+func ended(t *testing.T, done <-chan result) result {
+	t.Helper()
+	synctest.Wait()
+	select {
+	case r := <-done:
+		return r
+	default:
+		t.Fatal("the request still waits")
+		return result{}
+	}
+}
+
+// wantRefused fails unless err says that the request has not run, for reason.
+func wantRefused(t *testing.T, err error, reason snipefront.Reason) {
+	t.Helper()
+	e := snipefront.AsError(err)
+	if e == nil || e.Verdict != snipefront.NotRun || e.Reason != reason {
+		t.Fatalf("got %v, want a refusal for %s that says not run", err, reason)
+	}
+}
+
+func TestOverloadRefusesAtOnceWithBacklog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := opened(1)
+		warm(t, c)
+		for range 4 {
+			take(t, c, within(time.Hour))
+		}
+		for range 90 {
+			waiting(t, c, within(time.Hour))
+		}
+		began := time.Now()
+		r := ended(t, waiting(t, c, within(200*time.Millisecond)))
+		wantRefused(t, r.err, snipefront.ReasonOverload)
+		if took := time.Since(began); took != 0 {
+			t.Errorf("the refusal took %v, want none", took)
+		}
+		for range 10 {
+			waiting(t, c, within(time.Hour))
+		}
+		r = ended(t, waiting(t, c, within(time.Hour)))
+		wantRefused(t, r.err, snipefront.ReasonOverload)
+		if a := snipefront.AsError(r.err).RetryAfter; a < 500*time.Millisecond {
+			t.Errorf("retry after %v with a backlog of 250ms", a)
+		}
+		c.Close()
+	})
+}
+
+func TestCriticalDisplacesBackground(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := opened(1)
+		c.MaxQueue = 2
+		held := take(t, c, within(time.Hour))
+		first := waiting(t, c, within(time.Hour))
+		second := waiting(t, c, within(2*time.Hour))
+		critical := waiting(t, c, cell.Wanted{Importance: snipefront.Critical, Deadline: time.Now().Add(time.Hour)})
+		wantRefused(t, ended(t, second).err, snipefront.ReasonOverload)
+		held.Done(cell.Answered)
+		ended(t, critical).slot.Done(cell.Answered)
+		ended(t, first).slot.Done(cell.Answered)
+	})
+}
+
+func TestAvoidLetsOthersPass(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := opened(2)
+		slots := map[string]*cell.Slot{}
+		for range 2 {
+			s := take(t, c, within(time.Hour))
+			slots[s.BackendServer.Name] = s
+		}
+		choosy := waiting(t, c, cell.Wanted{Deadline: time.Now().Add(time.Hour), Avoid: "0"})
+		other := waiting(t, c, within(2*time.Hour))
+		slots["0"].Done(cell.Canceled)
+		if n := ended(t, other).slot.BackendServer.Name; n != "0" {
+			t.Errorf("served by %s", n)
+		}
+		slots["1"].Done(cell.Canceled)
+		if n := ended(t, choosy).slot.BackendServer.Name; n != "1" {
+			t.Errorf("the request that avoids 0 was served by %s", n)
+		}
+	})
+}
+
+func TestLeavingServerGetsNoNewWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := opened(2)
+		for range 2 {
+			take(t, c, within(time.Hour))
+		}
+		done := waiting(t, c, within(time.Hour))
+		for i := range 2 {
+			b := server(i)
+			b.Draining = true
+			b.Slots = 9
+			c.Announce(time.Now(), b)
+		}
+		wantRefused(t, ended(t, done).err, snipefront.ReasonNoBackendServer)
+		_, err := c.Acquire(t.Context(), within(time.Hour))
+		wantRefused(t, err, snipefront.ReasonNoBackendServer)
+	})
+}
+
+func TestDataCentreOutGetsNoNewWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := opened(1)
+		s := take(t, c, within(time.Hour))
+		done := waiting(t, c, within(time.Hour))
+		c.Rule(time.Now(), cell.Rules{ColdLimit: 1, Out: true})
+		wantRefused(t, ended(t, done).err, snipefront.ReasonDataCentreOut)
+		s.Done(cell.Answered)
+		_, err := c.Acquire(t.Context(), within(time.Hour))
+		wantRefused(t, err, snipefront.ReasonDataCentreOut)
+	})
+}
+
+func TestSpareOnlyWhereNoOtherIsFree(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := opened(3)
+		c.Rule(time.Now(), cell.Rules{ColdLimit: 1, Spares: map[string]bool{"1": true}})
+		var names []string
+		for range 3 {
+			names = append(names, take(t, c, within(time.Hour)).BackendServer.Name)
+		}
+		if names[2] != "1" {
+			t.Errorf("slots given in the order %v, want the spare 1 last", names)
+		}
+	})
+}
--- a/internal/dispatch/cell/queue.go
+++ b/internal/dispatch/cell/queue.go
@@ -24,31 +24,35 @@
 	at int
 }
 
-// queue is a heap of waiters: the most important first, and the earliest
-// deadline first among equals.
-type queue []*waiter
+// queue holds the waiters, a heap for each importance.
+type queue [snipefront.Critical + 1]waiters
+
+// waiters is a heap with the earliest deadline first.
+type waiters []*waiter
 
 // Len implements heap.Interface.
-func (q queue) Len() int { return len(q) }
+func (q waiters) Len() int { return len(q) }
 
 // Less implements heap.Interface.
-func (q queue) Less(i, j int) bool { return q[i].before(q[j]) }
+func (q waiters) Less(i, j int) bool {
+	return q[i].wanted.Deadline.Before(q[j].wanted.Deadline)
+}
 
 // Swap implements heap.Interface.
-func (q queue) Swap(i, j int) {
+func (q waiters) Swap(i, j int) {
 	q[i], q[j] = q[j], q[i]
 	q[i].at, q[j].at = i, j
 }
 
 // Push implements heap.Interface.
-func (q *queue) Push(x any) {
+func (q *waiters) Push(x any) {
 	w := x.(*waiter)
 	w.at = len(*q)
 	*q = append(*q, w)
 }
 
 // Pop implements heap.Interface.
-func (q *queue) Pop() any {
+func (q *waiters) Pop() any {
 	last := len(*q) - 1
 	w := (*q)[last]
 	(*q)[last] = nil
@@ -57,28 +61,54 @@
 	return w
 }
 
-func (q *queue) remove(w *waiter) {
-	if w.at >= 0 {
-		heap.Remove(q, w.at)
+// len returns the number of waiters.
+func (q *queue) len() int {
+	n := 0
+	for i := range q {
+		n += len(q[i])
+	}
+	return n
+}
+
+// ahead returns the number of waiters that may be served before a new one of
+// the importance i.
+func (q *queue) ahead(i snipefront.Importance) int {
+	n := 0
+	for _, l := range q[i:] {
+		n += len(l)
 	}
+	return n
 }
 
-// last returns the waiter that would be served last, or nil.
-func (q queue) last() *waiter {
-	var l *waiter
-	for _, w := range q {
-		if l == nil || l.before(w) {
-			l = w
+func (q *queue) push(w *waiter) {
+	heap.Push(&q[w.wanted.Importance], w)
+}
+
+// pop takes out the first waiter, or returns nil.
+func (q *queue) pop() *waiter {
+	for i := len(q) - 1; i >= 0; i-- {
+		if len(q[i]) > 0 {
+			return heap.Pop(&q[i]).(*waiter)
 		}
 	}
-	return l
+	return nil
 }
 
-func (w *waiter) before(o *waiter) bool {
-	if w.wanted.Importance != o.wanted.Importance {
-		return w.wanted.Importance > o.wanted.Importance
+// popBelow takes out a waiter of the lowest importance that is less than i, or
+// returns nil. It is one of those with the latest deadlines.
+func (q *queue) popBelow(i snipefront.Importance) *waiter {
+	for j := range q[:i] {
+		if n := len(q[j]); n > 0 {
+			return heap.Remove(&q[j], n-1).(*waiter)
+		}
+	}
+	return nil
+}
+
+func (q *queue) remove(w *waiter) {
+	if w.at >= 0 {
+		heap.Remove(&q[w.wanted.Importance], w.at)
 	}
-	return w.wanted.Deadline.Before(o.wanted.Deadline)
 }
 
 // refuse ends the wait with err.
@@ -86,63 +116,82 @@
 	w.granted <- grant{err: err}
 }
 
-// enqueue puts x into the queue, or returns the refusal where it could not be
-// answered in time. A full queue gives up the waiter that would be served last.
-// The lock is held.
+// enqueue puts x into the queue, or returns the refusal where it would wait too
+// long. A full queue gives up a less important waiter. The lock is held.
 func (c *Cell) enqueue(now time.Time, x *waiter) error {
-	x.giveUp = x.wanted.Deadline.Add(-c.service)
-	if !now.Before(x.giveUp) || c.expectedWait(x) > x.giveUp.Sub(now) {
-		return snipefront.Refused(snipefront.ReasonOverload, retrySoon, "the queue is too long for the deadline")
+	x.giveUp = x.wanted.Deadline.Add(-answerMargin * c.service)
+	if c.expectedWait(now, x.wanted.Importance) > x.giveUp.Sub(now)/waitShare {
+		return c.overload(now, "the queue is too long for the deadline")
 	}
-	if c.queue.Len() >= c.MaxQueue {
-		l := c.queue.last()
-		if l == nil || !x.before(l) {
-			return snipefront.Refused(snipefront.ReasonOverload, retrySoon, "the queue is full")
+	if c.queue.len() >= c.MaxQueue {
+		l := c.queue.popBelow(x.wanted.Importance)
+		if l == nil {
+			return c.overload(now, "the queue is full")
 		}
-		c.queue.remove(l)
-		l.refuse(snipefront.Refused(snipefront.ReasonOverload, retrySoon, "the queue is full of more important requests"))
+		l.refuse(c.overload(now, "the queue is full of more important requests"))
 	}
-	heap.Push(&c.queue, x)
+	c.queue.push(x)
 	return nil
 }
 
-// expectedWait is the time until the requests before x have been served.
-func (c *Cell) expectedWait(x *waiter) time.Duration {
+// expectedWait is the time until a new waiter of the importance i is served.
+func (c *Cell) expectedWait(now time.Time, i snipefront.Importance) time.Duration {
 	slots := 0
 	for _, s := range c.order {
-		slots += s.limiter.Limit()
-	}
-	if slots == 0 {
-		return 0
-	}
-	ahead := 0
-	for _, w := range c.queue {
-		if w.before(x) {
-			ahead++
+		if s.usable(now) {
+			slots += s.limiter.Limit()
 		}
 	}
-	return c.service * time.Duration(ahead+1) / time.Duration(slots)
+	return c.service * time.Duration(c.queue.ahead(i)+1) / time.Duration(max(1, slots))
+}
+
+// overload returns a refusal that asks the caller to stay away until the queue
+// has surely emptied.
+func (c *Cell) overload(now time.Time, detail string) *snipefront.Error {
+	wait := backlogFactor * c.expectedWait(now, snipefront.Background)
+	return snipefront.Refused(snipefront.ReasonOverload, max(retrySoon, wait), detail)
 }
 
-// serve gives free slots to the waiters. The lock is held.
+// serve gives free slots to the waiters. One that avoids the only backend server
+// with a free slot lets the others pass. The lock is held.
 func (c *Cell) serve(now time.Time) {
-	if !c.open || c.rules.Out {
+	if !c.open || c.rules.Out || c.queue.len() == 0 {
 		return
 	}
-	for c.queue.Len() > 0 {
-		w := c.queue[0]
-		s := c.pick(now, w.wanted.Avoid)
-		if s == nil {
-			return
+	if !c.accepts(now, "") {
+		c.refuseAll(noBackendServer())
+		return
+	}
+	var passed []*waiter
+	for w := c.queue.pop(); w != nil; w = c.queue.pop() {
+		if s := c.pick(now, w.wanted.Avoid); s != nil {
+			w.granted <- grant{slot: c.take(now, s, w.wanted.Deadline)}
+			continue
+		}
+		passed = append(passed, w)
+		if w.wanted.Avoid == "" {
+			break
 		}
-		heap.Pop(&c.queue)
-		w.granted <- grant{slot: c.take(now, s, w.wanted.Deadline)}
+	}
+	for _, w := range passed {
+		c.queue.push(w)
 	}
 }
 
 // refuseAll ends every wait with err. The lock is held.
 func (c *Cell) refuseAll(err error) {
-	for c.queue.Len() > 0 {
-		heap.Pop(&c.queue).(*waiter).refuse(err)
+	for w := c.queue.pop(); w != nil; w = c.queue.pop() {
+		w.refuse(err)
 	}
 }
+
+const (
+	// answerMargin is the multiple of the mean service time that must be left
+	// when a waiter gets its slot.
+	answerMargin = 3
+	// waitShare is the inverse share of the time left that may go in the queue.
+	waitShare = 8
+	// backlogFactor is the multiple of the expected wait after which a refused
+	// caller may ask again.
+	backlogFactor = 2
+)
--- a/internal/dispatch/cell/slot.go
+++ b/internal/dispatch/cell/slot.go
@@ -23,7 +23,8 @@
 	Deadline   time.Time
 	// MayQueue lets the request wait for a slot.
 	MayQueue bool
-	// Avoid names a backend server not to use, or none.
+	// Avoid names a backend server not to use, or none. Where it is the only one
+	// that accepts work, the request is refused.
 	Avoid string
 }
 
@@ -57,12 +58,13 @@
 // *snipefront.Error as soon as the request cannot be answered in time.
 func (c *Cell) Acquire(ctx context.Context, w Wanted) (*Slot, error) {
 	now := time.Now()
+	w.Importance = min(w.Importance, snipefront.Critical)
 	c.mu.Lock()
 	if err := c.refusal(now, w); err != nil {
 		c.mu.Unlock()
 		return nil, err
 	}
-	if c.queue.Len() == 0 || !w.MayQueue {
+	if c.queue.len() == 0 || !w.MayQueue {
 		if s := c.pick(now, w.Avoid); s != nil {
 			slot := c.take(now, s, w.Deadline)
 			c.mu.Unlock()
@@ -70,8 +72,9 @@
 		}
 	}
 	if !w.MayQueue {
+		err := c.overload(now, "no free slot in the cell")
 		c.mu.Unlock()
-		return nil, snipefront.Refused(snipefront.ReasonOverload, retrySoon, "no free slot in the cell")
+		return nil, err
 	}
 	x := &waiter{wanted: w, granted: make(chan grant, 1)}
 	if err := c.enqueue(now, x); err != nil {
@@ -92,12 +95,24 @@
 	case !now.Before(w.Deadline):
 		return snipefront.Refused(snipefront.ReasonDeadline, 0, "the deadline has passed")
 	}
+	if !c.accepts(now, w.Avoid) {
+		return noBackendServer()
+	}
+	return nil
+}
+
+// accepts returns whether a backend server other than avoid accepts work.
+func (c *Cell) accepts(now time.Time, avoid string) bool {
 	for _, s := range c.order {
-		if s.usable(now) {
-			return nil
+		if s.usable(now) && s.announced.Name != avoid {
+			return true
 		}
 	}
-	return snipefront.Refused(snipefront.ReasonNoBackendServer, retryLater, "no backend server of the cell accepts work")
+	return false
+}
+
+func noBackendServer() *snipefront.Error {
+	return snipefront.Refused(snipefront.ReasonNoBackendServer, retryLater, "no backend server of the cell accepts the request")
 }
 
 // await waits until x is granted or refused, or until it is too late.
