dispatch/limit: meet a fall back into cold start within two refusals

A refusal now lowers the limit to the cold limit at once. A second one begins the warm-up, unless in between the backend server has answered a request that was sent after the first and beyond the cold limit; only that disproves the cold start. Failures in a row suspend a backend server for 20 ms, doubling up to 1 s; an answer ends it, and where all are suspended they are used as usual. Failed is a new outcome: a whole answer that tells of a failure suspends but is no sign of a cold start. Slow answers have a count of their own.

Ruled out: beginning the warm-up at the first refusal. One refusal for any other cause would cost the whole warm-up. A second trial costs one refused request.

--- a/internal/dispatch/cell/cell.go
+++ b/internal/dispatch/cell/cell.go
@@ -207,7 +207,7 @@
 	}
 	n := 0
 	for _, s := range c.order {
-		if s.usable(now) {
+		if s.usable(now) && !s.limiter.Suspended(now) {
 			n += max(0, s.limiter.Limit()-s.inFlight)
 		}
 	}
@@ -227,6 +227,8 @@
 		return "announcement lapsed"
 	case s.inFlight >= s.limiter.Limit():
 		return "at its limit"
+	case s.limiter.Suspended(now):
+		return "suspended after failures"
 	case c.rules.Spares[s.announced.Name]:
 		return "spare"
 	case s.limiter.IsCold(now):
@@ -241,25 +243,43 @@
 	return !s.announced.Draining && now.Before(s.announced.Expires)
 }
 
-// pick returns the backend server for the next request, or nil. Spares are
-// chosen only where no other has a free slot. The lock is held.
+// tier is how readily a backend server is used: a higher one only where no
+// lower one has a free slot.
+type tier uint8
+
+const (
+	regular tier = iota
+	spare
+	suspended
+	tiers
+)
+
+// pick returns the backend server for the next request, or nil. A suspended one
+// is used only where all are suspended. The lock is held.
 func (c *Cell) pick(now time.Time, avoid string) *server {
-	if s := c.pickAmong(now, avoid, false); s != nil {
-		return s
-	}
-	if len(c.rules.Spares) == 0 {
-		return nil
+	var counts [tiers]int
+	for t := regular; t < tiers; t++ {
+		if t == suspended && counts[regular]+counts[spare] > 0 {
+			break
+		}
+		s, n := c.pickAmong(now, avoid, t)
+		if s != nil {
+			return s
+		}
+		counts[t] = n
 	}
-	return c.pickAmong(now, avoid, true)
+	return nil
 }
 
-func (c *Cell) pickAmong(now time.Time, avoid string, spares bool) *server {
+// pickAmong returns a backend server of the tier, or nil, and how many of the
+// tier there are.
+func (c *Cell) pickAmong(now time.Time, avoid string, t tier) (*server, int) {
 	var room [candidateRoom]snipefront.Candidate
 	var who [candidateRoom]*server
 	list, from := room[:0], who[:0]
 	for _, s := range c.order {
 		n := s.announced.Name
-		if !s.usable(now) || n == avoid || c.rules.Spares[n] != spares {
+		if !s.usable(now) || n == avoid || c.tier(now, s) != t {
 			continue
 		}
 		list = append(list, snipefront.Candidate{
@@ -270,11 +290,25 @@
 		})
 		from = append(from, s)
 	}
+	if len(list) == 0 {
+		return nil, 0
+	}
 	i := c.Picker.Pick(list, c.random())
 	if i < 0 {
-		return nil
+		return nil, len(list)
+	}
+	return from[i], len(list)
+}
+
+func (c *Cell) tier(now time.Time, s *server) tier {
+	switch {
+	case s.limiter.Suspended(now):
+		return suspended
+	case len(c.rules.Spares) > 0 && c.rules.Spares[s.announced.Name]:
+		return spare
+	default:
+		return regular
 	}
-	return from[i]
 }
 
 func (c *Cell) random() uint64 {
--- a/internal/dispatch/cell/cell_test.go
+++ b/internal/dispatch/cell/cell_test.go
@@ -234,3 +234,34 @@
 		}
 	})
 }
+
+func TestFastFailuresDrawNoTraffic(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := opened(3)
+		warm(t, c)
+		failures := 0
+		for range 1000 {
+			s := take(t, c, within(time.Second))
+			if s.BackendServer.Name == "0" {
+				failures++
+				s.Done(cell.Failed)
+				continue
+			}
+			time.Sleep(work)
+			s.Done(cell.Answered)
+		}
+		if failures > 20 {
+			t.Errorf("%d of 1000 requests went to the backend server that fails at once", failures)
+		}
+	})
+}
+
+func TestAllSuspendedStillServe(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := opened(2)
+		for range 20 {
+			take(t, c, within(time.Second)).Done(cell.Failed)
+		}
+		take(t, c, within(time.Second)).Done(cell.Answered)
+	})
+}
--- a/internal/dispatch/cell/queue.go
+++ b/internal/dispatch/cell/queue.go
@@ -138,7 +138,7 @@
 func (c *Cell) expectedWait(now time.Time, i snipefront.Importance) time.Duration {
 	slots := 0
 	for _, s := range c.order {
-		if s.usable(now) {
+		if s.usable(now) && !s.limiter.Suspended(now) {
 			slots += s.limiter.Limit()
 		}
 	}
--- a/internal/dispatch/cell/slot.go
+++ b/internal/dispatch/cell/slot.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/dispatch/limit"
 )
 
 const (
@@ -35,10 +36,12 @@
 const (
 	// Answered is a whole answer in time.
 	Answered Outcome = iota
-	// Troubled is a refusal, a failure or a late answer.
+	// Troubled is a refusal, a broken or a late attempt.
 	Troubled
 	// Canceled tells nothing of the backend server.
 	Canceled
+	// Failed is a whole answer in time that tells of a failure.
+	Failed
 )
 
 // Slot is the right to have one request in flight at a backend server. Done
@@ -49,7 +52,7 @@
 
 	cell   *Cell
 	server *server
-	taken  time.Time
+	taken  limit.Attempt
 	// deadline is that of the request.
 	deadline time.Time
 }
@@ -149,13 +152,14 @@
 func (c *Cell) take(now time.Time, s *server, deadline time.Time) *Slot {
 	s.inFlight++
 	c.inFlight++
-	return &Slot{BackendServer: s.announced, cell: c, server: s, taken: now, deadline: deadline}
+	a := limit.Attempt{Taken: now, Position: s.inFlight}
+	return &Slot{BackendServer: s.announced, cell: c, server: s, taken: a, deadline: deadline}
 }
 
 // Done gives the slot back with the outcome of the attempt.
 func (s *Slot) Done(o Outcome) {
 	now := time.Now()
-	held := now.Sub(s.taken)
+	held := now.Sub(s.taken.Taken)
 	c := s.cell
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -170,10 +174,12 @@
 func (s *Slot) learn(now time.Time, held time.Duration, o Outcome) {
 	switch o {
 	case Answered:
-		s.server.limiter.Answered(now, held)
+		s.server.limiter.Answered(now, s.taken)
 		s.cell.average(held)
 	case Troubled:
 		s.trouble(now, held)
+	case Failed:
+		s.server.limiter.Failed(now)
 	case Canceled:
 	}
 }
--- a/internal/dispatch/limit/limit.go
+++ b/internal/dispatch/limit/limit.go
@@ -2,10 +2,16 @@
 //
 // A backend server starts at its cold limit and stays there for its warm-up
 // time, since nothing it reports tells reliably when it is warm. After that the
-// limit grows with answers up to the announced ceiling. Signs of trouble lower
-// it: a refusal or a failure at once, slow answers after a second one in a row.
-// A second sign without an answer in between is taken for a fall back into cold
-// start, which begins the warm-up again.
+// limit grows with answers up to the announced ceiling.
+//
+// A refusal or a broken attempt lowers the limit to the cold limit at once. If
+// another follows before the backend server has answered a request beyond its
+// cold limit, it is taken for a fall back into cold start, which begins the
+// warm-up again. Two slow answers in a row halve the limit.
+//
+// A backend server that does nothing but fail would free its slots faster than
+// any other and draw all work. So failures in a row suspend it, each time for
+// twice as long, and an answer ends that.
 package limit
 
 import "time"
@@ -15,6 +21,14 @@
 	slowFactor = 6
 	// slowFloor is the latency under which no answer counts as slow.
 	slowFloor = 20 * time.Millisecond
+	// slowRun is the number of slow answers in a row that lower the limit.
+	slowRun = 2
+	// failureRun is the number of failures in a row that suspend.
+	failureRun = 2
+	// firstPause is the time of the first suspension.
+	firstPause = 20 * time.Millisecond
+	// longestPause bounds a suspension.
+	longestPause = time.Second
 	// latencyWeight is the inverse weight of one answer in the average.
 	latencyWeight = 16
 )
@@ -29,18 +43,32 @@
 	// WarmUp is the time after a start during which the limit is Cold.
 	WarmUp time.Duration
 
-	limit   float64
-	warm    time.Time
-	usual   time.Duration
-	trouble int
+	limit float64
+	warm  time.Time
+	usual time.Duration
+	// doubt is true from a refusal until an answer disproves a cold start.
+	doubt bool
+	// troubled is the instant of the last refusal or failure.
+	troubled time.Time
+	slow     int
+	failures int
+	resume   time.Time
+}
+
+// Attempt is a request that a backend server was given.
+type Attempt struct {
+	// Taken is when it was given.
+	Taken time.Time
+	// Position is the number of requests in flight then, itself included.
+	Position int
 }
 
 // Reset begins a cold start at the instant now.
 func (l *Limiter) Reset(now time.Time) {
-	l.limit = float64(l.Cold)
-	l.warm = now.Add(l.WarmUp)
+	l.chill(now)
 	l.usual = 0
-	l.trouble = 0
+	l.failures = 0
+	l.resume = time.Time{}
 }
 
 // Limit returns the most requests that may run at once.
@@ -53,55 +81,88 @@
 	return now.Before(l.warm)
 }
 
+// Suspended returns whether failures in a row speak against sending anything at
+// the instant now.
+func (l *Limiter) Suspended(now time.Time) bool {
+	return now.Before(l.resume)
+}
+
 // Usual returns the average latency, or zero where none is known.
 func (l *Limiter) Usual() time.Duration {
 	return l.usual
 }
 
-// Answered takes in an answer.
-func (l *Limiter) Answered(now time.Time, latency time.Duration) {
-	if l.isSlow(latency) {
-		l.slow()
-		l.learn(latency)
+// Answered takes in the answer to a.
+func (l *Limiter) Answered(now time.Time, a Attempt) {
+	latency := now.Sub(a.Taken)
+	isSlow := l.isSlow(latency)
+	l.learn(latency)
+	if !a.Taken.Before(l.troubled) {
+		l.failures = 0
+		l.resume = time.Time{}
+		l.doubt = l.doubt && a.Position <= min(l.Cold, l.Ceiling-1)
+	}
+	if isSlow {
+		l.slowed()
 		return
 	}
-	l.learn(latency)
-	l.trouble = 0
+	l.slow = 0
 	if l.IsCold(now) {
 		return
 	}
 	l.limit = min(l.limit+1/max(1, l.limit), float64(l.Ceiling))
 }
 
-// Troubled takes in a refusal or a failure.
+// Troubled takes in a refusal or a broken attempt.
 func (l *Limiter) Troubled(now time.Time) {
-	l.trouble++
-	if l.trouble > 1 {
-		l.Reset(now)
+	if l.doubt {
+		l.chill(now)
+	}
+	l.doubt = true
+	l.limit = float64(l.Cold)
+	l.Failed(now)
+}
+
+// Failed takes in an answer that tells of a failure. It says nothing of how many
+// requests the backend server bears.
+func (l *Limiter) Failed(now time.Time) {
+	l.troubled = now
+	l.failures++
+	if l.failures < failureRun {
 		return
 	}
-	l.limit = max(float64(l.Cold), l.limit/2)
+	pause := firstPause << min(l.failures-failureRun, 16)
+	l.resume = now.Add(min(pause, longestPause))
 }
 
 // Late takes in an attempt without an answer that ended at its deadline after
 // the time held. It is a slow answer or tells nothing.
 func (l *Limiter) Late(held time.Duration) {
 	if l.isSlow(held) {
-		l.slow()
+		l.slowed()
 	}
 }
 
+// chill begins the warm-up.
+func (l *Limiter) chill(now time.Time) {
+	l.limit = float64(l.Cold)
+	l.warm = now.Add(l.WarmUp)
+	l.doubt = false
+	l.slow = 0
+}
+
 func (l *Limiter) isSlow(latency time.Duration) bool {
 	return l.usual > 0 && latency > slowFloor && latency > slowFactor*l.usual
 }
 
-// slow halves the limit at the second slow answer in a row.
-func (l *Limiter) slow() {
-	l.trouble++
-	if l.trouble > 1 {
-		l.limit = max(float64(l.Cold), l.limit/2)
-		l.trouble = 0
+// slowed halves the limit at the last slow answer of a run.
+func (l *Limiter) slowed() {
+	l.slow++
+	if l.slow < slowRun {
+		return
 	}
+	l.slow = 0
+	l.limit = max(float64(l.Cold), l.limit/2)
 }
 
 func (l *Limiter) learn(latency time.Duration) {
--- a/internal/stand/bench/compare_test.go
+++ b/internal/stand/bench/compare_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -46,7 +47,7 @@
 		}
 		for _, l := range requested(t) {
 			for _, p := range known {
-				if strings.Contains(*policies, p.Name) {
+				if slices.Contains(strings.Split(*policies, ","), p.Name) {
 					t.Log("\n" + run(t, z, p, l).String())
 				}
 			}
--- a/internal/stand/bench/fleet.go
+++ b/internal/stand/bench/fleet.go
@@ -173,6 +173,8 @@
 	switch s {
 	case answered:
 		return cell.Answered
+	case failed:
+		return cell.Failed
 	default:
 		return cell.Troubled
 	}
