request/route: hand a request on only where that is quicker than to wait

Cause: a router whose own cell had no free slot tried each sibling that old hints called free, then the queue of every cell. In overload each request cost more than two hops, most of them refused. All routers broke ties alike, so they sent to the same sibling. And the owners were ranked anew for every request.

An own cell in which the expected wait is no longer than a hop (1 ms) comes first. An owner that is asked for a free slot lets the request wait under the same rule, since its counts are exact and the hint was not. At most two cells may refuse a request for overload; other reasons don't count. Ties go round robin. The owners are worked out once a view and service and read without a lock.

--- a/internal/dispatch/cell/cell.go
+++ b/internal/dispatch/cell/cell.go
@@ -178,11 +178,26 @@
 	Reason string
 }
 
-// Count returns the free slots and the requests that wait.
-func (c *Cell) Count(now time.Time) (free, queued int) {
+// Counts is what routers choose by.
+type Counts struct {
+	// Free is the number of slots that may be taken now.
+	Free int
+	// Queued is the number of requests that wait.
+	Queued int
+	// Wait is the expected time until a new request has a slot. It is zero where
+	// one is free.
+	Wait time.Duration
+}
+
+// Count returns the counts at the instant now.
+func (c *Cell) Count(now time.Time) Counts {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.free(now), c.queue.len()
+	n := Counts{Free: c.free(now), Queued: c.queue.len()}
+	if n.Free == 0 {
+		n.Wait = c.expectedWait(now, snipefront.Background)
+	}
+	return n
 }
 
 // Load returns the whole state.
--- a/internal/dispatch/cells/serve.go
+++ b/internal/dispatch/cells/serve.go
@@ -5,21 +5,20 @@
 	"time"
 
 	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/dispatch/cell"
 )
 
 // retryLater is the time after which a caller may ask again where no backend
 // server is known.
 const retryLater = 2 * time.Second
 
-// Count returns the free slots of c and the requests that wait there, and false
-// where c is unknown.
-func (s *Set) Count(now time.Time, c snipefront.Cell) (free, queued int, known bool) {
+// Count returns the counts of c, and false where c is unknown.
+func (s *Set) Count(now time.Time, c snipefront.Cell) (cell.Counts, bool) {
 	d := s.Get(c)
 	if d == nil {
-		return 0, 0, false
+		return cell.Counts{}, false
 	}
-	free, queued = d.Cell.Count(now)
-	return free, queued, true
+	return d.Cell.Count(now), true
 }
 
 // Serve runs r in c, waiting for a slot where mayQueue allows it.
--- a/internal/request/route/route.go
+++ b/internal/request/route/route.go
@@ -11,12 +11,12 @@
 import (
 	"context"
 	"net/http"
-	"sort"
+	"sync/atomic"
 	"time"
 
 	"github.com/snipefront/snipefront"
 	"github.com/snipefront/snipefront/internal/control/member"
-	"github.com/snipefront/snipefront/internal/control/owner"
+	"github.com/snipefront/snipefront/internal/dispatch/cell"
 	"github.com/snipefront/snipefront/internal/rpc/peers"
 )
 
@@ -24,6 +24,13 @@
 // last.
 const retryLater = 2 * time.Second
 
+// hopTime is about what handing a request to another instance and getting the
+// answer back takes.
+const hopTime = time.Millisecond
+
+// maxWaits is the most cells that refuse a request for overload.
+const maxWaits = 2
+
 // Forwarder hands a request to the instance at address.
 type Forwarder interface {
 	Forward(ctx context.Context, address string, epoch uint64, c snipefront.Cell, r *snipefront.Request, mayQueue bool) (peers.Answer, error)
@@ -44,9 +51,8 @@
 	// Announce takes in an announcement and returns whether this instance owns
 	// the cell.
 	Announce(now time.Time, b snipefront.BackendServer) bool
-	// Count returns the free slots of c and the requests that wait there, and
-	// false where c is unknown.
-	Count(now time.Time, c snipefront.Cell) (free, queued int, known bool)
+	// Count returns the counts of c, and false where c is unknown.
+	Count(now time.Time, c snipefront.Cell) (cell.Counts, bool)
 	// Serve runs r in c, waiting for a slot where mayQueue allows it.
 	Serve(ctx context.Context, c snipefront.Cell, r *snipefront.Request, s snipefront.Service, mayQueue bool) (*snipefront.Response, error)
 }
@@ -62,13 +68,21 @@
 	Counter   Counter
 
 	hints Hints
+	plans atomic.Pointer[plan]
+	// turn spreads the choices among cells that are equally good.
+	turn atomic.Uint64
 }
 
 // choice is a cell that may take a request.
 type choice struct {
 	cell  snipefront.Cell
 	owner snipefront.Instance
-	free  int
+	// own is true where this instance owns the cell.
+	own bool
+	// free is the number of free slots less the requests that wait.
+	free int
+	// short is true for an own cell where the wait takes less time than a hop.
+	short bool
 }
 
 // Serve implements snipefront.Handler.
@@ -78,6 +92,9 @@
 	if len(list) == 0 {
 		return nil, snipefront.Refused(snipefront.ReasonDataCentreOut, retryLater, "no data centre in service has an instance")
 	}
+	if c := list[0]; c.own && c.short {
+		return t.wait(ctx, v, list, r)
+	}
 	for _, c := range list {
 		if c.free <= 0 {
 			break
@@ -91,24 +108,38 @@
 }
 
 // wait lets the request queue at the best cell, and at the next where that one
-// cannot take it.
+// cannot take it. Owners that are overloaded are few to be asked, since each one
+// costs them and the caller a hop.
 func (t *Router) wait(ctx context.Context, v *member.View, list []choice, r *snipefront.Request) (*snipefront.Response, error) {
 	var last error
+	full := 0
 	for _, c := range list {
 		resp, err := t.try(ctx, v, c, r, true)
 		if err == nil || !t.mayMoveOn(ctx, r, err) {
 			return resp, err
 		}
 		last = err
+		if snipefront.AsError(err).Reason == snipefront.ReasonOverload {
+			full++
+		}
+		if full == maxWaits {
+			break
+		}
 	}
 	return nil, last
 }
 
-// Forwarded implements peers.Owner.
+// Forwarded implements peers.Owner. Where a wait takes less time than a hop to
+// another cell, the request waits even if it came for a free slot.
 func (t *Router) Forwarded(ctx context.Context, c snipefront.Cell, r *snipefront.Request, mayQueue bool) (peers.Answer, error) {
+	if n, ok := t.Cells.Count(time.Now(), c); ok && n.Wait <= hopTime {
+		mayQueue = true
+	}
 	resp, err := t.run(ctx, t.View(), c, r, mayQueue)
 	a := peers.Answer{Response: resp}
-	a.Free, a.Queued, a.Counted = t.Cells.Count(time.Now(), c)
+	if n, ok := t.Cells.Count(time.Now(), c); ok {
+		a.Free, a.Queued, a.Counted = n.Free, n.Queued, true
+	}
 	return a, err
 }
 
@@ -127,43 +158,57 @@
 	return owners, free
 }
 
+// choices returns the cells of service that are in service, the best first.
 func (t *Router) choices(now time.Time, v *member.View, service string) []choice {
-	var list []choice
-	for _, n := range owner.DataCentres(v.Epoch) {
-		if v.Config.DataCentresOut[n] {
-			continue
-		}
-		c := choice{cell: snipefront.Cell{Service: service, DataCentre: n}}
-		c.owner, _ = owner.Of(v.Epoch, c.cell)
-		c.free = t.free(now, c)
-		list = append(list, c)
+	all := t.plan(v).places(service)
+	list := make([]choice, len(all))
+	first := 0
+	if len(all) > 0 {
+		first = int(t.turn.Add(1) % uint64(len(all)))
 	}
-	sort.SliceStable(list, func(i, j int) bool { return t.better(list[i], list[j]) })
+	for i := range all {
+		list[i] = t.count(now, all[(first+i)%len(all)])
+	}
+	order(list)
 	return list
 }
 
-// free returns the free slots of c less the requests that wait there.
-func (t *Router) free(now time.Time, c choice) int {
+// count returns c with what is known of its load.
+func (t *Router) count(now time.Time, c choice) choice {
 	if c.owner.Name != t.Self {
-		return t.hints.Free(now, c.cell)
+		c.free = t.hints.Free(now, c.cell)
+		return c
+	}
+	n, _ := t.Cells.Count(now, c.cell)
+	c.own = true
+	c.free = n.Free - n.Queued
+	c.short = n.Wait <= hopTime
+	return c
+}
+
+// order sorts a short list in place, the best first. Equals keep their order.
+func order(list []choice) {
+	for i := 1; i < len(list); i++ {
+		for j := i; j > 0 && better(list[j], list[j-1]); j-- {
+			list[j], list[j-1] = list[j-1], list[j]
+		}
 	}
-	free, queued, _ := t.Cells.Count(now, c.cell)
-	return free - queued
 }
 
-// better puts an own cell with a free slot first, since it saves a hop.
-func (t *Router) better(a, b choice) bool {
-	ownA := a.owner.Name == t.Self && a.free > 0
-	ownB := b.owner.Name == t.Self && b.free > 0
-	if ownA != ownB {
-		return ownA
+// better puts an own cell first where a slot is free or soon will be, since
+// that takes less time than a hop.
+func better(a, b choice) bool {
+	nearA := a.own && (a.free > 0 || a.short)
+	nearB := b.own && (b.free > 0 || b.short)
+	if nearA != nearB {
+		return nearA
 	}
 	return a.free > b.free
 }
 
 // try runs r in the cell of c, here or at its owner.
 func (t *Router) try(ctx context.Context, v *member.View, c choice, r *snipefront.Request, mayQueue bool) (*snipefront.Response, error) {
-	if c.owner.Name == t.Self {
+	if c.own {
 		return t.run(ctx, v, c.cell, r, mayQueue)
 	}
 	if !t.Lease.Held(time.Now()) {
--- /dev/null
+++ b/internal/request/route/route_test.go
@@ -0,0 +1,139 @@
+package route_test
+
+import (
+	"context"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/control/member"
+	"github.com/snipefront/snipefront/internal/dispatch/cell"
+	"github.com/snipefront/snipefront/internal/request/route"
+	"github.com/snipefront/snipefront/internal/rpc/peers"
+)
+
+// fleet stands for four instances, one in each data centre, of which "0" is the
+// one under test. It refuses in the cells that are set in refuse.
+type fleet struct {
+	counts cell.Counts
+	refuse map[string]snipefront.Reason
+	// asked holds the data centres asked, in order, with a mark where the
+	// request might wait.
+	asked []string
+	out   map[string]bool
+	lost  bool
+}
+
+func (f *fleet) serve(c snipefront.Cell, mayQueue bool) (*snipefront.Response, error) {
+	mark := ""
+	if mayQueue {
+		mark = "+"
+	}
+	f.asked = append(f.asked, c.DataCentre+mark)
+	if why := f.refuse[c.DataCentre]; why != "" {
+		return nil, snipefront.Refused(why, time.Second, "refused")
+	}
+	return &snipefront.Response{}, nil
+}
+
+// Announce implements route.Cells.
+func (f *fleet) Announce(time.Time, snipefront.BackendServer) bool { return true }
+
+// Count implements route.Cells.
+func (f *fleet) Count(time.Time, snipefront.Cell) (cell.Counts, bool) { return f.counts, true }
+
+// Serve implements route.Cells.
+func (f *fleet) Serve(_ context.Context, c snipefront.Cell, _ *snipefront.Request, _ snipefront.Service, mayQueue bool) (*snipefront.Response, error) {
+	return f.serve(c, mayQueue)
+}
+
+// Forward implements route.Forwarder.
+func (f *fleet) Forward(_ context.Context, _ string, _ uint64, c snipefront.Cell, _ *snipefront.Request, mayQueue bool) (peers.Answer, error) {
+	resp, err := f.serve(c, mayQueue)
+	return peers.Answer{Response: resp}, err
+}
+
+// Held implements route.Lease.
+func (f *fleet) Held(time.Time) bool { return !f.lost }
+
+// Retried implements route.Counter.
+func (f *fleet) Retried(string, snipefront.Reason) {}
+
+func (f *fleet) router() *route.Router {
+	v := &member.View{Self: "0", Config: &snipefront.Config{
+		Services:       map[string]snipefront.Service{"s": {Name: "s"}},
+		DataCentresOut: f.out,
+	}}
+	for i := range 4 {
+		n := strconv.Itoa(i)
+		v.Epoch.Instances = append(v.Epoch.Instances, snipefront.Instance{Name: n, DataCentre: n})
+	}
+	return &route.Router{
+		Self: "0", View: func() *member.View { return v }, Lease: f, Cells: f, Forwarder: f, Counter: f,
+	}
+}
+
+func serve(t *testing.T, f *fleet) error {
+	t.Helper()
+	_, err := f.router().Serve(t.Context(), &snipefront.Request{Service: "s", Deadline: time.Now().Add(time.Hour)})
+	return err
+}
+
+func everywhere(why snipefront.Reason) map[string]snipefront.Reason {
+	return map[string]snipefront.Reason{"0": why, "1": why, "2": why, "3": why}
+}
+
+func TestDataCentreOutIsNotAsked(t *testing.T) {
+	f := &fleet{
+		out:    map[string]bool{"0": true, "2": true},
+		refuse: everywhere(snipefront.ReasonNoBackendServer),
+		counts: cell.Counts{Free: 9},
+	}
+	if serve(t, f) == nil {
+		t.Fatal("answered")
+	}
+	seen := map[string]bool{}
+	for _, n := range f.asked {
+		seen[n[:1]] = true
+	}
+	if seen["0"] || seen["2"] || !seen["1"] || !seen["3"] {
+		t.Errorf("asked %v, want just 1 and 3", f.asked)
+	}
+}
+
+func TestShortWaitBeatsHop(t *testing.T) {
+	f := &fleet{counts: cell.Counts{Queued: 1, Wait: time.Millisecond / 2}}
+	if err := serve(t, f); err != nil || len(f.asked) != 1 || f.asked[0] != "0+" {
+		t.Errorf("asked %v, want to wait in 0", f.asked)
+	}
+	f = &fleet{counts: cell.Counts{Queued: 1, Wait: 50 * time.Millisecond}}
+	if err := serve(t, f); err != nil || len(f.asked) != 1 || f.asked[0] == "0+" {
+		t.Errorf("asked %v, want another than 0 for a free slot", f.asked)
+	}
+}
+
+func TestOverloadAsksFewOwnersToQueue(t *testing.T) {
+	f := &fleet{counts: cell.Counts{Queued: 9, Wait: time.Second}, refuse: everywhere(snipefront.ReasonOverload)}
+	e := snipefront.AsError(serve(t, f))
+	if e == nil || e.Verdict != snipefront.NotRun || e.Reason != snipefront.ReasonOverload {
+		t.Fatalf("got %v", e)
+	}
+	queued := 0
+	for _, n := range f.asked {
+		if len(n) > 1 {
+			queued++
+		}
+	}
+	if queued != 2 {
+		t.Errorf("asked %v, want two owners asked to queue", f.asked)
+	}
+}
+
+func TestNoLeaseRunsNothing(t *testing.T) {
+	f := &fleet{counts: cell.Counts{Free: 9}, lost: true}
+	e := snipefront.AsError(serve(t, f))
+	if e == nil || e.Reason != snipefront.ReasonNoLease || e.Verdict != snipefront.NotRun || len(f.asked) > 0 {
+		t.Errorf("got %v, asked %v", e, f.asked)
+	}
+}
--- a/internal/stand/bench/fleet.go
+++ b/internal/stand/bench/fleet.go
@@ -32,7 +32,8 @@
 	routers []*route.Router
 	cells   map[snipefront.Cell]*cell.Cell
 	servers map[string]*backend
-	retried atomic.Int64
+	moves   atomic.Int64
+	hops    atomic.Int64
 }
 
 func newFleet(z Size, servers []*backend, seed uint64) *fleet {
@@ -134,13 +135,12 @@
 func (f *fleet) Announce(time.Time, snipefront.BackendServer) bool { return true }
 
 // Count implements route.Cells.
-func (f *fleet) Count(now time.Time, c snipefront.Cell) (free, queued int, known bool) {
+func (f *fleet) Count(now time.Time, c snipefront.Cell) (cell.Counts, bool) {
 	d := f.cells[c]
 	if d == nil {
-		return 0, 0, false
+		return cell.Counts{}, false
 	}
-	free, queued = d.Count(now)
-	return free, queued, true
+	return d.Count(now), true
 }
 
 // Serve implements route.Cells.
@@ -181,7 +181,7 @@
 }
 
 // Retried implements route.Counter.
-func (f *fleet) Retried(string, snipefront.Reason) { f.retried.Add(1) }
+func (f *fleet) Retried(string, snipefront.Reason) { f.moves.Add(1) }
 
 // held is a lease that never lapses.
 type held struct{}
@@ -197,6 +197,7 @@
 
 // Forward implements route.Forwarder.
 func (f forwarder) Forward(ctx context.Context, address string, _ uint64, c snipefront.Cell, r *snipefront.Request, mayQueue bool) (peers.Answer, error) {
+	f.fleet.hops.Add(1)
 	hop := near
 	if f.from.DataCentre != c.DataCentre {
 		hop = far
--- a/internal/stand/bench/result.go
+++ b/internal/stand/bench/result.go
@@ -14,6 +14,10 @@
 	Policy   string
 	Load     Load
 	Services []ServiceResult
+	// Hops is the number of times that a router handed a request to another.
+	Hops int64
+	// Moves is the number of times that a cell could not take a request.
+	Moves int64
 }
 
 // ServiceResult is what came of the requests of one service.
@@ -101,5 +105,8 @@
 			r.Size, r.Load.Share*100, r.Load.Shifting, r.Policy, s.Name,
 			q(50), q(99), q(99.9), s.Sent, s.Late, s.Refused, s.Failed, s.Most, s.Slots, s.OverCold, s.AfterOut)
 	}
+	if r.Hops > 0 {
+		fmt.Fprintf(&b, "%-8s %3.0f%% %-5t %-12s %d hops, %d moves\n", r.Size, r.Load.Share*100, r.Load.Shifting, r.Policy, r.Hops, r.Moves)
+	}
 	return b.String()
 }
--- a/internal/stand/bench/run.go
+++ b/internal/stand/bench/run.go
@@ -92,6 +92,9 @@
 	}
 	stop()
 	res.close(servers)
+	if f, ok := s.(*fleet); ok {
+		res.Hops, res.Moves = f.hops.Load(), f.moves.Load()
+	}
 	return res
 }
 
