--- a/internal/dispatch/cell/slot.go
+++ b/internal/dispatch/cell/slot.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/dispatch/limit"
 )
 
 const (
@@ -23,7 +24,8 @@
 	Deadline   time.Time
 	// MayQueue lets the request wait for a slot.
 	MayQueue bool
-	// Avoid names a backend server not to use, or none.
+	// Avoid names a backend server not to use, or none. Where it is the only one
+	// that accepts work, the request is refused.
 	Avoid string
 }
 
@@ -34,10 +36,12 @@
 const (
 	// Answered is a whole answer in time.
 	Answered Outcome = iota
-	// Troubled is a refusal, a failure or a late answer.
+	// Troubled is a refusal, a broken or a late attempt.
 	Troubled
 	// Canceled tells nothing of the backend server.
 	Canceled
+	// Failed is a whole answer in time that tells of a failure.
+	Failed
 )
 
 // Slot is the right to have one request in flight at a backend server. Done
@@ -48,28 +52,32 @@
 
 	cell   *Cell
 	server *server
-	taken  time.Time
+	taken  limit.Attempt
+	// deadline is that of the request.
+	deadline time.Time
 }
 
 // Acquire takes a slot, waiting for one where w allows it. It returns a
 // *snipefront.Error as soon as the request cannot be answered in time.
 func (c *Cell) Acquire(ctx context.Context, w Wanted) (*Slot, error) {
 	now := time.Now()
+	w.Importance = min(w.Importance, snipefront.Critical)
 	c.mu.Lock()
 	if err := c.refusal(now, w); err != nil {
 		c.mu.Unlock()
 		return nil, err
 	}
-	if c.queue.Len() == 0 || !w.MayQueue {
+	if c.queue.len() == 0 || !w.MayQueue {
 		if s := c.pick(now, w.Avoid); s != nil {
-			slot := c.take(now, s)
+			slot := c.take(now, s, w.Deadline)
 			c.mu.Unlock()
 			return slot, nil
 		}
 	}
 	if !w.MayQueue {
+		err := c.overload(now, "no free slot in the cell")
 		c.mu.Unlock()
-		return nil, snipefront.Refused(snipefront.ReasonOverload, retrySoon, "no free slot in the cell")
+		return nil, err
 	}
 	x := &waiter{wanted: w, granted: make(chan grant, 1)}
 	if err := c.enqueue(now, x); err != nil {
@@ -90,12 +98,24 @@
 	case !now.Before(w.Deadline):
 		return snipefront.Refused(snipefront.ReasonDeadline, 0, "the deadline has passed")
 	}
+	if !c.accepts(now, w.Avoid) {
+		return noBackendServer()
+	}
+	return nil
+}
+
+// accepts returns whether a backend server other than avoid accepts work.
+func (c *Cell) accepts(now time.Time, avoid string) bool {
 	for _, s := range c.order {
-		if s.usable(now) {
-			return nil
+		if s.usable(now) && s.announced.Name != avoid {
+			return true
 		}
 	}
-	return snipefront.Refused(snipefront.ReasonNoBackendServer, retryLater, "no backend server of the cell accepts work")
+	return false
+}
+
+func noBackendServer() *snipefront.Error {
+	return snipefront.Refused(snipefront.ReasonNoBackendServer, retryLater, "no backend server of the cell accepts the request")
 }
 
 // await waits until x is granted or refused, or until it is too late.
@@ -129,16 +149,17 @@
 }
 
 // take gives a slot of s. The lock is held.
-func (c *Cell) take(now time.Time, s *server) *Slot {
+func (c *Cell) take(now time.Time, s *server, deadline time.Time) *Slot {
 	s.inFlight++
 	c.inFlight++
-	return &Slot{BackendServer: s.announced, cell: c, server: s, taken: now}
+	a := limit.Attempt{Taken: now, Position: s.inFlight}
+	return &Slot{BackendServer: s.announced, cell: c, server: s, taken: a, deadline: deadline}
 }
 
 // Done gives the slot back with the outcome of the attempt.
 func (s *Slot) Done(o Outcome) {
 	now := time.Now()
-	held := now.Sub(s.taken)
+	held := now.Sub(s.taken.Taken)
 	c := s.cell
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -153,14 +174,27 @@
 func (s *Slot) learn(now time.Time, held time.Duration, o Outcome) {
 	switch o {
 	case Answered:
-		s.server.limiter.Answered(now, held)
+		s.server.limiter.Answered(now, s.taken)
 		s.cell.average(held)
 	case Troubled:
-		s.server.limiter.Troubled(now)
+		s.trouble(now, held)
+	case Failed:
+		s.server.limiter.Failed(now)
 	case Canceled:
 	}
 }
 
+// trouble takes in a failed attempt. One that ended at its deadline tells of the
+// backend server only how long it took: most of the time may have gone in the
+// queue.
+func (s *Slot) trouble(now time.Time, held time.Duration) {
+	if now.Before(s.deadline) {
+		s.server.limiter.Troubled(now)
+		return
+	}
+	s.server.limiter.Late(held)
+}
+
 func (c *Cell) average(held time.Duration) {
 	if c.service == 0 {
 		c.service = held
