--- a/internal/request/route/route.go
+++ b/internal/request/route/route.go
@@ -48,9 +48,8 @@
 
 // Cells runs requests in the cells of this instance.
 type Cells interface {
-	// Announce takes in an announcement and returns whether this instance owns
-	// the cell.
-	Announce(now time.Time, b snipefront.BackendServer) bool
+	// Announce takes in an announcement and returns for how long it holds.
+	Announce(now time.Time, b snipefront.BackendServer) time.Duration
 	// Count returns the counts of c, and false where c is unknown.
 	Count(now time.Time, c snipefront.Cell) (cell.Counts, bool)
 	// Serve runs r in c, waiting for a slot where mayQueue allows it.
--- a/internal/request/route/route_test.go
+++ b/internal/request/route/route_test.go
@@ -38,7 +38,7 @@
 }
 
 // Announce implements route.Cells.
-func (f *fleet) Announce(time.Time, snipefront.BackendServer) bool { return true }
+func (f *fleet) Announce(time.Time, snipefront.BackendServer) time.Duration { return time.Minute }
 
 // Count implements route.Cells.
 func (f *fleet) Count(time.Time, snipefront.Cell) (cell.Counts, bool) { return f.counts, true }
--- a/internal/stand/bench/fleet.go
+++ b/internal/stand/bench/fleet.go
@@ -132,7 +132,7 @@
 }
 
 // Announce implements route.Cells.
-func (f *fleet) Announce(time.Time, snipefront.BackendServer) bool { return true }
+func (f *fleet) Announce(time.Time, snipefront.BackendServer) time.Duration { return time.Minute }
 
 // Count implements route.Cells.
 func (f *fleet) Count(now time.Time, c snipefront.Cell) (cell.Counts, bool) {
