quorum: replicate the log of the control quorum

The log of one replica in memory lost everything at a restart and made one instance necessary. Cause: a stand-in. Ruled out: a fixed bootstrap member without the answers of all others, since its replaced disk founds a second group (seen in the schedules as two groups that apply).

--- a/internal/daemon/module/module.go
+++ b/internal/daemon/module/module.go
@@ -28,7 +28,7 @@
 	"github.com/snipefront/snipefront/internal/entry/locate"
 	"github.com/snipefront/snipefront/internal/entry/notice"
 	"github.com/snipefront/snipefront/internal/observe/stats"
-	"github.com/snipefront/snipefront/internal/quorum/solo"
+	"github.com/snipefront/snipefront/internal/quorum/driver"
 	"github.com/snipefront/snipefront/internal/request/chain"
 	"github.com/snipefront/snipefront/internal/request/claim"
 	"github.com/snipefront/snipefront/internal/request/route"
@@ -48,7 +48,7 @@
 		fx.NopLogger,
 		fx.Supply(s, sock, logger),
 		fx.Provide(
-			stats.New, newInstance, newControl, newClient, newSender, newState, newLog, newLeader,
+			stats.New, newInstance, newControl, newClient, newSender, newState, newReplica, newLog, newLeader,
 			newAccess, newCells, newMember, newRouter, newClaim, newFront, newLocate, newNotice,
 			newAdmin, newServer, newLifecycle,
 		),
@@ -85,13 +85,6 @@
 
 func newState() *state.State { return &state.State{} }
 
-func newLog(s sets.Settings, st *state.State) snipefront.Log {
-	if s.Control[0].Instance != s.Instance {
-		return nil
-	}
-	return &solo.Log{Name: s.Instance, Machine: st}
-}
-
 func newLeader(s sets.Settings, l snipefront.Log, st *state.State, logger *slog.Logger) *leader.Leader {
 	if l == nil {
 		return nil
@@ -175,6 +168,9 @@
 	}
 }
 
-func newServer(t *route.Router, d *leader.Leader, l snipefront.Log) *peers.Server {
-	return &peers.Server{Owner: t, Leader: d, Log: l}
+func newServer(t *route.Router, d *leader.Leader, l *driver.Log) *peers.Server {
+	if l == nil {
+		return &peers.Server{Owner: t}
+	}
+	return &peers.Server{Owner: t, Leader: d, Log: l, Steps: l.Deliver}
 }
--- /dev/null
+++ b/internal/daemon/module/quorum.go
@@ -0,0 +1,72 @@
+package module
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+
+	"github.com/pkg/errors"
+	"go.uber.org/fx"
+
+	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/config/sets"
+	"github.com/snipefront/snipefront/internal/control/state"
+	"github.com/snipefront/snipefront/internal/quorum/disk"
+	"github.com/snipefront/snipefront/internal/quorum/driver"
+	"github.com/snipefront/snipefront/internal/rpc/peers"
+)
+
+// newReplica returns the replica of a member of the control quorum, and nil on
+// other instances. It starts before and stops after the rest of the instance.
+func newReplica(f fx.Lifecycle, s sets.Settings, c control, st *state.State, p *peers.Client, logger *slog.Logger) (*driver.Log, error) {
+	if !s.IsControl() {
+		return nil, nil
+	}
+	folder := &disk.Folder{Path: s.DataFolder}
+	saved, err := folder.Open()
+	if err != nil {
+		return nil, errors.Wrap(err, "open log")
+	}
+	l := &driver.Log{
+		Name:    s.Instance,
+		Control: c,
+		Machine: st,
+		Storage: folder,
+		Saved:   saved,
+		Caller:  p,
+		Lease:   s.Lease,
+		Random:  rand.Int64N,
+		Logger:  logger,
+	}
+	f.Append(replicaHook(l, logger))
+	return l, nil
+}
+
+func replicaHook(l *driver.Log, logger *slog.Logger) fx.Hook {
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	return fx.Hook{
+		OnStart: func(context.Context) error {
+			go func() {
+				err := l.Run(ctx)
+				if err != nil {
+					logger.Error("replica of the log ended", "error", err)
+				}
+				ended <- err
+			}()
+			return nil
+		},
+		OnStop: func(context.Context) error {
+			cancel()
+			return <-ended
+		},
+	}
+}
+
+// newLog returns the replica as a Log, and nil where there is none.
+func newLog(l *driver.Log) snipefront.Log {
+	if l == nil {
+		return nil
+	}
+	return l
+}
--- /dev/null
+++ b/internal/quorum/driver/driver.go
@@ -0,0 +1,245 @@
+// Package driver runs a replica of the log: it joins the state machine of package
+// raft with time, a disk, the network and the machine that the log drives.
+//
+// One goroutine owns the replica. It takes in all messages and proposals that
+// wait, saves what follows from them in one synced write, and only then sends
+// what that write promises and applies what is committed. Another goroutine for
+// each other replica sends, one call at a time, and drops messages where the
+// other is too slow; the replica repeats what matters.
+//
+// After a failed write the replica steps aside for good: it sends nothing,
+// acknowledges nothing and does not lead. Its instance goes on without it.
+package driver
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/quorum/disk"
+	"github.com/snipefront/snipefront/internal/quorum/raft"
+)
+
+const (
+	// heartbeatsPerLease and electionsPerLease divide a membership lease, so that
+	// a new leader is found before the leases that the old one granted lapse.
+	heartbeatsPerLease = 20
+	electionsPerLease  = 5
+	// ticksPerHeartbeat is how often the replica looks at the clock.
+	ticksPerHeartbeat = 4
+	// queueLength bounds the proposals and deliveries that wait.
+	queueLength = 1024
+	// maxBatch is the most proposals and deliveries taken in before a save.
+	maxBatch = 1024
+	// defaultSnapshotEntries is the least number of entries between snapshots.
+	defaultSnapshotEntries = 4096
+	// keptEntries stay in memory after a snapshot, for replicas that lag.
+	keptEntries = 1024
+)
+
+// Storage saves a replica. Each call returns once its data are on the disk.
+type Storage interface {
+	Save(h *raft.HardState, entries []raft.Entry) error
+	Compact(h raft.HardState, s raft.Snapshot, entries []raft.Entry) error
+	// Bytes returns the length of what is saved.
+	Bytes() int64
+	Close() error
+}
+
+// Caller delivers messages to the control instance at address.
+type Caller interface {
+	Step(ctx context.Context, address string, messages []raft.Message) error
+}
+
+// Log implements snipefront.Log. Set the exported fields before Run.
+type Log struct {
+	// Name is this instance, one of Control.
+	Name string
+	// Control lists the instances with a replica, in the same order at each.
+	Control []snipefront.Instance
+	Machine snipefront.Machine
+	Storage Storage
+	// Saved is what Storage held at the start.
+	Saved  disk.Saved
+	Caller Caller
+	// Lease is the length of a membership lease, from which the time between
+	// heartbeats and the election timeout follow.
+	Lease time.Duration
+	// Random returns a number from 0 to n-1.
+	Random func(n int64) int64
+	// SnapshotEntries is the least number of entries between two snapshots. Zero
+	// takes the default.
+	SnapshotEntries uint64
+	Logger          *slog.Logger
+
+	once      sync.Once
+	proposals chan proposal
+	inbox     chan []raft.Message
+	// ended is closed when the replica takes in nothing more.
+	ended chan struct{}
+	view  atomic.Pointer[view]
+
+	replica *raft.Replica
+	hard    raft.HardState
+	links   map[string]*link
+	waiting map[uint64]waiter
+	applied uint64
+	// snapped is the last entry in a snapshot, base the length of the log after it.
+	snapped uint64
+	base    int64
+}
+
+// view is what Leadership reads.
+type view struct {
+	leader string
+	term   uint64
+	// until is the end of the leader's own lease. Zero is none.
+	until time.Time
+}
+
+type proposal struct {
+	command []byte
+	// result has room for one outcome.
+	result chan outcome
+}
+
+type outcome struct {
+	result []byte
+	err    error
+}
+
+// waiter is a proposal that was appended in term.
+type waiter struct {
+	term   uint64
+	result chan outcome
+}
+
+var (
+	errEnded = errors.New("the replica of the log has ended")
+	errLost  = errors.New("the leadership was lost; the command may or may not be applied")
+)
+
+// Propose implements snipefront.Log.
+func (l *Log) Propose(ctx context.Context, command []byte) ([]byte, error) {
+	l.init()
+	p := proposal{command: command, result: make(chan outcome, 1)}
+	select {
+	case l.proposals <- p:
+	case <-l.ended:
+		return nil, errEnded
+	case <-ctx.Done():
+		return nil, errors.Wrap(ctx.Err(), "propose")
+	}
+	select {
+	case o := <-p.result:
+		return o.result, o.err
+	case <-l.ended:
+		return nil, errEnded
+	case <-ctx.Done():
+		return nil, errors.Wrap(ctx.Err(), "propose")
+	}
+}
+
+// Leadership implements snipefront.Log.
+func (l *Log) Leadership() snipefront.Leadership {
+	v := l.view.Load()
+	if v == nil {
+		return snipefront.Leadership{}
+	}
+	return snipefront.Leadership{Leader: v.leader, Term: v.term, Self: time.Now().Before(v.until)}
+}
+
+// Deliver takes in messages of other replicas.
+func (l *Log) Deliver(ctx context.Context, messages []raft.Message) error {
+	l.init()
+	select {
+	case l.inbox <- messages:
+		return nil
+	case <-l.ended:
+		return errEnded
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "deliver")
+	}
+}
+
+// Run runs the replica until ctx ends, and closes its storage.
+func (l *Log) Run(ctx context.Context) error {
+	l.init()
+	if err := l.start(); err != nil {
+		close(l.ended)
+		return err
+	}
+	sending, cancel := context.WithCancel(ctx)
+	defer cancel()
+	closed := l.open(sending)
+	err := l.loop(ctx)
+	l.view.Store(nil)
+	close(l.ended)
+	cancel()
+	for range l.links {
+		<-closed
+	}
+	if err != nil {
+		l.Logger.Error("log storage failed, replica steps aside", "error", err)
+		<-ctx.Done()
+	}
+	return errors.Wrap(l.Storage.Close(), "close log storage")
+}
+
+func (l *Log) init() {
+	l.once.Do(func() {
+		l.proposals = make(chan proposal, queueLength)
+		l.inbox = make(chan []raft.Message, queueLength)
+		l.ended = make(chan struct{})
+		l.waiting = map[uint64]waiter{}
+	})
+}
+
+func (l *Log) start() error {
+	s := l.Saved
+	if s.Snapshot.Index > 0 {
+		if err := l.Machine.Restore(s.Snapshot.State); err != nil {
+			return errors.Wrap(err, "restore saved snapshot")
+		}
+	}
+	l.hard = s.Hard
+	l.applied = s.Snapshot.Index
+	l.snapped = s.Snapshot.Index
+	l.replica = &raft.Replica{
+		Name:      l.Name,
+		Identity:  s.Identity,
+		Heartbeat: l.Lease / heartbeatsPerLease,
+		Election:  l.Lease / electionsPerLease,
+		Random:    l.Random,
+	}
+	for _, c := range l.Control {
+		l.replica.Names = append(l.replica.Names, c.Name)
+	}
+	l.replica.Start(time.Now(), s.Hard, s.Snapshot, s.Entries)
+	l.Logger.Info("log opened", "identity", s.Identity, "term", s.Hard.Term, "snapshot", s.Snapshot.Index, "entries", len(s.Entries), "cut", s.Cut)
+	return nil
+}
+
+// open starts a goroutine for each other replica, which reports its end on the
+// returned channel.
+func (l *Log) open(ctx context.Context) <-chan struct{} {
+	closed := make(chan struct{})
+	l.links = map[string]*link{}
+	for _, c := range l.Control {
+		if c.Name == l.Name {
+			continue
+		}
+		k := &link{address: c.PeerAddress, caller: l.Caller, timeout: l.Lease / electionsPerLease, ready: make(chan struct{}, 1)}
+		l.links[c.Name] = k
+		go func() {
+			k.run(ctx)
+			closed <- struct{}{}
+		}()
+	}
+	return closed
+}
--- a/internal/rpc/peers/client.go
+++ b/internal/rpc/peers/client.go
@@ -13,6 +13,8 @@
 	"github.com/snipefront/snipefront"
 	"github.com/snipefront/snipefront/internal/control/leader"
 	"github.com/snipefront/snipefront/internal/control/state"
+	"github.com/snipefront/snipefront/internal/quorum/codec"
+	"github.com/snipefront/snipefront/internal/quorum/raft"
 	"github.com/snipefront/snipefront/internal/rpc/watch"
 	"github.com/snipefront/snipefront/internal/rpc/wire"
 )
@@ -123,6 +125,13 @@
 	return r.Json, r.Leader, nil
 }
 
+// Step delivers messages of the replicated log to the control instance at
+// address.
+func (c *Client) Step(ctx context.Context, address string, messages []raft.Message) error {
+	_, err := c.controlAt(address).Step(ctx, &wire.StepRequest{Messages: codec.Messages(messages)})
+	return errors.Wrap(err, "step")
+}
+
 func (c *Client) client() *http.Client {
 	c.once.Do(func() {
 		c.http = &http.Client{Transport: &http.Transport{
--- a/internal/rpc/peers/server.go
+++ b/internal/rpc/peers/server.go
@@ -12,6 +12,8 @@
 
 	"github.com/snipefront/snipefront"
 	"github.com/snipefront/snipefront/internal/control/leader"
+	"github.com/snipefront/snipefront/internal/quorum/codec"
+	"github.com/snipefront/snipefront/internal/quorum/raft"
 	"github.com/snipefront/snipefront/internal/rpc/wire"
 )
 
@@ -33,7 +35,7 @@
 	Leader *leader.Leader
 	Log    snipefront.Log
 	// Steps takes in messages of the replicated log. It may be nil.
-	Steps func(ctx context.Context, from string, messages []byte) error
+	Steps func(ctx context.Context, messages []raft.Message) error
 }
 
 // Route adds the services to r.
@@ -140,7 +142,7 @@
 	if s.Steps == nil {
 		return &wire.StepResponse{}, nil
 	}
-	return &wire.StepResponse{}, s.Steps(ctx, m.From, m.Messages)
+	return &wire.StepResponse{}, s.Steps(ctx, codec.ToMessages(m.Messages))
 }
 
 func requestOf(f *wire.ForwardRequest) *snipefront.Request {
