sender: keep answers apart and leave silent connections

Cause: the transport returns a connection to its pool before it looks for left-over bytes, so a request could be handed the answer that a backend server had sent too much. Eight callers at one backend server that answers twice met it within 150 requests each. HEAD was refused as a broken answer, a protocol switch passed as an answer, and a target with | or # arrived rewritten. Nothing noticed a connection that had gone silent.

Ruled out: reading the socket's buffer before each write, since the bytes are in the transport's own buffer by then; ending an overdue request without a check, since a slow backend server is not a silent connection.

After: the first byte is written only while the reader waits with nothing read, and an answer that begins before that seals the connection with the verdict not-run. An overdue answer has a new connection tried; where that works, the request ends as may-have-run and the older connections are retired. A request that must not run twice goes on no connection that was idle for longer than a second.

Conclusion: bytes that reach the socket after the request's first byte and answer another request cannot be told apart in HTTP/1.1, and are not.

--- a/internal/dispatch/local/local.go
+++ b/internal/dispatch/local/local.go
@@ -67,7 +67,7 @@
 }
 
 func (d *Dispatcher) attempt(ctx context.Context, slot *cell.Slot, r *snipefront.Request, s snipefront.Service) sender.Attempt {
-	a := d.Sender.Send(ctx, slot.BackendServer, r, s.RefusalStatuses)
+	a := d.Sender.Send(ctx, slot.BackendServer, r, s)
 	slot.Done(outcome(ctx, a))
 	return a
 }
--- a/internal/dispatch/sender/sender.go
+++ b/internal/dispatch/sender/sender.go
@@ -7,6 +7,10 @@
 // by which the service's backend servers refuse. The standard transport sends
 // some requests again by itself when a reused connection fails; every request
 // therefore carries a body that cannot be rewound, which forbids that.
+//
+// An open connection may be silent for good while new ones work. An answer that
+// is overdue therefore has a new connection tried. Where that works, the silent
+// request ends, and no connection opened until then is used again.
 package sender
 
 import (
@@ -16,6 +20,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -29,19 +34,29 @@
 const TimeoutHeader = "X-Request-Timeout"
 
 const (
-	dialTimeout  = 250 * time.Millisecond
-	idleTimeout  = 30 * time.Second
-	idlePerHost  = 64
-	headerLimit  = 64 << 10
-	bufferLength = 16 << 10
+	headerLimit = 64 << 10
+	// maxTries bounds how often another connection is taken because the one
+	// before was idle for too long.
+	maxTries         = 2
+	defaultProvenFor = time.Second
 )
 
 // Sender sends attempts. Set the exported fields before use.
 type Sender struct {
 	// MaxAnswerBytes bounds the body of an answer that is held.
 	MaxAnswerBytes int64
+	// MayProbe takes one probe out of the measuring budget, or returns false
+	// where none is left. Nil allows none.
+	MayProbe func() bool
+	// ProvenFor is the time since its last answer for which a connection counts
+	// as working. One that was idle for longer carries no request that must not
+	// run twice. Zero means a second.
+	ProvenFor time.Duration
+	// OverdueFloor is the time under which no answer is overdue. Zero means a
+	// tenth of a second.
+	OverdueFloor time.Duration
 
-	transports sync.Map
+	upstreams sync.Map
 }
 
 // Attempt is what became of one attempt.
@@ -53,28 +68,69 @@
 	Reason snipefront.Reason
 	// Err is the cause where there is no response.
 	Err error
+	// Silent is true where the connection was silent while a new one worked.
+	Silent bool
+}
+
+// Send sends r to b and waits for the whole answer. The refusal statuses of
+// service mean that b refused before running.
+func (s *Sender) Send(ctx context.Context, b snipefront.BackendServer, r *snipefront.Request, service snipefront.Service) Attempt {
+	u := s.upstream(b)
+	for n := 1; ; n++ {
+		t := u.transport.Load()
+		a, idle := s.try(ctx, u, t, b, r, service)
+		if !idle || n == maxTries {
+			return a
+		}
+		t.CloseIdleConnections()
+	}
 }
 
-// Send sends r to b and waits for the whole answer. The statuses in refusals
-// mean that b refused before running.
-func (s *Sender) Send(ctx context.Context, b snipefront.BackendServer, r *snipefront.Request, refusals []int) Attempt {
-	var probe watch.Probe
+// try sends r once. It returns true where nothing was written because the
+// connection was idle for too long.
+func (s *Sender) try(ctx context.Context, u *upstream, t *http.Transport, b snipefront.BackendServer, r *snipefront.Request, service snipefront.Service) (Attempt, bool) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	probe := watch.Probe{MaxIdle: s.maxIdleOf(r)}
 	req, err := build(probe.With(ctx), b, r)
 	if err != nil {
-		return Attempt{Verdict: snipefront.NotRun, Reason: snipefront.ReasonBadRequest, Err: err}
+		return Attempt{Verdict: snipefront.NotRun, Reason: snipefront.ReasonBadRequest, Err: err}, false
 	}
-	resp, err := s.transport(b).RoundTrip(req)
+	begun := time.Now()
+	g := s.guard(ctx, cancel, u, t, b, r, service)
+	a := s.roundTrip(&probe, t, req, b, service)
+	cancel(nil)
+	g.end()
+	if a.Response == nil && errors.Is(context.Cause(ctx), errSilent) {
+		a.Silent = true
+		a.Err = errSilent
+		if a.Verdict != snipefront.NotRun {
+			a.Reason = snipefront.ReasonAttemptLate
+		}
+	}
+	if a.Response != nil || a.Silent {
+		u.learn(time.Since(begun))
+	}
+	return a, probe.Idle()
+}
+
+// roundTrip sends req and reads the whole answer.
+func (s *Sender) roundTrip(p *watch.Probe, t *http.Transport, req *http.Request, b snipefront.BackendServer, service snipefront.Service) Attempt {
+	resp, err := t.RoundTrip(req)
 	if err != nil {
-		return failed(&probe, err)
+		return failed(p, err)
 	}
 	defer resp.Body.Close()
-	return s.read(b, resp, refusals)
+	if p.Crossed() {
+		return failed(p, errCrossed)
+	}
+	return s.read(b, resp, service.RefusalStatuses)
 }
 
 // Forget closes the idle connections to b.
 func (s *Sender) Forget(b snipefront.BackendServer) {
-	if t, ok := s.transports.LoadAndDelete(b.Address); ok {
-		t.(*http.Transport).CloseIdleConnections()
+	if u, ok := s.upstreams.LoadAndDelete(b.Address); ok {
+		u.(*upstream).transport.Load().CloseIdleConnections()
 	}
 }
 
@@ -114,6 +170,9 @@
 var (
 	errTooBig   = errors.New("answer over the size limit")
 	errNoLength = errors.New("answer without a length cannot be known to be whole")
+	errSwitch   = errors.New("answer switches the protocol")
+	errCrossed  = errors.New("answer to another request")
+	errSilent   = errors.New("connection is silent while a new one works")
 )
 
 func reasonOf(err error) snipefront.Reason {
@@ -128,6 +187,12 @@
 }
 
 func (s *Sender) readBody(resp *http.Response) ([]byte, error) {
+	if resp.StatusCode < http.StatusOK {
+		return nil, errSwitch
+	}
+	if resp.Request.Method == http.MethodHead {
+		return nil, nil
+	}
 	if resp.ContentLength > s.MaxAnswerBytes {
 		return nil, errTooBig
 	}
@@ -149,6 +214,17 @@
 	return body, nil
 }
 
+// maxIdleOf returns how long a connection for r may have been idle.
+func (s *Sender) maxIdleOf(r *snipefront.Request) time.Duration {
+	if r.Idempotent {
+		return 0
+	}
+	if s.ProvenFor == 0 {
+		return defaultProvenFor
+	}
+	return s.ProvenFor
+}
+
 // once is a body that cannot be read a second time, so that the transport never
 // sends a request again by itself.
 type once struct {
@@ -159,20 +235,18 @@
 func (once) Close() error { return nil }
 
 func build(ctx context.Context, b snipefront.BackendServer, r *snipefront.Request) (*http.Request, error) {
-	target, err := url.ParseRequestURI(r.Target)
-	if err != nil {
-		return nil, errors.Wrap(err, "target")
+	if !strings.HasPrefix(r.Target, "/") || strings.HasPrefix(r.Target, "//") {
+		return nil, errors.Errorf("target %q is not a path", r.Target)
 	}
-	target.Scheme = "http"
-	target.Host = b.Address
 	header := r.Header.Clone()
 	if header == nil {
 		header = http.Header{}
 	}
 	header.Set(TimeoutHeader, strconv.FormatInt(max(1, time.Until(r.Deadline).Milliseconds()), 10))
 	req := &http.Request{
-		Method:        r.Method,
-		URL:           target,
+		Method: r.Method,
+		// An opaque URL is written as it is.
+		URL:           &url.URL{Scheme: "http", Host: b.Address, Opaque: r.Target},
 		Host:          b.Address,
 		Header:        header,
 		Proto:         "HTTP/1.1",
@@ -183,24 +257,3 @@
 	}
 	return req.WithContext(ctx), nil
 }
-
-// transport returns the connections to b.
-func (s *Sender) transport(b snipefront.BackendServer) *http.Transport {
-	if t, ok := s.transports.Load(b.Address); ok {
-		return t.(*http.Transport)
-	}
-	t := &http.Transport{
-		DialContext:            watch.Dialer(dialTimeout),
-		DisableCompression:     true,
-		MaxIdleConnsPerHost:    idlePerHost,
-		IdleConnTimeout:        idleTimeout,
-		MaxResponseHeaderBytes: headerLimit,
-		WriteBufferSize:        bufferLength,
-		ReadBufferSize:         bufferLength,
-	}
-	old, loaded := s.transports.LoadOrStore(b.Address, t)
-	if loaded {
-		return old.(*http.Transport)
-	}
-	return t
-}
--- /dev/null
+++ b/internal/dispatch/sender/upstream.go
@@ -0,0 +1,155 @@
+package sender
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/rpc/watch"
+)
+
+const (
+	dialTimeout  = 250 * time.Millisecond
+	idleTimeout  = 30 * time.Second
+	idlePerHost  = 64
+	bufferLength = 16 << 10
+
+	// usualWeight is the inverse weight of one answer in the usual time.
+	usualWeight = 8
+	// overdueFactor is how many times the usual time makes an answer overdue.
+	overdueFactor       = 10
+	defaultOverdueFloor = 100 * time.Millisecond
+	// patience is how many times longer a request that must not run twice waits,
+	// since it is lost to its caller where the connection was only slow.
+	patience = 4
+	// checkTimeout bounds trying a new connection.
+	checkTimeout = 250 * time.Millisecond
+)
+
+// upstream is what the sender knows of one address.
+type upstream struct {
+	// transport holds the connections in use. It is replaced whole when they
+	// turn out to be silent.
+	transport atomic.Pointer[http.Transport]
+	// usual is the moving average of the time to answer, in nanoseconds. Zero is
+	// unknown.
+	usual atomic.Int64
+}
+
+func (s *Sender) upstream(b snipefront.BackendServer) *upstream {
+	if u, ok := s.upstreams.Load(b.Address); ok {
+		return u.(*upstream)
+	}
+	u := &upstream{}
+	u.transport.Store(newTransport())
+	old, _ := s.upstreams.LoadOrStore(b.Address, u)
+	return old.(*upstream)
+}
+
+func newTransport() *http.Transport {
+	return &http.Transport{
+		DialContext:            watch.Dialer(dialTimeout),
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    idlePerHost,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: headerLimit,
+		WriteBufferSize:        bufferLength,
+		ReadBufferSize:         bufferLength,
+	}
+}
+
+// learn takes in the time of an answer, or of giving one up.
+func (u *upstream) learn(taken time.Duration) {
+	usual := u.usual.Load()
+	if usual == 0 {
+		u.usual.Store(int64(taken))
+		return
+	}
+	u.usual.Store(usual + (int64(taken)-usual)/usualWeight)
+}
+
+// overdue returns the time after which an answer to r is overdue.
+func (s *Sender) overdue(u *upstream, r *snipefront.Request) time.Duration {
+	floor := s.OverdueFloor
+	if floor == 0 {
+		floor = defaultOverdueFloor
+	}
+	d := max(floor, overdueFactor*time.Duration(u.usual.Load()))
+	if r.Idempotent {
+		return d
+	}
+	return patience * d
+}
+
+// retire replaces the connections of t. Those that carry a request are closed
+// when it ends.
+func (u *upstream) retire(t *http.Transport) {
+	if u.transport.CompareAndSwap(t, newTransport()) {
+		t.CloseIdleConnections()
+	}
+}
+
+// guard watches over one request.
+type guard struct {
+	timer *time.Timer
+	ended chan struct{}
+}
+
+// guard ends the request through cancel where its answer is overdue and a new
+// connection works.
+func (s *Sender) guard(ctx context.Context, cancel context.CancelCauseFunc, u *upstream, t *http.Transport, b snipefront.BackendServer, r *snipefront.Request, service snipefront.Service) guard {
+	ended := make(chan struct{})
+	f := func() {
+		defer close(ended)
+		if s.Check(ctx, b, service) {
+			u.retire(t)
+			cancel(errSilent)
+		}
+	}
+	return guard{timer: time.AfterFunc(s.overdue(u, r), f), ended: ended}
+}
+
+// end waits for a check that is going on. The context of the request is ended
+// before.
+func (g guard) end() {
+	if !g.timer.Stop() {
+		<-g.ended
+	}
+}
+
+// Check returns whether b works over a new connection: whether it answers its
+// probe path, or accepts a connection where it has none or no probe is left.
+func (s *Sender) Check(ctx context.Context, b snipefront.BackendServer, service snipefront.Service) bool {
+	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	if service.ProbePath != "" && s.MayProbe != nil && s.MayProbe() {
+		return probe(ctx, "http://"+b.Address+service.ProbePath)
+	}
+	var d net.Dialer
+	c, err := d.DialContext(ctx, "tcp", b.Address)
+	if err != nil {
+		return false
+	}
+	_ = c.Close()
+	return true
+}
+
+// probe returns whether address answers over a connection of its own.
+func probe(ctx context.Context, address string) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
+	if err != nil {
+		return false
+	}
+	t := &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: headerLimit}
+	resp, err := t.RoundTrip(req)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	_, _ = io.CopyN(io.Discard, resp.Body, headerLimit)
+	return resp.StatusCode < http.StatusInternalServerError
+}
--- a/internal/rpc/watch/watch.go
+++ b/internal/rpc/watch/watch.go
@@ -3,6 +3,11 @@
 //
 // Connections made by Dialer note writes. A Probe is tied to one request through
 // its context. Asking it seals the connection, so that the answer stays true.
+//
+// A connection also keeps answers apart. The first byte of a request is written
+// only once the reader has used up all that arrived before and waits for more.
+// What arrived before the first byte was written answers another request, and
+// seals the connection.
 package watch
 
 import (
@@ -23,18 +28,28 @@
 		if err != nil {
 			return nil, err
 		}
-		return &conn{Conn: c}, nil
+		return newConn(c), nil
 	}
 }
 
-// Probe watches the connection of one request.
+// Probe watches the connection of one request. Set the exported field before
+// With.
 type Probe struct {
-	used atomic.Pointer[conn]
+	// MaxIdle is the longest time for which a reused connection may have been
+	// idle. One that was idle for longer is sealed. Zero sets no bound.
+	MaxIdle time.Duration
+
+	used    atomic.Pointer[conn]
+	idle    atomic.Bool
+	crossed atomic.Bool
 }
 
 // With returns a context whose request p watches.
 func (p *Probe) With(ctx context.Context) context.Context {
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: p.got})
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn:              p.got,
+		GotFirstResponseByte: p.answered,
+	})
 }
 
 // Wrote returns whether any byte of the request may have been written. After
@@ -44,10 +59,34 @@
 	return c != nil && c.seal()
 }
 
+// Idle returns whether the connection was idle for longer than MaxIdle. Nothing
+// was written then.
+func (p *Probe) Idle() bool {
+	return p.idle.Load()
+}
+
+// Crossed returns whether the answer arrived before any byte of the request was
+// written. It is then the answer to another request.
+func (p *Probe) Crossed() bool {
+	return p.crossed.Load()
+}
+
 func (p *Probe) got(i httptrace.GotConnInfo) {
-	if c, ok := i.Conn.(*conn); ok {
-		c.watch()
-		p.used.Store(c)
+	c, ok := i.Conn.(*conn)
+	if !ok {
+		return
+	}
+	c.watch()
+	p.used.Store(c)
+	if p.MaxIdle > 0 && i.Reused && i.IdleTime > p.MaxIdle {
+		p.idle.Store(true)
+		c.seal()
+	}
+}
+
+func (p *Probe) answered() {
+	if c := p.used.Load(); c != nil && c.sealUnwritten() {
+		p.crossed.Store(true)
 	}
 }
 
@@ -55,21 +94,62 @@
 type conn struct {
 	net.Conn
 
-	mu     sync.Mutex
-	wrote  bool
-	sealed bool
+	mu sync.Mutex
+	// changed is signalled when a field below changes.
+	changed *sync.Cond
+	wrote   bool
+	sealed  bool
+	// waiting is true while a Read waits and has returned nothing.
+	waiting bool
+}
+
+func newConn(c net.Conn) *conn {
+	n := &conn{Conn: c}
+	n.changed = sync.NewCond(&n.mu)
+	return n
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(b []byte) (int, error) {
+	c.setWaiting(true)
+	defer c.setWaiting(false)
+	return c.Conn.Read(b)
 }
 
 // Write implements net.Conn. It fails once the connection is sealed.
 func (c *conn) Write(b []byte) (int, error) {
+	if !c.begin() {
+		return 0, net.ErrClosed
+	}
+	return c.Conn.Write(b)
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.seal()
+	return c.Conn.Close()
+}
+
+// begin waits until the first byte of a request may be written, and returns
+// whether it may.
+func (c *conn) begin() bool {
 	c.mu.Lock()
+	defer c.mu.Unlock()
+	for !c.wrote && !c.waiting && !c.sealed {
+		c.changed.Wait()
+	}
 	if c.sealed {
-		c.mu.Unlock()
-		return 0, net.ErrClosed
+		return false
 	}
 	c.wrote = true
-	c.mu.Unlock()
-	return c.Conn.Write(b)
+	return true
+}
+
+func (c *conn) setWaiting(w bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waiting = w
+	c.changed.Broadcast()
 }
 
 // watch begins a new request on the connection.
@@ -84,5 +164,19 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.sealed = true
+	c.changed.Broadcast()
 	return c.wrote
 }
+
+// sealUnwritten seals the connection where the request has written nothing, and
+// returns whether that is so.
+func (c *conn) sealUnwritten() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.wrote {
+		return false
+	}
+	c.sealed = true
+	c.changed.Broadcast()
+	return true
+}
