local: hedge slow attempts and lose two backend servers at most

Cause: a broken attempt of an idempotent request was repeated up to twice more, so one request could make three backend servers fall, and its resends again. A request that may have run, must not run twice and has no key was told when to ask again, which asks for a second run. An answer over the size limit was fetched three times. The final status came from the last attempt and not from the verdict of all.

Ruled out: quarantine after one fall, which with three slots hits two requests beside the cause; keeping a backend server free for each suspect, which takes slots from all others; letting any whole answer end a race, since a failing backend server is often the fastest.

After: a request in flight on a backend server that fell is a suspect and runs only while no other suspect runs in the cell; after two falls its resends are refused with reason quarantined and the time left. Idempotent requests are hedged into free slots within the hedge budget where HedgeAfter is set.

Conclusion: the bound holds within one cell. A request that moves on to another cell, and resends at another instance, need the records shared.

--- /dev/null
+++ b/internal/dispatch/local/attempt.go
@@ -0,0 +1,175 @@
+package local
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/dispatch/cell"
+	"github.com/snipefront/snipefront/internal/dispatch/sender"
+	"github.com/snipefront/snipefront/internal/request/poison"
+)
+
+// attempt runs r once, or twice where it is hedged, and notes in p what became
+// of it. Where it brought no answer, avoid names the backend server that a
+// repeat should not go to.
+func (d *Dispatcher) attempt(ctx context.Context, w cell.Wanted, r *snipefront.Request, s snipefront.Service, p *progress) (a sender.Attempt, avoid string, err error) {
+	release, suspect, err := d.admit(ctx, r)
+	if err != nil {
+		return a, "", err
+	}
+	defer release()
+	slot, err := d.Cell.Acquire(ctx, w)
+	if err != nil {
+		return a, "", err
+	}
+	p.attempts++
+	if after := d.hedgeAfter(r); after > 0 && !suspect && p.broken == 0 {
+		a = d.race(ctx, after, slot, r, s, p)
+	} else {
+		a = d.send(ctx, slot, r, s)
+		p.note(a)
+	}
+	if a.Silent {
+		return a, "", nil
+	}
+	return a, slot.BackendServer.Name, nil
+}
+
+func (d *Dispatcher) hedgeAfter(r *snipefront.Request) time.Duration {
+	if !r.Idempotent || d.Hedges == nil || d.HedgeAfter == nil {
+		return 0
+	}
+	return d.HedgeAfter()
+}
+
+// race sends r on slot, and after the given time a second time. It returns the
+// better of the two attempts.
+func (d *Dispatcher) race(ctx context.Context, after time.Duration, slot *cell.Slot, r *snipefront.Request, s snipefront.Service, p *progress) sender.Attempt {
+	first, cancelFirst := context.WithCancel(ctx)
+	defer cancelFirst()
+	second, cancelSecond := context.WithCancel(ctx)
+	defer cancelSecond()
+	ended := make(chan sender.Attempt, 1)
+	t := time.AfterFunc(after, func() {
+		b := d.hedge(second, slot.BackendServer.Name, r, s)
+		if isGood(b) {
+			cancelFirst()
+		}
+		ended <- b
+	})
+	a := d.send(first, slot, r, s)
+	p.note(a)
+	if isGood(a) {
+		cancelSecond()
+	}
+	if t.Stop() {
+		return a
+	}
+	b := <-ended
+	p.note(b)
+	if isGood(b) && !isGood(a) || b.Response != nil && a.Response == nil {
+		return b
+	}
+	return a
+}
+
+// hedge sends r a second time to a backend server other than avoid, where one
+// has a free slot.
+func (d *Dispatcher) hedge(ctx context.Context, avoid string, r *snipefront.Request, s snipefront.Service) sender.Attempt {
+	unsent := sender.Attempt{Verdict: snipefront.NotRun, Reason: snipefront.ReasonHedge, Err: ctx.Err()}
+	if ctx.Err() != nil {
+		return unsent
+	}
+	slot, err := d.Cell.Acquire(ctx, cell.Wanted{Importance: r.Importance, Deadline: r.Deadline, Avoid: avoid})
+	if err != nil {
+		unsent.Err = err
+		return unsent
+	}
+	if !d.Hedges.Spend() {
+		slot.Done(cell.Canceled)
+		return unsent
+	}
+	d.Counter.Retried(r.Service, snipefront.ReasonHedge)
+	return d.send(ctx, slot, r, s)
+}
+
+// isGood returns whether a ends a race.
+func isGood(a sender.Attempt) bool {
+	return a.Response != nil && a.Response.Status < http.StatusInternalServerError
+}
+
+// send sends r on slot and gives the slot back.
+func (d *Dispatcher) send(ctx context.Context, slot *cell.Slot, r *snipefront.Request, s snipefront.Service) sender.Attempt {
+	b := slot.BackendServer
+	d.Poison.Seen(time.Now(), serverOf(b))
+	a := d.Sender.Send(ctx, b, r, s)
+	slot.Done(outcome(ctx, a))
+	if a.Response != nil {
+		d.Poison.Answered(r.Fingerprint)
+	}
+	if isBroken(a) && ctx.Err() == nil {
+		d.suspect(ctx, b, r, s)
+	}
+	return a
+}
+
+// outcome tells the cell what an attempt says of the backend server.
+func outcome(ctx context.Context, a sender.Attempt) cell.Outcome {
+	switch {
+	case isGood(a):
+		return cell.Answered
+	case a.Silent:
+		return cell.Canceled
+	case a.Response == nil && errors.Is(ctx.Err(), context.Canceled):
+		return cell.Canceled
+	default:
+		return cell.Troubled
+	}
+}
+
+// suspect finds out whether b fell under r.
+func (d *Dispatcher) suspect(ctx context.Context, b snipefront.BackendServer, r *snipefront.Request, s snipefront.Service) {
+	if d.Poison == nil {
+		return
+	}
+	d.Poison.Broke(time.Now(), r.Fingerprint, serverOf(b))
+	if !d.Sender.Check(ctx, b, s) && ctx.Err() == nil {
+		d.Poison.Fell(time.Now(), serverOf(b))
+	}
+}
+
+// admit returns once r may run, with a function to call when the attempt has
+// ended. A suspect waits until no other suspect runs in the cell.
+func (d *Dispatcher) admit(ctx context.Context, r *snipefront.Request) (release func(), suspect bool, err error) {
+	a, left := d.Poison.Admit(time.Now(), r.Fingerprint)
+	switch a {
+	case poison.Clear:
+		return func() {}, false, nil
+	case poison.Quarantined:
+		return nil, true, quarantined(left)
+	}
+	d.once.Do(func() { d.alone = make(chan struct{}, 1) })
+	select {
+	case d.alone <- struct{}{}:
+	case <-ctx.Done():
+		return nil, true, snipefront.Refused(snipefront.ReasonDeadline, 0, "another request under which a backend server fell is running")
+	}
+	release = func() { <-d.alone }
+	if a, left = d.Poison.Admit(time.Now(), r.Fingerprint); a == poison.Quarantined {
+		release()
+		return nil, true, quarantined(left)
+	}
+	return release, true, nil
+}
+
+func quarantined(left time.Duration) error {
+	return snipefront.Refused(snipefront.ReasonQuarantined, left, "two backend servers fell while this request was in flight; this resend was not run")
+}
+
+func serverOf(b snipefront.BackendServer) poison.Server {
+	return poison.Server{Service: b.Service, DataCentre: b.DataCentre, Name: b.Name, Incarnation: b.Incarnation}
+}
--- a/internal/dispatch/local/local.go
+++ b/internal/dispatch/local/local.go
@@ -3,27 +3,38 @@
 //
 // An attempt that surely did not run may be repeated at another backend server
 // of the cell, whatever the request. One that may have run is repeated only for
-// an idempotent request. Both draw on the retry budget of the cell.
+// an idempotent request, and only once where the connection broke, since the
+// request itself may be what made the backend server fall. All repeats draw on
+// the retry budget of the cell.
+//
+// An idempotent request whose answer takes long may be sent a second time while
+// the first attempt is running, to a backend server with a free slot and within
+// the hedge budget. The first good answer wins and the other attempt is
+// canceled.
 package local
 
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/snipefront/snipefront"
 	"github.com/snipefront/snipefront/internal/dispatch/budget"
 	"github.com/snipefront/snipefront/internal/dispatch/cell"
 	"github.com/snipefront/snipefront/internal/dispatch/sender"
+	"github.com/snipefront/snipefront/internal/request/poison"
 )
 
-// maxAttempts is the most attempts of one request within a cell.
-const maxAttempts = 3
-
-// retryAfter is the time after which a caller may ask again.
-const retryAfter = time.Second
+const (
+	// maxAttempts is the most attempts of one request within a cell, without
+	// hedges.
+	maxAttempts = 3
+	// maxBroken is the most attempts whose connection broke.
+	maxBroken = 2
+	// retryAfter is the time after which a caller may ask again.
+	retryAfter = time.Second
+)
 
 // Counter counts retries by their reason.
 type Counter interface {
@@ -36,6 +47,38 @@
 	Sender  *sender.Sender
 	Budget  *budget.Share
 	Counter Counter
+	// Hedges bounds second attempts. Nil allows none.
+	Hedges *budget.Share
+	// HedgeAfter returns the time after which an attempt is hedged. Nil, and a
+	// result of zero, mean never.
+	HedgeAfter func() time.Duration
+	// Poison remembers the requests under which backend servers fell. Nil
+	// remembers none.
+	Poison *poison.Register
+
+	once sync.Once
+	// alone holds a token while a suspect runs.
+	alone chan struct{}
+}
+
+// progress is what became of a request so far.
+type progress struct {
+	// verdict is the weakest of all attempts.
+	verdict snipefront.Verdict
+	// attempts counts the attempts without hedges.
+	attempts int
+	// broken counts the attempts whose connection broke, hedges included.
+	broken int
+}
+
+// note takes in an attempt that brought no answer.
+func (p *progress) note(a sender.Attempt) {
+	if a.Verdict != snipefront.NotRun {
+		p.verdict = snipefront.MayHaveRun
+	}
+	if isBroken(a) {
+		p.broken++
+	}
 }
 
 // Run runs r, waiting for a slot where mayQueue allows it. An error is always a
@@ -43,56 +86,47 @@
 func (d *Dispatcher) Run(ctx context.Context, r *snipefront.Request, s snipefront.Service, mayQueue bool) (*snipefront.Response, error) {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
-	d.Budget.Earn(s.RetryBudget)
+	d.earn(r, s)
 	w := cell.Wanted{Importance: r.Importance, Deadline: r.Deadline, MayQueue: mayQueue}
-	verdict := snipefront.NotRun
-	for i := 1; ; i++ {
-		slot, err := d.Cell.Acquire(ctx, w)
+	p := progress{verdict: snipefront.NotRun}
+	for {
+		a, avoid, err := d.attempt(ctx, w, r, s, &p)
 		if err != nil {
-			return nil, weaken(err, verdict)
+			return nil, weaken(err, p.verdict)
 		}
-		a := d.attempt(ctx, slot, r, s)
 		if a.Response != nil {
 			return a.Response, nil
 		}
-		if a.Verdict != snipefront.NotRun {
-			verdict = snipefront.MayHaveRun
-		}
-		if err := d.retry(ctx, i, r, a, verdict); err != nil {
+		if err := d.retry(ctx, r, a, &p); err != nil {
 			return nil, err
 		}
 		d.Counter.Retried(r.Service, a.Reason)
-		w.Avoid = slot.BackendServer.Name
+		w.Avoid = avoid
 	}
 }
 
-func (d *Dispatcher) attempt(ctx context.Context, slot *cell.Slot, r *snipefront.Request, s snipefront.Service) sender.Attempt {
-	a := d.Sender.Send(ctx, slot.BackendServer, r, s)
-	slot.Done(outcome(ctx, a))
-	return a
-}
-
-// outcome tells the cell what an attempt says of the backend server.
-func outcome(ctx context.Context, a sender.Attempt) cell.Outcome {
-	switch {
-	case a.Response != nil && a.Response.Status < http.StatusInternalServerError:
-		return cell.Answered
-	case a.Response == nil && errors.Is(ctx.Err(), context.Canceled):
-		return cell.Canceled
-	default:
-		return cell.Troubled
+func (d *Dispatcher) earn(r *snipefront.Request, s snipefront.Service) {
+	d.Budget.Earn(s.RetryBudget)
+	if d.Hedges != nil && r.Idempotent {
+		d.Hedges.Earn(s.HedgeBudget)
 	}
 }
 
-// retry returns nil where the attempt may be repeated, else the final answer.
-func (d *Dispatcher) retry(ctx context.Context, n int, r *snipefront.Request, a sender.Attempt, v snipefront.Verdict) error {
-	e := &snipefront.Error{Verdict: v, Reason: a.Reason, Status: status(a), RetryAfter: retryAfter, Detail: a.Err.Error()}
+// retry returns nil where the attempt a may be repeated, else the final answer.
+func (d *Dispatcher) retry(ctx context.Context, r *snipefront.Request, a sender.Attempt, p *progress) error {
+	e := &snipefront.Error{
+		Verdict:    p.verdict,
+		Reason:     a.Reason,
+		Status:     status(a, p.verdict),
+		RetryAfter: askAgain(r, a, p.verdict),
+		Detail:     a.Err.Error(),
+	}
 	switch {
 	case ctx.Err() != nil:
 		return e
-	case v != snipefront.NotRun && !r.Idempotent:
+	case p.verdict != snipefront.NotRun && !r.Idempotent:
 		return e
-	case n >= maxAttempts:
+	case isFinal(a), p.attempts >= maxAttempts, p.broken >= maxBroken:
 		return e
 	case !d.Budget.Spend():
 		e.Reason = snipefront.ReasonRetryBudget
@@ -101,11 +135,37 @@
 	return nil
 }
 
-func status(a sender.Attempt) int {
+// isFinal returns whether a repeat of a would end the same way.
+func isFinal(a sender.Attempt) bool {
+	return a.Reason == snipefront.ReasonBadRequest || a.Reason == snipefront.ReasonAnswerTooBig
+}
+
+// isBroken returns whether the connection broke while the request may have been
+// running.
+func isBroken(a sender.Attempt) bool {
+	return a.Response == nil && a.Verdict != snipefront.NotRun && a.Reason == snipefront.ReasonBrokenAnswer
+}
+
+// askAgain returns the time after which the caller may ask again. It is zero
+// for a request that may have run, must not run twice and has no key by which a
+// resend could be told from a new request.
+func askAgain(r *snipefront.Request, a sender.Attempt, v snipefront.Verdict) time.Duration {
+	if isFinal(a) {
+		return 0
+	}
+	if v != snipefront.NotRun && !r.Idempotent && r.IdempotencyKey == "" {
+		return 0
+	}
+	return retryAfter
+}
+
+func status(a sender.Attempt, v snipefront.Verdict) int {
 	switch {
+	case a.Reason == snipefront.ReasonBadRequest:
+		return http.StatusBadRequest
 	case a.Reason == snipefront.ReasonAttemptLate:
 		return http.StatusGatewayTimeout
-	case a.Verdict == snipefront.NotRun:
+	case v == snipefront.NotRun:
 		return http.StatusServiceUnavailable
 	default:
 		return http.StatusBadGateway
--- /dev/null
+++ b/internal/request/poison/poison_test.go
@@ -0,0 +1,101 @@
+package poison_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/snipefront/snipefront/internal/request/poison"
+)
+
+// shared passes records on to another register.
+type shared struct{ to *poison.Register }
+
+func (s shared) Spread(r poison.Record) { s.to.Merge(start, []poison.Record{r}) }
+
+var start = time.Unix(1000, 0)
+
+func server(name string, incarnation uint64) poison.Server {
+	return poison.Server{Service: "balance", DataCentre: "d", Name: name, Incarnation: incarnation}
+}
+
+func expect(t *testing.T, g *poison.Register, now time.Time, f uint64, want poison.Admission) {
+	t.Helper()
+	if got, _ := g.Admit(now, f); got != want {
+		t.Errorf("request %d is admitted as %d, want %d", f, got, want)
+	}
+}
+
+// TestTwoFallsQuarantineOne has three requests in flight on the first backend
+// server that falls, and one of them beside two new ones on the second.
+func TestTwoFallsQuarantineOne(t *testing.T) {
+	var g, other poison.Register
+	g.Spread = shared{&other}
+	for f := range uint64(3) {
+		g.Broke(start, f, server("a", 1))
+		expect(t, &g, start, f, poison.Clear)
+	}
+	g.Fell(start, server("a", 1))
+	for f := range uint64(3) {
+		expect(t, &g, start, f, poison.Alone)
+	}
+	g.Answered(1)
+	expect(t, &g, start, 1, poison.Clear)
+	for _, f := range []uint64{0, 3, 4} {
+		g.Broke(start, f, server("b", 1))
+	}
+	g.Fell(start, server("b", 1))
+	for f, want := range []poison.Admission{poison.Quarantined, poison.Clear, poison.Alone, poison.Alone, poison.Alone} {
+		expect(t, &g, start, uint64(f), want)
+	}
+	g.Answered(0)
+	expect(t, &g, start, 0, poison.Quarantined)
+	expect(t, &other, start, 0, poison.Quarantined)
+	_, left := g.Admit(start, 0)
+	expect(t, &g, start.Add(left-1), 0, poison.Quarantined)
+	expect(t, &g, start.Add(left), 0, poison.Clear)
+}
+
+// TestNewIncarnationIsAFall has backend servers come back before anyone finds
+// them gone.
+func TestNewIncarnationIsAFall(t *testing.T) {
+	var g poison.Register
+	g.Broke(start, 1, server("a", 1))
+	g.Seen(start, server("a", 1))
+	expect(t, &g, start, 1, poison.Clear)
+	g.Seen(start, server("a", 2))
+	expect(t, &g, start, 1, poison.Alone)
+	g.Broke(start, 1, server("a", 2))
+	g.Seen(start, server("a", 3))
+	expect(t, &g, start, 1, poison.Quarantined)
+}
+
+// TestOneFallNeverQuarantines reports one fall any number of times and shares
+// it to and fro.
+func TestOneFallNeverQuarantines(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var g, other poison.Register
+		g.Spread = shared{&other}
+		other.Spread = shared{&g}
+		for range rapid.IntRange(1, 20).Draw(t, "steps") {
+			r := &g
+			if rapid.Bool().Draw(t, "other") {
+				r = &other
+			}
+			switch rapid.IntRange(0, 3).Draw(t, "event") {
+			case 0:
+				r.Broke(start, 1, server("a", 1))
+			case 1:
+				r.Fell(start, server("a", 1))
+			case 2:
+				r.Seen(start, server("a", 2))
+			default:
+				g.Merge(start, other.Records(start))
+			}
+			if a, _ := r.Admit(start, 1); a == poison.Quarantined {
+				t.Fatal("one fall quarantined the request")
+			}
+		}
+	})
+}
