claim: try the end of a claim until it is known

Cause: the end of a claim was proposed once and bounded by five seconds.

Ruled out: a release without the token of the claim, which ends the claim of another execution of the same key; waiting for the end before the answer goes out, which adds a quorum round to each charge and changes no promise.

Before: TestResendGetsTheKeptAnswer got claim_pending for a request whose end had failed twice. After: the end is tried for a minute, and a replayed answer no longer carries an empty field for its backend server.

A claim that is applied after its own release stays pending until it expires: the answer is safe, but the key is lost to its caller. The state should remember released tokens.

--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -236,7 +236,9 @@
 	if _, ok := out["Content-Type"]; !ok {
 		out["Content-Type"] = nil
 	}
-	out.Set(BackendHeader, resp.BackendServer)
+	if resp.BackendServer != "" {
+		out.Set(BackendHeader, resp.BackendServer)
+	}
 	if method != http.MethodHead {
 		out.Set("Content-Length", strconv.Itoa(len(resp.Body)))
 	}
--- a/internal/entry/front/front_test.go
+++ b/internal/entry/front/front_test.go
@@ -187,6 +187,9 @@
 		if got := resp.Header.Get("Content-Length"); got != c.want {
 			t.Errorf("Content-Length %q, want %q", got, c.want)
 		}
+		if v, ok := resp.Header[front.BackendHeader]; ok {
+			t.Errorf("%s is %q though no backend server is named", front.BackendHeader, v)
+		}
 	}
 }
 
--- a/internal/request/claim/claim.go
+++ b/internal/request/claim/claim.go
@@ -21,8 +21,11 @@
 const (
 	// maxKeptBytes bounds the body of an answer that is kept for resends.
 	maxKeptBytes = 64 << 10
-	// settleTimeout bounds how long the end of a claim is tried.
-	settleTimeout = 5 * time.Second
+	// settleTimeout bounds how long the end of a claim is tried. A claim that is
+	// not ended has its resends told that the request may have run.
+	settleTimeout = time.Minute
+	// settlePause is the time between two tries.
+	settlePause = 100 * time.Millisecond
 	// retryPending is the time after which a resend may learn more.
 	retryPending = time.Second
 )
@@ -74,7 +77,7 @@
 	var result state.ClaimResult
 	if err := f.Proposer.Propose(ctx, state.Command{UnixMillis: time.Now().UnixMilli(), Claim: c}, &result); err != nil {
 		f.release(ctx, c)
-		return nil, snipefront.Refused(snipefront.ReasonClaimUnavailable, retryPending, "the claim could not be made durable: "+err.Error())
+		return nil, snipefront.Refused(snipefront.ReasonClaimUnavailable, retryPending, "this request was not sent, since its claim could not be made durable: "+err.Error())
 	}
 	switch result.Outcome {
 	case state.ClaimGranted:
@@ -115,13 +118,29 @@
 	go func() {
 		defer f.pending.Add(-1)
 		defer cancel()
-		var result state.SettleResult
-		if err := f.Proposer.Propose(ctx, state.Command{UnixMillis: time.Now().UnixMilli(), Settle: s}, &result); err != nil {
+		if err := f.propose(ctx, s); err != nil {
 			f.Logger.Warn("claim not settled", "release", s.Release, "error", err)
 		}
 	}()
 }
 
+// propose proposes s until the result is known or ctx ends. Only the execution
+// that holds the claim can end it, so a late proposal harms no other.
+func (f *Filter) propose(ctx context.Context, s *state.Settle) error {
+	for {
+		var result state.SettleResult
+		err := f.Proposer.Propose(ctx, state.Command{UnixMillis: time.Now().UnixMilli(), Settle: s}, &result)
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(settlePause):
+		}
+	}
+}
+
 func answerOf(r *snipefront.Response) *state.Answer {
 	if len(r.Body) > maxKeptBytes {
 		return nil
