sender: repeat a silent request on a proven connection only

Cause: an idempotent request that takes long at a live backend server looked silent each time and was ended at each attempt; one that must not run twice was ended after four times the overdue time, which may be far from its deadline.

Ruled out: telling a slow answer from a silent connection by the check alone, which shows that the backend server lives and not that the request does.

After: a request is ended as silent once; its repeat goes on a connection that works and may take its time. One that must not run twice waits for half of its time left at least.

Conclusion: a slow answer to an idempotent request costs one repeat at most.

--- a/internal/dispatch/local/attempt.go
+++ b/internal/dispatch/local/attempt.go
@@ -30,7 +30,7 @@
 	if after := d.hedgeAfter(r); after > 0 && !suspect && p.broken == 0 {
 		a = d.race(ctx, after, slot, r, s, p)
 	} else {
-		a = d.send(ctx, slot, r, s)
+		a = d.send(ctx, slot, r, s, p.silent)
 		p.note(a)
 	}
 	if a.Silent {
@@ -61,7 +61,7 @@
 		}
 		ended <- b
 	})
-	a := d.send(first, slot, r, s)
+	a := d.send(first, slot, r, s, p.silent)
 	p.note(a)
 	if isGood(a) {
 		cancelSecond()
@@ -94,7 +94,7 @@
 		return unsent
 	}
 	d.Counter.Retried(r.Service, snipefront.ReasonHedge)
-	return d.send(ctx, slot, r, s)
+	return d.send(ctx, slot, r, s, false)
 }
 
 // isGood returns whether a ends a race.
@@ -102,11 +102,16 @@
 	return a.Response != nil && a.Response.Status < http.StatusInternalServerError
 }
 
-// send sends r on slot and gives the slot back.
-func (d *Dispatcher) send(ctx context.Context, slot *cell.Slot, r *snipefront.Request, s snipefront.Service) sender.Attempt {
+// send sends r on slot and gives the slot back. Where proven is true, it goes
+// only on a connection that works.
+func (d *Dispatcher) send(ctx context.Context, slot *cell.Slot, r *snipefront.Request, s snipefront.Service, proven bool) sender.Attempt {
 	b := slot.BackendServer
 	d.Poison.Seen(time.Now(), serverOf(b))
-	a := d.Sender.Send(ctx, b, r, s)
+	send := d.Sender.Send
+	if proven {
+		send = d.Sender.SendProven
+	}
+	a := send(ctx, b, r, s)
 	slot.Done(outcome(ctx, a))
 	if a.Response != nil {
 		d.Poison.Answered(r.Fingerprint)
--- a/internal/dispatch/local/local.go
+++ b/internal/dispatch/local/local.go
@@ -69,6 +69,8 @@
 	attempts int
 	// broken counts the attempts whose connection broke, hedges included.
 	broken int
+	// silent is true once a connection was silent while a new one worked.
+	silent bool
 }
 
 // note takes in an attempt that brought no answer.
@@ -79,6 +81,7 @@
 	if isBroken(a) {
 		p.broken++
 	}
+	p.silent = p.silent || a.Silent
 }
 
 // Run runs r, waiting for a slot where mayQueue allows it. An error is always a
--- a/internal/dispatch/local/local_test.go
+++ b/internal/dispatch/local/local_test.go
@@ -301,3 +301,23 @@
 		}
 	}
 }
+
+// TestSilentConnectionIsLeft has the only backend server leave each connection
+// silent after its first request.
+func TestSilentConnectionIsLeft(t *testing.T) {
+	var seen sync.Map
+	d, _ := cellOf(t, func(w http.ResponseWriter, r *http.Request) {
+		if _, again := seen.LoadOrStore(r.RemoteAddr, true); again {
+			<-r.Context().Done()
+			return
+		}
+		answer(w, r)
+	})
+	d.Sender.OverdueFloor = 50 * time.Millisecond
+	d.Sender.ProvenFor = time.Nanosecond
+	for i := range 3 {
+		if _, err := run(t, d, request(http.MethodGet, "/1", 1)); err != nil {
+			t.Errorf("request %d: %v", i, err)
+		}
+	}
+}
--- a/internal/dispatch/sender/sender.go
+++ b/internal/dispatch/sender/sender.go
@@ -75,30 +75,54 @@
 // Send sends r to b and waits for the whole answer. The refusal statuses of
 // service mean that b refused before running.
 func (s *Sender) Send(ctx context.Context, b snipefront.BackendServer, r *snipefront.Request, service snipefront.Service) Attempt {
-	u := s.upstream(b)
+	return s.send(ctx, &call{server: b, request: r, service: service, proven: !r.Idempotent, guarded: true})
+}
+
+// SendProven is Send for a request that was silent before: it goes only on a
+// connection that works, and its answer may take as long as it does.
+func (s *Sender) SendProven(ctx context.Context, b snipefront.BackendServer, r *snipefront.Request, service snipefront.Service) Attempt {
+	return s.send(ctx, &call{server: b, request: r, service: service, proven: true})
+}
+
+// call is one attempt in the making.
+type call struct {
+	server  snipefront.BackendServer
+	request *snipefront.Request
+	service snipefront.Service
+	// proven is true where only a connection that works will do.
+	proven bool
+	// guarded is true where an overdue answer is looked into.
+	guarded bool
+
+	upstream  *upstream
+	transport *http.Transport
+}
+
+func (s *Sender) send(ctx context.Context, c *call) Attempt {
+	c.upstream = s.upstream(c.server)
 	for n := 1; ; n++ {
-		t := u.transport.Load()
-		a, idle := s.try(ctx, u, t, b, r, service)
+		c.transport = c.upstream.transport.Load()
+		a, idle := s.try(ctx, c)
 		if !idle || n == maxTries {
 			return a
 		}
-		t.CloseIdleConnections()
+		c.transport.CloseIdleConnections()
 	}
 }
 
-// try sends r once. It returns true where nothing was written because the
-// connection was idle for too long.
-func (s *Sender) try(ctx context.Context, u *upstream, t *http.Transport, b snipefront.BackendServer, r *snipefront.Request, service snipefront.Service) (Attempt, bool) {
+// try sends the request once. It returns true where nothing was written because
+// the connection was idle for too long.
+func (s *Sender) try(ctx context.Context, c *call) (Attempt, bool) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	probe := watch.Probe{MaxIdle: s.maxIdleOf(r)}
-	req, err := build(probe.With(ctx), b, r)
+	probe := watch.Probe{MaxIdle: s.maxIdle(c)}
+	req, err := build(probe.With(ctx), c.server, c.request)
 	if err != nil {
 		return Attempt{Verdict: snipefront.NotRun, Reason: snipefront.ReasonBadRequest, Err: err}, false
 	}
 	begun := time.Now()
-	g := s.guard(ctx, cancel, u, t, b, r, service)
-	a := s.roundTrip(&probe, t, req, b, service)
+	g := s.guard(ctx, cancel, c)
+	a := s.roundTrip(&probe, c, req)
 	cancel(nil)
 	g.end()
 	if a.Response == nil && errors.Is(context.Cause(ctx), errSilent) {
@@ -109,14 +133,14 @@
 		}
 	}
 	if a.Response != nil || a.Silent {
-		u.learn(time.Since(begun))
+		c.upstream.learn(time.Since(begun))
 	}
 	return a, probe.Idle()
 }
 
 // roundTrip sends req and reads the whole answer.
-func (s *Sender) roundTrip(p *watch.Probe, t *http.Transport, req *http.Request, b snipefront.BackendServer, service snipefront.Service) Attempt {
-	resp, err := t.RoundTrip(req)
+func (s *Sender) roundTrip(p *watch.Probe, c *call, req *http.Request) Attempt {
+	resp, err := c.transport.RoundTrip(req)
 	if err != nil {
 		return failed(p, err)
 	}
@@ -124,7 +148,7 @@
 	if p.Crossed() {
 		return failed(p, errCrossed)
 	}
-	return s.read(b, resp, service.RefusalStatuses)
+	return s.read(c.server, resp, c.service.RefusalStatuses)
 }
 
 // Forget closes the idle connections to b.
@@ -214,15 +238,16 @@
 	return body, nil
 }
 
-// maxIdleOf returns how long a connection for r may have been idle.
-func (s *Sender) maxIdleOf(r *snipefront.Request) time.Duration {
-	if r.Idempotent {
+// maxIdle returns how long the connection for c may have been idle.
+func (s *Sender) maxIdle(c *call) time.Duration {
+	switch {
+	case !c.proven:
 		return 0
-	}
-	if s.ProvenFor == 0 {
+	case s.ProvenFor == 0:
 		return defaultProvenFor
+	default:
+		return s.ProvenFor
 	}
-	return s.ProvenFor
 }
 
 // once is a body that cannot be read a second time, so that the transport never
--- a/internal/dispatch/sender/upstream.go
+++ b/internal/dispatch/sender/upstream.go
@@ -23,9 +23,10 @@
 	// overdueFactor is how many times the usual time makes an answer overdue.
 	overdueFactor       = 10
 	defaultOverdueFloor = 100 * time.Millisecond
-	// patience is how many times longer a request that must not run twice waits,
-	// since it is lost to its caller where the connection was only slow.
-	patience = 4
+	// patience is the inverse share of its time left that a request waits which
+	// must not run twice, since it is lost to its caller where the connection was
+	// only slow.
+	patience = 2
 	// checkTimeout bounds trying a new connection.
 	checkTimeout = 250 * time.Millisecond
 )
@@ -82,7 +83,7 @@
 	if r.Idempotent {
 		return d
 	}
-	return patience * d
+	return max(d, time.Until(r.Deadline)/patience)
 }
 
 // retire replaces the connections of t. Those that carry a request are closed
@@ -93,7 +94,7 @@
 	}
 }
 
-// guard watches over one request.
+// guard watches over one request. Its zero value does nothing.
 type guard struct {
 	timer *time.Timer
 	ended chan struct{}
@@ -101,22 +102,25 @@
 
 // guard ends the request through cancel where its answer is overdue and a new
 // connection works.
-func (s *Sender) guard(ctx context.Context, cancel context.CancelCauseFunc, u *upstream, t *http.Transport, b snipefront.BackendServer, r *snipefront.Request, service snipefront.Service) guard {
+func (s *Sender) guard(ctx context.Context, cancel context.CancelCauseFunc, c *call) guard {
+	if !c.guarded {
+		return guard{}
+	}
 	ended := make(chan struct{})
 	f := func() {
 		defer close(ended)
-		if s.Check(ctx, b, service) {
-			u.retire(t)
+		if s.Check(ctx, c.server, c.service) {
+			c.upstream.retire(c.transport)
 			cancel(errSilent)
 		}
 	}
-	return guard{timer: time.AfterFunc(s.overdue(u, r), f), ended: ended}
+	return guard{timer: time.AfterFunc(s.overdue(c.upstream, c.request), f), ended: ended}
 }
 
 // end waits for a check that is going on. The context of the request is ended
 // before.
 func (g guard) end() {
-	if !g.timer.Stop() {
+	if g.timer != nil && !g.timer.Stop() {
 		<-g.ended
 	}
 }
