front: give up a body that does not arrive by the deadline

Cause: reading a body was not bounded in time, so a caller that stalled kept a connection and a goroutine for good.

Ruled out: ReadTimeout of the server, which knows no deadline of a request and also cuts the wait of a caller for a slow answer.

Before: TestStalledBody hangs. After: status 408 with the verdict not-run at the deadline, nothing passed on. The mutation without SetReadDeadline hangs.

Conclusion: the deadline covers the whole stay of a request at an instance.

--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -13,10 +13,13 @@
 	"io"
 	"math"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/snipefront/snipefront"
 )
 
@@ -55,7 +58,7 @@
 // ServeHTTP implements http.Handler.
 func (f *Front) ServeHTTP(w http.ResponseWriter, h *http.Request) {
 	arrived := time.Now()
-	r, err := f.read(arrived, h)
+	r, err := f.read(w, arrived, h)
 	if err != nil {
 		f.refuse(w, "unknown", err)
 		return
@@ -76,7 +79,7 @@
 }
 
 // read reads and checks the whole request.
-func (f *Front) read(arrived time.Time, h *http.Request) (*snipefront.Request, error) {
+func (f *Front) read(w http.ResponseWriter, arrived time.Time, h *http.Request) (*snipefront.Request, error) {
 	if h.Method == http.MethodConnect {
 		return nil, snipefront.Rejected(snipefront.ReasonBadRequest, http.StatusMethodNotAllowed, "tunnels are not served")
 	}
@@ -94,7 +97,8 @@
 	if err != nil {
 		return nil, err
 	}
-	body, err := f.readBody(h)
+	deadline := arrived.Add(timeout)
+	body, err := f.readBody(w, h, deadline)
 	if err != nil {
 		return nil, err
 	}
@@ -104,7 +108,7 @@
 		Target:         target,
 		Header:         endToEnd(h.Header),
 		Body:           body,
-		Deadline:       arrived.Add(timeout),
+		Deadline:       deadline,
 		Importance:     s.Importance,
 		IdempotencyKey: key,
 		Idempotent:     key == "" && isIdempotent(h.Method),
@@ -139,17 +143,25 @@
 	return s
 }
 
-func (f *Front) readBody(h *http.Request) ([]byte, error) {
+// readBody reads the whole body, until the deadline at the latest.
+func (f *Front) readBody(w http.ResponseWriter, h *http.Request, deadline time.Time) ([]byte, error) {
 	if h.ContentLength > f.MaxBodyBytes {
 		return nil, tooLarge()
 	}
 	if h.Body == nil || h.ContentLength == 0 {
 		return nil, nil
 	}
+	// A writer that knows no connection has no deadline to set.
+	c := http.NewResponseController(w)
+	_ = c.SetReadDeadline(deadline)
 	b, err := io.ReadAll(io.LimitReader(h.Body, f.MaxBodyBytes+1))
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, snipefront.Rejected(snipefront.ReasonDeadline, http.StatusRequestTimeout, "the body did not arrive in time")
+	}
 	if err != nil {
 		return nil, snipefront.Rejected(snipefront.ReasonBadRequest, http.StatusBadRequest, "the body was cut short: "+err.Error())
 	}
+	_ = c.SetReadDeadline(time.Time{})
 	if int64(len(b)) > f.MaxBodyBytes {
 		return nil, tooLarge()
 	}
--- a/internal/entry/front/front_test.go
+++ b/internal/entry/front/front_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -12,6 +11,8 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/snipefront/snipefront"
 	"github.com/snipefront/snipefront/internal/entry/front"
 )
@@ -221,6 +222,28 @@
 	}
 }
 
+// TestStalledBody leaves a body unfinished and the connection open.
+func TestStalledBody(t *testing.T) {
+	p := &path{}
+	c, err := net.DialTimeout("tcp", serve(t, p), limit)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_, _ = io.WriteString(c, "POST /balance/1 HTTP/1.1\r\nHost: h\r\nX-Request-Timeout: 50\r\nContent-Length: 2\r\n\r\no")
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	if v := resp.Header.Get(front.VerdictHeader); resp.StatusCode != http.StatusRequestTimeout || v != snipefront.NotRun.String() {
+		t.Errorf("status %d, verdict %s", resp.StatusCode, v)
+	}
+	if n := len(p.requests()); n != 0 {
+		t.Errorf("%d requests were passed on", n)
+	}
+}
+
 // TestPipelinedAnswersKeepTheirOrder sends two requests at once. The answer
 // without a content type gets none.
 func TestPipelinedAnswersKeepTheirOrder(t *testing.T) {
