notice: refuse what follows an announcement

Cause: the body was read up to the end of its first value.

Ruled out: nothing else; the checks of the fields held.

Before: an announcement followed by another value was taken in, status 200. After: status 400 and nothing passed on. The tests also catch an instance named in the answer that did not take the announcement in.

Conclusion: an announcement is one value.

--- a/internal/entry/notice/notice.go
+++ b/internal/entry/notice/notice.go
@@ -129,6 +129,9 @@
 	if err := d.Decode(&a); err != nil {
 		return a, errors.Wrap(err, "announcement")
 	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return a, errors.New("announcement: something follows it")
+	}
 	return a, a.check()
 }
 
--- /dev/null
+++ b/internal/entry/notice/notice_test.go
@@ -0,0 +1,90 @@
+package notice_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/control/member"
+	"github.com/snipefront/snipefront/internal/entry/notice"
+)
+
+// passer records the announcements that are passed on. Those to the address
+// down fail.
+type passer struct {
+	down string
+
+	mu   sync.Mutex
+	seen []string
+}
+
+func (p *passer) Announce(_ context.Context, address string, _ snipefront.BackendServer, _ time.Duration) (bool, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.seen = append(p.seen, address)
+	if address == p.down || p.down == "all" {
+		return false, errors.New("unreachable")
+	}
+	return true, nil
+}
+
+func announce(p *passer, body string) *httptest.ResponseRecorder {
+	v := &member.View{Epoch: snipefront.Epoch{Number: 1, Instances: []snipefront.Instance{
+		{Name: "a", DataCentre: "d", CallerAddress: "caller-a", PeerAddress: "a"},
+		{Name: "b", DataCentre: "d", CallerAddress: "caller-b", PeerAddress: "b"},
+		{Name: "c", DataCentre: "d", CallerAddress: "caller-c", PeerAddress: "c"},
+	}}}
+	h := &notice.Handler{View: func() *member.View { return v }, Passer: p, Lease: time.Second}
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/", strings.NewReader(body)))
+	return w
+}
+
+const good = `{"Name":"n","Service":"s","DataCentre":"d","Address":"127.0.0.1:1","Incarnation":1,"Slots":3}`
+
+// TestAnnouncementReachesOwnerAndStandby names only those that took it in.
+func TestAnnouncementReachesOwnerAndStandby(t *testing.T) {
+	p := &passer{}
+	if w := announce(p, good); w.Code != http.StatusOK || len(p.seen) != 2 {
+		t.Fatalf("status %d, passed on to %v", w.Code, p.seen)
+	}
+	down := p.seen[0]
+	w := announce(&passer{down: down}, good)
+	if w.Code != http.StatusOK || strings.Contains(w.Body.String(), "caller-"+down) {
+		t.Errorf("status %d without %s: %s", w.Code, down, w.Body)
+	}
+	w = announce(&passer{down: "all"}, good)
+	if w.Code != http.StatusServiceUnavailable || w.Header().Get("Retry-After") == "" {
+		t.Errorf("status %d with none reached", w.Code)
+	}
+}
+
+// TestBadAnnouncementsAreRefused changes one thing at a time.
+func TestBadAnnouncementsAreRefused(t *testing.T) {
+	for _, c := range []struct{ old, new string }{
+		{`"n"`, `""`},
+		{`"n"`, `"` + strings.Repeat("n", 64) + `"`},
+		{`"d"`, `""`},
+		{`127.0.0.1:1`, `localhost:1`},
+		{`127.0.0.1:1`, `127.0.0.1:0`},
+		{`127.0.0.1:1`, `127.0.0.1`},
+		{`"Slots":3`, `"Slots":0`},
+		{`"Slots":3`, `"Slots":10001`},
+		{`"Slots":3`, `"Slots":3,"Other":1`},
+		{`3}`, `3}{}`},
+		{`3}`, `3`},
+		{`"n"`, `"` + strings.Repeat("n", 1<<13) + `"`},
+	} {
+		p := &passer{}
+		if w := announce(p, strings.Replace(good, c.old, c.new, 1)); w.Code != http.StatusBadRequest || len(p.seen) > 0 {
+			t.Errorf("%s for %s: status %d, passed on to %v", c.new, c.old, w.Code, p.seen)
+		}
+	}
+}
