sender: use connections once where a backend server answers too often

Cause: an answer that is left over and arrives after the next request was written cannot be told from that request's own answer in HTTP/1.1.

Ruled out: looking into the socket before each write, which costs a system call a request and misses what arrives a moment later.

The first answer that is seen to arrive before its request has each connection to that backend server carry one request from then on.

Conclusion: until the first left-over answer is seen, a crossed one may still pass. Only one request a connection from the start rules it out, at about a millisecond a call.

--- a/internal/dispatch/sender/sender.go
+++ b/internal/dispatch/sender/sender.go
@@ -141,12 +141,15 @@
 // roundTrip sends req and reads the whole answer.
 func (s *Sender) roundTrip(p *watch.Probe, c *call, req *http.Request) Attempt {
 	resp, err := c.transport.RoundTrip(req)
-	if err != nil {
-		return failed(p, err)
+	if err == nil {
+		defer resp.Body.Close()
 	}
-	defer resp.Body.Close()
 	if p.Crossed() {
-		return failed(p, errCrossed)
+		c.upstream.distrust()
+		err = errCrossed
+	}
+	if err != nil {
+		return failed(p, err)
 	}
 	return s.read(c.server, resp, c.service.RefusalStatuses)
 }
@@ -161,7 +164,7 @@
 // failed returns the attempt that p watched.
 func failed(p *watch.Probe, err error) Attempt {
 	if !p.Wrote() {
-		return Attempt{Verdict: snipefront.NotRun, Reason: snipefront.ReasonConnect, Err: err}
+		return Attempt{Verdict: snipefront.NotRun, Reason: unsentReason(err), Err: err}
 	}
 	if errors.Is(err, context.DeadlineExceeded) {
 		return Attempt{Reason: snipefront.ReasonAttemptLate, Err: err}
@@ -169,6 +172,13 @@
 	return Attempt{Reason: snipefront.ReasonBrokenAnswer, Err: err}
 }
 
+func unsentReason(err error) snipefront.Reason {
+	if errors.Is(err, errCrossed) {
+		return snipefront.ReasonBrokenAnswer
+	}
+	return snipefront.ReasonConnect
+}
+
 // read reads the whole answer.
 func (s *Sender) read(b snipefront.BackendServer, resp *http.Response, refusals []int) Attempt {
 	for _, st := range refusals {
--- a/internal/dispatch/sender/sender_test.go
+++ b/internal/dispatch/sender/sender_test.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/snipefront/snipefront"
@@ -88,16 +89,19 @@
 }
 
 // TestNoAnswerOfAnotherRequest has the backend server send two answers for each
-// request, so that one is left over on the connection.
+// request, so that one is left over on the connection. Each caller meets at most
+// one left-over answer, since connections then carry one request each.
 func TestNoAnswerOfAnotherRequest(t *testing.T) {
+	const callers = 8
 	f := serve(t, func(_ int, _ *http.Request, body []byte) (string, bool) {
 		a := "HTTP/1.1 200 OK\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + string(body)
 		return a + a, true
 	})
 	s := newSender()
-	var callers sync.WaitGroup
-	for c := range 8 {
-		callers.Go(func() {
+	var leftOver atomic.Int32
+	var all sync.WaitGroup
+	for c := range callers {
+		all.Go(func() {
 			for i := range 500 {
 				body := fmt.Sprintf("request %d of %d", i, c)
 				a := send(t, s, f, request(http.MethodPut, body))
@@ -105,10 +109,16 @@
 					t.Errorf("%s got the answer %q", body, a.Response.Body)
 					return
 				}
+				if a.Verdict == snipefront.NotRun && a.Reason == snipefront.ReasonBrokenAnswer {
+					leftOver.Add(1)
+				}
 			}
 		})
 	}
-	callers.Wait()
+	all.Wait()
+	if n := leftOver.Load(); n > callers {
+		t.Errorf("%d left-over answers", n)
+	}
 }
 
 // TestTargetUnchanged sends targets that a parser would rewrite.
--- a/internal/dispatch/sender/upstream.go
+++ b/internal/dispatch/sender/upstream.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -39,6 +40,11 @@
 	// usual is the moving average of the time to answer, in nanoseconds. Zero is
 	// unknown.
 	usual atomic.Int64
+	// single is true once the backend server has sent more answers than there
+	// were requests. Each connection then carries one request.
+	single atomic.Bool
+	// distrusting is held while single changes.
+	distrusting sync.Mutex
 }
 
 func (s *Sender) upstream(b snipefront.BackendServer) *upstream {
@@ -46,13 +52,14 @@
 		return u.(*upstream)
 	}
 	u := &upstream{}
-	u.transport.Store(newTransport())
+	u.transport.Store(newTransport(false))
 	old, _ := s.upstreams.LoadOrStore(b.Address, u)
 	return old.(*upstream)
 }
 
-func newTransport() *http.Transport {
+func newTransport(single bool) *http.Transport {
 	return &http.Transport{
+		DisableKeepAlives:      single,
 		DialContext:            watch.Dialer(dialTimeout),
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    idlePerHost,
@@ -89,11 +96,22 @@
 // retire replaces the connections of t. Those that carry a request are closed
 // when it ends.
 func (u *upstream) retire(t *http.Transport) {
-	if u.transport.CompareAndSwap(t, newTransport()) {
+	if u.transport.CompareAndSwap(t, newTransport(u.single.Load())) {
 		t.CloseIdleConnections()
 	}
 }
 
+// distrust lets each connection carry one request from now on, since an answer
+// that is left over cannot always be told from the next one.
+func (u *upstream) distrust() {
+	u.distrusting.Lock()
+	defer u.distrusting.Unlock()
+	if u.single.Swap(true) {
+		return
+	}
+	u.transport.Swap(newTransport(true)).CloseIdleConnections()
+}
+
 // guard watches over one request. Its zero value does nothing.
 type guard struct {
 	timer *time.Timer
