route: keep the weakest verdict of all cells that were asked

Cause: a request that may have run in one cell was refused by the next, and the caller got that refusal with its 'not run'. Seen with separate processes: a lookup that broke two backend servers was answered 503 not-run. The router now carries the weakest verdict along, and hands a request whose connection broke to no other cell, so that it cannot bring down backend servers there too.

The hedge budget and the register of suspects are now in use.

--- a/internal/daemon/module/module.go
+++ b/internal/daemon/module/module.go
@@ -31,6 +31,7 @@
 	"github.com/snipefront/snipefront/internal/quorum/driver"
 	"github.com/snipefront/snipefront/internal/request/chain"
 	"github.com/snipefront/snipefront/internal/request/claim"
+	"github.com/snipefront/snipefront/internal/request/poison"
 	"github.com/snipefront/snipefront/internal/request/route"
 	"github.com/snipefront/snipefront/internal/rpc/peers"
 )
@@ -103,12 +104,15 @@
 }
 
 func newCells(s *sender.Sender, n *stats.Stats) *cells.Set {
+	g := &poison.Register{}
 	return &cells.Set{Make: func(c snipefront.Cell) *local.Dispatcher {
 		return &local.Dispatcher{
 			Cell:    &cell.Cell{Name: c, Picker: picker.Free{}, MaxQueue: maxQueue},
 			Sender:  s,
 			Budget:  &budget.Share{},
 			Counter: n,
+			Hedges:  &budget.Share{},
+			Poison:  g,
 		}
 	}}
 }
--- a/internal/entry/notice/notice_test.go
+++ b/internal/entry/notice/notice_test.go
@@ -25,14 +25,14 @@
 	seen []string
 }
 
-func (p *passer) Announce(_ context.Context, address string, _ snipefront.BackendServer, _ time.Duration) (bool, error) {
+func (p *passer) Announce(_ context.Context, address string, _ snipefront.BackendServer) (time.Duration, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.seen = append(p.seen, address)
 	if address == p.down || p.down == "all" {
-		return false, errors.New("unreachable")
+		return 0, errors.New("unreachable")
 	}
-	return true, nil
+	return time.Second, nil
 }
 
 func announce(p *passer, body string) *httptest.ResponseRecorder {
@@ -41,7 +41,7 @@
 		{Name: "b", DataCentre: "d", CallerAddress: "caller-b", PeerAddress: "b"},
 		{Name: "c", DataCentre: "d", CallerAddress: "caller-c", PeerAddress: "c"},
 	}}}
-	h := &notice.Handler{View: func() *member.View { return v }, Passer: p, Lease: time.Second}
+	h := &notice.Handler{View: func() *member.View { return v }, Passer: p}
 	w := httptest.NewRecorder()
 	h.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/", strings.NewReader(body)))
 	return w
--- a/internal/request/route/route.go
+++ b/internal/request/route/route.go
@@ -92,32 +92,41 @@
 		return nil, snipefront.Refused(snipefront.ReasonDataCentreOut, retryLater, "no data centre in service has an instance")
 	}
 	if c := list[0]; c.own && c.short {
-		return t.wait(ctx, v, list, r)
+		return t.wait(ctx, v, list, r, snipefront.NotRun)
 	}
+	verdict := snipefront.NotRun
 	for _, c := range list {
 		if c.free <= 0 {
 			break
 		}
 		resp, err := t.try(ctx, v, c, r, false)
-		if err == nil || !t.mayMoveOn(ctx, r, err) {
-			return resp, err
+		if err == nil {
+			return resp, nil
+		}
+		verdict = weaker(verdict, err)
+		if !t.mayMoveOn(ctx, r, err) {
+			return nil, withVerdict(err, verdict)
 		}
 	}
-	return t.wait(ctx, v, list, r)
+	return t.wait(ctx, v, list, r, verdict)
 }
 
 // wait lets the request queue at the best cell, and at the next where that one
 // cannot take it. Owners that are overloaded are few to be asked, since each one
-// costs them and the caller a hop.
-func (t *Router) wait(ctx context.Context, v *member.View, list []choice, r *snipefront.Request) (*snipefront.Response, error) {
+// costs them and the caller a hop. The verdict is that of the cells asked before.
+func (t *Router) wait(ctx context.Context, v *member.View, list []choice, r *snipefront.Request, verdict snipefront.Verdict) (*snipefront.Response, error) {
 	var last error
 	full := 0
 	for _, c := range list {
 		resp, err := t.try(ctx, v, c, r, true)
-		if err == nil || !t.mayMoveOn(ctx, r, err) {
-			return resp, err
+		if err == nil {
+			return resp, nil
+		}
+		verdict = weaker(verdict, err)
+		last = withVerdict(err, verdict)
+		if !t.mayMoveOn(ctx, r, err) {
+			return nil, last
 		}
-		last = err
 		if snipefront.AsError(err).Reason == snipefront.ReasonOverload {
 			full++
 		}
@@ -241,7 +250,8 @@
 		return false
 	}
 	switch e.Reason {
-	case snipefront.ReasonDeadline, snipefront.ReasonCanceled, snipefront.ReasonRetryBudget, snipefront.ReasonNoLease:
+	case snipefront.ReasonDeadline, snipefront.ReasonCanceled, snipefront.ReasonRetryBudget, snipefront.ReasonNoLease,
+		snipefront.ReasonBrokenAnswer, snipefront.ReasonQuarantined, snipefront.ReasonAnswerTooBig, snipefront.ReasonBadRequest:
 		return false
 	}
 	t.Counter.Retried(r.Service, e.Reason)
--- a/internal/request/route/route_test.go
+++ b/internal/request/route/route_test.go
@@ -18,6 +18,8 @@
 type fleet struct {
 	counts cell.Counts
 	refuse map[string]snipefront.Reason
+	// script holds what the first cells asked come to.
+	script []error
 	// asked holds the data centres asked, in order, with a mark where the
 	// request might wait.
 	asked []string
@@ -31,6 +33,9 @@
 		mark = "+"
 	}
 	f.asked = append(f.asked, c.DataCentre+mark)
+	if n := len(f.asked); n <= len(f.script) {
+		return nil, f.script[n-1]
+	}
 	if why := f.refuse[c.DataCentre]; why != "" {
 		return nil, snipefront.Refused(why, time.Second, "refused")
 	}
@@ -76,7 +81,7 @@
 
 func serve(t *testing.T, f *fleet) error {
 	t.Helper()
-	_, err := f.router().Serve(t.Context(), &snipefront.Request{Service: "s", Deadline: time.Now().Add(time.Hour)})
+	_, err := f.router().Serve(t.Context(), &snipefront.Request{Service: "s", Deadline: time.Now().Add(time.Hour), Idempotent: true})
 	return err
 }
 
@@ -137,3 +142,28 @@
 		t.Errorf("got %v, asked %v", e, f.asked)
 	}
 }
+
+// TestVerdictOutlivesLaterRefusals shows that a request which may have run in one
+// cell is never said to be not run because another cell refused it.
+func TestVerdictOutlivesLaterRefusals(t *testing.T) {
+	lost := &snipefront.Error{Reason: snipefront.ReasonPeer}
+	full := snipefront.Refused(snipefront.ReasonOverload, time.Second, "full")
+	budget := snipefront.Refused(snipefront.ReasonRetryBudget, time.Second, "no retry left")
+	for _, script := range [][]error{{lost, budget}, {full, lost, full, full, full, full}, {full, full, full, full, lost, full, full}} {
+		for _, free := range []int{0, 9} {
+			f := &fleet{counts: cell.Counts{Free: free, Wait: time.Second}, script: script}
+			if e := snipefront.AsError(serve(t, f)); e == nil || e.Verdict != snipefront.MayHaveRun {
+				t.Errorf("%d free, asked %v: %v", free, f.asked, e)
+			}
+		}
+	}
+}
+
+// TestBrokenAnswerStaysInItsCell shows that a request under which backend servers
+// may have fallen is not handed to the backend servers of another cell.
+func TestBrokenAnswerStaysInItsCell(t *testing.T) {
+	f := &fleet{counts: cell.Counts{Free: 9}, script: []error{&snipefront.Error{Reason: snipefront.ReasonBrokenAnswer}}}
+	if serve(t, f) == nil || len(f.asked) != 1 {
+		t.Errorf("asked %v, want one cell", f.asked)
+	}
+}
