dispatch/cell: tell when and where a second attempt may run

Cause: a backend server that goes without an answer, or slows down suddenly, held each request that it had until the deadline.

HedgeAfter follows the 95th percentile of the cell's own attempts. A request with FreeOnly gets a slot only where nobody else needs it: no one waits, another slot stays free, and the backend server is warm, no spare and not suspended. The share of requests is bounded by a budget.Share of the cell. An attempt that is given up after a long time, by its deadline or by the one who asked, counts as a failure, so that a backend server whose attempts are always overtaken is suspended too.

--- a/internal/dispatch/cell/cell.go
+++ b/internal/dispatch/cell/cell.go
@@ -49,6 +49,8 @@
 	inFlight int
 	// service is the moving average of the time for which a slot is held.
 	service time.Duration
+	// high is the time that few attempts exceed.
+	high quantile
 }
 
 // server is what the cell knows of one backend server.
--- a/internal/dispatch/cell/slot.go
+++ b/internal/dispatch/cell/slot.go
@@ -27,6 +27,10 @@
 	// Avoid names a backend server not to use, or none. Where it is the only one
 	// that accepts work, the request is refused.
 	Avoid string
+	// FreeOnly asks for a slot that nobody else needs now: no request waits, the
+	// backend server is warm and no spare, and another slot of the cell stays
+	// free. It never waits.
+	FreeOnly bool
 }
 
 // Outcome tells the cell how an attempt went.
@@ -38,7 +42,8 @@
 	Answered Outcome = iota
 	// Troubled is a refusal, a broken or a late attempt.
 	Troubled
-	// Canceled tells nothing of the backend server.
+	// Canceled is an attempt given up by the one who asked. Like a late one it
+	// tells of the backend server only where it took long.
 	Canceled
 	// Failed is a whole answer in time that tells of a failure.
 	Failed
@@ -67,6 +72,14 @@
 		c.mu.Unlock()
 		return nil, err
 	}
+	if w.FreeOnly {
+		slot := c.surplus(now, w)
+		c.mu.Unlock()
+		if slot == nil {
+			return nil, snipefront.Refused(snipefront.ReasonHedge, 0, "no slot to spare")
+		}
+		return slot, nil
+	}
 	if c.queue.len() == 0 || !w.MayQueue {
 		if s := c.pick(now, w.Avoid); s != nil {
 			slot := c.take(now, s, w.Deadline)
@@ -176,11 +189,13 @@
 	case Answered:
 		s.server.limiter.Answered(now, s.taken)
 		s.cell.average(held)
+		s.cell.high.add(held)
 	case Troubled:
 		s.trouble(now, held)
 	case Failed:
 		s.server.limiter.Failed(now)
 	case Canceled:
+		s.server.limiter.Late(now, held)
 	}
 }
 
@@ -192,7 +207,7 @@
 		s.server.limiter.Troubled(now)
 		return
 	}
-	s.server.limiter.Late(held)
+	s.server.limiter.Late(now, held)
 }
 
 func (c *Cell) average(held time.Duration) {
--- a/internal/dispatch/limit/limit.go
+++ b/internal/dispatch/limit/limit.go
@@ -135,11 +135,12 @@
 	l.resume = now.Add(min(pause, longestPause))
 }
 
-// Late takes in an attempt without an answer that ended at its deadline after
-// the time held. It is a slow answer or tells nothing.
-func (l *Limiter) Late(held time.Duration) {
+// Late takes in an attempt that was given up after the time held without an
+// answer. It is a failure where that is long, else it tells nothing.
+func (l *Limiter) Late(now time.Time, held time.Duration) {
 	if l.isSlow(held) {
 		l.slowed()
+		l.Failed(now)
 	}
 }
 
--- a/internal/dispatch/limit/limit_test.go
+++ b/internal/dispatch/limit/limit_test.go
@@ -85,7 +85,7 @@
 	if c.Limit() != 4 {
 		t.Errorf("limit %d after one slow answer, want 4", c.Limit())
 	}
-	c.Late(time.Second)
+	c.Late(c.now, time.Second)
 	if c.Limit() != 2 {
 		t.Errorf("limit %d after two slow attempts, want 2", c.Limit())
 	}
@@ -129,7 +129,7 @@
 			case 1:
 				l.Failed(now)
 			case 2:
-				l.Late(held)
+				l.Late(now, held)
 			case 3:
 				l.Reset(now)
 				began = now
--- a/internal/stand/bench/compare_test.go
+++ b/internal/stand/bench/compare_test.go
@@ -25,7 +25,8 @@
 	sizes    = flag.String("sizes", "counters,chairs", "sizes to compare")
 	shift    = flag.String("shift", "false,true", "whether speeds shift")
 	policies = flag.String("policies", "random,round-robin,two-choices,least-loaded,cells", "policies to compare")
-	fault    = flag.String("fault", "", "one of chill, fail and leave")
+	hedge    = flag.Float64("hedge", 0, "share of requests that cells may hedge")
+	fault    = flag.String("fault", "", "one of chill, fail, hang and leave")
 )
 
 var known = []bench.Policy{
@@ -66,7 +67,7 @@
 			for i := range *seeds {
 				list = append(list, bench.Load{
 					Share: n / 100, Shifting: s == "true", Length: *length, Seed: *seed + i,
-					Chill: *fault == "chill", Fail: *fault == "fail", Leave: *fault == "leave",
+					Hedge: *hedge, Chill: *fault == "chill", Fail: *fault == "fail", Hang: *fault == "hang", Leave: *fault == "leave",
 				})
 			}
 		}
--- a/internal/stand/bench/fleet.go
+++ b/internal/stand/bench/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"strconv"
 	"sync/atomic"
@@ -9,6 +10,7 @@
 
 	"github.com/snipefront/snipefront"
 	"github.com/snipefront/snipefront/internal/control/member"
+	"github.com/snipefront/snipefront/internal/dispatch/budget"
 	"github.com/snipefront/snipefront/internal/dispatch/cell"
 	"github.com/snipefront/snipefront/internal/dispatch/picker"
 	"github.com/snipefront/snipefront/internal/request/route"
@@ -34,10 +36,14 @@
 	servers map[string]*backend
 	moves   atomic.Int64
 	hops    atomic.Int64
+	hedges  atomic.Int64
+	// hedge is the share of requests that may be sent a second time.
+	hedge   float64
+	budgets map[snipefront.Cell]*budget.Share
 }
 
 func newFleet(z Size, servers []*backend, seed uint64) *fleet {
-	f := &fleet{size: z, cells: map[snipefront.Cell]*cell.Cell{}, servers: map[string]*backend{}}
+	f := &fleet{size: z, cells: map[snipefront.Cell]*cell.Cell{}, budgets: map[snipefront.Cell]*budget.Share{}, servers: map[string]*backend{}}
 	f.epoch.Number = 1
 	for i := range z.Entries {
 		n := strconv.Itoa(i)
@@ -66,6 +72,7 @@
 		source := rand.NewPCG(seed, uint64(len(f.cells)))
 		c = &cell.Cell{Name: n, Picker: picker.Free{}, MaxQueue: maxQueue, Random: source.Uint64}
 		f.cells[n] = c
+		f.budgets[n] = &budget.Share{}
 		c.Rule(time.Now(), f.rules(n))
 		c.Open(time.Now())
 	}
@@ -155,8 +162,7 @@
 		if err != nil {
 			return nil, err
 		}
-		s := f.servers[slot.BackendServer.Name].serve(ctx, decode(r.Body))
-		slot.Done(outcomeOf(s))
+		s := f.attempt(ctx, d, slot, r)
 		switch {
 		case s == answered:
 			return &snipefront.Response{Status: okStatus}, nil
@@ -169,6 +175,67 @@
 	}
 }
 
+// attempt sends r to the backend server of slot, and to a second one where the
+// answer takes long and the budget for hedges allows it.
+func (f *fleet) attempt(ctx context.Context, d *cell.Cell, slot *cell.Slot, r *snipefront.Request) status {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	after := d.HedgeAfter()
+	f.budgets[d.Name].Earn(f.hedge)
+	if f.hedge == 0 || after == 0 {
+		return f.send(ctx, slot, r)
+	}
+	ends := make(chan status, 2)
+	go func() { ends <- f.send(ctx, slot, r) }()
+	t := time.NewTimer(after)
+	defer t.Stop()
+	for {
+		select {
+		case s := <-ends:
+			return s
+		case <-t.C:
+		}
+		if second := f.second(ctx, d, slot, r); second != nil {
+			go func() { ends <- f.send(ctx, second, r) }()
+			break
+		}
+		t.Reset(after)
+	}
+	first := <-ends
+	if first != answered {
+		return <-ends
+	}
+	cancel()
+	<-ends
+	return first
+}
+
+// second returns a slot for a second attempt, or nil.
+func (f *fleet) second(ctx context.Context, d *cell.Cell, first *cell.Slot, r *snipefront.Request) *cell.Slot {
+	w := cell.Wanted{Importance: r.Importance, Deadline: r.Deadline, Avoid: first.BackendServer.Name, FreeOnly: true}
+	slot, err := d.Acquire(ctx, w)
+	if err != nil {
+		return nil
+	}
+	if !f.budgets[d.Name].Spend() {
+		slot.Done(cell.Canceled)
+		return nil
+	}
+	f.hedges.Add(1)
+	return slot
+}
+
+// send runs one attempt and gives its slot back.
+func (f *fleet) send(ctx context.Context, slot *cell.Slot, r *snipefront.Request) status {
+	s := f.servers[slot.BackendServer.Name].serve(ctx, decode(r.Body))
+	if s == late && errors.Is(ctx.Err(), context.Canceled) {
+		slot.Done(cell.Canceled)
+		return s
+	}
+	slot.Done(outcomeOf(s))
+	return s
+}
+
 func outcomeOf(s status) cell.Outcome {
 	switch s {
 	case answered:
--- a/internal/stand/bench/result.go
+++ b/internal/stand/bench/result.go
@@ -18,6 +18,8 @@
 	Hops int64
 	// Moves is the number of times that a cell could not take a request.
 	Moves int64
+	// Hedges is the number of second attempts sent beside a first.
+	Hedges int64
 }
 
 // ServiceResult is what came of the requests of one service.
@@ -106,7 +108,7 @@
 			q(50), q(99), q(99.9), s.Sent, s.Late, s.Refused, s.Failed, s.Most, s.Slots, s.OverCold, s.AfterOut)
 	}
 	if r.Hops > 0 {
-		fmt.Fprintf(&b, "%-8s %3.0f%% %-5t %-12s %d hops, %d moves\n", r.Size, r.Load.Share*100, r.Load.Shifting, r.Policy, r.Hops, r.Moves)
+		fmt.Fprintf(&b, "%-8s %3.0f%% %-5t %-12s %d hops, %d moves, %d hedges\n", r.Size, r.Load.Share*100, r.Load.Shifting, r.Policy, r.Hops, r.Moves, r.Hedges)
 	}
 	return b.String()
 }
--- a/internal/stand/bench/run.go
+++ b/internal/stand/bench/run.go
@@ -43,6 +43,11 @@
 	Chill bool
 	// Fail lets one backend server of each service fail at once from half way.
 	Fail bool
+	// Hang lets one backend server of each service go without an answer from half
+	// way.
+	Hang bool
+	// Hedge is the share of requests that cells may send a second time.
+	Hedge float64
 	// Leave takes a data centre out for the middle third.
 	Leave bool
 }
@@ -93,7 +98,7 @@
 	stop()
 	res.close(servers)
 	if f, ok := s.(*fleet); ok {
-		res.Hops, res.Moves = f.hops.Load(), f.moves.Load()
+		res.Hops, res.Moves, res.Hedges = f.hops.Load(), f.moves.Load(), f.hedges.Load()
 	}
 	return res
 }
@@ -106,6 +111,7 @@
 	var publish func(out map[string]bool)
 	if p.Pick == nil {
 		f := newFleet(z, servers, l.Seed)
+		f.hedge = l.Hedge
 		s, publish = f, f.publish
 		go func() { close(done) }()
 	} else {
@@ -152,9 +158,13 @@
 		if l.Chill && i%8 == 0 {
 			b.chill()
 		}
-		if l.Fail && (i == 0 || servers[i-1].announced.Service != b.announced.Service) {
+		first := i == 0 || servers[i-1].announced.Service != b.announced.Service
+		if l.Fail && first {
 			b.fail(true)
 		}
+		if l.Hang && first {
+			b.hang()
+		}
 	}
 }
 
--- a/internal/stand/bench/server.go
+++ b/internal/stand/bench/server.go
@@ -32,6 +32,7 @@
 	inFlight int
 	warm     time.Time
 	failing  bool
+	hung     bool
 	out      bool
 	// most is the most requests held at once.
 	most int
@@ -64,6 +65,10 @@
 		return late
 	}
 	defer func() { <-b.slots }()
+	if b.isHung() {
+		<-ctx.Done()
+		return late
+	}
 	now := time.Now()
 	if !sleep(ctx, b.finish(now, work).Sub(now)) {
 		return late
@@ -113,6 +118,19 @@
 	b.mu.Unlock()
 }
 
+// hang makes every later request go without an answer.
+func (b *backend) hang() {
+	b.mu.Lock()
+	b.hung = true
+	b.mu.Unlock()
+}
+
+func (b *backend) isHung() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.hung
+}
+
 func (b *backend) leaveService(v bool) {
 	b.mu.Lock()
 	b.out = v
