dispatch: measure the cost of a decision and drop its copies

Cause: the candidates of each choice escaped to the heap: 1600 bytes for up to 32 backend servers and 11 kB for 100, with every slot taken.

The cell keeps the room for its candidates, under the lock that it holds anyway.

--- a/internal/dispatch/cell/cell.go
+++ b/internal/dispatch/cell/cell.go
@@ -51,6 +51,9 @@
 	service time.Duration
 	// high is the time that few attempts exceed.
 	high quantile
+	// candidates and candidateOf are room for a choice.
+	candidates  []snipefront.Candidate
+	candidateOf []*server
 }
 
 // server is what the cell knows of one backend server.
@@ -291,9 +294,7 @@
 // pickAmong returns a backend server of the tier, or nil, and how many of the
 // tier there are.
 func (c *Cell) pickAmong(now time.Time, avoid string, t tier) (*server, int) {
-	var room [candidateRoom]snipefront.Candidate
-	var who [candidateRoom]*server
-	list, from := room[:0], who[:0]
+	list, from := c.candidates[:0], c.candidateOf[:0]
 	for _, s := range c.order {
 		n := s.announced.Name
 		if !s.usable(now) || n == avoid || c.tier(now, s) != t {
@@ -307,6 +308,7 @@
 		})
 		from = append(from, s)
 	}
+	c.candidates, c.candidateOf = list, from
 	if len(list) == 0 {
 		return nil, 0
 	}
@@ -334,7 +336,3 @@
 	}
 	return rand.Uint64()
 }
-
-// candidateRoom is the number of backend servers up to which a choice does not
-// allocate.
-const candidateRoom = 32
--- /dev/null
+++ b/internal/dispatch/cell/cost_test.go
@@ -0,0 +1,96 @@
+package cell_test
+
+import (
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/dispatch/cell"
+	"github.com/snipefront/snipefront/internal/dispatch/picker"
+)
+
+func many(n int) *cell.Cell {
+	c := &cell.Cell{Picker: picker.Free{}, MaxQueue: 1000}
+	c.Rule(time.Now(), cell.Rules{ColdLimit: 3})
+	for i := range n {
+		b := server(i)
+		b.Name = strconv.Itoa(i)
+		c.Announce(time.Now(), b)
+	}
+	c.Open(time.Now())
+	return c
+}
+
+func takeAndGiveBack(b *testing.B, c *cell.Cell, w cell.Wanted) {
+	s, err := c.Acquire(b.Context(), w)
+	if err != nil {
+		b.Fatal(err)
+	}
+	s.Done(cell.Answered)
+}
+
+// BenchmarkDecision is one slot taken and given back, by the number of backend
+// servers.
+func BenchmarkDecision(b *testing.B) {
+	for _, n := range []int{3, 12, 100} {
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
+			c := many(n)
+			w := cell.Wanted{Deadline: time.Now().Add(time.Hour), MayQueue: true}
+			b.ReportAllocs()
+			for b.Loop() {
+				takeAndGiveBack(b, c, w)
+			}
+		})
+	}
+}
+
+// BenchmarkRefusal is one refusal for overload, by the number of waiters.
+func BenchmarkRefusal(b *testing.B) {
+	for _, n := range []int{10, 1000} {
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
+			c := many(3)
+			for range 9 {
+				if _, err := c.Acquire(b.Context(), within(time.Hour)); err != nil {
+					b.Fatal(err)
+				}
+			}
+			c.MaxQueue = n
+			w := cell.Wanted{Deadline: time.Now().Add(time.Hour), MayQueue: true}
+			for range n {
+				go func() { _, _ = c.Acquire(b.Context(), w) }()
+			}
+			for c.Count(time.Now()).Queued < n {
+				time.Sleep(time.Millisecond)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := c.Acquire(b.Context(), w); snipefront.AsError(err) == nil {
+					b.Fatal("granted")
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkCells is one slot taken and given back by each of many goroutines, in
+// one cell or each in its own, to show what cells share.
+func BenchmarkCells(b *testing.B) {
+	for _, n := range []int{1, 15} {
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
+			list := make([]*cell.Cell, n)
+			for i := range list {
+				list[i] = many(12)
+			}
+			w := cell.Wanted{Deadline: time.Now().Add(time.Hour), MayQueue: true}
+			var turn atomic.Int64
+			b.RunParallel(func(p *testing.PB) {
+				c := list[int(turn.Add(1))%n]
+				for p.Next() {
+					takeAndGiveBack(b, c, w)
+				}
+			})
+		})
+	}
+}
