request/route: keep the owners and hints of a plan together

Cause: each choice looked up the hint of every cell by two strings and copied the owner's description.

A plan now holds a place for each cell with its owner and hint; a choice points to it. The test of Retry-After asked for no more than the least value and so could not fail; it now asks for twice the backlog (seen failing: 500 ms with the backlog left out).

--- a/internal/dispatch/cell/cell_test.go
+++ b/internal/dispatch/cell/cell_test.go
@@ -146,8 +146,8 @@
 		}
 		r = ended(t, waiting(t, c, within(time.Hour)))
 		wantRefused(t, r.err, snipefront.ReasonOverload)
-		if a := snipefront.AsError(r.err).RetryAfter; a < 500*time.Millisecond {
-			t.Errorf("retry after %v with a backlog of 250ms", a)
+		if a := snipefront.AsError(r.err).RetryAfter; a < 505*time.Millisecond || a > 510*time.Millisecond {
+			t.Errorf("retry after %v with a backlog of 252.5ms, want twice that", a)
 		}
 		c.Close()
 	})
--- a/internal/request/route/hints.go
+++ b/internal/request/route/hints.go
@@ -11,42 +11,41 @@
 // hintLifetime is the time after which a count is too old to go by.
 const hintLifetime = 50 * time.Millisecond
 
-// Hints remembers the counts that other owners last gave for their cells. Its
-// zero value is ready.
-type Hints struct {
+// hints remembers the counts that other owners last gave for their cells, over
+// changes of the view.
+type hints struct {
 	cells sync.Map
 }
 
+// hint is what is known of one cell. It is read and written without a lock.
 type hint struct {
 	free   atomic.Int64
 	queued atomic.Int64
 	at     atomic.Int64
 }
 
-// Note takes in the counts of c at the instant now.
-func (h *Hints) Note(now time.Time, c snipefront.Cell, free, queued int) {
-	x := h.of(c)
+// note takes in the counts at the instant now.
+func (x *hint) note(now time.Time, free, queued int) {
 	x.free.Store(int64(free))
 	x.queued.Store(int64(queued))
 	x.at.Store(now.UnixNano())
 }
 
-// Free returns the free slots of c less the requests that wait there. Where no
-// recent count is known it returns 1.
-func (h *Hints) Free(now time.Time, c snipefront.Cell) int {
-	x := h.of(c)
+// left returns the free slots less the requests that wait. Where no recent count
+// is known it returns 1.
+func (x *hint) left(now time.Time) int {
 	if now.UnixNano()-x.at.Load() > int64(hintLifetime) {
 		return 1
 	}
 	return int(x.free.Load() - x.queued.Load())
 }
 
-// Take lowers the count of c by a slot that is about to be used.
-func (h *Hints) Take(c snipefront.Cell) {
-	h.of(c).free.Add(-1)
+// take lowers the count by a slot that is about to be used.
+func (x *hint) take() {
+	x.free.Add(-1)
 }
 
-func (h *Hints) of(c snipefront.Cell) *hint {
+func (h *hints) of(c snipefront.Cell) *hint {
 	if x, ok := h.cells.Load(c); ok {
 		return x.(*hint)
 	}
--- a/internal/request/route/plan.go
+++ b/internal/request/route/plan.go
@@ -14,6 +14,15 @@
 	services sync.Map
 }
 
+// place is a cell of a plan.
+type place struct {
+	cell  snipefront.Cell
+	owner snipefront.Instance
+	// own is true where this instance owns the cell.
+	own  bool
+	hint *hint
+}
+
 // plan returns the plan of v. A new view begins a new plan.
 func (t *Router) plan(v *member.View) *plan {
 	p := t.plans.Load()
@@ -26,20 +35,21 @@
 
 // places returns the cells of service that are in service. The list is never
 // changed.
-func (p *plan) places(service string) []choice {
+func (t *Router) places(v *member.View, service string) []place {
+	p := t.plan(v)
 	if l, ok := p.services.Load(service); ok {
-		return l.([]choice)
+		return l.([]place)
 	}
-	var list []choice
-	for _, n := range owner.DataCentres(p.view.Epoch) {
-		if p.view.Config.DataCentresOut[n] {
+	var list []place
+	for _, n := range owner.DataCentres(v.Epoch) {
+		if v.Config.DataCentresOut[n] {
 			continue
 		}
-		c := choice{cell: snipefront.Cell{Service: service, DataCentre: n}}
-		c.owner, _ = owner.Of(p.view.Epoch, c.cell)
-		list = append(list, c)
+		c := snipefront.Cell{Service: service, DataCentre: n}
+		o, _ := owner.Of(v.Epoch, c)
+		list = append(list, place{cell: c, owner: o, own: o.Name == t.Self, hint: t.hints.of(c)})
 	}
-	if _, ok := p.view.Config.Services[service]; ok {
+	if _, ok := v.Config.Services[service]; ok {
 		p.services.Store(service, list)
 	}
 	return list
--- a/internal/request/route/route.go
+++ b/internal/request/route/route.go
@@ -67,7 +67,7 @@
 	Forwarder Forwarder
 	Counter   Counter
 
-	hints Hints
+	hints hints
 	plans atomic.Pointer[plan]
 	// turn spreads the choices among cells that are equally good.
 	turn atomic.Uint64
@@ -75,10 +75,7 @@
 
 // choice is a cell that may take a request.
 type choice struct {
-	cell  snipefront.Cell
-	owner snipefront.Instance
-	// own is true where this instance owns the cell.
-	own bool
+	*place
 	// free is the number of free slots less the requests that wait.
 	free int
 	// short is true for an own cell where the wait takes less time than a hop.
@@ -160,30 +157,26 @@
 
 // choices returns the cells of service that are in service, the best first.
 func (t *Router) choices(now time.Time, v *member.View, service string) []choice {
-	all := t.plan(v).places(service)
+	all := t.places(v, service)
 	list := make([]choice, len(all))
 	first := 0
 	if len(all) > 0 {
 		first = int(t.turn.Add(1) % uint64(len(all)))
 	}
 	for i := range all {
-		list[i] = t.count(now, all[(first+i)%len(all)])
+		list[i] = t.count(now, &all[(first+i)%len(all)])
 	}
 	order(list)
 	return list
 }
 
-// count returns c with what is known of its load.
-func (t *Router) count(now time.Time, c choice) choice {
-	if c.owner.Name != t.Self {
-		c.free = t.hints.Free(now, c.cell)
-		return c
+// count returns p with what is known of its load.
+func (t *Router) count(now time.Time, p *place) choice {
+	if !p.own {
+		return choice{place: p, free: p.hint.left(now)}
 	}
-	n, _ := t.Cells.Count(now, c.cell)
-	c.own = true
-	c.free = n.Free - n.Queued
-	c.short = n.Wait <= hopTime
-	return c
+	n, _ := t.Cells.Count(now, p.cell)
+	return choice{place: p, free: n.Free - n.Queued, short: n.Wait <= hopTime}
 }
 
 // order sorts a short list in place, the best first. Equals keep their order.
@@ -214,12 +207,12 @@
 	if !t.Lease.Held(time.Now()) {
 		return nil, noLease()
 	}
-	t.hints.Take(c.cell)
+	c.hint.take()
 	a, err := t.Forwarder.Forward(ctx, c.owner.PeerAddress, v.Epoch.Number, c.cell, r, mayQueue)
 	if a.Counted {
-		t.hints.Note(time.Now(), c.cell, a.Free, a.Queued)
+		c.hint.note(time.Now(), a.Free, a.Queued)
 	} else {
-		t.hints.Note(time.Now(), c.cell, 0, 0)
+		c.hint.note(time.Now(), 0, 0)
 	}
 	return a.Response, err
 }
