local: move on from backend servers that cannot be reached

Cause: with two of three backend servers gone, every request drew on the retry budget for connections that were refused, and was then refused itself while the third was free; a retry avoided only the last one tried and went back to the first. A retry now avoids all it has tried, a connection that could not be made costs no budget, since it costs no backend server any work, and it no longer lowers the limit, of which it tells nothing; it suspends as other failures do. Where none is left to try, the caller gets the answer of the last attempt.

Ruled out: treating a 5xx answer alike. A backend server that falls over in cold start answers so, and its limit must fall; TestFastFailureIsTrouble holds that.

--- a/internal/daemon/module/module.go
+++ b/internal/daemon/module/module.go
@@ -107,13 +107,15 @@
 func newCells(s *sender.Sender, n *stats.Stats) *cells.Set {
 	g := &poison.Register{}
 	return &cells.Set{Make: func(c snipefront.Cell) *local.Dispatcher {
+		l := &cell.Cell{Name: c, Picker: picker.Free{}, MaxQueue: maxQueue}
 		return &local.Dispatcher{
-			Cell:    &cell.Cell{Name: c, Picker: picker.Free{}, MaxQueue: maxQueue},
-			Sender:  s,
-			Budget:  &budget.Share{},
-			Counter: n,
-			Hedges:  &budget.Share{},
-			Poison:  g,
+			Cell:       l,
+			Sender:     s,
+			Budget:     &budget.Share{},
+			Counter:    n,
+			Hedges:     &budget.Share{},
+			HedgeAfter: l.HedgeAfter,
+			Poison:     g,
 		}
 	}}
 }
--- a/internal/dispatch/cell/cell.go
+++ b/internal/dispatch/cell/cell.go
@@ -12,6 +12,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -283,7 +284,7 @@
 
 // pick returns the backend server for the next request, or nil. A suspended one
 // is used only where all are suspended. The lock is held.
-func (c *Cell) pick(now time.Time, avoid string) *server {
+func (c *Cell) pick(now time.Time, avoid []string) *server {
 	var counts [tiers]int
 	for t := regular; t < tiers; t++ {
 		if t == suspended && counts[regular]+counts[spare] > 0 {
@@ -300,11 +301,11 @@
 
 // pickAmong returns a backend server of the tier, or nil, and how many of the
 // tier there are.
-func (c *Cell) pickAmong(now time.Time, avoid string, t tier) (*server, int) {
+func (c *Cell) pickAmong(now time.Time, avoid []string, t tier) (*server, int) {
 	list, from := c.candidates[:0], c.candidateOf[:0]
 	for _, s := range c.order {
 		n := s.announced.Name
-		if !s.usable(now) || n == avoid || c.tier(now, s) != t {
+		if !s.usable(now) || slices.Contains(avoid, n) || c.tier(now, s) != t {
 			continue
 		}
 		list = append(list, snipefront.Candidate{
--- a/internal/dispatch/cell/queue.go
+++ b/internal/dispatch/cell/queue.go
@@ -158,7 +158,7 @@
 	if !c.open || c.rules.Out || c.queue.len() == 0 {
 		return
 	}
-	if !c.accepts(now, "") {
+	if !c.accepts(now, nil) {
 		c.refuseAll(noBackendServer())
 		return
 	}
@@ -169,7 +169,7 @@
 			continue
 		}
 		passed = append(passed, w)
-		if w.wanted.Avoid == "" {
+		if len(w.wanted.Avoid) == 0 {
 			break
 		}
 	}
--- a/internal/dispatch/cell/slot.go
+++ b/internal/dispatch/cell/slot.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/snipefront/snipefront"
@@ -24,9 +25,9 @@
 	Deadline   time.Time
 	// MayQueue lets the request wait for a slot.
 	MayQueue bool
-	// Avoid names a backend server not to use, or none. Where it is the only one
-	// that accepts work, the request is refused.
-	Avoid string
+	// Avoid names the backend servers not to use. Where no other accepts work, the
+	// request is refused.
+	Avoid []string
 	// FreeOnly asks for a slot that nobody else needs now: no request waits, the
 	// backend server is warm and no spare, and another slot of the cell stays
 	// free. It never waits.
@@ -45,7 +46,8 @@
 	// Canceled is an attempt given up by the one who asked. Like a late one it
 	// tells of the backend server only where it took long.
 	Canceled
-	// Failed is a whole answer in time that tells of a failure.
+	// Failed is a whole answer in time that tells of a failure, or a connection
+	// that could not be made. It says nothing of what the backend server bears.
 	Failed
 )
 
@@ -117,10 +119,10 @@
 	return nil
 }
 
-// accepts returns whether a backend server other than avoid accepts work.
-func (c *Cell) accepts(now time.Time, avoid string) bool {
+// accepts returns whether a backend server not in avoid accepts work.
+func (c *Cell) accepts(now time.Time, avoid []string) bool {
 	for _, s := range c.order {
-		if s.usable(now) && s.announced.Name != avoid {
+		if s.usable(now) && !slices.Contains(avoid, s.announced.Name) {
 			return true
 		}
 	}
--- a/internal/dispatch/local/attempt.go
+++ b/internal/dispatch/local/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -28,7 +29,7 @@
 	}
 	p.attempts++
 	if after := d.hedgeAfter(r); after > 0 && !suspect && p.broken == 0 {
-		a = d.race(ctx, after, slot, r, s, p)
+		a = d.race(ctx, after, w.Avoid, slot, r, s, p)
 	} else {
 		a = d.send(ctx, slot, r, s, p.silent)
 		p.note(a)
@@ -46,16 +47,16 @@
 	return d.HedgeAfter()
 }
 
-// race sends r on slot, and after the given time a second time. It returns the
-// better of the two attempts.
-func (d *Dispatcher) race(ctx context.Context, after time.Duration, slot *cell.Slot, r *snipefront.Request, s snipefront.Service, p *progress) sender.Attempt {
+// race sends r on slot, and after the given time a second time to a backend server
+// not in avoid. It returns the better of the two attempts.
+func (d *Dispatcher) race(ctx context.Context, after time.Duration, avoid []string, slot *cell.Slot, r *snipefront.Request, s snipefront.Service, p *progress) sender.Attempt {
 	first, cancelFirst := context.WithCancel(ctx)
 	defer cancelFirst()
 	second, cancelSecond := context.WithCancel(ctx)
 	defer cancelSecond()
 	ended := make(chan sender.Attempt, 1)
 	t := time.AfterFunc(after, func() {
-		b := d.hedge(second, slot.BackendServer.Name, r, s)
+		b := d.hedge(second, append(slices.Clone(avoid), slot.BackendServer.Name), r, s)
 		if isGood(b) {
 			cancelFirst()
 		}
@@ -77,14 +78,14 @@
 	return a
 }
 
-// hedge sends r a second time to a backend server other than avoid, where one
-// has a free slot.
-func (d *Dispatcher) hedge(ctx context.Context, avoid string, r *snipefront.Request, s snipefront.Service) sender.Attempt {
+// hedge sends r a second time to a backend server not in avoid, where one has
+// a free slot.
+func (d *Dispatcher) hedge(ctx context.Context, avoid []string, r *snipefront.Request, s snipefront.Service) sender.Attempt {
 	unsent := sender.Attempt{Verdict: snipefront.NotRun, Reason: snipefront.ReasonHedge, Err: ctx.Err()}
 	if ctx.Err() != nil {
 		return unsent
 	}
-	slot, err := d.Cell.Acquire(ctx, cell.Wanted{Importance: r.Importance, Deadline: r.Deadline, Avoid: avoid})
+	slot, err := d.Cell.Acquire(ctx, cell.Wanted{Importance: r.Importance, Deadline: r.Deadline, Avoid: avoid, FreeOnly: true})
 	if err != nil {
 		unsent.Err = err
 		return unsent
@@ -127,6 +128,8 @@
 	switch {
 	case isGood(a):
 		return cell.Answered
+	case a.Reason == snipefront.ReasonConnect:
+		return cell.Failed
 	case a.Silent:
 		return cell.Canceled
 	case a.Response == nil && errors.Is(ctx.Err(), context.Canceled):
--- a/internal/dispatch/local/local.go
+++ b/internal/dispatch/local/local.go
@@ -5,7 +5,8 @@
 // of the cell, whatever the request. One that may have run is repeated only for
 // an idempotent request, and only once where the connection broke, since the
 // request itself may be what made the backend server fall. All repeats draw on
-// the retry budget of the cell.
+// the retry budget of the cell, but for those after a connection that could not
+// be made, which cost no backend server any work.
 //
 // An idempotent request whose answer takes long may be sent a second time while
 // the first attempt is running, to a backend server with a free slot and within
@@ -92,19 +93,23 @@
 	d.earn(r, s)
 	w := cell.Wanted{Importance: r.Importance, Deadline: r.Deadline, MayQueue: mayQueue}
 	p := progress{verdict: snipefront.NotRun}
+	var last error
 	for {
 		a, avoid, err := d.attempt(ctx, w, r, s, &p)
 		if err != nil {
-			return nil, weaken(err, p.verdict)
+			return nil, weaken(first(last, err), p.verdict)
 		}
 		if a.Response != nil {
 			return a.Response, nil
 		}
-		if err := d.retry(ctx, r, a, &p); err != nil {
-			return nil, err
+		again := false
+		if last, again = d.retry(ctx, r, a, &p); !again {
+			return nil, last
 		}
 		d.Counter.Retried(r.Service, a.Reason)
-		w.Avoid = avoid
+		if avoid != "" {
+			w.Avoid = append(w.Avoid, avoid)
+		}
 	}
 }
 
@@ -115,8 +120,9 @@
 	}
 }
 
-// retry returns nil where the attempt a may be repeated, else the final answer.
-func (d *Dispatcher) retry(ctx context.Context, r *snipefront.Request, a sender.Attempt, p *progress) error {
+// retry returns whether the attempt a may be repeated, and the final answer where
+// it is not.
+func (d *Dispatcher) retry(ctx context.Context, r *snipefront.Request, a sender.Attempt, p *progress) (final error, again bool) {
 	e := &snipefront.Error{
 		Verdict:    p.verdict,
 		Reason:     a.Reason,
@@ -126,16 +132,24 @@
 	}
 	switch {
 	case ctx.Err() != nil:
-		return e
+		return e, false
 	case p.verdict != snipefront.NotRun && !r.Idempotent:
-		return e
+		return e, false
 	case isFinal(a), p.attempts >= maxAttempts, p.broken >= maxBroken:
-		return e
-	case !d.Budget.Spend():
+		return e, false
+	case a.Reason != snipefront.ReasonConnect && !d.Budget.Spend():
 		e.Reason = snipefront.ReasonRetryBudget
-		return e
+		return e, false
+	}
+	return e, true
+}
+
+// first returns the earlier of two errors that is not nil.
+func first(a, b error) error {
+	if a != nil {
+		return a
 	}
-	return nil
+	return b
 }
 
 // isFinal returns whether a repeat of a would end the same way.
--- a/internal/stand/bench/fleet.go
+++ b/internal/stand/bench/fleet.go
@@ -171,7 +171,7 @@
 		case s == late || i == maxAttempts:
 			return nil, snipefront.Refused(snipefront.ReasonShed, time.Second, "shed")
 		}
-		w.Avoid = slot.BackendServer.Name
+		w.Avoid = append(w.Avoid, slot.BackendServer.Name)
 	}
 }
 
@@ -212,7 +212,7 @@
 
 // second returns a slot for a second attempt, or nil.
 func (f *fleet) second(ctx context.Context, d *cell.Cell, first *cell.Slot, r *snipefront.Request) *cell.Slot {
-	w := cell.Wanted{Importance: r.Importance, Deadline: r.Deadline, Avoid: first.BackendServer.Name, FreeOnly: true}
+	w := cell.Wanted{Importance: r.Importance, Deadline: r.Deadline, Avoid: []string{first.BackendServer.Name}, FreeOnly: true}
 	slot, err := d.Acquire(ctx, w)
 	if err != nil {
 		return nil
