--- a/internal/dispatch/local/local.go
+++ b/internal/dispatch/local/local.go
@@ -103,7 +103,7 @@
 			return a.Response, nil
 		}
 		again := false
-		if last, again = d.retry(ctx, r, a, &p); !again {
+		if again, last = d.retry(ctx, r, a, &p); !again {
 			return nil, last
 		}
 		d.Counter.Retried(r.Service, a.Reason)
@@ -122,7 +122,7 @@
 
 // retry returns whether the attempt a may be repeated, and the final answer where
 // it is not.
-func (d *Dispatcher) retry(ctx context.Context, r *snipefront.Request, a sender.Attempt, p *progress) (final error, again bool) {
+func (d *Dispatcher) retry(ctx context.Context, r *snipefront.Request, a sender.Attempt, p *progress) (again bool, final error) {
 	e := &snipefront.Error{
 		Verdict:    p.verdict,
 		Reason:     a.Reason,
@@ -132,16 +132,16 @@
 	}
 	switch {
 	case ctx.Err() != nil:
-		return e, false
+		return false, e
 	case p.verdict != snipefront.NotRun && !r.Idempotent:
-		return e, false
+		return false, e
 	case isFinal(a), p.attempts >= maxAttempts, p.broken >= maxBroken:
-		return e, false
+		return false, e
 	case a.Reason != snipefront.ReasonConnect && !d.Budget.Spend():
 		e.Reason = snipefront.ReasonRetryBudget
-		return e, false
+		return false, e
 	}
-	return e, true
+	return true, e
 }
 
 // first returns the earlier of two errors that is not nil.
