dispatch/cell: let a wait take a sixth of the time left

Cause: with an eighth, the queues of the data centres that remain while another leaves overflow at 70 % of the whole, though every request could be answered.

--- a/internal/dispatch/cell/queue.go
+++ b/internal/dispatch/cell/queue.go
@@ -190,7 +190,7 @@
 	// when a waiter gets its slot.
 	answerMargin = 3
 	// waitShare is the inverse share of the time left that may go in the queue.
-	waitShare = 8
+	waitShare = 6
 	// backlogFactor is the multiple of the expected wait after which a refused
 	// caller may ask again.
 	backlogFactor = 2
