--- a/internal/quorum/codec/codec.go
+++ b/internal/quorum/codec/codec.go
@@ -94,7 +94,11 @@
 	return out
 }
 
+// toMembers returns nil where list is empty.
 func toMembers(list []*wire.LogMember) []raft.Member {
+	if len(list) == 0 {
+		return nil
+	}
 	out := make([]raft.Member, len(list))
 	for i, m := range list {
 		out[i] = raft.Member{Name: m.Name, Identity: m.Identity, Voter: m.Voter}
