--- a/internal/quorum/driver/fleet_test.go
+++ b/internal/quorum/driver/fleet_test.go
@@ -211,9 +211,9 @@
 
 // change proposes a change of the configuration until it has a result.
 func (f *fleet) change(id string, version uint64) state.ConfigResult {
-	b, err := state.Command{Config: &state.ConfigChange{
-		ChangeID: id, Version: version, Files: []state.File{{Name: id, Content: []byte(`{}`)}},
-	}}.Encode()
+	c := state.Compare(nil, version, []state.File{{Name: id, Content: []byte(`{}`)}})
+	c.ChangeID = id
+	b, err := state.Command{Config: &c}.Encode()
 	if err != nil {
 		f.t.Fatal(err)
 	}
