tool: make the four programs importable

A test can register a program with testscript only where its body can be imported, and a main package cannot be. Each body moves to a package under internal/tool and leaves a main of one line. The scripts of snipectl move along unchanged.

Before and after: the scripts of snipectl pass with the race detector.

--- /dev/null
+++ b/internal/tool/inst/inst.go
@@ -0,0 +1,154 @@
+// Package inst is the program snipefront: it runs an instance of the load
+// balancer, checks settings, and shows a fleet at work within one process.
+package inst
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"go.uber.org/fx"
+
+	"github.com/snipefront/snipefront/internal/config/sets"
+	"github.com/snipefront/snipefront/internal/daemon/module"
+)
+
+// version is the version of the program.
+const version = "0.1.0"
+
+// The exit statuses.
+const (
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+// stopTimeout bounds a planned stop.
+const stopTimeout = time.Minute
+
+const usage = `usage: snipefront COMMAND
+
+  serve -settings FILE   run an instance until SIGTERM
+  check FILE...          check settings
+  version                print the version
+
+Run "snipefront COMMAND -h" for the flags of a command.
+`
+
+// Main runs the command that the process was started with, and exits.
+func Main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	os.Exit(run(ctx, os.Args[1:], os.Stdout, os.Stderr))
+}
+
+// run runs the command that args name and returns the exit status.
+func run(ctx context.Context, args []string, out, errs io.Writer) int {
+	if len(args) == 0 {
+		fmt.Fprint(errs, usage)
+		return exitUsage
+	}
+	switch args[0] {
+	case "serve":
+		return serve(ctx, args[1:], errs)
+	case "check":
+		return check(args[1:], out, errs)
+	case "version":
+		fmt.Fprintln(out, "snipefront", version)
+		return 0
+	case "help", "-h", "--help":
+		fmt.Fprint(out, usage)
+		return 0
+	}
+	fmt.Fprintf(errs, "snipefront: unknown command %q\n%s", args[0], usage)
+	return exitUsage
+}
+
+// parse parses args with f. Where the command is over, done is true.
+func parse(f *flag.FlagSet, args []string) (status int, done bool) {
+	err := f.Parse(args)
+	switch {
+	case err == nil:
+		return 0, false
+	case errors.Is(err, flag.ErrHelp):
+		return 0, true
+	default:
+		return exitUsage, true
+	}
+}
+
+func serve(ctx context.Context, args []string, errs io.Writer) int {
+	f := flag.NewFlagSet("serve", flag.ContinueOnError)
+	f.SetOutput(errs)
+	path := f.String("settings", "", "the `file` with the settings")
+	f.Usage = func() {
+		fmt.Fprint(errs, "usage: snipefront serve -settings FILE\n\nexample: snipefront serve -settings examples/a1.json\n\n")
+		f.PrintDefaults()
+	}
+	if status, done := parse(f, args); done {
+		return status
+	}
+	if *path == "" || f.NArg() > 0 {
+		f.Usage()
+		return exitUsage
+	}
+	s, err := sets.Load(*path)
+	if err != nil {
+		fmt.Fprintln(errs, err)
+		return exitFailure
+	}
+	if err := runInstance(ctx, s, errs); err != nil {
+		fmt.Fprintln(errs, "snipefront:", err)
+		return exitFailure
+	}
+	return 0
+}
+
+// runInstance runs an instance until ctx ends, and then stops it as planned.
+func runInstance(ctx context.Context, s sets.Settings, errs io.Writer) error {
+	sock, err := module.Listen(ctx, s)
+	if err != nil {
+		return err
+	}
+	logger := slog.New(slog.NewTextHandler(errs, &slog.HandlerOptions{Level: s.Level()}))
+	app := fx.New(module.Options(s, sock, logger), fx.StopTimeout(stopTimeout))
+	if err := app.Start(context.WithoutCancel(ctx)); err != nil {
+		sock.Close()
+		return err
+	}
+	<-ctx.Done()
+	stopping, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
+	defer cancel()
+	return app.Stop(stopping)
+}
+
+func check(args []string, out, errs io.Writer) int {
+	f := flag.NewFlagSet("check", flag.ContinueOnError)
+	f.SetOutput(errs)
+	f.Usage = func() {
+		fmt.Fprint(errs, "usage: snipefront check FILE...\n\nexample: snipefront check examples/*.json\n")
+	}
+	if status, done := parse(f, args); done {
+		return status
+	}
+	if f.NArg() == 0 {
+		f.Usage()
+		return exitUsage
+	}
+	status := 0
+	for _, n := range f.Args() {
+		if _, err := sets.Load(n); err != nil {
+			fmt.Fprintln(errs, err)
+			status = exitFailure
+			continue
+		}
+		fmt.Fprintln(out, n+": ok")
+	}
+	return status
+}
--- a/cmd/snipectl/script_test.go
+++ b/internal/tool/oper/script_test.go
@@ -1,4 +1,4 @@
-package main_test
+package oper_test
 
 import (
 	"encoding/json"
@@ -15,11 +15,11 @@
 	"github.com/gorilla/mux"
 	"github.com/rogpeppe/go-internal/testscript"
 
-	main "github.com/snipefront/snipefront/cmd/snipectl"
+	"github.com/snipefront/snipefront/internal/tool/oper"
 )
 
 func TestMain(m *testing.M) {
-	testscript.Main(m, map[string]func(){"snipectl": main.Main})
+	testscript.Main(m, map[string]func(){"snipectl": oper.Main})
 }
 
 // TestScripts runs each script against a fresh fake of the fleet, whose
--- a/cmd/snipectl/show.go
+++ b/internal/tool/oper/show.go
@@ -1,4 +1,4 @@
-package main
+package oper
 
 import (
 	"bytes"
