tool/demo: show a fleet at work within one process

snipefront demo starts eight instances and 34 stand-in backend servers on free ports of loopback, sends open-loop load, takes a data centre out of service and brings it back, lets a backend server shed meanwhile, and prints answers, latencies, refusals and retries by reason and the work in each phase. The data folders are temporary and removed at the end.

A script checks the outcome, and another the exit statuses of all programs but snipectl, which has its own.

go test -race ./internal/tool/... passes, ./internal/tool/inst in 30 s. The demo itself shows a fault that is not of this change: a backend server that refuses each request has free slots and so keeps being chosen, until the retry budget is spent.

--- a/internal/tool/inst/inst.go
+++ b/internal/tool/inst/inst.go
@@ -18,6 +18,7 @@
 
 	"github.com/snipefront/snipefront/internal/config/sets"
 	"github.com/snipefront/snipefront/internal/daemon/module"
+	"github.com/snipefront/snipefront/internal/tool/demo"
 )
 
 // version is the version of the program.
@@ -32,8 +33,12 @@
 // stopTimeout bounds a planned stop.
 const stopTimeout = time.Minute
 
+// demoPhase is the length of each phase of the demo.
+const demoPhase = 2 * time.Second
+
 const usage = `usage: snipefront COMMAND
 
+  demo                   show a fleet at work within this process
   serve -settings FILE   run an instance until SIGTERM
   check FILE...          check settings
   version                print the version
@@ -55,6 +60,8 @@
 		return exitUsage
 	}
 	switch args[0] {
+	case "demo":
+		return runDemo(ctx, args[1:], out, errs)
 	case "serve":
 		return serve(ctx, args[1:], errs)
 	case "check":
@@ -128,6 +135,33 @@
 	return app.Stop(stopping)
 }
 
+func runDemo(ctx context.Context, args []string, out, errs io.Writer) int {
+	f := flag.NewFlagSet("demo", flag.ContinueOnError)
+	f.SetOutput(errs)
+	verbose := f.Bool("v", false, "log what instances and backend servers do")
+	phase := f.Duration("phase", demoPhase, "the length of each of the three phases of the load")
+	f.Usage = func() {
+		fmt.Fprint(errs, "usage: snipefront demo [flags]\n\nexample: snipefront demo -phase 5s\n\n")
+		f.PrintDefaults()
+	}
+	if status, done := parse(f, args); done {
+		return status
+	}
+	if f.NArg() > 0 || *phase <= 0 {
+		f.Usage()
+		return exitUsage
+	}
+	d := &demo.Demo{Output: out, Phase: *phase, Logger: slog.New(slog.DiscardHandler)}
+	if *verbose {
+		d.Logger = slog.New(slog.NewTextHandler(errs, nil))
+	}
+	if err := d.Run(ctx); err != nil {
+		fmt.Fprintln(errs, "snipefront:", err)
+		return exitFailure
+	}
+	return 0
+}
+
 func check(args []string, out, errs io.Writer) int {
 	f := flag.NewFlagSet("check", flag.ContinueOnError)
 	f.SetOutput(errs)
--- a/internal/tool/inst/session_test.go
+++ b/internal/tool/inst/session_test.go
@@ -3,11 +3,13 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
+	"os/exec"
 	"regexp"
 	"strconv"
 	"strings"
@@ -59,11 +61,13 @@
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"call":      call,
+			"empty":     empty,
 			"more":      more,
 			"note":      note,
 			"once":      once,
 			"runs":      runs,
 			"same":      same,
+			"status":    status,
 			"terminate": terminate,
 			"until":     until,
 		},
@@ -214,6 +218,15 @@
 	}
 }
 
+// empty runs "empty FOLDER" and fails where the folder holds anything.
+func empty(ts *testscript.TestScript, _ bool, args []string) {
+	list, err := os.ReadDir(ts.MkAbs(args[0]))
+	ts.Check(err)
+	if len(list) > 0 {
+		ts.Fatalf("%s holds %v", args[0], list)
+	}
+}
+
 // once runs "once ADDRESS..." and fails where a request that may not be repeated
 // ran more than once on the backend servers together.
 func once(ts *testscript.TestScript, _ bool, args []string) {
@@ -235,6 +248,18 @@
 	}
 }
 
+// status runs "status N PROGRAM ARGUMENT..." and checks the exit status.
+func status(ts *testscript.TestScript, _ bool, args []string) {
+	got := 0
+	var failure *exec.ExitError
+	if err := ts.Exec(args[1], args[2:]...); errors.As(err, &failure) {
+		got = failure.ExitCode()
+	} else {
+		ts.Check(err)
+	}
+	same(ts, false, []string{strconv.Itoa(got), args[0]})
+}
+
 // terminate runs "terminate ARGUMENT" and sends SIGTERM to the background
 // processes that were started with that argument.
 func terminate(ts *testscript.TestScript, _ bool, args []string) {
