--- a/internal/daemon/module/stop_test.go
+++ b/internal/daemon/module/stop_test.go
@@ -39,7 +39,7 @@
 		t.Fatal(err)
 	}
 	operators := "http://" + sock.Operator.Addr().String() + "/readyz"
-	await(t, operators, "ready\n")
+	awaitAnswer(t, operators, "ready\n")
 	old, err := net.Dial("tcp", sock.Caller.Addr().String())
 	if err != nil {
 		t.Fatal(err)
@@ -50,7 +50,7 @@
 	}
 	stopped := make(chan error, 1)
 	go func() { stopped <- app.Stop(context.Background()) }()
-	await(t, operators, "stopping\n")
+	awaitAnswer(t, operators, "stopping\n")
 	if second := ask(t, old); second.StatusCode != http.StatusNotFound || !second.Close {
 		t.Errorf("while stopping: status %d, close %t", second.StatusCode, second.Close)
 	}
@@ -76,7 +76,7 @@
 	return w
 }
 
-func await(t *testing.T, url, want string) {
+func awaitAnswer(t *testing.T, url, want string) {
 	t.Helper()
 	for limit := time.Now().Add(hangLimit); time.Now().Before(limit); time.Sleep(time.Millisecond) {
 		w, err := http.Get(url)
