--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -22,6 +22,9 @@
 // difference in rate between two monotonic clocks.
 const Margin = 100 * time.Millisecond
 
+// ageInterval is the time between steps of the clock by which claims age.
+const ageInterval = 10 * time.Second
+
 // Renewal is what an instance says of itself when it renews its lease.
 type Renewal struct {
 	Instance snipefront.Instance
@@ -31,6 +34,9 @@
 	Held uint64
 	// Revision is the configuration in force at the instance.
 	Revision uint64
+	// ProbeRate is the probes a second that it may send by the last grant that
+	// reached it.
+	ProbeRate float64
 	// Leaving is true where it is stopping and wants no cells.
 	Leaving bool
 	// Gone is true where it has stopped: its lease ends with this renewal.
@@ -50,6 +56,9 @@
 	// Settled is the latest epoch that all holders of a lease have confirmed.
 	Settled uint64
 	Config  state.Delta
+	// ProbeRate is the most probes a second that the instance may send while it
+	// holds the lease.
+	ProbeRate float64
 }
 
 // Member is an instance that holds or held a lease.
@@ -57,6 +66,9 @@
 	Renewal
 	// Renewed is when the last renewal arrived.
 	Renewed time.Time
+	// Granted is the probes a second that the last grant allowed. The instance may
+	// still go by the ProbeRate of its renewal, since the answer can be lost.
+	Granted float64
 }
 
 // Leader serves renewals. Set the exported fields before Run.
@@ -64,8 +76,10 @@
 	Log   snipefront.Log
 	State *state.State
 	// Lease is the length of a granted lease.
-	Lease  time.Duration
-	Logger *slog.Logger
+	Lease time.Duration
+	// ProbeBudget returns the most probes a second that the whole fleet sends.
+	ProbeBudget func() float64
+	Logger      *slog.Logger
 
 	mu      sync.Mutex
 	term    uint64
@@ -89,15 +103,16 @@
 	if r.Gone {
 		delete(l.members, r.Instance.Name)
 	} else {
-		l.members[r.Instance.Name] = Member{Renewal: r, Renewed: now}
+		l.members[r.Instance.Name] = Member{Renewal: r, Renewed: now, Granted: l.probeRate(now, r)}
 	}
 	return Grant{
-		Granted: true,
-		Leader:  ld.Leader,
-		Lease:   l.Lease,
-		Epoch:   l.State.Epoch(),
-		Settled: l.settled(now),
-		Config:  l.State.Since(r.Revision),
+		Granted:   true,
+		Leader:    ld.Leader,
+		Lease:     l.Lease,
+		Epoch:     l.State.Epoch(),
+		Settled:   l.settled(now),
+		Config:    l.State.Since(r.Revision),
+		ProbeRate: l.members[r.Instance.Name].Granted,
 	}
 }
 
@@ -151,14 +166,19 @@
 
 // Run proposes changes of epoch as they fall due, until ctx ends.
 func (l *Leader) Run(ctx context.Context) error {
-	t := time.NewTicker(l.Lease / 20)
-	defer t.Stop()
+	plans := time.NewTicker(l.Lease / 20)
+	defer plans.Stop()
+	ages := time.NewTicker(ageInterval)
+	defer ages.Stop()
+	var aged age
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-t.C:
+		case <-plans.C:
 			l.step(ctx)
+		case <-ages.C:
+			aged = l.age(ctx, aged)
 		}
 	}
 }
@@ -168,20 +188,48 @@
 	if c == nil {
 		return
 	}
-	b, err := state.Command{Epoch: c}.Encode()
-	if err != nil {
-		l.Logger.Error("epoch not encoded", "error", err)
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, l.Lease)
-	defer cancel()
-	if _, err := l.Log.Propose(ctx, b); err != nil {
+	if err := l.propose(ctx, state.Command{Epoch: c}); err != nil {
 		l.Logger.Warn("epoch not accepted", "from", c.From, "error", err)
 		return
 	}
 	l.Logger.Info("epoch changed", "from", c.From, "instances", len(c.Instances))
 }
 
+// age is the last known pair of an instant and the clock of the state.
+type age struct {
+	term  uint64
+	at    time.Time
+	clock int64
+}
+
+// age moves the clock of the state by the time since a, which this instance must
+// have measured while it led. The time between two leaders is not counted.
+func (l *Leader) age(ctx context.Context, a age) age {
+	ld := l.Log.Leadership()
+	if !ld.Self {
+		return age{}
+	}
+	now := time.Now()
+	if a.term == ld.Term && a.clock == l.State.Clock() {
+		step := &state.Advance{From: a.clock, Millis: now.Sub(a.at).Milliseconds()}
+		if err := l.propose(ctx, state.Command{Advance: step}); err != nil {
+			l.Logger.Warn("clock not moved", "error", err)
+		}
+	}
+	return age{term: ld.Term, at: now, clock: l.State.Clock()}
+}
+
+func (l *Leader) propose(ctx context.Context, c state.Command) error {
+	b, err := c.Encode()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, l.Lease)
+	defer cancel()
+	_, err = l.Log.Propose(ctx, b)
+	return err
+}
+
 // enter forgets the grants of an earlier term. The lock is held.
 func (l *Leader) enter(now time.Time, term uint64) {
 	if l.members != nil && l.term == term {
@@ -225,6 +273,26 @@
 	return low
 }
 
+// probeRate returns an equal share of the budget, as far as the other holders
+// of leases have left it. While an instance may hold a grant of an earlier
+// leader, nothing is known to be left. The lock is held.
+func (l *Leader) probeRate(now time.Time, r Renewal) float64 {
+	if r.Leaving || len(l.unheard(now)) > 0 {
+		return 0
+	}
+	budget := l.ProbeBudget()
+	holders := 1
+	left := budget
+	for n, m := range l.members {
+		if n == r.Instance.Name || !l.holds(now, m) {
+			continue
+		}
+		holders++
+		left -= max(m.Granted, m.ProbeRate)
+	}
+	return max(0, min(budget/float64(holders), left))
+}
+
 // successors returns the instances of the next epoch: the holders of leases that
 // are not leaving, and those of the current epoch that may hold an old lease.
 func (l *Leader) successors(now time.Time, current snipefront.Epoch) []snipefront.Instance {
--- a/internal/control/member/member.go
+++ b/internal/control/member/member.go
@@ -16,6 +16,7 @@
 	"encoding/json"
 	"log/slog"
 	"maps"
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -57,6 +58,8 @@
 
 	view      atomic.Pointer[View]
 	leaving   atomic.Bool
+	probeRate atomic.Uint64
+	merger    intent.Merger
 	confirmed uint64
 	revised   bool
 	target    int
@@ -70,6 +73,14 @@
 	return &View{Self: m.Instance.Name, Config: &snipefront.Config{}}
 }
 
+// ProbeRate returns the most probes a second that this instance may send now.
+func (m *Member) ProbeRate() float64 {
+	if !m.Lease.Held(time.Now()) {
+		return 0
+	}
+	return math.Float64frombits(m.probeRate.Load())
+}
+
 // Leave makes the next renewals ask for no cells.
 func (m *Member) Leave() {
 	m.leaving.Store(true)
@@ -156,12 +167,13 @@
 		m.confirmed = v.Epoch.Number
 	}
 	return leader.Renewal{
-		Instance: m.Instance,
-		Epoch:    m.confirmed,
-		Held:     v.Epoch.Number,
-		Revision: v.Config.Revision,
-		Leaving:  m.leaving.Load(),
-		Gone:     gone,
+		Instance:  m.Instance,
+		Epoch:     m.confirmed,
+		Held:      v.Epoch.Number,
+		Revision:  v.Config.Revision,
+		Leaving:   m.leaving.Load(),
+		ProbeRate: m.ProbeRate(),
+		Gone:      gone,
 	}
 }
 
@@ -188,6 +200,7 @@
 		m.Cells.Adopt(&next)
 	}
 	m.revised = next.Config != old.Config
+	m.probeRate.Store(math.Float64bits(g.ProbeRate))
 	m.Lease.extend(sent.Add(g.Lease))
 	if next.Epoch.Number != old.Epoch.Number {
 		m.Logger.Info("epoch seen", "epoch", next.Epoch.Number, "instances", len(next.Epoch.Instances))
@@ -205,7 +218,7 @@
 	for n, c := range files {
 		list = append(list, intent.File{Name: n, Content: c})
 	}
-	c, problems := intent.Merge(list)
+	c, problems := m.merger.Merge(list)
 	if len(problems) > 0 {
 		m.Logger.Error("accepted configuration not understood", "revision", d.Revision, "problem", problems[0].Error())
 		return
--- a/internal/control/state/command.go
+++ b/internal/control/state/command.go
@@ -4,9 +4,9 @@
 //
 // A State is driven by a snipefront.Log. Each change is a Command with exactly
 // one field set. Applying a command again gives its first result again, so a
-// proposer that lost an answer proposes the same command once more. Time enters
-// only as the stamp that the proposer put into the command; the state never
-// reads a clock.
+// proposer that lost an answer proposes the same command once more. The state
+// never reads a clock: claims age by a clock of its own, which the leader moves
+// in measured steps.
 package state
 
 import (
@@ -17,13 +17,14 @@
 
 // Command is one change of the state. Exactly one pointer is set.
 type Command struct {
-	// UnixMillis is the proposer's clock. It only bounds how long results and
-	// claims are kept.
+	// UnixMillis is the proposer's clock. It stands in the history for people and
+	// decides nothing.
 	UnixMillis int64         `json:",omitempty"`
 	Config     *ConfigChange `json:",omitempty"`
 	Epoch      *EpochChange  `json:",omitempty"`
 	Claim      *Claim        `json:",omitempty"`
 	Settle     *Settle       `json:",omitempty"`
+	Advance    *Advance      `json:",omitempty"`
 }
 
 // Encode returns c as the text that a Log carries.
@@ -43,14 +44,19 @@
 	Content json.RawMessage
 }
 
-// ConfigChange replaces the whole folder.
+// ConfigChange replaces the operators' folder. It carries only what differs from
+// the folder at Version, so that its size does not grow with the folder.
 type ConfigChange struct {
 	// ChangeID identifies the change over all its resends.
 	ChangeID string
 	// Version is the revision that the change was made against.
 	Version uint64
-	// Files is the whole folder. Names are unique.
-	Files []File
+	// Digest identifies the whole folder after the change.
+	Digest string
+	// Written holds the files that are new or differ. Names are unique.
+	Written []File
+	// Removed names the files that are gone.
+	Removed []string
 }
 
 // ConfigResult tells what became of a ConfigChange.
--- a/internal/daemon/module/lifecycle.go
+++ b/internal/daemon/module/lifecycle.go
@@ -29,8 +29,6 @@
 	leaveTimeout = 10 * time.Second
 	// answerMargin is the time that an address may take to reach its caller.
 	answerMargin = 500 * time.Millisecond
-	// announcementLease is for how long an announcement holds.
-	announcementLease = 3 * time.Second
 	// headerTimeout bounds reading the header of a request.
 	headerTimeout = 5 * time.Second
 	// idleTimeout bounds how long a connection without a request stays open.
--- a/internal/daemon/module/module.go
+++ b/internal/daemon/module/module.go
@@ -28,9 +28,10 @@
 	"github.com/snipefront/snipefront/internal/entry/locate"
 	"github.com/snipefront/snipefront/internal/entry/notice"
 	"github.com/snipefront/snipefront/internal/observe/stats"
-	"github.com/snipefront/snipefront/internal/quorum/solo"
+	"github.com/snipefront/snipefront/internal/quorum/driver"
 	"github.com/snipefront/snipefront/internal/request/chain"
 	"github.com/snipefront/snipefront/internal/request/claim"
+	"github.com/snipefront/snipefront/internal/request/poison"
 	"github.com/snipefront/snipefront/internal/request/route"
 	"github.com/snipefront/snipefront/internal/rpc/peers"
 )
@@ -48,7 +49,7 @@
 		fx.NopLogger,
 		fx.Supply(s, sock, logger),
 		fx.Provide(
-			stats.New, newInstance, newControl, newClient, newSender, newState, newLog, newLeader,
+			stats.New, newInstance, newControl, newClient, newSender, newState, newReplica, newLog, newLeader,
 			newAccess, newCells, newMember, newRouter, newClaim, newFront, newLocate, newNotice,
 			newAdmin, newServer, newLifecycle,
 		),
@@ -85,18 +86,17 @@
 
 func newState() *state.State { return &state.State{} }
 
-func newLog(s sets.Settings, st *state.State) snipefront.Log {
-	if s.Control[0].Instance != s.Instance {
-		return nil
-	}
-	return &solo.Log{Name: s.Instance, Machine: st}
-}
-
-func newLeader(s sets.Settings, l snipefront.Log, st *state.State, logger *slog.Logger) *leader.Leader {
+func newLeader(s sets.Settings, l snipefront.Log, st *state.State, m *member.Member, logger *slog.Logger) *leader.Leader {
 	if l == nil {
 		return nil
 	}
-	return &leader.Leader{Log: l, State: st, Lease: s.Lease, Logger: logger}
+	return &leader.Leader{
+		Log:         l,
+		State:       st,
+		Lease:       s.Lease,
+		ProbeBudget: func() float64 { return m.View().Config.ProbesPerSecond },
+		Logger:      logger,
+	}
 }
 
 func newAccess(c control, p *peers.Client) *access.Access {
@@ -104,12 +104,15 @@
 }
 
 func newCells(s *sender.Sender, n *stats.Stats) *cells.Set {
+	g := &poison.Register{}
 	return &cells.Set{Make: func(c snipefront.Cell) *local.Dispatcher {
 		return &local.Dispatcher{
 			Cell:    &cell.Cell{Name: c, Picker: picker.Free{}, MaxQueue: maxQueue},
 			Sender:  s,
 			Budget:  &budget.Share{},
 			Counter: n,
+			Hedges:  &budget.Share{},
+			Poison:  g,
 		}
 	}}
 }
@@ -159,7 +162,7 @@
 }
 
 func newNotice(m *member.Member, p *peers.Client) *notice.Handler {
-	return &notice.Handler{View: m.View, Passer: p, Lease: announcementLease}
+	return &notice.Handler{View: m.View, Passer: p}
 }
 
 func newAdmin(n snipefront.Instance, m *member.Member, l *cells.Set, a *access.Access, c *stats.Stats, logger *slog.Logger) *admin.Admin {
@@ -175,6 +178,9 @@
 	}
 }
 
-func newServer(t *route.Router, d *leader.Leader, l snipefront.Log) *peers.Server {
-	return &peers.Server{Owner: t, Leader: d, Log: l}
+func newServer(t *route.Router, d *leader.Leader, l *driver.Log) *peers.Server {
+	if l == nil {
+		return &peers.Server{Owner: t}
+	}
+	return &peers.Server{Owner: t, Leader: d, Log: l, Steps: l.Deliver}
 }
--- a/internal/dispatch/cell/cell.go
+++ b/internal/dispatch/cell/cell.go
@@ -37,6 +37,8 @@
 	Picker snipefront.Picker
 	// MaxQueue is the most requests that wait at once.
 	MaxQueue int
+	// Random returns uniform numbers. Nil is a source seeded by chance.
+	Random func() uint64
 
 	mu       sync.Mutex
 	rules    Rules
@@ -146,6 +148,14 @@
 	}
 	clear(c.order[len(kept):])
 	c.order = kept
+	c.serve(now)
+}
+
+// Size returns the number of backend servers that are known.
+func (c *Cell) Size() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.order)
 }
 
 // InFlight returns the number of slots taken.
@@ -175,18 +185,33 @@
 	Reason string
 }
 
-// Count returns the free slots and the requests that wait.
-func (c *Cell) Count(now time.Time) (free, queued int) {
+// Counts is what routers choose by.
+type Counts struct {
+	// Free is the number of slots that may be taken now.
+	Free int
+	// Queued is the number of requests that wait.
+	Queued int
+	// Wait is the expected time until a new request has a slot. It is zero where
+	// one is free.
+	Wait time.Duration
+}
+
+// Count returns the counts at the instant now.
+func (c *Cell) Count(now time.Time) Counts {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.free(now), c.queue.Len()
+	n := Counts{Free: c.free(now), Queued: c.queue.len()}
+	if n.Free == 0 {
+		n.Wait = c.expectedWait(now, snipefront.Background)
+	}
+	return n
 }
 
 // Load returns the whole state.
 func (c *Cell) Load(now time.Time) Load {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	l := Load{Free: c.free(now), Queued: c.queue.Len(), InFlight: c.inFlight}
+	l := Load{Free: c.free(now), Queued: c.queue.len(), InFlight: c.inFlight}
 	for _, s := range c.order {
 		l.Servers = append(l.Servers, ServerLoad{
 			Announced: s.announced,
@@ -204,7 +229,7 @@
 	}
 	n := 0
 	for _, s := range c.order {
-		if s.usable(now) {
+		if s.usable(now) && !s.limiter.Suspended(now) {
 			n += max(0, s.limiter.Limit()-s.inFlight)
 		}
 	}
@@ -224,6 +249,8 @@
 		return "announcement lapsed"
 	case s.inFlight >= s.limiter.Limit():
 		return "at its limit"
+	case s.limiter.Suspended(now):
+		return "suspended after failures"
 	case c.rules.Spares[s.announced.Name]:
 		return "spare"
 	case s.limiter.IsCold(now):
@@ -238,25 +265,43 @@
 	return !s.announced.Draining && now.Before(s.announced.Expires)
 }
 
-// pick returns the backend server for the next request, or nil. Spares are
-// chosen only where no other has a free slot. The lock is held.
+// tier is how readily a backend server is used: a higher one only where no
+// lower one has a free slot.
+type tier uint8
+
+const (
+	regular tier = iota
+	spare
+	suspended
+	tiers
+)
+
+// pick returns the backend server for the next request, or nil. A suspended one
+// is used only where all are suspended. The lock is held.
 func (c *Cell) pick(now time.Time, avoid string) *server {
-	if s := c.pickAmong(now, avoid, false); s != nil {
-		return s
-	}
-	if len(c.rules.Spares) == 0 {
-		return nil
+	var counts [tiers]int
+	for t := regular; t < tiers; t++ {
+		if t == suspended && counts[regular]+counts[spare] > 0 {
+			break
+		}
+		s, n := c.pickAmong(now, avoid, t)
+		if s != nil {
+			return s
+		}
+		counts[t] = n
 	}
-	return c.pickAmong(now, avoid, true)
+	return nil
 }
 
-func (c *Cell) pickAmong(now time.Time, avoid string, spares bool) *server {
+// pickAmong returns a backend server of the tier, or nil, and how many of the
+// tier there are.
+func (c *Cell) pickAmong(now time.Time, avoid string, t tier) (*server, int) {
 	var room [candidateRoom]snipefront.Candidate
 	var who [candidateRoom]*server
 	list, from := room[:0], who[:0]
 	for _, s := range c.order {
 		n := s.announced.Name
-		if !s.usable(now) || n == avoid || c.rules.Spares[n] != spares {
+		if !s.usable(now) || n == avoid || c.tier(now, s) != t {
 			continue
 		}
 		list = append(list, snipefront.Candidate{
@@ -267,11 +312,32 @@
 		})
 		from = append(from, s)
 	}
-	i := c.Picker.Pick(list, rand.Uint64())
+	if len(list) == 0 {
+		return nil, 0
+	}
+	i := c.Picker.Pick(list, c.random())
 	if i < 0 {
-		return nil
+		return nil, len(list)
+	}
+	return from[i], len(list)
+}
+
+func (c *Cell) tier(now time.Time, s *server) tier {
+	switch {
+	case s.limiter.Suspended(now):
+		return suspended
+	case len(c.rules.Spares) > 0 && c.rules.Spares[s.announced.Name]:
+		return spare
+	default:
+		return regular
+	}
+}
+
+func (c *Cell) random() uint64 {
+	if c.Random != nil {
+		return c.Random()
 	}
-	return from[i]
+	return rand.Uint64()
 }
 
 // candidateRoom is the number of backend servers up to which a choice does not
--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -13,10 +13,13 @@
 	"io"
 	"math"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/snipefront/snipefront"
 )
 
@@ -55,7 +58,7 @@
 // ServeHTTP implements http.Handler.
 func (f *Front) ServeHTTP(w http.ResponseWriter, h *http.Request) {
 	arrived := time.Now()
-	r, err := f.read(arrived, h)
+	r, err := f.read(w, arrived, h)
 	if err != nil {
 		f.refuse(w, "unknown", err)
 		return
@@ -66,7 +69,7 @@
 		return
 	}
 	f.Counter.Answered(r.Service, resp.Status, time.Since(arrived))
-	write(w, resp)
+	write(w, h.Method, resp)
 }
 
 func (f *Front) serve(ctx context.Context, r *snipefront.Request) (*snipefront.Response, error) {
@@ -76,8 +79,12 @@
 }
 
 // read reads and checks the whole request.
-func (f *Front) read(arrived time.Time, h *http.Request) (*snipefront.Request, error) {
-	name, _, _ := strings.Cut(strings.TrimPrefix(h.URL.Path, "/"), "/")
+func (f *Front) read(w http.ResponseWriter, arrived time.Time, h *http.Request) (*snipefront.Request, error) {
+	if h.Method == http.MethodConnect {
+		return nil, snipefront.Rejected(snipefront.ReasonBadRequest, http.StatusMethodNotAllowed, "tunnels are not served")
+	}
+	target := targetOf(h)
+	name := firstSegment(target)
 	s, ok := f.Config().Services[name]
 	if !ok {
 		return nil, snipefront.Rejected(snipefront.ReasonUnknownService, http.StatusNotFound, "no service is configured for the first segment of the path")
@@ -90,17 +97,18 @@
 	if err != nil {
 		return nil, err
 	}
-	body, err := f.readBody(h)
+	deadline := arrived.Add(timeout)
+	body, err := f.readBody(w, h, deadline)
 	if err != nil {
 		return nil, err
 	}
 	r := &snipefront.Request{
 		Service:        name,
 		Method:         h.Method,
-		Target:         h.URL.RequestURI(),
+		Target:         target,
 		Header:         endToEnd(h.Header),
 		Body:           body,
-		Deadline:       arrived.Add(timeout),
+		Deadline:       deadline,
 		Importance:     s.Importance,
 		IdempotencyKey: key,
 		Idempotent:     key == "" && isIdempotent(h.Method),
@@ -113,17 +121,47 @@
 	return r, nil
 }
 
-func (f *Front) readBody(h *http.Request) ([]byte, error) {
+// targetOf returns the path and query as the caller wrote them.
+func targetOf(h *http.Request) string {
+	_, afterScheme, absolute := strings.Cut(h.RequestURI, "://")
+	if strings.HasPrefix(h.RequestURI, "/") || !absolute {
+		return h.RequestURI
+	}
+	i := strings.IndexAny(afterScheme, "/?")
+	if i < 0 {
+		return "/"
+	}
+	return afterScheme[i:]
+}
+
+// firstSegment returns the first segment of the path of target, undecoded.
+func firstSegment(target string) string {
+	s := strings.TrimPrefix(target, "/")
+	if i := strings.IndexAny(s, "/?#"); i >= 0 {
+		return s[:i]
+	}
+	return s
+}
+
+// readBody reads the whole body, until the deadline at the latest.
+func (f *Front) readBody(w http.ResponseWriter, h *http.Request, deadline time.Time) ([]byte, error) {
 	if h.ContentLength > f.MaxBodyBytes {
 		return nil, tooLarge()
 	}
 	if h.Body == nil || h.ContentLength == 0 {
 		return nil, nil
 	}
+	// A writer that knows no connection has no deadline to set.
+	c := http.NewResponseController(w)
+	_ = c.SetReadDeadline(deadline)
 	b, err := io.ReadAll(io.LimitReader(h.Body, f.MaxBodyBytes+1))
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, snipefront.Rejected(snipefront.ReasonDeadline, http.StatusRequestTimeout, "the body did not arrive in time")
+	}
 	if err != nil {
 		return nil, snipefront.Rejected(snipefront.ReasonBadRequest, http.StatusBadRequest, "the body was cut short: "+err.Error())
 	}
+	_ = c.SetReadDeadline(time.Time{})
 	if int64(len(b)) > f.MaxBodyBytes {
 		return nil, tooLarge()
 	}
@@ -200,14 +238,22 @@
 	return h.Sum64()
 }
 
-// write sends a whole answer.
-func write(w http.ResponseWriter, resp *snipefront.Response) {
+// write sends a whole answer to a request with the given method. Nothing is
+// added to what the backend server said of its body.
+func write(w http.ResponseWriter, method string, resp *snipefront.Response) {
 	out := w.Header()
 	for n, v := range endToEnd(resp.Header) {
 		out[n] = v
 	}
-	out.Set(BackendHeader, resp.BackendServer)
-	out.Set("Content-Length", strconv.Itoa(len(resp.Body)))
+	if _, ok := out["Content-Type"]; !ok {
+		out["Content-Type"] = nil
+	}
+	if resp.BackendServer != "" {
+		out.Set(BackendHeader, resp.BackendServer)
+	}
+	if method != http.MethodHead {
+		out.Set("Content-Length", strconv.Itoa(len(resp.Body)))
+	}
 	w.WriteHeader(resp.Status)
 	_, _ = w.Write(resp.Body)
 }
--- a/internal/quorum/solo/solo.go
+++ b/internal/quorum/solo/solo.go
@@ -1,5 +1,5 @@
-// Package solo is a log of one replica in memory. It serves tests and fleets
-// of one control instance that may forget everything at a restart.
+// Package solo is a log of one replica in memory, which forgets everything at a
+// restart. It serves tests and benchmarks of what a log drives.
 package solo
 
 import (
--- a/internal/rpc/peers/client.go
+++ b/internal/rpc/peers/client.go
@@ -13,6 +13,8 @@
 	"github.com/snipefront/snipefront"
 	"github.com/snipefront/snipefront/internal/control/leader"
 	"github.com/snipefront/snipefront/internal/control/state"
+	"github.com/snipefront/snipefront/internal/quorum/codec"
+	"github.com/snipefront/snipefront/internal/quorum/raft"
 	"github.com/snipefront/snipefront/internal/rpc/watch"
 	"github.com/snipefront/snipefront/internal/rpc/wire"
 )
@@ -64,8 +66,8 @@
 	return a, nil
 }
 
-// Announce passes on an announcement that lapses after lease.
-func (c *Client) Announce(ctx context.Context, address string, b snipefront.BackendServer, lease time.Duration) (bool, error) {
+// Announce passes on an announcement and returns for how long it holds there.
+func (c *Client) Announce(ctx context.Context, address string, b snipefront.BackendServer) (time.Duration, error) {
 	r, err := c.peerAt(address).Announce(ctx, &wire.AnnounceRequest{
 		Name:        b.Name,
 		Service:     b.Service,
@@ -74,12 +76,11 @@
 		Incarnation: b.Incarnation,
 		Slots:       int32(b.Slots),
 		Draining:    b.Draining,
-		LeaseMillis: lease.Milliseconds(),
 	})
 	if err != nil {
-		return false, errors.Wrap(err, "announce")
+		return 0, errors.Wrap(err, "announce")
 	}
-	return r.Owner, nil
+	return time.Duration(r.LeaseMillis) * time.Millisecond, nil
 }
 
 // Renew implements member.Renewer.
@@ -91,6 +92,7 @@
 		Leaving:   r.Leaving,
 		Gone:      r.Gone,
 		HeldEpoch: r.Held,
+		ProbeRate: r.ProbeRate,
 	})
 	if err != nil {
 		return leader.Grant{}, errors.Wrap(err, "renew")
@@ -123,6 +125,13 @@
 	return r.Json, r.Leader, nil
 }
 
+// Step delivers messages of the replicated log to the control instance at
+// address.
+func (c *Client) Step(ctx context.Context, address string, messages []raft.Message) error {
+	_, err := c.controlAt(address).Step(ctx, &wire.StepRequest{Messages: codec.Messages(messages)})
+	return errors.Wrap(err, "step")
+}
+
 func (c *Client) client() *http.Client {
 	c.once.Do(func() {
 		c.http = &http.Client{Transport: &http.Transport{
@@ -168,12 +177,13 @@
 
 func grantOf(g *wire.RenewResponse) leader.Grant {
 	r := leader.Grant{
-		Granted: !g.NotLeader,
-		Leader:  g.Leader,
-		Lease:   time.Duration(g.LeaseMillis) * time.Millisecond,
-		Epoch:   snipefront.Epoch{Number: g.Epoch},
-		Settled: g.Settled,
-		Config:  state.Delta{Revision: g.Revision, Removed: g.Removed, Whole: g.Whole},
+		Granted:   !g.NotLeader,
+		Leader:    g.Leader,
+		Lease:     time.Duration(g.LeaseMillis) * time.Millisecond,
+		Epoch:     snipefront.Epoch{Number: g.Epoch},
+		Settled:   g.Settled,
+		ProbeRate: g.ProbeRate,
+		Config:    state.Delta{Revision: g.Revision, Removed: g.Removed, Whole: g.Whole},
 	}
 	for _, n := range g.Instances {
 		r.Epoch.Instances = append(r.Epoch.Instances, instanceOf(n))
--- a/internal/rpc/peers/server.go
+++ b/internal/rpc/peers/server.go
@@ -12,6 +12,8 @@
 
 	"github.com/snipefront/snipefront"
 	"github.com/snipefront/snipefront/internal/control/leader"
+	"github.com/snipefront/snipefront/internal/quorum/codec"
+	"github.com/snipefront/snipefront/internal/quorum/raft"
 	"github.com/snipefront/snipefront/internal/rpc/wire"
 )
 
@@ -20,9 +22,8 @@
 	// Forwarded runs r in c and returns the counts of c. An error is always a
 	// *snipefront.Error.
 	Forwarded(ctx context.Context, c snipefront.Cell, r *snipefront.Request, mayQueue bool) (Answer, error)
-	// Announced takes in an announcement and returns whether this instance owns
-	// its cell.
-	Announced(b snipefront.BackendServer) bool
+	// Announced takes in an announcement and returns for how long it holds.
+	Announced(b snipefront.BackendServer) time.Duration
 }
 
 // Server answers the calls of other instances. Set the exported fields before
@@ -33,7 +34,7 @@
 	Leader *leader.Leader
 	Log    snipefront.Log
 	// Steps takes in messages of the replicated log. It may be nil.
-	Steps func(ctx context.Context, from string, messages []byte) error
+	Steps func(ctx context.Context, messages []raft.Message) error
 }
 
 // Route adds the services to r.
@@ -63,7 +64,7 @@
 
 // Announce implements wire.Peer.
 func (s *Server) Announce(_ context.Context, a *wire.AnnounceRequest) (*wire.AnnounceResponse, error) {
-	own := s.Owner.Announced(snipefront.BackendServer{
+	lease := s.Owner.Announced(snipefront.BackendServer{
 		Name:        a.Name,
 		Service:     a.Service,
 		DataCentre:  a.DataCentre,
@@ -71,19 +72,20 @@
 		Incarnation: a.Incarnation,
 		Slots:       int(a.Slots),
 		Draining:    a.Draining,
-		Expires:     time.Now().Add(time.Duration(a.LeaseMillis) * time.Millisecond),
 	})
-	return &wire.AnnounceResponse{Owner: own}, nil
+	return &wire.AnnounceResponse{LeaseMillis: lease.Milliseconds()}, nil
 }
 
 // Renew implements wire.Control.
 func (s *Server) Renew(_ context.Context, r *wire.RenewRequest) (*wire.RenewResponse, error) {
 	g := s.Leader.Renew(time.Now(), leader.Renewal{
-		Instance: instanceOf(r.Instance),
-		Epoch:    r.Epoch,
-		Revision: r.Revision,
-		Leaving:  r.Leaving,
-		Gone:     r.Gone,
+		Instance:  instanceOf(r.Instance),
+		Epoch:     r.Epoch,
+		Revision:  r.Revision,
+		Leaving:   r.Leaving,
+		Gone:      r.Gone,
+		Held:      r.HeldEpoch,
+		ProbeRate: r.ProbeRate,
 	})
 	m := &wire.RenewResponse{
 		NotLeader:   !g.Granted,
@@ -94,6 +96,7 @@
 		Revision:    g.Config.Revision,
 		Removed:     g.Config.Removed,
 		Whole:       g.Config.Whole,
+		ProbeRate:   g.ProbeRate,
 	}
 	if g.Epoch.Number != r.HeldEpoch {
 		for _, n := range g.Epoch.Instances {
@@ -140,7 +143,7 @@
 	if s.Steps == nil {
 		return &wire.StepResponse{}, nil
 	}
-	return &wire.StepResponse{}, s.Steps(ctx, m.From, m.Messages)
+	return &wire.StepResponse{}, s.Steps(ctx, codec.ToMessages(m.Messages))
 }
 
 func requestOf(f *wire.ForwardRequest) *snipefront.Request {
