--- a/internal/stand/fleet/fleet.go
+++ b/internal/stand/fleet/fleet.go
@@ -31,7 +31,7 @@
 	// drainFor is how long a stopping backend server refuses requests.
 	drainFor = 200 * time.Millisecond
 	// coldFor is the length of a cold start of a backend server.
-	coldFor = 500 * time.Millisecond
+	coldFor = 1500 * time.Millisecond
 	// pollPause is the time between two looks at the fleet.
 	pollPause = 50 * time.Millisecond
 	// stopTimeout bounds a planned stop.
--- a/internal/tool/inst/session_test.go
+++ b/internal/tool/inst/session_test.go
@@ -62,6 +62,7 @@
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"call":      call,
 			"empty":     empty,
+			"insist":    insist,
 			"more":      more,
 			"note":      note,
 			"once":      once,
@@ -134,31 +135,44 @@
 }
 
 // call runs "call METHOD ADDRESS TARGET [NAME:VALUE...] [@FILE]" and adds the
-// answer to the transcript. It asks again while the answer is that the request is
-// still running and when to come back.
+// answer to the transcript.
 func call(ts *testscript.TestScript, _ bool, args []string) {
-	var body []byte
+	q, head := question(ts, args)
+	w, b := send(ts, args[0], args[1], head, q)
+	note(ts, false, append(append([]string{args[0], args[2]}, args[3:]...), "->", describe(w, b, q)))
+}
+
+// insist is call that asks again as long as the answer says when to come back.
+func insist(ts *testscript.TestScript, _ bool, args []string) {
+	q, head := question(ts, args)
+	last := ""
+	await(ts, "insist "+strings.Join(args, " "), func() bool {
+		w, b := send(ts, args[0], args[1], head, q)
+		last = describe(w, b, q)
+		return w.Header.Get("Retry-After") == ""
+	}, &last)
+	note(ts, false, append(append([]string{args[0], args[2]}, args[3:]...), "->", last))
+}
+
+// question returns what the answer to a call depends on, and the header.
+func question(ts *testscript.TestScript, args []string) (*answer.Question, http.Header) {
+	q := &answer.Question{Target: args[2]}
 	head := http.Header{}
 	for _, a := range args[3:] {
 		if file, ok := strings.CutPrefix(a, "@"); ok {
-			body = []byte(ts.ReadFile(file))
+			q.Body = []byte(ts.ReadFile(file))
 			continue
 		}
 		name, value, _ := strings.Cut(a, ":")
 		head.Add(name, value)
 	}
-	var w *http.Response
-	var b []byte
-	await(ts, "call "+strings.Join(args, " "), func() bool {
-		w, b = send(ts, args[0], "http://"+args[1]+args[2], head, body)
-		return w.StatusCode != http.StatusConflict || w.Header.Get("Retry-After") == ""
-	}, new(string))
-	q := answer.Question{Target: args[2], IdempotencyKey: head.Get("Idempotency-Key"), RequestID: head.Get("X-Request-Id"), Body: body}
-	note(ts, false, append(append([]string{args[0], args[2]}, args[3:]...), "->", describe(w, b, &q)))
+	q.IdempotencyKey = head.Get("Idempotency-Key")
+	q.RequestID = head.Get("X-Request-Id")
+	return q, head
 }
 
-func send(ts *testscript.TestScript, method, url string, head http.Header, body []byte) (*http.Response, []byte) {
-	r, err := http.NewRequest(method, url, bytes.NewReader(body))
+func send(ts *testscript.TestScript, method, address string, head http.Header, q *answer.Question) (*http.Response, []byte) {
+	r, err := http.NewRequest(method, "http://"+address+q.Target, bytes.NewReader(q.Body))
 	ts.Check(err)
 	r.Header = head
 	w, err := http.DefaultClient.Do(r)
