probe: send probes to idle and failing backend servers within the grant

Cause: the budget was granted and never used; a backend server that died while idle was found out by a caller's request. The owner now probes, one at a time, those of its backend servers that have been silent for a second or whose last requests failed, the failing ones first. A probe takes a slot, so that it never adds to a full backend server, and the checks of silent connections draw on the same grant.

Ruled out: a bucket that saves up unused probes, since a burst is load too. A bare connection by which a silent one is checked sends no request and is not counted.

--- a/internal/daemon/module/lifecycle.go
+++ b/internal/daemon/module/lifecycle.go
@@ -14,6 +14,7 @@
 	"github.com/snipefront/snipefront/internal/control/leader"
 	"github.com/snipefront/snipefront/internal/control/member"
 	"github.com/snipefront/snipefront/internal/dispatch/cells"
+	"github.com/snipefront/snipefront/internal/dispatch/probe"
 	"github.com/snipefront/snipefront/internal/entry/admin"
 	"github.com/snipefront/snipefront/internal/entry/front"
 	"github.com/snipefront/snipefront/internal/entry/locate"
@@ -48,6 +49,7 @@
 	cells    *cells.Set
 	leader   *leader.Leader
 	claims   *claim.Filter
+	prober   *probe.Prober
 
 	caller   *http.Server
 	peer     *http.Server
@@ -64,7 +66,7 @@
 
 func newLifecycle(
 	s sets.Settings, sock Sockets, logger *slog.Logger, m *member.Member, l *cells.Set, d *leader.Leader, c *claim.Filter,
-	f *front.Front, at *locate.Handler, an *notice.Handler, ad *admin.Admin, p *peers.Server,
+	b *probe.Prober, f *front.Front, at *locate.Handler, an *notice.Handler, ad *admin.Admin, p *peers.Server,
 ) *Lifecycle {
 	own := mux.NewRouter()
 	own.Handle("/.well-known/snipefront/addresses", at).Methods(http.MethodGet)
@@ -84,6 +86,7 @@
 		cells:    l,
 		leader:   d,
 		claims:   c,
+		prober:   b,
 		caller:   newHTTP(closing(callers, m.Leaving), s.MaxHeaderBytes, logger),
 		peer:     newHTTP(between, peerHeaderBytes, logger),
 		operator: newHTTP(operators, s.MaxHeaderBytes, logger),
@@ -124,6 +127,7 @@
 		n.run(ctx, n.leader.Run)
 	}
 	n.run(ctx, n.cells.Run)
+	n.run(ctx, n.prober.Run)
 	n.run(ctx, n.member.Run)
 	n.serve(n.caller, n.sockets.Caller)
 	n.logger.Info("started", "instance", n.settings.Instance, "callers", n.sockets.Caller.Addr(), "operators", n.sockets.Operator.Addr())
--- a/internal/daemon/module/module.go
+++ b/internal/daemon/module/module.go
@@ -23,6 +23,7 @@
 	"github.com/snipefront/snipefront/internal/dispatch/cells"
 	"github.com/snipefront/snipefront/internal/dispatch/local"
 	"github.com/snipefront/snipefront/internal/dispatch/picker"
+	"github.com/snipefront/snipefront/internal/dispatch/probe"
 	"github.com/snipefront/snipefront/internal/dispatch/sender"
 	"github.com/snipefront/snipefront/internal/entry/admin"
 	"github.com/snipefront/snipefront/internal/entry/front"
@@ -52,7 +53,7 @@
 		fx.Provide(
 			stats.New, newInstance, newControl, newClient, newSender, newState, newReplica, newLog, newLeader,
 			newAccess, newCells, newMember, newRouter, newClaim, newFront, newLocate, newNotice,
-			newAdmin, newServer, newLifecycle,
+			newProber, newAdmin, newServer, newLifecycle,
 		),
 		fx.Invoke(func(l fx.Lifecycle, n *Lifecycle) {
 			l.Append(fx.Hook{OnStart: n.Start, OnStop: n.Stop})
@@ -131,6 +132,20 @@
 	}
 }
 
+// newProber returns the probes of the instance, which the checks of the sender
+// draw on, too.
+func newProber(s *sender.Sender, m *member.Member, l *cells.Set, n *stats.Stats) *probe.Prober {
+	p := &probe.Prober{
+		Cells:   l.Cells,
+		Config:  func() *snipefront.Config { return m.View().Config },
+		Rate:    m.ProbeRate,
+		Sender:  s,
+		Counter: n,
+	}
+	s.MayProbe = p.Take
+	return p
+}
+
 func newRouter(n snipefront.Instance, m *member.Member, l *cells.Set, p *peers.Client, c *stats.Stats) *route.Router {
 	return &route.Router{
 		Self:      n.Name,
--- a/internal/dispatch/cell/cell.go
+++ b/internal/dispatch/cell/cell.go
@@ -62,8 +62,8 @@
 	announced snipefront.BackendServer
 	limiter   limit.Limiter
 	inFlight  int
-	// since is when the current incarnation was first seen.
-	since time.Time
+	// news is when it last answered, or was first seen.
+	news time.Time
 }
 
 // Announce takes in an announcement. An older incarnation changes nothing.
@@ -92,7 +92,7 @@
 
 // start begins the cold start of a new incarnation. The lock is held.
 func (c *Cell) start(now time.Time, s *server, b snipefront.BackendServer) {
-	s.since = now
+	s.news = now
 	s.limiter = limit.Limiter{
 		Cold:    max(1, c.rules.ColdLimit),
 		Ceiling: max(b.Slots, c.rules.ColdLimit),
--- a/internal/dispatch/cell/slot.go
+++ b/internal/dispatch/cell/slot.go
@@ -189,6 +189,7 @@
 func (s *Slot) learn(now time.Time, held time.Duration, o Outcome) {
 	switch o {
 	case Answered:
+		s.server.news = now
 		s.server.limiter.Answered(now, s.taken)
 		s.cell.average(held)
 		s.cell.high.add(held)
--- a/internal/dispatch/cells/cells.go
+++ b/internal/dispatch/cells/cells.go
@@ -43,6 +43,16 @@
 	return nil
 }
 
+// Cells returns the cells themselves.
+func (s *Set) Cells() []*cell.Cell {
+	all := s.All()
+	list := make([]*cell.Cell, 0, len(all))
+	for _, d := range all {
+		list = append(list, d.Cell)
+	}
+	return list
+}
+
 // Announce takes in the announcement of a backend server and returns for how long
 // it holds.
 func (s *Set) Announce(now time.Time, b snipefront.BackendServer) time.Duration {
--- a/internal/dispatch/limit/limit.go
+++ b/internal/dispatch/limit/limit.go
@@ -135,6 +135,17 @@
 	l.resume = now.Add(min(pause, longestPause))
 }
 
+// Failing returns whether the last attempts failed.
+func (l *Limiter) Failing() bool {
+	return l.failures >= failureRun
+}
+
+// Revive ends a suspension.
+func (l *Limiter) Revive() {
+	l.failures = 0
+	l.resume = time.Time{}
+}
+
 // Late takes in an attempt that was given up after the time held without an
 // answer. It is a failure where that is long, else it tells nothing.
 func (l *Limiter) Late(now time.Time, held time.Duration) {
--- a/internal/dispatch/sender/upstream.go
+++ b/internal/dispatch/sender/upstream.go
@@ -149,7 +149,7 @@
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
 	if service.ProbePath != "" && s.MayProbe != nil && s.MayProbe() {
-		return probe(ctx, "http://"+b.Address+service.ProbePath)
+		return s.Probe(ctx, b, service.ProbePath)
 	}
 	var d net.Dialer
 	c, err := d.DialContext(ctx, "tcp", b.Address)
@@ -160,6 +160,14 @@
 	return true
 }
 
+// Probe returns whether b answers path over a connection of its own. The caller
+// has taken the probe out of the budget.
+func (s *Sender) Probe(ctx context.Context, b snipefront.BackendServer, path string) bool {
+	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	return probe(ctx, "http://"+b.Address+path)
+}
+
 // probe returns whether address answers over a connection of its own.
 func probe(ctx context.Context, address string) bool {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
--- a/internal/observe/stats/stats.go
+++ b/internal/observe/stats/stats.go
@@ -17,6 +17,7 @@
 	answers  *prometheus.CounterVec
 	refusals *prometheus.CounterVec
 	retries  *prometheus.CounterVec
+	probes   *prometheus.CounterVec
 	latency  *prometheus.HistogramVec
 }
 
@@ -36,13 +37,17 @@
 			Name: "snipefront_retries_total",
 			Help: "Attempts that were repeated at another backend server or cell, by service and reason.",
 		}, []string{"service", "reason"}),
+		probes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "snipefront_probes_total",
+			Help: "Probes of backend servers, by service and whether they were answered.",
+		}, []string{"service", "answered"}),
 		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name:    "snipefront_request_seconds",
 			Help:    "Time from the request's arrival to its answer, by service.",
 			Buckets: prometheus.ExponentialBuckets(0.0005, 2, 14),
 		}, []string{"service"}),
 	}
-	s.registry.MustRegister(s.answers, s.refusals, s.retries, s.latency)
+	s.registry.MustRegister(s.answers, s.refusals, s.retries, s.probes, s.latency)
 	s.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return s
 }
@@ -63,6 +68,11 @@
 	s.refusals.WithLabelValues(service, string(e.Reason), e.Verdict.String()).Inc()
 }
 
+// Probed counts a probe.
+func (s *Stats) Probed(service string, answered bool) {
+	s.probes.WithLabelValues(service, strconv.FormatBool(answered)).Inc()
+}
+
 // Retried counts a repeated attempt.
 func (s *Stats) Retried(service string, reason snipefront.Reason) {
 	s.retries.WithLabelValues(service, string(reason)).Inc()
