route: serve data centres whose last instance has gone

Cause: the cells of a service were listed by the data centres of the epoch's instances, while the backend servers of a data centre can outlive its last instance. Their cell was taken over, and no request ever came to it: 503 no_backend_server with a free slot. The state now remembers each data centre that ever had an instance. The status lists all cells with their owners, known here or not.

Ruled out: learning of data centres by announcements, since only the owner and its standby get those.

--- a/fleet.go
+++ b/fleet.go
@@ -22,6 +22,9 @@
 	Number uint64
 	// Instances are sorted by name.
 	Instances []Instance
+	// DataCentres are all that ever had an instance, sorted. Backend servers can
+	// outlive the last instance of theirs.
+	DataCentres []string
 }
 
 // Cell is the unit of ownership: the backend servers of one service in one
--- a/internal/control/owner/owner.go
+++ b/internal/control/owner/owner.go
@@ -8,6 +8,7 @@
 
 import (
 	"hash/fnv"
+	"slices"
 	"sort"
 
 	"github.com/snipefront/snipefront"
@@ -40,18 +41,14 @@
 	return list[0], true
 }
 
-// DataCentres returns the data centres of the epoch's instances, sorted.
+// DataCentres returns the data centres that have or had instances, sorted.
 func DataCentres(e snipefront.Epoch) []string {
-	var names []string
-	seen := map[string]bool{}
+	names := slices.Clone(e.DataCentres)
 	for _, n := range e.Instances {
-		if !seen[n.DataCentre] {
-			seen[n.DataCentre] = true
-			names = append(names, n.DataCentre)
-		}
+		names = append(names, n.DataCentre)
 	}
-	sort.Strings(names)
-	return names
+	slices.Sort(names)
+	return slices.Compact(names)
 }
 
 func within(list []snipefront.Instance, dataCentre string) []snipefront.Instance {
--- a/internal/control/state/epoch.go
+++ b/internal/control/state/epoch.go
@@ -4,6 +4,7 @@
 	"sort"
 
 	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/control/owner"
 )
 
 // EpochChange replaces the set of instances.
@@ -33,6 +34,12 @@
 	}
 	list := append([]snipefront.Instance(nil), c.Instances...)
 	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
-	s.data.Epoch = snipefront.Epoch{Number: c.From + 1, Instances: list}
+	next := snipefront.Epoch{
+		Number:      c.From + 1,
+		Instances:   list,
+		DataCentres: s.data.Epoch.DataCentres,
+	}
+	next.DataCentres = owner.DataCentres(next)
+	s.data.Epoch = next
 	return EpochResult{Accepted: true, Number: s.data.Epoch.Number}
 }
--- a/internal/entry/admin/status.go
+++ b/internal/entry/admin/status.go
@@ -61,10 +61,22 @@
 	})
 }
 
+// cells returns all cells with their owners. Of those that this instance does not
+// know nothing else is told.
 func (a *Admin) cells(now time.Time) []cellStatus {
-	var list []cellStatus
+	loads := map[snipefront.Cell]cell.Load{}
+	v := a.View()
+	for _, n := range owner.DataCentres(v.Epoch) {
+		for s := range v.Config.Services {
+			loads[snipefront.Cell{Service: s, DataCentre: n}] = cell.Load{}
+		}
+	}
 	for c, d := range a.Cells.All() {
-		list = append(list, a.cell(c, d.Cell.Load(now)))
+		loads[c] = d.Cell.Load(now)
+	}
+	var list []cellStatus
+	for c, l := range loads {
+		list = append(list, a.cell(c, l))
 	}
 	sort.Slice(list, func(i, j int) bool {
 		x, y := list[i], list[j]
--- a/internal/rpc/peers/client.go
+++ b/internal/rpc/peers/client.go
@@ -180,7 +180,7 @@
 		Granted:   !g.NotLeader,
 		Leader:    g.Leader,
 		Lease:     time.Duration(g.LeaseMillis) * time.Millisecond,
-		Epoch:     snipefront.Epoch{Number: g.Epoch},
+		Epoch:     snipefront.Epoch{Number: g.Epoch, DataCentres: g.DataCentres},
 		Settled:   g.Settled,
 		ProbeRate: g.ProbeRate,
 		Config:    state.Delta{Revision: g.Revision, Removed: g.Removed, Whole: g.Whole},
--- a/internal/rpc/peers/server.go
+++ b/internal/rpc/peers/server.go
@@ -102,6 +102,7 @@
 		for _, n := range g.Epoch.Instances {
 			m.Instances = append(m.Instances, instanceMessage(n))
 		}
+		m.DataCentres = g.Epoch.DataCentres
 	}
 	for _, f := range g.Config.Files {
 		m.Files = append(m.Files, &wire.File{Name: f.Name, Content: f.Content})
