--- /dev/null
+++ b/internal/quorum/raft/rules_test.go
@@ -0,0 +1,140 @@
+package raft_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/snipefront/snipefront/internal/quorum/raft"
+)
+
+// later is a term that no schedule reaches.
+const later = 100
+
+// healed returns a fleet of three without faults, its leader and a follower.
+func healed(t *testing.T) (f *fleet, leader, other *node) {
+	f = newFleet(1, 3)
+	f.heal()
+	if f.problem != nil {
+		t.Fatal(f.problem)
+	}
+	for _, n := range f.names {
+		if f.nodes[n].Leads() {
+			leader = f.nodes[n]
+		} else {
+			other = f.nodes[n]
+		}
+	}
+	f.network = nil
+	return f, leader, other
+}
+
+// ask returns whether n grants its vote to from, who has a long log.
+func (f *fleet) ask(n *node, to, from string) bool {
+	f.network = nil
+	n.Step(f.clock(n), raft.Message{
+		Kind: raft.Vote, From: from, To: to, Group: f.group, Term: later, Index: 1000, LogTerm: later - 1,
+	})
+	f.settle(n, false)
+	for _, m := range f.network {
+		if m.Kind == raft.VoteReply && !m.Reject && m.To == from {
+			return true
+		}
+	}
+	return false
+}
+
+func TestNoVoteSoonAfterAStart(t *testing.T) {
+	f, _, n := healed(t)
+	f.now = f.now.Add(time.Hour)
+	f.restart(n.Name)
+	if f.ask(n, n.Identity, "x") {
+		t.Fatal("granted a vote at the start")
+	}
+	f.now = f.now.Add(2 * election)
+	if !f.ask(n, n.Identity, "x") {
+		t.Fatal("granted no vote later")
+	}
+}
+
+func TestVoteOutlivesARestart(t *testing.T) {
+	f, _, n := healed(t)
+	f.now = f.now.Add(time.Hour)
+	n.Step(f.clock(n), raft.Message{Kind: raft.VoteReply, Reject: true, From: "x", To: n.Identity, Group: f.group, Term: later})
+	f.settle(n, false)
+	if !f.ask(n, n.Identity, "x") {
+		t.Fatal("granted no vote")
+	}
+	f.restart(n.Name)
+	f.now = f.now.Add(2 * election)
+	if f.ask(n, n.Identity, "y") || !f.ask(n, n.Identity, "x") {
+		t.Fatal("the vote was forgotten")
+	}
+}
+
+func TestReplacedDiskDoesNotVoteAsTheOldOne(t *testing.T) {
+	f, _, n := healed(t)
+	f.replace(n.Name)
+	f.now = f.now.Add(time.Hour)
+	if f.ask(f.nodes[n.Name], n.Identity, "x") {
+		t.Fatal("answered for the old disk")
+	}
+}
+
+func TestVoteOfAnUnknownDiskDoesNotCount(t *testing.T) {
+	f, _, n := healed(t)
+	f.now = f.now.Add(time.Hour)
+	f.tick(n, false)
+	for _, k := range []raft.Kind{raft.PreVoteReply, raft.VoteReply} {
+		for _, term := range []uint64{n.Term(), n.Term() + 1} {
+			n.Step(f.clock(n), raft.Message{Kind: k, From: "new disk", FromName: "a", To: n.Identity, Group: f.group, Term: term})
+			if n.Leads() {
+				t.Fatal("elected by a disk outside the configuration")
+			}
+		}
+	}
+}
+
+func TestLeaseCountsFromSending(t *testing.T) {
+	f, l, _ := healed(t)
+	f.now = f.now.Add(heartbeat + time.Millisecond)
+	sent := f.clock(l)
+	f.tick(l, false)
+	list := f.network
+	f.network = nil
+	for _, m := range list {
+		n := f.nodes[m.ToName]
+		n.Step(f.clock(n), m)
+		f.settle(n, false)
+	}
+	f.now = f.now.Add(election / 2)
+	for _, m := range f.network {
+		l.Step(f.clock(l), m)
+	}
+	until, _, ok := l.Lease()
+	if !ok || until.Before(sent) || !until.Before(sent.Add(election)) {
+		t.Fatalf("lease until %v, sent %v", until, sent)
+	}
+}
+
+func TestLeaderCountsItselfOnlyWhenSynced(t *testing.T) {
+	f, l, n := healed(t)
+	index, _, _ := l.Propose([][]byte{[]byte("x")})
+	d := l.Take()
+	f.save(l, &d)
+	for _, m := range d.Before {
+		if m.ToName == n.Name {
+			n.Step(f.clock(n), m)
+		}
+	}
+	f.settle(n, false)
+	for _, m := range f.network {
+		l.Step(f.clock(l), m)
+	}
+	if d := l.Take(); len(d.Committed) > 0 {
+		t.Fatalf("committed %v before the sync", d.Committed)
+	}
+	l.Synced()
+	if d := l.Take(); len(d.Committed) != 1 || d.Committed[0].Index != index {
+		t.Fatalf("committed %v after the sync", d.Committed)
+	}
+}
