--- a/internal/daemon/module/quorum.go
+++ b/internal/daemon/module/quorum.go
@@ -56,9 +56,14 @@
 			}()
 			return nil
 		},
-		OnStop: func(context.Context) error {
+		OnStop: func(stopping context.Context) error {
 			cancel()
-			return <-ended
+			select {
+			case err := <-ended:
+				return err
+			case <-stopping.Done():
+				return errors.Wrap(stopping.Err(), "stop the replica of the log")
+			}
 		},
 	}
 }
--- a/internal/quorum/raft/rules_test.go
+++ b/internal/quorum/raft/rules_test.go
@@ -138,3 +138,48 @@
 		t.Fatalf("committed %v after the sync", d.Committed)
 	}
 }
+
+func TestOneChangeAtATime(t *testing.T) {
+	f, l, _ := healed(t)
+	for _, n := range f.names {
+		l.Step(f.clock(l), raft.Message{Kind: raft.Join, From: "new " + n, FromName: n})
+	}
+	changes := 0
+	for _, e := range l.Take().Entries {
+		if e.Kind == raft.Change {
+			changes++
+		}
+	}
+	if changes != 1 {
+		t.Fatalf("%d changes at once", changes)
+	}
+}
+
+// TestNewLeaderCommitsItsOwnTermFirst elects a replica with an entry of an earlier
+// term, which alone neither commits nor makes a lease.
+func TestNewLeaderCommitsItsOwnTermFirst(t *testing.T) {
+	f, l, n := healed(t)
+	index, _, _ := l.Propose([][]byte{[]byte("x")})
+	f.settle(l, false)
+	f.restart(l.Name)
+	f.now = f.now.Add(3 * election)
+	f.tick(l, false)
+	reply := raft.Message{From: n.Identity, To: l.Identity, Group: f.group, Term: l.Term() + 1}
+	for _, k := range []raft.Kind{raft.PreVoteReply, raft.VoteReply} {
+		reply.Kind = k
+		l.Step(f.clock(l), reply)
+		f.settle(l, false)
+	}
+	for _, k := range []raft.Kind{raft.AppendReply, raft.HeartbeatReply} {
+		reply.Kind, reply.Index, reply.Sent = k, index, 3*election/2
+		l.Step(f.clock(l), reply)
+	}
+	if _, _, ok := l.Lease(); ok || !l.Leads() || len(l.Take().Committed) > 0 {
+		t.Fatalf("leads %v, lease %v", l.Leads(), ok)
+	}
+	reply.Kind, reply.Index = raft.AppendReply, index+1
+	l.Step(f.clock(l), reply)
+	if d := l.Take(); len(d.Committed) == 0 || d.Committed[len(d.Committed)-1].Index != index+1 {
+		t.Fatalf("committed %v", d.Committed)
+	}
+}
