--- a/internal/quorum/driver/bench_test.go
+++ b/internal/quorum/driver/bench_test.go
@@ -128,10 +128,15 @@
 			}
 			empty := f.Bytes()
 			for i := range changes {
-				c, _ := state.Command{UnixMillis: 1 << 40, Config: &state.ConfigChange{
-					ChangeID: fmt.Sprint("change-", i), Version: i,
-					Files: []state.File{{Name: "10-budget.json", Content: fmt.Appendf(nil, `{"Kind":"Budget","ProbesPerSecond":%d}`, i)}},
-				}}.Encode()
+				n := state.Compare(nil, i, []state.File{{
+					Name:    "10-budget.json",
+					Content: fmt.Appendf(nil, `{"Kind":"MeasuringBudget","ProbesPerSecond":%d}`, i),
+				}})
+				n.ChangeID = fmt.Sprint("change-", i)
+				c, err := state.Command{UnixMillis: 1 << 40, Config: &n}.Encode()
+				if err != nil {
+					b.Fatal(err)
+				}
 				if err := f.Save(nil, []raft.Entry{{Index: i + 1, Term: 1, Command: c}}); err != nil {
 					b.Fatal(err)
 				}
