--- a/internal/dispatch/limit/limit_test.go
+++ b/internal/dispatch/limit/limit_test.go
@@ -146,3 +146,19 @@
 		}
 	})
 }
+
+func TestAnsweredProbeEndsSuspension(t *testing.T) {
+	now := time.Now()
+	l := limit.Limiter{Cold: 1, Ceiling: 4}
+	l.Reset(now)
+	for range 9 {
+		l.Failed(now)
+	}
+	if !l.Suspended(now) || !l.Failing() {
+		t.Fatal("nine failures in a row suspend nothing")
+	}
+	l.Revive()
+	if l.Suspended(now) || l.Failing() {
+		t.Error("suspended after an answered probe")
+	}
+}
