--- a/internal/tool/inst/inst.go
+++ b/internal/tool/inst/inst.go
@@ -14,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"go.uber.org/dig"
 	"go.uber.org/fx"
 
 	"github.com/snipefront/snipefront/internal/config/sets"
@@ -127,7 +128,7 @@
 	app := fx.New(module.Options(s, sock, logger), fx.StopTimeout(stopTimeout))
 	if err := app.Start(context.WithoutCancel(ctx)); err != nil {
 		sock.Close()
-		return err
+		return dig.RootCause(err)
 	}
 	<-ctx.Done()
 	stopping, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
