--- a/internal/tool/inst/inst.go
+++ b/internal/tool/inst/inst.go
@@ -19,6 +19,7 @@
 
 	"github.com/snipefront/snipefront/internal/config/sets"
 	"github.com/snipefront/snipefront/internal/daemon/module"
+	"github.com/snipefront/snipefront/internal/observe/lines"
 	"github.com/snipefront/snipefront/internal/tool/demo"
 )
 
@@ -124,7 +125,7 @@
 	if err != nil {
 		return err
 	}
-	logger := slog.New(slog.NewTextHandler(errs, &slog.HandlerOptions{Level: s.Level()}))
+	logger := lines.New(errs, s.Level())
 	app := fx.New(module.Options(s, sock, logger), fx.StopTimeout(stopTimeout))
 	if err := app.Start(context.WithoutCancel(ctx)); err != nil {
 		sock.Close()
@@ -154,7 +155,7 @@
 	}
 	d := &demo.Demo{Output: out, Phase: *phase, Logger: slog.New(slog.DiscardHandler)}
 	if *verbose {
-		d.Logger = slog.New(slog.NewTextHandler(errs, nil))
+		d.Logger = lines.New(errs, slog.LevelInfo)
 	}
 	if err := d.Run(ctx); err != nil {
 		fmt.Fprintln(errs, "snipefront:", err)
--- a/internal/tool/load/load.go
+++ b/internal/tool/load/load.go
@@ -17,6 +17,7 @@
 	"syscall"
 	"time"
 
+	"github.com/snipefront/snipefront/internal/observe/lines"
 	"github.com/snipefront/snipefront/internal/stand/caller"
 )
 
@@ -92,7 +93,7 @@
 func parse(args []string, stderr io.Writer) (*settings, int) {
 	s := &settings{}
 	c := &s.caller
-	c.Log = slog.New(slog.NewTextHandler(stderr, nil))
+	c.Log = lines.New(stderr, slog.LevelInfo)
 	f := flag.NewFlagSet("snipeload", flag.ContinueOnError)
 	f.SetOutput(stderr)
 	f.Usage = func() {
