admin: warn of data centres that no instance was ever in

A slip of the pen in the name of a data centre to take out was accepted without a word, and the data centre stayed in service. It cannot be refused, since a data centre may be configured before its first instance starts. The operators' interface has tests of its own now: what can become of a change, and what an instance says without the quorum.

--- a/internal/config/client/wire.go
+++ b/internal/config/client/wire.go
@@ -39,6 +39,8 @@
 	Revision uint64
 	// Repeated is true where an earlier call had brought the change.
 	Repeated bool
+	// Warnings tell of what is accepted and perhaps not meant.
+	Warnings []string
 }
 
 // History holds the remembered changes.
--- a/internal/entry/admin/admin.go
+++ b/internal/entry/admin/admin.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"log/slog"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"time"
@@ -16,9 +17,11 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/snipefront/snipefront"
 	"github.com/snipefront/snipefront/internal/config/intent"
 	"github.com/snipefront/snipefront/internal/control/leader"
 	"github.com/snipefront/snipefront/internal/control/member"
+	"github.com/snipefront/snipefront/internal/control/owner"
 	"github.com/snipefront/snipefront/internal/control/state"
 	"github.com/snipefront/snipefront/internal/dispatch/cells"
 )
@@ -122,7 +125,8 @@
 		refuse(w, http.StatusBadRequest, "ChangeID must have 1 to "+strconv.Itoa(maxChangeIDBytes)+" bytes")
 		return
 	}
-	if problems := check(c.Files); len(problems) > 0 {
+	next, problems := merge(c.Files)
+	if len(problems) > 0 {
 		answer(w, http.StatusBadRequest, struct{ Problems []intent.Problem }{problems})
 		return
 	}
@@ -134,7 +138,7 @@
 	}
 	n := state.Compare(held, c.Version, c.Files)
 	n.ChangeID = c.ChangeID
-	a.propose(w, h, &n)
+	a.propose(w, h, &n, a.warnings(&next))
 }
 
 // folder returns the files at the revision version, waiting for it where this
@@ -161,17 +165,30 @@
 	}
 }
 
-// check returns what is wrong with files.
-func check(files []state.File) []intent.Problem {
+// merge returns what files say, or what is wrong with them.
+func merge(files []state.File) (snipefront.Config, []intent.Problem) {
 	list := make([]intent.File, 0, len(files))
 	for _, f := range files {
 		list = append(list, intent.File{Name: f.Name, Content: f.Content})
 	}
-	_, problems := intent.Merge(list)
-	return problems
+	return intent.Merge(list)
 }
 
-func (a *Admin) propose(w http.ResponseWriter, h *http.Request, c *state.ConfigChange) {
+// warnings tells of data centres in c that no instance was ever in, which a slip
+// of the pen would leave in service.
+func (a *Admin) warnings(c *snipefront.Config) []string {
+	known := owner.DataCentres(a.View().Epoch)
+	var list []string
+	for n := range c.DataCentresOut {
+		if !slices.Contains(known, n) {
+			list = append(list, "data centre "+n+" has had no instance yet")
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+func (a *Admin) propose(w http.ResponseWriter, h *http.Request, c *state.ConfigChange, warnings []string) {
 	ctx, cancel := context.WithTimeout(h.Context(), askTimeout)
 	defer cancel()
 	var r state.ConfigResult
@@ -192,7 +209,8 @@
 	answer(w, http.StatusOK, struct {
 		Revision uint64
 		Repeated bool
-	}{r.Revision, r.Repeated})
+		Warnings []string `json:",omitempty"`
+	}{r.Revision, r.Repeated, warnings})
 }
 
 func (a *Admin) history(w http.ResponseWriter, h *http.Request) {
--- /dev/null
+++ b/internal/entry/admin/admin_test.go
@@ -0,0 +1,126 @@
+package admin_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/gorilla/mux"
+
+	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/control/leader"
+	"github.com/snipefront/snipefront/internal/control/member"
+	"github.com/snipefront/snipefront/internal/control/state"
+	"github.com/snipefront/snipefront/internal/dispatch/cells"
+	"github.com/snipefront/snipefront/internal/entry/admin"
+	"github.com/snipefront/snipefront/internal/observe/stats"
+)
+
+// quorum is a control quorum in memory, which may be out of reach.
+type quorum struct {
+	state state.State
+	gone  bool
+}
+
+func (q *quorum) Propose(_ context.Context, c state.Command, result any) error {
+	if q.gone {
+		return errors.New("no quorum")
+	}
+	b, err := c.Encode()
+	if err != nil {
+		return err
+	}
+	return state.Decode(q.state.Apply(0, b), result)
+}
+
+func (q *quorum) Read(_ context.Context, _ string, _ uint64, result any) error {
+	if q.gone {
+		return errors.New("no quorum")
+	}
+	b, err := json.Marshal(leader.Overview{Leader: "a"})
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(b, result)
+}
+
+// ask sends a request to an instance in dc1 whose quorum is q.
+func ask(q *quorum, method, target, body string) *httptest.ResponseRecorder {
+	v := &member.View{
+		Self:   "a",
+		Epoch:  snipefront.Epoch{Number: 1, Instances: []snipefront.Instance{{Name: "a", DataCentre: "dc1"}}},
+		Config: &snipefront.Config{Services: map[string]snipefront.Service{"balance": {}}},
+	}
+	a := &admin.Admin{
+		Self:     "a",
+		View:     func() *member.View { return v },
+		Lease:    &member.Lease{},
+		Cells:    &cells.Set{},
+		Control:  q,
+		Metrics:  stats.New().Gatherer(),
+		Stopping: func() bool { return false },
+		Logger:   slog.New(slog.NewTextHandler(io.Discard, nil)),
+	}
+	r := mux.NewRouter()
+	a.Route(r)
+	w := httptest.NewRecorder()
+	r.ServeHTTP(w, httptest.NewRequest(method, target, strings.NewReader(body)))
+	return w
+}
+
+const out = `{"ChangeID":"c","Version":0,"Files":[{"Name":"a.json","Content":{"Kind":"DataCentreOut","DataCentre":"dc9"}}]}`
+
+// TestChangesGetTruthfulAnswers walks through what can become of a change.
+func TestChangesGetTruthfulAnswers(t *testing.T) {
+	q := &quorum{}
+	for _, x := range []struct {
+		what, body string
+		status     int
+		contains   string
+	}{
+		{"not JSON", `{`, http.StatusBadRequest, "not understood"},
+		{"unknown field", `{"Change":"c"}`, http.StatusBadRequest, "not understood"},
+		{"no identity", `{"Version":0}`, http.StatusBadRequest, "ChangeID"},
+		{"bad file", strings.Replace(out, "dc9", "DC 9", 1), http.StatusBadRequest, `"Problems":[{"File":"a.json","Field":"DataCentre"`},
+		{"unknown data centre", out, http.StatusOK, `"Warnings":["data centre dc9 has had no instance yet"]`},
+		{"sent again", out, http.StatusOK, `"Revision":1,"Repeated":true`},
+		{"lost the race", strings.Replace(out, `"c"`, `"d"`, 1) + " ", http.StatusOK, `"Repeated":true`},
+		{"other content", strings.NewReplacer(`"c"`, `"e"`, "dc9", "dc1").Replace(out), http.StatusConflict, `"ChangeID":"c"`},
+	} {
+		w := ask(q, http.MethodPost, "/v1/config", x.body)
+		if w.Code != x.status || !strings.Contains(w.Body.String(), x.contains) {
+			t.Errorf("%s: %d %s", x.what, w.Code, w.Body)
+		}
+	}
+	q.gone = true
+	for _, target := range []string{"/v1/config/history", "/v1/config/inforce?revision=1"} {
+		if w := ask(q, http.MethodGet, target, ""); w.Code != http.StatusServiceUnavailable || w.Header().Get("Retry-After") == "" {
+			t.Errorf("%s without a quorum: %d %s", target, w.Code, w.Body)
+		}
+	}
+	if w := ask(q, http.MethodPost, "/v1/config", out); w.Code != http.StatusServiceUnavailable || !strings.Contains(w.Body.String(), "may or may not") {
+		t.Errorf("a change without a quorum: %d %s", w.Code, w.Body)
+	}
+}
+
+// TestStatusOutlivesTheQuorum shows that an instance without a lease says so, and
+// still tells who owns what.
+func TestStatusOutlivesTheQuorum(t *testing.T) {
+	q := &quorum{gone: true}
+	if w := ask(q, http.MethodGet, "/readyz", ""); w.Code != http.StatusServiceUnavailable || !strings.Contains(w.Body.String(), "no lease") {
+		t.Errorf("ready: %d %s", w.Code, w.Body)
+	}
+	if w := ask(q, http.MethodGet, "/healthz", ""); w.Code != http.StatusOK {
+		t.Errorf("health: %d", w.Code)
+	}
+	w := ask(q, http.MethodGet, "/v1/status", "")
+	if w.Code != http.StatusOK || !strings.Contains(w.Body.String(), `"Service":"balance","DataCentre":"dc1","Owner":"a"`) {
+		t.Errorf("status: %d %s", w.Code, w.Body)
+	}
+}
--- a/internal/tool/oper/apply.go
+++ b/internal/tool/oper/apply.go
@@ -75,6 +75,9 @@
 		how = "accepted before"
 	}
 	fmt.Fprintf(a.terminal.Output, "%s as revision %d, answered after %v\n", how, accepted.Revision, since(start))
+	for _, w := range accepted.Warnings {
+		fmt.Fprintln(a.terminal.Errors, "warning:", w)
+	}
 	if err := a.client.WaitInForce(ctx, accepted.Revision); err != nil {
 		return err
 	}
--- a/internal/tool/oper/script_test.go
+++ b/internal/tool/oper/script_test.go
@@ -154,7 +154,7 @@
 		f.lost--
 		panic(http.ErrAbortHandler)
 	}
-	fmt.Fprintf(w, `{"Revision":%d,"Repeated":%t}`, first, repeated)
+	fmt.Fprintf(w, `{"Revision":%d,"Repeated":%t,"Warnings":["data centre dc2 has had no instance yet"]}`, first, repeated)
 }
 
 func (f *fakeFleet) get(w http.ResponseWriter, _ *http.Request) {
