route: try a request that broke once in one more cell

The router never handed on a request whose connection broke, and the cell had none left to try. The number of broken attempts now goes along with the request and comes back with the error, over hops too, and the second one ends it wherever it happens.

Ruled out: handing such a request on without the count, which could cost two backend servers in each cell. The new tests fail with the bound, the count taken along and the count passed on taken out.

--- a/error.go
+++ b/error.go
@@ -19,6 +19,9 @@
 	RetryAfter time.Duration
 	// Detail is a sentence for people.
 	Detail string
+	// Broken is the number of attempts, those of Request.Broken included, whose
+	// connection broke.
+	Broken int
 }
 
 // Error returns the reason, the verdict and the detail.
--- a/internal/dispatch/local/local.go
+++ b/internal/dispatch/local/local.go
@@ -31,8 +31,6 @@
 	// maxAttempts is the most attempts of one request within a cell, without
 	// hedges.
 	maxAttempts = 3
-	// maxBroken is the most attempts whose connection broke.
-	maxBroken = 2
 	// retryAfter is the time after which a caller may ask again.
 	retryAfter = time.Second
 )
@@ -92,7 +90,7 @@
 	defer cancel()
 	d.earn(r, s)
 	w := cell.Wanted{Importance: r.Importance, Deadline: r.Deadline, MayQueue: mayQueue}
-	p := progress{verdict: snipefront.NotRun}
+	p := progress{verdict: snipefront.NotRun, broken: r.Broken}
 	var last error
 	for {
 		a, avoid, err := d.attempt(ctx, w, r, s, &p)
@@ -129,13 +127,14 @@
 		Status:     status(a, p.verdict),
 		RetryAfter: askAgain(r, a, p.verdict),
 		Detail:     a.Err.Error(),
+		Broken:     p.broken,
 	}
 	switch {
 	case ctx.Err() != nil:
 		return false, e
 	case p.verdict != snipefront.NotRun && !r.Idempotent:
 		return false, e
-	case isFinal(a), p.attempts >= maxAttempts, p.broken >= maxBroken:
+	case isFinal(a), p.attempts >= maxAttempts, p.broken >= snipefront.MaxBroken:
 		return false, e
 	case a.Reason != snipefront.ReasonConnect && !d.Budget.Spend():
 		e.Reason = snipefront.ReasonRetryBudget
--- a/internal/dispatch/local/local_test.go
+++ b/internal/dispatch/local/local_test.go
@@ -341,3 +341,22 @@
 		}
 	}
 }
+
+// TestOneBreakIsLeftToOtherCells has the only backend server of the cell break off,
+// and a request that broke elsewhere break off here.
+func TestOneBreakIsLeftToOtherCells(t *testing.T) {
+	d, _ := cellOf(t, abort)
+	if _, err := run(t, d, request(http.MethodGet, "/1", 1)); err == nil || err.Broken != 1 || err.Verdict != snipefront.MayHaveRun {
+		t.Errorf("answer %+v, want one attempt that broke", err)
+	}
+	var runs atomic.Int32
+	d, _ = cellOf(t, abort, func(w http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		answer(w, r)
+	})
+	r := request(http.MethodGet, "/1", 1)
+	r.Broken = 1
+	if _, err := run(t, d, r); err == nil || err.Broken != 2 || runs.Load() > 0 {
+		t.Errorf("answer %+v after %d further runs, want the second break to end it", err, runs.Load())
+	}
+}
--- a/internal/request/route/route.go
+++ b/internal/request/route/route.go
@@ -88,46 +88,41 @@
 	if len(list) == 0 {
 		return nil, snipefront.Refused(snipefront.ReasonDataCentreOut, retryLater, "no data centre in service has an instance")
 	}
+	q := &search{request: r, verdict: snipefront.NotRun}
 	if c := list[0]; c.own && c.short {
-		return t.wait(ctx, v, list, r, snipefront.NotRun)
+		return t.wait(ctx, v, list, q)
 	}
-	verdict := snipefront.NotRun
 	for _, c := range list {
 		if c.free <= 0 {
 			break
 		}
-		resp, err := t.try(ctx, v, c, r, false)
+		resp, err := t.try(ctx, v, c, q.request, false)
 		if err == nil {
 			return resp, nil
 		}
-		verdict = weaker(verdict, err)
-		if !t.mayMoveOn(ctx, r, err) {
-			return nil, withVerdict(err, verdict)
+		if e := q.note(err); !t.mayMoveOn(ctx, r, e) {
+			return nil, e
 		}
 	}
-	return t.wait(ctx, v, list, r, verdict)
+	return t.wait(ctx, v, list, q)
 }
 
 // wait lets the request queue at the best cell, and at the next where that one
 // cannot take it. Owners that are overloaded are few to be asked, since each one
-// costs them and the caller a hop. The verdict is that of the cells asked before.
-func (t *Router) wait(ctx context.Context, v *member.View, list []choice, r *snipefront.Request, verdict snipefront.Verdict) (*snipefront.Response, error) {
-	var last error
+// costs them and the caller a hop.
+func (t *Router) wait(ctx context.Context, v *member.View, list []choice, q *search) (*snipefront.Response, error) {
+	var last *snipefront.Error
 	full := 0
 	for _, c := range list {
-		resp, err := t.try(ctx, v, c, r, true)
+		resp, err := t.try(ctx, v, c, q.request, true)
 		if err == nil {
 			return resp, nil
 		}
-		verdict = weaker(verdict, err)
-		last = withVerdict(err, verdict)
-		if !t.mayMoveOn(ctx, r, err) {
-			return nil, last
-		}
-		if snipefront.AsError(err).Reason == snipefront.ReasonOverload {
+		last = q.note(err)
+		if last.Reason == snipefront.ReasonOverload {
 			full++
 		}
-		if full == maxWaits {
+		if !t.mayMoveOn(ctx, q.request, last) || full == maxWaits {
 			break
 		}
 	}
@@ -233,18 +228,17 @@
 	return t.Cells.Serve(ctx, c, r, v.Config.Services[c.Service], mayQueue)
 }
 
-// mayMoveOn returns whether another cell may be asked after err, and counts it.
-func (t *Router) mayMoveOn(ctx context.Context, r *snipefront.Request, err error) bool {
-	e := snipefront.AsError(err)
+// mayMoveOn returns whether another cell may be asked after e, and counts it.
+func (t *Router) mayMoveOn(ctx context.Context, r *snipefront.Request, e *snipefront.Error) bool {
 	if ctx.Err() != nil || !time.Now().Before(r.Deadline) {
 		return false
 	}
-	if e.Verdict != snipefront.NotRun && !r.Idempotent {
+	if e.Verdict != snipefront.NotRun && !r.Idempotent || e.Broken >= snipefront.MaxBroken {
 		return false
 	}
 	switch e.Reason {
 	case snipefront.ReasonDeadline, snipefront.ReasonCanceled, snipefront.ReasonRetryBudget, snipefront.ReasonNoLease,
-		snipefront.ReasonBrokenAnswer, snipefront.ReasonQuarantined, snipefront.ReasonAnswerTooBig, snipefront.ReasonBadRequest:
+		snipefront.ReasonQuarantined, snipefront.ReasonAnswerTooBig, snipefront.ReasonBadRequest:
 		return false
 	}
 	t.Counter.Retried(r.Service, e.Reason)
--- a/internal/rpc/peers/message.go
+++ b/internal/rpc/peers/message.go
@@ -23,6 +23,7 @@
 		Idempotent:     r.Idempotent,
 		MayQueue:       mayQueue,
 		Epoch:          e,
+		Broken:         uint32(r.Broken),
 	}
 }
 
@@ -49,6 +50,7 @@
 		Status:           int32(e.Status),
 		RetryAfterMicros: e.RetryAfter.Microseconds(),
 		Detail:           e.Detail,
+		Broken:           uint32(e.Broken),
 	}
 }
 
@@ -59,6 +61,7 @@
 		Status:     int(r.Status),
 		RetryAfter: time.Duration(r.RetryAfterMicros) * time.Microsecond,
 		Detail:     r.Detail,
+		Broken:     int(r.Broken),
 	}
 }
 
--- a/internal/rpc/peers/server.go
+++ b/internal/rpc/peers/server.go
@@ -159,6 +159,7 @@
 		IdempotencyKey: f.IdempotencyKey,
 		Fingerprint:    f.Fingerprint,
 		Idempotent:     f.Idempotent,
+		Broken:         int(f.Broken),
 		Forwarded:      true,
 	}
 }
--- a/request.go
+++ b/request.go
@@ -29,10 +29,17 @@
 	Fingerprint uint64
 	// Idempotent is true where a second run does no harm.
 	Idempotent bool
+	// Broken is the number of attempts so far whose connection broke while the
+	// request may have been running. See MaxBroken.
+	Broken int
 	// Forwarded is true where another instance accepted the request.
 	Forwarded bool
 }
 
+// MaxBroken is the most attempts of one request whose connection breaks, since the
+// request itself may be what makes backend servers fall.
+const MaxBroken = 2
+
 // Response is a whole answer of a backend server.
 type Response struct {
 	Status int
