conns: share the connections to one address

The sender alone knew how to retire silent connections, and calls between instances need the same. The transport of an address, its usual time to answer and the guard of an overdue answer move to a package of their own. Ruled out: a second copy beside the calls between instances. The behaviour of the sender is unchanged; its tests are as they were and pass.

--- a/internal/dispatch/sender/sender.go
+++ b/internal/dispatch/sender/sender.go
@@ -27,6 +27,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/rpc/conns"
 	"github.com/snipefront/snipefront/internal/rpc/watch"
 )
 
@@ -94,14 +95,14 @@
 	// guarded is true where an overdue answer is looked into.
 	guarded bool
 
-	upstream  *upstream
+	upstream  *conns.Conns
 	transport *http.Transport
 }
 
 func (s *Sender) send(ctx context.Context, c *call) Attempt {
 	c.upstream = s.upstream(c.server)
 	for n := 1; ; n++ {
-		c.transport = c.upstream.transport.Load()
+		c.transport = c.upstream.Transport()
 		a, idle := s.try(ctx, c)
 		if !idle || n == maxTries {
 			return a
@@ -124,16 +125,16 @@
 	g := s.guard(ctx, cancel, c)
 	a := s.roundTrip(&probe, c, req)
 	cancel(nil)
-	g.end()
-	if a.Response == nil && errors.Is(context.Cause(ctx), errSilent) {
+	g.End()
+	if a.Response == nil && errors.Is(context.Cause(ctx), conns.ErrSilent) {
 		a.Silent = true
-		a.Err = errSilent
+		a.Err = conns.ErrSilent
 		if a.Verdict != snipefront.NotRun {
 			a.Reason = snipefront.ReasonAttemptLate
 		}
 	}
 	if a.Response != nil || a.Silent {
-		c.upstream.learn(time.Since(begun))
+		c.upstream.Learn(time.Since(begun))
 	}
 	return a, probe.Idle()
 }
@@ -145,7 +146,7 @@
 		defer resp.Body.Close()
 	}
 	if p.Crossed() {
-		c.upstream.distrust()
+		c.upstream.Distrust()
 		err = errCrossed
 	}
 	if err != nil {
@@ -157,7 +158,7 @@
 // Forget closes the idle connections to b.
 func (s *Sender) Forget(b snipefront.BackendServer) {
 	if u, ok := s.upstreams.LoadAndDelete(b.Address); ok {
-		u.(*upstream).transport.Load().CloseIdleConnections()
+		u.(*conns.Conns).CloseIdle()
 	}
 }
 
@@ -206,7 +207,6 @@
 	errNoLength = errors.New("answer without a length cannot be known to be whole")
 	errSwitch   = errors.New("answer switches the protocol")
 	errCrossed  = errors.New("answer to another request")
-	errSilent   = errors.New("connection is silent while a new one works")
 )
 
 func reasonOf(err error) snipefront.Reason {
