peers: find silent connections between instances

One transport served all addresses and both kinds of call, an overdue answer was never looked into, and a timeout left the other connections in use. A forwarded request met a silent connection until its deadline.

Each address now has its own connections, apart for requests and for the control quorum. A fault retires those of its kind and address. An overdue Forward is asked after over a new connection with Check: while the owner runs it the hop waits on; where the owner does not, the connection is silent, and an idempotent request is sent once more. Other requests keep the truth that they may have run, and go only on a connection proven alive within a second or on a new one. An owner that cannot be reached at all is given up for idempotent requests, so that another cell may be asked. An answer to another call counts as none. Messages are bounded on both sides.

Ruled out: taking an accepted new connection alone as proof. A request that waits in the owner's queue is overdue too, and would be cut off or run twice.

--- a/internal/daemon/module/module.go
+++ b/internal/daemon/module/module.go
@@ -39,6 +39,9 @@
 const (
 	// maxAnswerBytes bounds the answer of a backend server that is held.
 	maxAnswerBytes = 8 << 20
+	// messageOverhead is room for the header of an answer and the frame of a
+	// message between instances.
+	messageOverhead = 128 << 10
 	// maxQueue is the most requests that wait in one cell.
 	maxQueue = 1000
 )
@@ -80,7 +83,12 @@
 	return list
 }
 
-func newClient() *peers.Client { return &peers.Client{} }
+func newClient(s sets.Settings) *peers.Client { return &peers.Client{MaxBytes: messageBytes(s)} }
+
+// messageBytes bounds a message that holds a request or an answer.
+func messageBytes(s sets.Settings) int64 {
+	return max(s.MaxBodyBytes, maxAnswerBytes) + int64(s.MaxHeaderBytes) + messageOverhead
+}
 
 func newSender() *sender.Sender { return &sender.Sender{MaxAnswerBytes: maxAnswerBytes} }
 
@@ -178,9 +186,10 @@
 	}
 }
 
-func newServer(t *route.Router, d *leader.Leader, l *driver.Log) *peers.Server {
-	if l == nil {
-		return &peers.Server{Owner: t}
+func newServer(s sets.Settings, t *route.Router, d *leader.Leader, l *driver.Log) *peers.Server {
+	p := &peers.Server{Owner: t, MaxBytes: messageBytes(s)}
+	if l != nil {
+		p.Leader, p.Log, p.Steps = d, l, l.Deliver
 	}
-	return &peers.Server{Owner: t, Leader: d, Log: l, Steps: l.Deliver}
+	return p
 }
--- a/internal/rpc/peers/client.go
+++ b/internal/rpc/peers/client.go
@@ -4,8 +4,9 @@
 
 import (
 	"context"
-	"net/http"
+	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -15,67 +16,54 @@
 	"github.com/snipefront/snipefront/internal/control/state"
 	"github.com/snipefront/snipefront/internal/quorum/codec"
 	"github.com/snipefront/snipefront/internal/quorum/raft"
-	"github.com/snipefront/snipefront/internal/rpc/watch"
 	"github.com/snipefront/snipefront/internal/rpc/wire"
 )
 
 const (
-	dialTimeout = 250 * time.Millisecond
-	idleTimeout = 30 * time.Second
-	idlePerHost = 128
+	// defaultMaxBytes bounds a message on the path of requests.
+	defaultMaxBytes = 16 << 20
+	// maxControlBytes bounds a message of the control quorum.
+	maxControlBytes = 64 << 20
 )
 
-// Client calls other instances. Its zero value is ready.
+// Client calls other instances. Its zero value is ready. Set the exported
+// fields before the first call.
 type Client struct {
-	once    sync.Once
-	http    *http.Client
+	// MaxBytes bounds a message on the path of requests. Zero means 16 MB.
+	MaxBytes int64
+	// ProvenFor is the time since its last answer for which a connection counts
+	// as working. One that was idle for longer carries no request that must not
+	// run twice. Zero means a second.
+	ProvenFor time.Duration
+	// OverdueFloor is the time under which no answer is overdue. Zero means a
+	// tenth of a second.
+	OverdueFloor time.Duration
+
+	// peer and control hold a link for each address. They are apart, so that no
+	// fault or flood on the path of requests delays a renewal.
 	peer    sync.Map
 	control sync.Map
-}
-
-// Answer is what the owner of a cell made of a request.
-type Answer struct {
-	Response *snipefront.Response
-	// Free and Queued are the owner's counts for the cell.
-	Free   int
-	Queued int
-	// Counted is true where Free and Queued are set.
-	Counted bool
-}
-
-// Forward asks the instance at address to run r in c. An error is always a
-// *snipefront.Error.
-func (c *Client) Forward(ctx context.Context, address string, e uint64, l snipefront.Cell, r *snipefront.Request, mayQueue bool) (Answer, error) {
-	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
-	defer cancel()
-	var p watch.Probe
-	f, err := c.peerAt(address).Forward(p.With(ctx), forwardRequest(e, l, r, mayQueue))
-	if err != nil {
-		return Answer{}, unreached(&p, err)
-	}
-	a := Answer{Free: int(f.Free), Queued: int(f.Queued), Counted: true}
-	if f.Refusal != nil {
-		return a, refusalError(f.Refusal)
-	}
-	a.Response = &snipefront.Response{
-		Status:        int(f.Status),
-		Header:        headerOf(f.Header),
-		Body:          f.Body,
-		BackendServer: f.BackendServer,
-	}
-	return a, nil
+	once    sync.Once
+	// origin makes the numbers of this client's calls differ from others'.
+	origin uint64
+	calls  atomic.Uint64
 }
 
 // Announce passes on an announcement and returns for how long it holds there.
 func (c *Client) Announce(ctx context.Context, address string, b snipefront.BackendServer) (time.Duration, error) {
-	r, err := c.peerAt(address).Announce(ctx, &wire.AnnounceRequest{
-		Name:        b.Name,
-		Service:     b.Service,
-		DataCentre:  b.DataCentre,
-		Address:     b.Address,
-		Incarnation: b.Incarnation,
-		Slots:       int32(b.Slots),
-		Draining:    b.Draining,
+	l := c.peerAt(address)
+	var r *wire.AnnounceResponse
+	err := l.do(ctx, func(ctx context.Context) (err error) {
+		r, err = l.peer.Announce(ctx, &wire.AnnounceRequest{
+			Name:        b.Name,
+			Service:     b.Service,
+			DataCentre:  b.DataCentre,
+			Address:     b.Address,
+			Incarnation: b.Incarnation,
+			Slots:       int32(b.Slots),
+			Draining:    b.Draining,
+		})
+		return err
 	})
 	if err != nil {
 		return 0, errors.Wrap(err, "announce")
@@ -85,14 +73,19 @@
 
 // Renew implements member.Renewer.
 func (c *Client) Renew(ctx context.Context, address string, r leader.Renewal) (leader.Grant, error) {
-	g, err := c.controlAt(address).Renew(ctx, &wire.RenewRequest{
-		Instance:  instanceMessage(r.Instance),
-		Epoch:     r.Epoch,
-		Revision:  r.Revision,
-		Leaving:   r.Leaving,
-		Gone:      r.Gone,
-		HeldEpoch: r.Held,
-		ProbeRate: r.ProbeRate,
+	l := c.controlAt(address)
+	var g *wire.RenewResponse
+	err := l.do(ctx, func(ctx context.Context) (err error) {
+		g, err = l.control.Renew(ctx, &wire.RenewRequest{
+			Instance:  instanceMessage(r.Instance),
+			Epoch:     r.Epoch,
+			Revision:  r.Revision,
+			Leaving:   r.Leaving,
+			Gone:      r.Gone,
+			HeldEpoch: r.Held,
+			ProbeRate: r.ProbeRate,
+		})
+		return err
 	})
 	if err != nil {
 		return leader.Grant{}, errors.Wrap(err, "renew")
@@ -103,7 +96,12 @@
 // Propose asks the control instance at address to append a command. Where it
 // does not lead it returns snipefront.ErrNotLeader and the leader's name.
 func (c *Client) Propose(ctx context.Context, address string, command []byte) (result []byte, leader string, err error) {
-	r, err := c.controlAt(address).Propose(ctx, &wire.ProposeRequest{Command: command})
+	l := c.controlAt(address)
+	var r *wire.ProposeResponse
+	err = l.do(ctx, func(ctx context.Context) (err error) {
+		r, err = l.control.Propose(ctx, &wire.ProposeRequest{Command: command})
+		return err
+	})
 	if err != nil {
 		return nil, "", errors.Wrap(err, "propose")
 	}
@@ -115,7 +113,12 @@
 
 // Read asks the control instance at address for what it knows, as JSON.
 func (c *Client) Read(ctx context.Context, address, what string, revision uint64) (text []byte, leader string, err error) {
-	r, err := c.controlAt(address).Read(ctx, &wire.ReadRequest{What: what, Revision: revision})
+	l := c.controlAt(address)
+	var r *wire.ReadResponse
+	err = l.do(ctx, func(ctx context.Context) (err error) {
+		r, err = l.control.Read(ctx, &wire.ReadRequest{What: what, Revision: revision})
+		return err
+	})
 	if err != nil {
 		return nil, "", errors.Wrap(err, "read")
 	}
@@ -128,51 +131,55 @@
 // Step delivers messages of the replicated log to the control instance at
 // address.
 func (c *Client) Step(ctx context.Context, address string, messages []raft.Message) error {
-	_, err := c.controlAt(address).Step(ctx, &wire.StepRequest{Messages: codec.Messages(messages)})
+	l := c.controlAt(address)
+	err := l.do(ctx, func(ctx context.Context) error {
+		_, err := l.control.Step(ctx, &wire.StepRequest{Messages: codec.Messages(messages)})
+		return err
+	})
 	return errors.Wrap(err, "step")
 }
 
-func (c *Client) client() *http.Client {
-	c.once.Do(func() {
-		c.http = &http.Client{Transport: &http.Transport{
-			DialContext:         watch.Dialer(dialTimeout),
-			DisableCompression:  true,
-			MaxIdleConnsPerHost: idlePerHost,
-			IdleConnTimeout:     idleTimeout,
-		}}
-	})
-	return c.http
+func (c *Client) peerAt(address string) *link {
+	return linkAt(&c.peer, address, c.maxBytes())
+}
+
+func (c *Client) controlAt(address string) *link {
+	return linkAt(&c.control, address, maxControlBytes)
 }
 
-func (c *Client) peerAt(address string) wire.Peer {
-	if p, ok := c.peer.Load(address); ok {
-		return p.(wire.Peer)
+func linkAt(links *sync.Map, address string, maxBytes int64) *link {
+	if l, ok := links.Load(address); ok {
+		return l.(*link)
 	}
-	p, _ := c.peer.LoadOrStore(address, wire.NewPeerProtobufClient("http://"+address, c.client()))
-	return p.(wire.Peer)
+	l, _ := links.LoadOrStore(address, newLink(address, maxBytes))
+	return l.(*link)
+}
+
+// nextCall returns a number that no other call of the fleet has.
+func (c *Client) nextCall() uint64 {
+	c.once.Do(func() { c.origin = rand.Uint64() })
+	return c.origin + c.calls.Add(1)
 }
 
-func (c *Client) controlAt(address string) wire.Control {
-	if p, ok := c.control.Load(address); ok {
-		return p.(wire.Control)
+func (c *Client) maxBytes() int64 {
+	if c.MaxBytes == 0 {
+		return defaultMaxBytes
 	}
-	p, _ := c.control.LoadOrStore(address, wire.NewControlProtobufClient("http://"+address, c.client()))
-	return p.(wire.Control)
+	return c.MaxBytes
 }
 
-// unreached returns the error for a call that brought no answer.
-func unreached(p *watch.Probe, err error) *snipefront.Error {
-	e := &snipefront.Error{
-		Reason:     snipefront.ReasonPeer,
-		Status:     http.StatusBadGateway,
-		RetryAfter: time.Second,
-		Detail:     "the owner of the cell did not answer: " + err.Error(),
+func (c *Client) provenFor() time.Duration {
+	if c.ProvenFor == 0 {
+		return defaultProvenFor
 	}
-	if !p.Wrote() {
-		e.Verdict = snipefront.NotRun
-		e.Status = http.StatusServiceUnavailable
+	return c.ProvenFor
+}
+
+func (c *Client) overdueFloor() time.Duration {
+	if c.OverdueFloor == 0 {
+		return defaultOverdueFloor
 	}
-	return e
+	return c.OverdueFloor
 }
 
 func grantOf(g *wire.RenewResponse) leader.Grant {
--- /dev/null
+++ b/internal/rpc/peers/link.go
@@ -0,0 +1,216 @@
+package peers
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/snipefront/snipefront/internal/rpc/conns"
+	"github.com/snipefront/snipefront/internal/rpc/watch"
+	"github.com/snipefront/snipefront/internal/rpc/wire"
+)
+
+const (
+	dialTimeout = 250 * time.Millisecond
+	idleTimeout = 30 * time.Second
+	idlePerHost = 128
+	// headerBytes bounds the header of an answer.
+	headerBytes = 32 << 10
+	// checkTimeout bounds asking over a new connection.
+	checkTimeout = 250 * time.Millisecond
+	// checkGrace is the time that an answer may take from the owner, which has
+	// ended the request, to here.
+	checkGrace = 50 * time.Millisecond
+)
+
+var (
+	errTooBig      = errors.New("message over the size limit")
+	errCrossed     = errors.New("answer to another call")
+	errNoLength    = errors.New("answer without a length cannot be known to be whole")
+	errUnreachable = errors.New("no answer, and a new connection does not work either")
+)
+
+// link is the connections to one address for one kind of call, so that neither
+// a fault nor a flood of the others touches them.
+type link struct {
+	conns    conns.Conns
+	maxBytes int64
+	peer     wire.Peer
+	control  wire.Control
+	// fresh makes each call over a new connection.
+	fresh wire.Peer
+	// checking is held while a check is going on.
+	checking sync.Mutex
+}
+
+func newLink(address string, maxBytes int64) *link {
+	l := &link{conns: conns.Conns{New: newTransport}, maxBytes: maxBytes}
+	url := "http://" + address
+	l.peer = wire.NewPeerProtobufClient(url, l)
+	l.control = wire.NewControlProtobufClient(url, l)
+	l.fresh = wire.NewPeerProtobufClient(url, &http.Client{Transport: newTransport(true)})
+	return l
+}
+
+func newTransport(single bool) *http.Transport {
+	return &http.Transport{
+		DisableKeepAlives:      single,
+		DialContext:            watch.Dialer(dialTimeout),
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    idlePerHost,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: headerBytes,
+	}
+}
+
+// call is one call in the making.
+type call struct {
+	probe watch.Probe
+	// transport is nil where nothing was sent.
+	transport *http.Transport
+	// err is set where no whole answer arrived.
+	err error
+}
+
+type callKey struct{}
+
+// with returns the context for the call.
+func (k *call) with(ctx context.Context) context.Context {
+	return context.WithValue(k.probe.With(ctx), callKey{}, k)
+}
+
+// do makes one call with f.
+func (l *link) do(ctx context.Context, f func(ctx context.Context) error) error {
+	var k call
+	err := f(k.with(ctx))
+	l.end(ctx, &k)
+	return err
+}
+
+// end retires the connections where k found one that does not work. That the
+// caller gave up says nothing of them.
+func (l *link) end(ctx context.Context, k *call) {
+	if k.err != nil && k.transport != nil && !errors.Is(ctx.Err(), context.Canceled) {
+		l.conns.Retire(k.transport)
+	}
+}
+
+// Do implements wire.HTTPClient for the call in the context of req.
+func (l *link) Do(req *http.Request) (*http.Response, error) {
+	k, ok := req.Context().Value(callKey{}).(*call)
+	if !ok {
+		return nil, errors.New("context holds no call")
+	}
+	resp, err := l.roundTrip(k, req)
+	if err != nil {
+		k.err = err
+		return nil, err
+	}
+	resp.Body = &body{ReadCloser: resp.Body, call: k}
+	return resp, nil
+}
+
+func (l *link) roundTrip(k *call, req *http.Request) (*http.Response, error) {
+	if req.ContentLength > l.maxBytes {
+		return nil, errTooBig
+	}
+	k.transport = l.conns.Transport()
+	resp, err := k.transport.RoundTrip(req)
+	if err != nil {
+		return nil, err
+	}
+	switch {
+	case k.probe.Crossed():
+		err = errCrossed
+	case resp.ContentLength < 0:
+		err = errNoLength
+	case resp.ContentLength > l.maxBytes:
+		err = errTooBig
+	default:
+		return resp, nil
+	}
+	resp.Body.Close()
+	return nil, err
+}
+
+// body notes that an answer was cut short.
+type body struct {
+	io.ReadCloser
+	call *call
+}
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil && err != io.EOF {
+		b.call.err = err
+	}
+	return n, err
+}
+
+// finding is what a check of a call over a new connection came to.
+type finding uint8
+
+const (
+	// running means that the owner runs the request.
+	running finding = iota
+	// absent means that the owner has ended the request or never seen it.
+	absent
+	// unreachable means that the new connection does not work.
+	unreachable
+)
+
+// check looks into a call that is overdue until its context ends. It returns
+// the error with which the call ends.
+func (l *link) check(ctx context.Context, id uint64, floor time.Duration, idempotent bool) error {
+	for ctx.Err() == nil {
+		switch l.find(ctx, id) {
+		case absent:
+			if pause(ctx, checkGrace) {
+				return conns.ErrSilent
+			}
+		case unreachable:
+			if idempotent {
+				return errUnreachable
+			}
+		}
+		pause(ctx, l.conns.Overdue(floor))
+	}
+	return nil
+}
+
+// find asks the owner for a call over a new connection. One check goes on at a
+// time, so that a slow owner is not asked by all that wait for it.
+func (l *link) find(ctx context.Context, id uint64) finding {
+	if !l.checking.TryLock() {
+		return running
+	}
+	defer l.checking.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	c, err := l.fresh.Check(ctx, &wire.CheckRequest{Call: id})
+	switch {
+	case err != nil:
+		return unreachable
+	case c.Running:
+		return running
+	default:
+		return absent
+	}
+}
+
+// pause waits and returns whether ctx is still going on.
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- a/internal/rpc/peers/server.go
+++ b/internal/rpc/peers/server.go
@@ -35,19 +35,27 @@
 	Log    snipefront.Log
 	// Steps takes in messages of the replicated log. It may be nil.
 	Steps func(ctx context.Context, messages []raft.Message) error
+	// Suspects takes in and gives out records. It may be nil.
+	Suspects Suspects
+	// MaxBytes bounds a message on the path of requests. Zero means 16 MB.
+	MaxBytes int64
+
+	calls calls
 }
 
 // Route adds the services to r.
 func (s *Server) Route(r *mux.Router) {
-	r.PathPrefix(wire.PeerPathPrefix).Handler(wire.NewPeerServer(s))
+	r.PathPrefix(wire.PeerPathPrefix).Handler(http.MaxBytesHandler(wire.NewPeerServer(s), s.maxBytes()))
 	if s.Leader != nil {
-		r.PathPrefix(wire.ControlPathPrefix).Handler(wire.NewControlServer(s))
+		r.PathPrefix(wire.ControlPathPrefix).Handler(http.MaxBytesHandler(wire.NewControlServer(s), maxControlBytes))
 	}
 	r.NotFoundHandler = http.NotFoundHandler()
 }
 
 // Forward implements wire.Peer.
 func (s *Server) Forward(ctx context.Context, f *wire.ForwardRequest) (*wire.ForwardResponse, error) {
+	s.calls.begin(f.Call)
+	defer s.calls.end(f.Call)
 	c := snipefront.Cell{Service: f.Service, DataCentre: f.DataCentre}
 	a, err := s.Owner.Forwarded(ctx, c, requestOf(f), f.MayQueue)
 	m := &wire.ForwardResponse{Free: int32(a.Free), Queued: int32(a.Queued)}
@@ -62,6 +70,11 @@
 	return m, nil
 }
 
+// Check implements wire.Peer.
+func (s *Server) Check(_ context.Context, r *wire.CheckRequest) (*wire.CheckResponse, error) {
+	return &wire.CheckResponse{Running: s.calls.running(r.Call)}, nil
+}
+
 // Announce implements wire.Peer.
 func (s *Server) Announce(_ context.Context, a *wire.AnnounceRequest) (*wire.AnnounceResponse, error) {
 	lease := s.Owner.Announced(snipefront.BackendServer{
@@ -146,6 +159,13 @@
 	return &wire.StepResponse{}, s.Steps(ctx, codec.ToMessages(m.Messages))
 }
 
+func (s *Server) maxBytes() int64 {
+	if s.MaxBytes == 0 {
+		return defaultMaxBytes
+	}
+	return s.MaxBytes
+}
+
 func requestOf(f *wire.ForwardRequest) *snipefront.Request {
 	return &snipefront.Request{
 		Service:        f.Service,
