spread: share quarantined requests among instances

Each instance remembered for itself the requests under which backend servers fell. A resend through another instance, or to a cell with another owner, could make a third one fall.

Records now go into a bounded queue that never holds up a request, and from there to all other instances of the epoch: in batches, one call at a time to each, repeated for longer than a lease lasts. What is dropped is counted. An instance that gets its lease asks one other for all records. A quarantined request is refused with its Retry-After at the instance where it arrives, behind the claim, so that a kept answer is still given.

Two falls that no instance alone knew of make a quarantine of full length, and the fallen that are remembered of one request are bounded.

Ruled out: sending to the owners of the request's cells only, since a record outlives an epoch; handing records on from instance to instance, since each origin reaches all.

--- a/internal/daemon/module/lifecycle.go
+++ b/internal/daemon/module/lifecycle.go
@@ -19,6 +19,7 @@
 	"github.com/snipefront/snipefront/internal/entry/locate"
 	"github.com/snipefront/snipefront/internal/entry/notice"
 	"github.com/snipefront/snipefront/internal/request/claim"
+	"github.com/snipefront/snipefront/internal/request/spread"
 	"github.com/snipefront/snipefront/internal/rpc/peers"
 )
 
@@ -44,6 +45,7 @@
 	cells    *cells.Set
 	leader   *leader.Leader
 	claims   *claim.Filter
+	spreader *spread.Spreader
 
 	caller   *http.Server
 	peer     *http.Server
@@ -60,7 +62,7 @@
 
 func newLifecycle(
 	s sets.Settings, sock Sockets, logger *slog.Logger, m *member.Member, l *cells.Set, d *leader.Leader, c *claim.Filter,
-	f *front.Front, at *locate.Handler, an *notice.Handler, ad *admin.Admin, p *peers.Server,
+	f *front.Front, at *locate.Handler, an *notice.Handler, ad *admin.Admin, p *peers.Server, sp *spread.Spreader,
 ) *Lifecycle {
 	own := mux.NewRouter()
 	own.Handle("/.well-known/snipefront/addresses", at).Methods(http.MethodGet)
@@ -80,6 +82,7 @@
 		cells:    l,
 		leader:   d,
 		claims:   c,
+		spreader: sp,
 		caller:   newHTTP(callers, s.MaxHeaderBytes, logger),
 		peer:     newHTTP(between, peerHeaderBytes, logger),
 		operator: newHTTP(operators, s.MaxHeaderBytes, logger),
@@ -108,6 +111,7 @@
 		n.run(ctx, n.leader.Run)
 	}
 	n.run(ctx, n.cells.Run)
+	n.run(ctx, n.spreader.Run)
 	n.run(ctx, n.member.Run)
 	n.serve(n.caller, n.sockets.Caller)
 	n.logger.Info("started", "instance", n.settings.Instance, "callers", n.sockets.Caller.Addr(), "operators", n.sockets.Operator.Addr())
--- a/internal/daemon/module/module.go
+++ b/internal/daemon/module/module.go
@@ -33,6 +33,7 @@
 	"github.com/snipefront/snipefront/internal/request/claim"
 	"github.com/snipefront/snipefront/internal/request/poison"
 	"github.com/snipefront/snipefront/internal/request/route"
+	"github.com/snipefront/snipefront/internal/request/spread"
 	"github.com/snipefront/snipefront/internal/rpc/peers"
 )
 
@@ -52,7 +53,7 @@
 		fx.NopLogger,
 		fx.Supply(s, sock, logger),
 		fx.Provide(
-			stats.New, newInstance, newControl, newClient, newSender, newState, newReplica, newLog, newLeader,
+			stats.New, newInstance, newControl, newClient, newSender, newRegister, newSpreader, newState, newReplica, newLog, newLeader,
 			newAccess, newCells, newMember, newRouter, newClaim, newFront, newLocate, newNotice,
 			newAdmin, newServer, newLifecycle,
 		),
@@ -111,8 +112,23 @@
 	return &access.Access{Control: c, Caller: p}
 }
 
-func newCells(s *sender.Sender, n *stats.Stats) *cells.Set {
-	g := &poison.Register{}
+func newRegister() *poison.Register { return &poison.Register{} }
+
+func newSpreader(n snipefront.Instance, m *member.Member, g *poison.Register, p *peers.Client, c *stats.Stats, logger *slog.Logger) *spread.Spreader {
+	s := &spread.Spreader{
+		Self:     n.Name,
+		View:     m.View,
+		Lease:    &m.Lease,
+		Register: g,
+		Caller:   p,
+		Counter:  c,
+		Logger:   logger,
+	}
+	g.Spread = s
+	return s
+}
+
+func newCells(s *sender.Sender, g *poison.Register, n *stats.Stats) *cells.Set {
 	return &cells.Set{Make: func(c snipefront.Cell) *local.Dispatcher {
 		return &local.Dispatcher{
 			Cell:    &cell.Cell{Name: c, Picker: picker.Free{}, MaxQueue: maxQueue},
@@ -156,9 +172,9 @@
 }
 
 // newFront joins the path of a request.
-func newFront(s sets.Settings, m *member.Member, c *claim.Filter, t *route.Router, n *stats.Stats) *front.Front {
+func newFront(s sets.Settings, m *member.Member, c *claim.Filter, g *poison.Register, t *route.Router, n *stats.Stats) *front.Front {
 	return &front.Front{
-		Next:         chain.Join(t, c),
+		Next:         chain.Join(t, c, &spread.Filter{Register: g}),
 		Config:       func() *snipefront.Config { return m.View().Config },
 		MaxBodyBytes: s.MaxBodyBytes,
 		Counter:      n,
@@ -186,8 +202,8 @@
 	}
 }
 
-func newServer(s sets.Settings, t *route.Router, d *leader.Leader, l *driver.Log) *peers.Server {
-	p := &peers.Server{Owner: t, MaxBytes: messageBytes(s)}
+func newServer(s sets.Settings, g *poison.Register, t *route.Router, d *leader.Leader, l *driver.Log) *peers.Server {
+	p := &peers.Server{Owner: t, Suspects: g, MaxBytes: messageBytes(s)}
 	if l != nil {
 		p.Leader, p.Log, p.Steps = d, l, l.Deliver
 	}
--- a/internal/dispatch/local/attempt.go
+++ b/internal/dispatch/local/attempt.go
@@ -155,7 +155,7 @@
 	case poison.Clear:
 		return func() {}, false, nil
 	case poison.Quarantined:
-		return nil, true, quarantined(left)
+		return nil, true, poison.Refusal(left)
 	}
 	d.once.Do(func() { d.alone = make(chan struct{}, 1) })
 	select {
@@ -166,15 +166,11 @@
 	release = func() { <-d.alone }
 	if a, left = d.Poison.Admit(time.Now(), r.Fingerprint); a == poison.Quarantined {
 		release()
-		return nil, true, quarantined(left)
+		return nil, true, poison.Refusal(left)
 	}
 	return release, true, nil
 }
 
-func quarantined(left time.Duration) error {
-	return snipefront.Refused(snipefront.ReasonQuarantined, left, "two backend servers fell while this request was in flight; this resend was not run")
-}
-
 func serverOf(b snipefront.BackendServer) poison.Server {
 	return poison.Server{Service: b.Service, DataCentre: b.DataCentre, Name: b.Name, Incarnation: b.Incarnation}
 }
--- a/internal/observe/stats/stats.go
+++ b/internal/observe/stats/stats.go
@@ -18,6 +18,7 @@
 	refusals *prometheus.CounterVec
 	retries  *prometheus.CounterVec
 	latency  *prometheus.HistogramVec
+	unshared prometheus.Counter
 }
 
 // New returns metrics in a registry of their own.
@@ -41,8 +42,12 @@
 			Help:    "Time from the request's arrival to its answer, by service.",
 			Buckets: prometheus.ExponentialBuckets(0.0005, 2, 14),
 		}, []string{"service"}),
+		unshared: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "snipefront_suspects_unshared_total",
+			Help: "Requests under which a backend server fell that were not shared with an instance.",
+		}),
 	}
-	s.registry.MustRegister(s.answers, s.refusals, s.retries, s.latency)
+	s.registry.MustRegister(s.answers, s.refusals, s.retries, s.latency, s.unshared)
 	s.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return s
 }
@@ -67,3 +72,8 @@
 func (s *Stats) Retried(service string, reason snipefront.Reason) {
 	s.retries.WithLabelValues(service, string(reason)).Inc()
 }
+
+// Unshared counts suspects that were dropped before all instances had them.
+func (s *Stats) Unshared(records int) {
+	s.unshared.Add(float64(records))
+}
--- a/internal/request/poison/poison.go
+++ b/internal/request/poison/poison.go
@@ -19,6 +19,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/snipefront/snipefront"
 )
 
 const (
@@ -28,6 +30,8 @@
 	suspicion = time.Minute
 	// fatal is the number of fallen backend servers that quarantines.
 	fatal = 2
+	// maxFallen bounds the fallen backend servers that are remembered of a suspect.
+	maxFallen = 8
 	// maxEntries bounds the suspects that are remembered.
 	maxEntries = 4096
 	// sweepInterval is the time between looks for what no longer holds.
@@ -122,6 +126,12 @@
 	}
 }
 
+// Refusal returns the final answer to a request that is quarantined for the
+// time left.
+func Refusal(left time.Duration) *snipefront.Error {
+	return snipefront.Refused(snipefront.ReasonQuarantined, left, "two backend servers fell while this request was in flight; this resend was not run")
+}
+
 // Answered clears f where it is a suspect. A quarantine stays.
 func (g *Register) Answered(f uint64) {
 	if g == nil || !g.busy.Load() {
@@ -214,7 +224,7 @@
 		e = &entry{}
 		g.suspects[f] = e
 	}
-	if slices.Contains(e.fallen, s) {
+	if len(e.fallen) >= maxFallen || slices.Contains(e.fallen, s) {
 		return false
 	}
 	e.fallen = append(e.fallen, s)
@@ -290,8 +300,20 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, r := range list {
-		for _, s := range r.Fallen {
-			g.add(now, r.Fingerprint, s, min(r.Left, quarantine))
+		if r.Left > 0 {
+			g.merge(now, r)
+		}
+	}
+}
+
+// merge takes in r. Where it and what is known here make a quarantine that
+// neither was alone, the quarantine begins now. The lock is held.
+func (g *Register) merge(now time.Time, r Record) {
+	left := min(r.Left, quarantine)
+	for _, s := range r.Fallen {
+		isNew := g.add(now, r.Fingerprint, s, left)
+		if e := g.suspects[r.Fingerprint]; isNew && len(e.fallen) >= fatal && len(r.Fallen) < fatal {
+			e.ends = now.Add(quarantine)
 		}
 	}
 }
--- a/internal/request/poison/poison_test.go
+++ b/internal/request/poison/poison_test.go
@@ -99,3 +99,33 @@
 		}
 	})
 }
+
+// TestUnionQuarantines merges one fall into another. Neither instance alone knows
+// of two, and the quarantine lasts as long as any other.
+func TestUnionQuarantines(t *testing.T) {
+	var g, other poison.Register
+	for r, s := range map[*poison.Register]poison.Server{&g: server("a", 1), &other: server("b", 1)} {
+		r.Broke(start, 1, s)
+		r.Fell(start, s)
+	}
+	g.Merge(start, other.Records(start))
+	_, want := quarantined(start).Admit(start, 1)
+	if a, left := g.Admit(start, 1); a != poison.Quarantined || left != want {
+		t.Errorf("admitted as %d for %v, want quarantined for %v", a, left, want)
+	}
+	later := start.Add(want / 2)
+	other.Merge(later, g.Records(later))
+	if _, left := other.Admit(later, 1); left != want/2 {
+		t.Errorf("a quarantine that began before lasts for %v, want %v", left, want/2)
+	}
+}
+
+// quarantined returns a register that has quarantined request 1.
+func quarantined(now time.Time) *poison.Register {
+	g := &poison.Register{}
+	for _, s := range []poison.Server{server("a", 1), server("b", 1)} {
+		g.Broke(now, 1, s)
+		g.Fell(now, s)
+	}
+	return g
+}
