--- a/internal/daemon/module/bench_test.go
+++ b/internal/daemon/module/bench_test.go
@@ -20,7 +20,7 @@
 )
 
 // post sends body as JSON and returns the status.
-func post(b *testing.B, url string, body any) int {
+func post(b testing.TB, url string, body any) int {
 	t, err := json.Marshal(body)
 	if err != nil {
 		b.Error(err)
@@ -35,9 +35,11 @@
 	return r.StatusCode
 }
 
-// start runs an instance that is its own control quorum, and returns its
-// addresses for callers and operators.
-func start(b *testing.B) (callers, operators string) {
+// addresses are those of one instance.
+type addresses struct{ callers, operators, peers string }
+
+// start runs an instance that is its own control quorum.
+func start(b testing.TB) addresses {
 	s := sets.Settings{
 		Instance:        "a",
 		DataCentre:      "dc1",
@@ -64,18 +66,38 @@
 			b.Error(err)
 		}
 	})
-	return sock.Caller.Addr().String(), sock.Operator.Addr().String()
+	return addresses{
+		callers:   sock.Caller.Addr().String(),
+		operators: sock.Operator.Addr().String(),
+		peers:     sock.Peer.Addr().String(),
+	}
 }
 
 // fleet starts one instance and one backend server with many slots, and returns
 // the URLs of the service through the instance and direct.
-func fleet(b *testing.B) (through, direct string) {
-	callers, operators := start(b)
+func fleet(b testing.TB) (through, direct string) {
+	a := start(b)
 	back := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/plain")
 		_, _ = w.Write(bytes.Repeat([]byte("x"), 512))
 	}))
 	b.Cleanup(back.Close)
+	configure(b, a)
+	announcement := announced("b", back.Listener.Addr().String())
+	await(b, func() bool { return announce(b, a, announcement) })
+	go func() {
+		for b.Context().Err() == nil {
+			time.Sleep(time.Second)
+			announce(b, a, announcement)
+		}
+	}()
+	through = "http://" + a.callers + "/balance/17"
+	await(b, func() bool { return get(b, through) == nil })
+	return through, back.URL + "/balance/17"
+}
+
+// configure adds the service.
+func configure(b testing.TB, a addresses) {
 	config := struct {
 		ChangeID string
 		Version  uint64
@@ -84,39 +106,38 @@
 		Name    string
 		Content any
 	}{"a.json", json.RawMessage(`{"Kind":"Service","Name":"balance","ColdLimit":64,"WarmUp":"0s"}`)}}}
-	announcement := struct {
-		Name, Service, DataCentre, Address string
-		Incarnation                        uint64
-		Slots                              int
-	}{"b", "balance", "dc1", back.Listener.Addr().String(), 1, 64}
-	await(b, func() bool { return post(b, "http://"+operators+"/v1/config", config) == http.StatusOK })
-	await(b, func() bool {
-		return post(b, "http://"+callers+"/.well-known/snipefront/announce", announcement) == http.StatusOK
-	})
-	go func() {
-		for b.Context().Err() == nil {
-			time.Sleep(time.Second)
-			post(b, "http://"+callers+"/.well-known/snipefront/announce", announcement)
-		}
-	}()
-	through = "http://" + callers + "/balance/17"
-	await(b, func() bool { return get(b, through) == nil })
-	return through, back.URL + "/balance/17"
+	await(b, func() bool { return post(b, "http://"+a.operators+"/v1/config", config) == http.StatusOK })
+}
+
+// announcement is what a backend server says of itself.
+type announcement struct {
+	Name, Service, DataCentre, Address string
+	Incarnation                        uint64
+	Slots                              int
+}
+
+func announced(name, address string) announcement {
+	return announcement{name, "balance", "dc1", address, 1, 64}
+}
+
+func announce(b testing.TB, a addresses, n announcement) bool {
+	return post(b, "http://"+a.callers+"/.well-known/snipefront/announce", n) == http.StatusOK
 }
 
-func await(b *testing.B, ok func() bool) {
+func await(b testing.TB, ok func() bool) {
+	b.Helper()
 	for range 1000 {
 		if ok() {
 			return
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
-	b.Fatal("the instance did not become ready")
+	b.Fatal("what the test waits for did not happen")
 }
 
 var client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, DialContext: (&net.Dialer{}).DialContext}}
 
-func get(b *testing.B, url string) error {
+func get(b testing.TB, url string) error {
 	r, err := client.Get(url)
 	if err != nil {
 		b.Fatal(err)
