peers: send one short header with each call

Each call carried fields that no instance reads (Accept, Twirp-Version and User-Agent). A call now shares one header with the content type alone.

--- a/internal/rpc/peers/link.go
+++ b/internal/rpc/peers/link.go
@@ -43,12 +43,18 @@
 	control  wire.Control
 	// fresh makes each call over a new connection.
 	fresh wire.Peer
+	// header is that of every call. It is never changed.
+	header http.Header
 	// checking is held while a check is going on.
 	checking sync.Mutex
 }
 
 func newLink(address string, maxBytes int64) *link {
-	l := &link{conns: conns.Conns{New: newTransport}, maxBytes: maxBytes}
+	l := &link{
+		conns:    conns.Conns{New: newTransport},
+		maxBytes: maxBytes,
+		header:   http.Header{"Content-Type": {"application/protobuf"}, "User-Agent": nil},
+	}
 	url := "http://" + address
 	l.peer = wire.NewPeerProtobufClient(url, l)
 	l.control = wire.NewControlProtobufClient(url, l)
@@ -118,6 +124,7 @@
 	if req.ContentLength > l.maxBytes {
 		return nil, errTooBig
 	}
+	req.Header = l.header
 	k.transport = l.conns.Transport()
 	resp, err := k.transport.RoundTrip(req)
 	if err != nil {
