peers: answer without the date

BenchmarkRenew with 16 members goes from 324 to 287 bytes on the wire, BenchmarkAnnounce from 297 to 260, BenchmarkForward from 167 to 166 allocations. The times of the runs vary by more than they differ.

--- a/internal/rpc/peers/server.go
+++ b/internal/rpc/peers/server.go
@@ -45,13 +45,21 @@
 
 // Route adds the services to r.
 func (s *Server) Route(r *mux.Router) {
-	r.PathPrefix(wire.PeerPathPrefix).Handler(http.MaxBytesHandler(wire.NewPeerServer(s), s.maxBytes()))
+	r.PathPrefix(wire.PeerPathPrefix).Handler(dateless(http.MaxBytesHandler(wire.NewPeerServer(s), s.maxBytes())))
 	if s.Leader != nil {
-		r.PathPrefix(wire.ControlPathPrefix).Handler(http.MaxBytesHandler(wire.NewControlServer(s), maxControlBytes))
+		r.PathPrefix(wire.ControlPathPrefix).Handler(dateless(http.MaxBytesHandler(wire.NewControlServer(s), maxControlBytes)))
 	}
 	r.NotFoundHandler = http.NotFoundHandler()
 }
 
+// dateless answers without the date, which no instance reads.
+func dateless(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header()["Date"] = nil
+		h.ServeHTTP(w, r)
+	})
+}
+
 // Forward implements wire.Peer.
 func (s *Server) Forward(ctx context.Context, f *wire.ForwardRequest) (*wire.ForwardResponse, error) {
 	s.calls.begin(f.Call)
