--- a/internal/rpc/peers/message.go
+++ b/internal/rpc/peers/message.go
@@ -27,9 +27,12 @@
 }
 
 func fields(h http.Header) []*wire.Field {
+	block := make([]wire.Field, len(h))
 	list := make([]*wire.Field, 0, len(h))
 	for n, v := range h {
-		list = append(list, &wire.Field{Name: n, Values: v})
+		f := &block[len(list)]
+		f.Name, f.Values = n, v
+		list = append(list, f)
 	}
 	return list
 }
