peers: repeat a proposal on a new connection when its own is silent

A claim that met a silent connection to the leader waited until its request's deadline, or for two seconds. An overdue proposal is now asked after over a new connection, as a forwarded request is, and is sent once more where the control instance does not run it. A slow log is waited for.

Ruled out: proven connections for the repeat. Those from before are retired, so the removal changed no test. The same bound is gone from the repeat of a forwarded request.

Seen failing without the repeat, without the retirement and without the control instance's knowledge of running proposals.

--- a/internal/rpc/peers/calls.go
+++ b/internal/rpc/peers/calls.go
@@ -5,7 +5,7 @@
 // callShards is the number of parts of the set of calls, a power of two.
 const callShards = 16
 
-// calls is the set of forwarded requests that are running here.
+// calls is the set of calls that are running here and may take long.
 type calls [callShards]struct {
 	mu      sync.Mutex
 	numbers map[uint64]struct{}
--- a/internal/rpc/peers/client.go
+++ b/internal/rpc/peers/client.go
@@ -93,24 +93,6 @@
 	return grantOf(g), nil
 }
 
-// Propose asks the control instance at address to append a command. Where it
-// does not lead it returns snipefront.ErrNotLeader and the leader's name.
-func (c *Client) Propose(ctx context.Context, address string, command []byte) (result []byte, leader string, err error) {
-	l := c.controlAt(address)
-	var r *wire.ProposeResponse
-	err = l.do(ctx, func(ctx context.Context) (err error) {
-		r, err = l.control.Propose(ctx, &wire.ProposeRequest{Command: command})
-		return err
-	})
-	if err != nil {
-		return nil, "", errors.Wrap(err, "propose")
-	}
-	if r.NotLeader {
-		return nil, r.Leader, snipefront.ErrNotLeader
-	}
-	return r.Result, r.Leader, nil
-}
-
 // Read asks the control instance at address for what it knows, as JSON.
 func (c *Client) Read(ctx context.Context, address, what string, revision uint64) (text []byte, leader string, err error) {
 	l := c.controlAt(address)
@@ -155,10 +137,10 @@
 	return l.(*link)
 }
 
-// nextCall returns a number that no other call of the fleet has.
+// nextCall returns a number that no other call of the fleet has, never zero.
 func (c *Client) nextCall() uint64 {
 	c.once.Do(func() { c.origin = rand.Uint64() })
-	return c.origin + c.calls.Add(1)
+	return max(1, c.origin+c.calls.Add(1))
 }
 
 func (c *Client) maxBytes() int64 {
--- a/internal/rpc/peers/forward.go
+++ b/internal/rpc/peers/forward.go
@@ -64,43 +64,31 @@
 	message *wire.ForwardRequest
 }
 
-// send sends the request once. The first time an overdue answer is looked into;
-// the second time only a connection that works will do. It returns true where
-// the connection was silent while a new one worked.
+// send sends the request once. The first time an overdue answer is looked into.
+// It returns true where the connection was silent while a new one worked. No
+// connection opened until then is used again.
 func (h *hop) send(ctx context.Context, first bool) (Answer, *snipefront.Error, bool) {
-	own, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
 	h.message.Call = h.client.nextCall()
 	h.message.TimeoutMicros = time.Until(h.request.Deadline).Microseconds()
-	var k call
-	if !first || !h.request.Idempotent {
+	k := call{floor: h.client.overdueFloor(), idempotent: h.request.Idempotent}
+	if first {
+		k.id = h.message.Call
+	}
+	if !h.request.Idempotent {
 		k.probe.MaxIdle = h.client.provenFor()
 	}
-	begun := time.Now()
-	g := h.guard(own, cancel, first)
-	f, err := h.link.peer.Forward(k.with(own), h.message)
-	cause := context.Cause(own)
-	cancel(nil)
-	g.End()
-	h.link.end(ctx, &k)
+	var f *wire.ForwardResponse
+	cause, err := h.link.try(ctx, &k, func(ctx context.Context) (err error) {
+		f, err = h.link.peer.Forward(ctx, h.message)
+		return err
+	})
 	if err != nil {
 		return Answer{}, h.unreached(ctx, &k, err, cause), errors.Is(cause, conns.ErrSilent)
 	}
-	h.link.conns.Learn(time.Since(begun))
 	a, refusal := answerOf(f)
 	return a, refusal, false
 }
 
-// guard looks into the call when its answer is overdue.
-func (h *hop) guard(ctx context.Context, cancel context.CancelCauseFunc, first bool) conns.Guard {
-	if !first {
-		return conns.Guard{}
-	}
-	floor, id := h.client.overdueFloor(), h.message.Call
-	check := func() error { return h.link.check(ctx, id, floor, h.request.Idempotent) }
-	return conns.Watch(h.link.conns.Overdue(floor), check, cancel)
-}
-
 // unreached returns the error for a call that brought no answer.
 func (h *hop) unreached(ctx context.Context, k *call, err, cause error) *snipefront.Error {
 	if cause != nil {
--- a/internal/rpc/peers/link.go
+++ b/internal/rpc/peers/link.go
@@ -75,6 +75,13 @@
 
 // call is one call in the making.
 type call struct {
+	// id is zero where an overdue answer is not looked into.
+	id uint64
+	// floor is the time under which no answer is overdue.
+	floor time.Duration
+	// idempotent is true where the call ends when the owner is lost.
+	idempotent bool
+
 	probe watch.Probe
 	// transport is nil where nothing was sent.
 	transport *http.Transport
@@ -97,6 +104,32 @@
 	return err
 }
 
+// try makes the call k with f, and looks into it when its answer is overdue. It
+// returns why the call was ended early, if it was.
+func (l *link) try(ctx context.Context, k *call, f func(ctx context.Context) error) (cause, err error) {
+	own, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	begun := time.Now()
+	g := l.guard(own, cancel, k)
+	err = f(k.with(own))
+	cause = context.Cause(own)
+	cancel(nil)
+	g.End()
+	l.end(ctx, k)
+	if err == nil {
+		l.conns.Learn(time.Since(begun))
+	}
+	return cause, err
+}
+
+// guard looks into k when its answer is overdue.
+func (l *link) guard(ctx context.Context, cancel context.CancelCauseFunc, k *call) conns.Guard {
+	if k.id == 0 {
+		return conns.Guard{}
+	}
+	return conns.Watch(l.conns.Overdue(k.floor), func() error { return l.check(ctx, k) }, cancel)
+}
+
 // end retires the connections where k found one that does not work. That the
 // caller gave up says nothing of them.
 func (l *link) end(ctx context.Context, k *call) {
@@ -173,19 +206,19 @@
 
 // check looks into a call that is overdue until its context ends. It returns
 // the error with which the call ends.
-func (l *link) check(ctx context.Context, id uint64, floor time.Duration, idempotent bool) error {
+func (l *link) check(ctx context.Context, k *call) error {
 	for ctx.Err() == nil {
-		switch l.find(ctx, id) {
+		switch l.find(ctx, k.id) {
 		case absent:
 			if pause(ctx, checkGrace) {
 				return conns.ErrSilent
 			}
 		case unreachable:
-			if idempotent {
+			if k.idempotent {
 				return errUnreachable
 			}
 		}
-		pause(ctx, l.conns.Overdue(floor))
+		pause(ctx, l.conns.Overdue(k.floor))
 	}
 	return nil
 }
--- a/internal/rpc/peers/server.go
+++ b/internal/rpc/peers/server.go
@@ -132,6 +132,8 @@
 
 // Propose implements wire.Control.
 func (s *Server) Propose(ctx context.Context, p *wire.ProposeRequest) (*wire.ProposeResponse, error) {
+	s.calls.begin(p.Call)
+	defer s.calls.end(p.Call)
 	b, err := s.Log.Propose(ctx, p.Command)
 	if errors.Is(err, snipefront.ErrNotLeader) {
 		return &wire.ProposeResponse{NotLeader: true, Leader: s.Log.Leadership().Leader}, nil
