peers: forget addresses that are no longer called

An address without a call for five minutes is forgotten and its connections are closed.

Ruled out: following the epoch, since control instances and announcements are called outside of it.

Seen failing without the removal, without the closing, and with every address removed.

--- a/internal/daemon/module/lifecycle.go
+++ b/internal/daemon/module/lifecycle.go
@@ -46,6 +46,7 @@
 	leader   *leader.Leader
 	claims   *claim.Filter
 	spreader *spread.Spreader
+	client   *peers.Client
 
 	caller   *http.Server
 	peer     *http.Server
@@ -62,7 +63,7 @@
 
 func newLifecycle(
 	s sets.Settings, sock Sockets, logger *slog.Logger, m *member.Member, l *cells.Set, d *leader.Leader, c *claim.Filter,
-	f *front.Front, at *locate.Handler, an *notice.Handler, ad *admin.Admin, p *peers.Server, sp *spread.Spreader,
+	f *front.Front, at *locate.Handler, an *notice.Handler, ad *admin.Admin, p *peers.Server, sp *spread.Spreader, cl *peers.Client,
 ) *Lifecycle {
 	own := mux.NewRouter()
 	own.Handle("/.well-known/snipefront/addresses", at).Methods(http.MethodGet)
@@ -83,6 +84,7 @@
 		leader:   d,
 		claims:   c,
 		spreader: sp,
+		client:   cl,
 		caller:   newHTTP(callers, s.MaxHeaderBytes, logger),
 		peer:     newHTTP(between, peerHeaderBytes, logger),
 		operator: newHTTP(operators, s.MaxHeaderBytes, logger),
@@ -111,6 +113,7 @@
 		n.run(ctx, n.leader.Run)
 	}
 	n.run(ctx, n.cells.Run)
+	n.run(ctx, n.client.Run)
 	n.run(ctx, n.spreader.Run)
 	n.run(ctx, n.member.Run)
 	n.serve(n.caller, n.sockets.Caller)
--- a/internal/rpc/peers/client.go
+++ b/internal/rpc/peers/client.go
@@ -22,6 +22,10 @@
 const (
 	// defaultMaxBytes bounds a message on the path of requests.
 	defaultMaxBytes = 16 << 20
+	// unusedTime is the time without a call after which an address is forgotten.
+	unusedTime = 5 * time.Minute
+	// expiryInterval is the time between looks for such addresses.
+	expiryInterval = time.Minute
 	// maxControlBytes bounds a message of the control quorum.
 	maxControlBytes = 64 << 20
 )
@@ -130,11 +134,46 @@
 }
 
 func linkAt(links *sync.Map, address string, maxBytes int64) *link {
-	if l, ok := links.Load(address); ok {
-		return l.(*link)
+	v, ok := links.Load(address)
+	if !ok {
+		v, _ = links.LoadOrStore(address, newLink(address, maxBytes))
 	}
-	l, _ := links.LoadOrStore(address, newLink(address, maxBytes))
-	return l.(*link)
+	l := v.(*link)
+	l.used.Store(time.Now().UnixNano())
+	return l
+}
+
+// Run forgets addresses that are no longer called until ctx ends.
+func (c *Client) Run(ctx context.Context) error {
+	t := time.NewTicker(expiryInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-t.C:
+			c.Expire(now)
+		}
+	}
+}
+
+// Expire forgets the addresses that were not called for some time, and returns
+// the number of those that it keeps for either kind of call.
+func (c *Client) Expire(now time.Time) int {
+	kept := 0
+	for _, links := range []*sync.Map{&c.peer, &c.control} {
+		links.Range(func(address, v any) bool {
+			l := v.(*link)
+			if now.Sub(time.Unix(0, l.used.Load())) < unusedTime {
+				kept++
+				return true
+			}
+			links.Delete(address)
+			l.conns.CloseIdle()
+			return true
+		})
+	}
+	return kept
 }
 
 // nextCall returns a number that no other call of the fleet has, never zero.
--- a/internal/rpc/peers/hop_test.go
+++ b/internal/rpc/peers/hop_test.go
@@ -141,6 +141,29 @@
 	expect(5)
 }
 
+// TestUnusedAddress forgets an address only after a time without a call.
+func TestUnusedAddress(t *testing.T) {
+	r := newRelay(t, host(t, &peers.Server{Owner: pairs()}))
+	c := &peers.Client{}
+	for kept, after := range []time.Duration{time.Hour, 0} {
+		openTwo(t, c, r.Addr().String())
+		if n := c.Expire(time.Now().Add(after)); n != kept {
+			t.Errorf("%d addresses are kept %v after a call, want %d", n, after, kept)
+		}
+		if n := c.Expire(time.Now()); n != kept {
+			t.Errorf("%d addresses are left, want %d", n, kept)
+		}
+	}
+	if n := r.connections(); n != 4 {
+		t.Errorf("%d connections, want two before and two after", n)
+	}
+	for end := time.Now().Add(limit); r.open() != 2; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d connections are open, want two", r.open())
+		}
+	}
+}
+
 // TestCancelReachesOwner has the caller give up.
 func TestCancelReachesOwner(t *testing.T) {
 	begun, ended := make(chan struct{}), make(chan error, 1)
--- a/internal/rpc/peers/link.go
+++ b/internal/rpc/peers/link.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -45,6 +46,8 @@
 	fresh wire.Peer
 	// header is that of every call. It is never changed.
 	header http.Header
+	// used is the instant of the last call, in nanoseconds of Unix time.
+	used atomic.Int64
 	// checking is held while a check is going on.
 	checking sync.Mutex
 }
--- a/internal/rpc/peers/relay_test.go
+++ b/internal/rpc/peers/relay_test.go
@@ -33,6 +33,8 @@
 	mu       sync.Mutex
 	silent   []*atomic.Bool
 	accepted int
+	// closed counts the connections that the client closed.
+	closed int
 }
 
 func newRelay(t *testing.T, to string) *relay {
@@ -63,7 +65,12 @@
 		r.accepted++
 		r.silent = append(r.silent, silent)
 		r.mu.Unlock()
-		go pass(s, c, silent)
+		go func() {
+			pass(s, c, silent)
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			r.closed++
+		}()
 		go pass(c, s, silent)
 	}
 }
@@ -99,6 +106,13 @@
 	return r.accepted
 }
 
+// open returns the number of connections that the client holds open.
+func (r *relay) open() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.accepted - r.closed
+}
+
 // run is an owner that runs requests with a function and counts them.
 type run struct {
 	owner
