--- a/internal/daemon/module/lifecycle.go
+++ b/internal/daemon/module/lifecycle.go
@@ -20,6 +20,7 @@
 	"github.com/snipefront/snipefront/internal/entry/locate"
 	"github.com/snipefront/snipefront/internal/entry/notice"
 	"github.com/snipefront/snipefront/internal/request/claim"
+	"github.com/snipefront/snipefront/internal/request/spread"
 	"github.com/snipefront/snipefront/internal/rpc/peers"
 )
 
@@ -50,6 +51,8 @@
 	leader   *leader.Leader
 	claims   *claim.Filter
 	prober   *probe.Prober
+	spreader *spread.Spreader
+	client   *peers.Client
 
 	caller   *http.Server
 	peer     *http.Server
@@ -66,7 +69,7 @@
 
 func newLifecycle(
 	s sets.Settings, sock Sockets, logger *slog.Logger, m *member.Member, l *cells.Set, d *leader.Leader, c *claim.Filter,
-	b *probe.Prober, f *front.Front, at *locate.Handler, an *notice.Handler, ad *admin.Admin, p *peers.Server,
+	b *probe.Prober, f *front.Front, at *locate.Handler, an *notice.Handler, ad *admin.Admin, p *peers.Server, sp *spread.Spreader, cl *peers.Client,
 ) *Lifecycle {
 	own := mux.NewRouter()
 	own.Handle("/.well-known/snipefront/addresses", at).Methods(http.MethodGet)
@@ -87,6 +90,8 @@
 		leader:   d,
 		claims:   c,
 		prober:   b,
+		spreader: sp,
+		client:   cl,
 		caller:   newHTTP(closing(callers, m.Leaving), s.MaxHeaderBytes, logger),
 		peer:     newHTTP(between, peerHeaderBytes, logger),
 		operator: newHTTP(operators, s.MaxHeaderBytes, logger),
@@ -128,6 +133,8 @@
 	}
 	n.run(ctx, n.cells.Run)
 	n.run(ctx, n.prober.Run)
+	n.run(ctx, n.client.Run)
+	n.run(ctx, n.spreader.Run)
 	n.run(ctx, n.member.Run)
 	n.serve(n.caller, n.sockets.Caller)
 	n.logger.Info("started", "instance", n.settings.Instance, "callers", n.sockets.Caller.Addr(), "operators", n.sockets.Operator.Addr())
--- a/internal/daemon/module/module.go
+++ b/internal/daemon/module/module.go
@@ -35,12 +35,16 @@
 	"github.com/snipefront/snipefront/internal/request/claim"
 	"github.com/snipefront/snipefront/internal/request/poison"
 	"github.com/snipefront/snipefront/internal/request/route"
+	"github.com/snipefront/snipefront/internal/request/spread"
 	"github.com/snipefront/snipefront/internal/rpc/peers"
 )
 
 const (
 	// maxAnswerBytes bounds the answer of a backend server that is held.
 	maxAnswerBytes = 8 << 20
+	// messageOverhead is room for the header of an answer and the frame of a
+	// message between instances.
+	messageOverhead = 128 << 10
 	// maxQueue is the most requests that wait in one cell.
 	maxQueue = 1000
 )
@@ -51,7 +55,7 @@
 		fx.NopLogger,
 		fx.Supply(s, sock, logger),
 		fx.Provide(
-			stats.New, newInstance, newControl, newClient, newSender, newState, newReplica, newLog, newLeader,
+			stats.New, newInstance, newControl, newClient, newSender, newRegister, newSpreader, newState, newReplica, newLog, newLeader,
 			newAccess, newCells, newMember, newRouter, newClaim, newFront, newLocate, newNotice,
 			newProber, newAdmin, newServer, newLifecycle,
 		),
@@ -82,7 +86,12 @@
 	return list
 }
 
-func newClient() *peers.Client { return &peers.Client{} }
+func newClient(s sets.Settings) *peers.Client { return &peers.Client{MaxBytes: messageBytes(s)} }
+
+// messageBytes bounds a message that holds a request or an answer.
+func messageBytes(s sets.Settings) int64 {
+	return max(s.MaxBodyBytes, maxAnswerBytes) + int64(s.MaxHeaderBytes) + messageOverhead
+}
 
 func newSender() *sender.Sender { return &sender.Sender{MaxAnswerBytes: maxAnswerBytes} }
 
@@ -105,8 +114,23 @@
 	return &access.Access{Control: c, Caller: p}
 }
 
-func newCells(s *sender.Sender, n *stats.Stats) *cells.Set {
-	g := &poison.Register{}
+func newRegister() *poison.Register { return &poison.Register{} }
+
+func newSpreader(n snipefront.Instance, m *member.Member, g *poison.Register, p *peers.Client, c *stats.Stats, logger *slog.Logger) *spread.Spreader {
+	s := &spread.Spreader{
+		Self:     n.Name,
+		View:     m.View,
+		Lease:    &m.Lease,
+		Register: g,
+		Caller:   p,
+		Counter:  c,
+		Logger:   logger,
+	}
+	g.Spread = s
+	return s
+}
+
+func newCells(s *sender.Sender, g *poison.Register, n *stats.Stats) *cells.Set {
 	return &cells.Set{Make: func(c snipefront.Cell) *local.Dispatcher {
 		l := &cell.Cell{Name: c, Picker: picker.Free{}, MaxQueue: maxQueue}
 		return &local.Dispatcher{
@@ -166,9 +190,9 @@
 }
 
 // newFront joins the path of a request.
-func newFront(s sets.Settings, m *member.Member, c *claim.Filter, t *route.Router, n *stats.Stats) *front.Front {
+func newFront(s sets.Settings, m *member.Member, c *claim.Filter, g *poison.Register, t *route.Router, n *stats.Stats) *front.Front {
 	return &front.Front{
-		Next:         chain.Join(t, c),
+		Next:         chain.Join(t, c, &spread.Filter{Register: g}),
 		Config:       func() *snipefront.Config { return m.View().Config },
 		Ready:        func() bool { return m.Lease.Held(time.Now()) },
 		MaxBodyBytes: s.MaxBodyBytes,
@@ -197,9 +221,10 @@
 	}
 }
 
-func newServer(t *route.Router, d *leader.Leader, l *driver.Log) *peers.Server {
-	if l == nil {
-		return &peers.Server{Owner: t}
+func newServer(s sets.Settings, g *poison.Register, t *route.Router, d *leader.Leader, l *driver.Log) *peers.Server {
+	p := &peers.Server{Owner: t, Suspects: g, MaxBytes: messageBytes(s)}
+	if l != nil {
+		p.Leader, p.Log, p.Steps = d, l, l.Deliver
 	}
-	return &peers.Server{Owner: t, Leader: d, Log: l, Steps: l.Deliver}
+	return p
 }
--- a/internal/request/route/route.go
+++ b/internal/request/route/route.go
@@ -238,7 +238,7 @@
 	}
 	switch e.Reason {
 	case snipefront.ReasonDeadline, snipefront.ReasonCanceled, snipefront.ReasonRetryBudget, snipefront.ReasonNoLease,
-		snipefront.ReasonQuarantined, snipefront.ReasonAnswerTooBig, snipefront.ReasonBadRequest:
+		snipefront.ReasonQuarantined, snipefront.ReasonAnswerTooBig, snipefront.ReasonBadRequest, snipefront.ReasonTooLarge:
 		return false
 	}
 	t.Counter.Retried(r.Service, e.Reason)
