front: copy a header once, without its values

Cause: the header of a request and of an answer were cloned with their values, looked through for 14 names and, for the answer, copied a second time. Ruled out: deleting from the header in place, since a handler may not change it.

--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -215,23 +215,39 @@
 }
 
 // endToEnd returns the header without the fields that concern one connection.
+// It shares the values, which are never changed in place.
 func endToEnd(h http.Header) http.Header {
-	out := h.Clone()
-	for _, v := range out.Values("Connection") {
-		for _, n := range strings.Split(v, ",") {
-			out.Del(strings.TrimSpace(n))
+	out := make(http.Header, len(h))
+	copyEndToEnd(out, h)
+	return out
+}
+
+// copyEndToEnd copies the fields of h that don't concern one connection.
+func copyEndToEnd(out, h http.Header) {
+	for n, v := range h {
+		if !isHopByHop(n) {
+			out[n] = v
 		}
 	}
-	for _, n := range hopByHop {
-		out.Del(n)
+	for _, v := range h["Connection"] {
+		for n := range strings.SplitSeq(v, ",") {
+			if n = http.CanonicalHeaderKey(strings.TrimSpace(n)); !isHopByHop(n) {
+				delete(out, n)
+			}
+		}
 	}
-	return out
 }
 
-var hopByHop = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", TimeoutHeader,
-	VerdictHeader, ReasonHeader, BackendHeader,
+// isHopByHop returns whether the field, in its canonical form, concerns one
+// connection.
+func isHopByHop(name string) bool {
+	switch name {
+	case "Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+		"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", TimeoutHeader,
+		VerdictHeader, ReasonHeader, BackendHeader:
+		return true
+	}
+	return false
 }
 
 func isSafe(method string) bool {
@@ -260,9 +276,7 @@
 // added to what the backend server said of its body.
 func write(w http.ResponseWriter, method string, resp *snipefront.Response) {
 	out := w.Header()
-	for n, v := range endToEnd(resp.Header) {
-		out[n] = v
-	}
+	copyEndToEnd(out, resp.Header)
 	if _, ok := out["Content-Type"]; !ok {
 		out["Content-Type"] = nil
 	}
@@ -270,12 +284,20 @@
 		out.Set(BackendHeader, resp.BackendServer)
 	}
 	if method != http.MethodHead {
-		out.Set("Content-Length", strconv.Itoa(len(resp.Body)))
+		setLength(out, len(resp.Body))
 	}
 	w.WriteHeader(resp.Status)
 	_, _ = w.Write(resp.Body)
 }
 
+// setLength sets the length of the body where h does not state it.
+func setLength(h http.Header, n int) {
+	length := strconv.Itoa(n)
+	if v := h["Content-Length"]; len(v) != 1 || v[0] != length {
+		h["Content-Length"] = []string{length}
+	}
+}
+
 // refuse sends a final answer that is not a backend server's.
 func (f *Front) refuse(w http.ResponseWriter, service string, err error) {
 	e := snipefront.AsError(err)
