local: make what a hedge needs only when it begins

Cause: each request that may be hedged made two contexts, a channel and a second deadline, though few hedges begin. The deadline is set only where the context has a later one. Ruled out: no context for the first attempt either; the winner must cancel it.

--- a/internal/dispatch/local/attempt.go
+++ b/internal/dispatch/local/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -52,25 +53,30 @@
 func (d *Dispatcher) race(ctx context.Context, after time.Duration, avoid []string, slot *cell.Slot, r *snipefront.Request, s snipefront.Service, p *progress) sender.Attempt {
 	first, cancelFirst := context.WithCancel(ctx)
 	defer cancelFirst()
-	second, cancelSecond := context.WithCancel(ctx)
-	defer cancelSecond()
-	ended := make(chan sender.Attempt, 1)
+	h := &second{}
+	h.running.Add(1)
 	t := time.AfterFunc(after, func() {
-		b := d.hedge(second, append(slices.Clone(avoid), slot.BackendServer.Name), r, s)
-		if isGood(b) {
+		defer h.running.Done()
+		ctx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		if !h.begin(cancel) {
+			return
+		}
+		h.attempt = d.hedge(ctx, append(slices.Clone(avoid), slot.BackendServer.Name), r, s)
+		if isGood(h.attempt) {
 			cancelFirst()
 		}
-		ended <- b
 	})
 	a := d.send(first, slot, r, s, p.silent)
 	p.note(a)
-	if isGood(a) {
-		cancelSecond()
-	}
 	if t.Stop() {
 		return a
 	}
-	b := <-ended
+	if isGood(a) {
+		h.stop()
+	}
+	h.running.Wait()
+	b := h.attempt
 	p.note(b)
 	if isGood(b) && !isGood(a) || b.Response != nil && a.Response == nil {
 		return b
@@ -78,6 +84,38 @@
 	return a
 }
 
+// second is the second attempt of a race. Most races end before it begins, so
+// that it makes what it needs only then.
+type second struct {
+	running sync.WaitGroup
+	// attempt is set once running is done.
+	attempt sender.Attempt
+
+	mu      sync.Mutex
+	stopped bool
+	cancel  context.CancelFunc
+}
+
+// begin keeps what cancels the attempt, and returns false where it was stopped
+// before.
+func (h *second) begin(cancel context.CancelFunc) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.cancel = cancel
+	h.attempt = sender.Attempt{Verdict: snipefront.NotRun, Reason: snipefront.ReasonHedge, Err: context.Canceled}
+	return !h.stopped
+}
+
+// stop cancels the attempt, now or when it begins.
+func (h *second) stop() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.stopped = true
+	if h.cancel != nil {
+		h.cancel()
+	}
+}
+
 // hedge sends r a second time to a backend server not in avoid, where one has
 // a free slot.
 func (d *Dispatcher) hedge(ctx context.Context, avoid []string, r *snipefront.Request, s snipefront.Service) sender.Attempt {
--- a/internal/dispatch/local/local.go
+++ b/internal/dispatch/local/local.go
@@ -88,7 +88,7 @@
 // Run runs r, waiting for a slot where mayQueue allows it. An error is always a
 // *snipefront.Error.
 func (d *Dispatcher) Run(ctx context.Context, r *snipefront.Request, s snipefront.Service, mayQueue bool) (*snipefront.Response, error) {
-	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	ctx, cancel := until(ctx, r.Deadline)
 	defer cancel()
 	d.earn(r, s)
 	w := cell.Wanted{Importance: r.Importance, Deadline: r.Deadline, MayQueue: mayQueue}
@@ -113,6 +113,14 @@
 	}
 }
 
+// until returns ctx with the deadline, which its own may already be.
+func until(ctx context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
+	if own, ok := ctx.Deadline(); ok && !own.After(deadline) {
+		return ctx, func() {}
+	}
+	return context.WithDeadline(ctx, deadline)
+}
+
 func (d *Dispatcher) earn(r *snipefront.Request, s snipefront.Service) {
 	d.Budget.Earn(s.RetryBudget)
 	if d.Hedges != nil && r.Idempotent {
