--- a/internal/control/state/state.go
+++ b/internal/control/state/state.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"slices"
 	"sync"
 
 	"github.com/pkg/errors"
@@ -62,16 +64,26 @@
 
 // Snapshot returns the whole state as JSON.
 func (s *State) Snapshot() ([]byte, error) {
+	return s.Capture()()
+}
+
+// Capture returns a function that encodes the state as it is now. The function
+// may run beside later changes of the state.
+func (s *State) Capture() func() ([]byte, error) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	claims, err := s.claims.snapshot()
-	if err != nil {
-		return nil, err
-	}
 	d := s.data
-	d.Claims = claims
-	b, err := json.Marshal(d)
-	return b, errors.Wrap(err, "encode state")
+	d.Files = maps.Clone(d.Files)
+	d.History = slices.Clone(d.History)
+	claims := s.claims.capture()
+	return func() ([]byte, error) {
+		var err error
+		if d.Claims, err = claims.encode(); err != nil {
+			return nil, err
+		}
+		b, err := json.Marshal(d)
+		return b, errors.Wrap(err, "encode state")
+	}
 }
 
 // Restore replaces the whole state. On an error the state is unchanged.
--- a/internal/control/state/state_test.go
+++ b/internal/control/state/state_test.go
@@ -243,3 +243,27 @@
 		}
 	})
 }
+
+// TestCaptureStandsStill encodes a captured state after later changes of all its
+// parts.
+func TestCaptureStandsStill(t *testing.T) {
+	s := &state.State{}
+	one := folder{"a.json": json.RawMessage(`{"N":1}`), "b.json": json.RawMessage(`{}`)}
+	change(t, s, nil, "first", 0, one)
+	claim(t, s, "k", "first")
+	before, err := s.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	encode := s.Capture()
+	change(t, s, one, "second", 1, folder{"a.json": json.RawMessage(`{"N":2}`)})
+	claim(t, s, "later", "second")
+	var r state.SettleResult
+	apply(t, s, state.Command{Settle: &state.Settle{Key: "k", Token: "first", Answer: &state.Answer{Status: 200, Body: []byte("x")}}}, &r)
+	if after, err := encode(); err != nil || string(after) != string(before) {
+		t.Fatalf("%s, %v after the changes, %s before", after, err, before)
+	}
+	if again, err := s.Snapshot(); err != nil || string(again) == string(before) {
+		t.Fatalf("the changes are lost: %v", err)
+	}
+}
--- a/internal/control/state/table.go
+++ b/internal/control/state/table.go
@@ -1,7 +1,6 @@
 package state
 
 import (
-	"bytes"
 	"encoding/binary"
 
 	"github.com/pkg/errors"
@@ -163,25 +162,30 @@
 	Answers []answerEntry
 }
 
-func (t *claimTable) snapshot() (claimSnapshot, error) {
-	var s claimSnapshot
-	var packed bytes.Buffer
+// claimCapture is the table at an instant, before it is packed.
+type claimCapture struct {
+	records []claimEntry
+	answers []answerEntry
+}
+
+func (t *claimTable) capture() claimCapture {
+	c := claimCapture{records: make([]claimEntry, 0, len(t.records))}
 	for _, a := range t.order {
-		r, ok := t.records[a.key]
-		if !ok || r.Clock != a.clock {
-			continue
-		}
-		if err := binary.Write(&packed, binary.BigEndian, claimEntry{Key: a.key, Record: r}); err != nil {
-			return s, errors.Wrap(err, "encode claims")
+		if r, ok := t.records[a.key]; ok && r.Clock == a.clock {
+			c.records = append(c.records, claimEntry{Key: a.key, Record: r})
 		}
 	}
-	s.Records = packed.Bytes()
 	for _, a := range t.answerOrder {
 		if x, ok := t.answers[a.key]; ok {
-			s.Answers = append(s.Answers, answerEntry{Key: a.key[:], Clock: a.clock, Answer: x})
+			c.answers = append(c.answers, answerEntry{Key: a.key[:], Clock: a.clock, Answer: x})
 		}
 	}
-	return s, nil
+	return c
+}
+
+func (c claimCapture) encode() (claimSnapshot, error) {
+	packed, err := binary.Append(nil, binary.BigEndian, c.records)
+	return claimSnapshot{Records: packed, Answers: c.answers}, errors.Wrap(err, "encode claims")
 }
 
 // restoreClaims returns the table of a snapshot.
--- a/internal/quorum/disk/disk.go
+++ b/internal/quorum/disk/disk.go
@@ -9,6 +9,9 @@
 // it, syncs the folder, and only then removes the file before it. The file with
 // the highest number is therefore complete, whenever the process ends.
 //
+// Draft writes such a file while Save goes on with the present one. Adopt adds to
+// it what has been saved meanwhile, and makes it the log.
+//
 // Only the last frame can have been cut short by a crash, since each is synced
 // before the next is written. Open cuts a torn last frame, which was never
 // promised to anybody. It refuses a file with any other fault, with its name and
@@ -36,9 +39,13 @@
 )
 
 const (
-	format     = 1
-	prefix     = "log-"
-	temporary  = "next.tmp"
+	format    = 1
+	prefix    = "log-"
+	temporary = "next.tmp"
+	draftName = "draft.tmp"
+	// syncBytes is the most bytes of a draft that wait for a sync, so that no Save
+	// waits for more than these.
+	syncBytes  = 1 << 20
 	lockName   = "lock"
 	folderMode = 0o750
 	fileMode   = 0o640
@@ -73,6 +80,9 @@
 	lock     *os.File
 	bytes    int64
 	failed   error
+	// draft is nil where there is none.
+	draft      File
+	draftBytes int64
 }
 
 // Open locks the folder and reads it. A blank folder gets a new identity.
@@ -127,12 +137,66 @@
 	return f.failed
 }
 
+// Draft writes a file with s under a temporary name. It may run beside Save and
+// Compact, but not beside Adopt or another Draft. A draft that is not adopted is
+// replaced by the next.
+func (f *Folder) Draft(h raft.HardState, s raft.Snapshot) error {
+	file, err := f.create(filepath.Join(f.Path, draftName))
+	if err != nil {
+		return errors.Wrap(err, "create draft of log")
+	}
+	b, err := encode(f.first(h, s, nil))
+	if err != nil {
+		file.Close()
+		return err
+	}
+	if f.draft != nil {
+		f.draft.Close()
+	}
+	f.draft = file
+	f.draftBytes = int64(len(b))
+	for len(b) > 0 {
+		n := min(len(b), syncBytes)
+		if err := write(file, b[:n]); err != nil {
+			return err
+		}
+		b = b[n:]
+	}
+	return nil
+}
+
+// Adopt makes the draft the log, with the entries after its snapshot, and returns
+// once that is on the disk.
+func (f *Folder) Adopt(h raft.HardState, entries []raft.Entry) error {
+	if f.failed != nil {
+		return f.failed
+	}
+	f.failed = f.adopt(h, entries)
+	return f.failed
+}
+
+func (f *Folder) adopt(h raft.HardState, entries []raft.Entry) error {
+	b, err := encode(&wire.LogRecord{Hard: codec.HardState(&h), Entries: codec.Entries(entries)})
+	if err != nil {
+		return err
+	}
+	if err := write(f.draft, b); err != nil {
+		return err
+	}
+	file := f.draft
+	f.draft = nil
+	return f.replace(file, draftName, f.draftBytes+int64(len(b)))
+}
+
 // Bytes returns the length of the log.
 func (f *Folder) Bytes() int64 { return f.bytes }
 
 // Close closes the files and gives up the lock.
 func (f *Folder) Close() error {
 	err := f.file.Close()
+	if f.draft != nil {
+		f.draft.Close()
+	}
 	f.lock.Close()
 	return errors.Wrap(err, "close log")
 }
@@ -141,44 +205,66 @@
 	if f.failed != nil {
 		return f.failed
 	}
-	f.failed = f.put(f.file, r)
-	return f.failed
+	var b []byte
+	if b, f.failed = encode(r); f.failed != nil {
+		return f.failed
+	}
+	if f.failed = write(f.file, b); f.failed != nil {
+		return f.failed
+	}
+	f.bytes += int64(len(b))
+	return nil
 }
 
-// put writes one frame to file and syncs it.
-func (f *Folder) put(file File, r *wire.LogRecord) error {
+// encode returns r as a frame.
+func encode(r *wire.LogRecord) ([]byte, error) {
 	b, err := proto.Marshal(r)
 	if err != nil {
-		return errors.Wrap(err, "encode log record")
+		return nil, errors.Wrap(err, "encode log record")
 	}
 	if len(b) > maxFrameBytes {
-		return errors.Errorf("log record of %d bytes is too long", len(b))
+		return nil, errors.Errorf("log record of %d bytes is too long", len(b))
 	}
-	b = frame(b)
+	return frame(b), nil
+}
+
+// write writes b and syncs it.
+func write(file File, b []byte) error {
 	if _, err := file.Write(b); err != nil {
 		return errors.Wrap(err, "write log")
 	}
-	f.bytes += int64(len(b))
 	return errors.Wrap(file.Sync(), "sync log")
 }
 
-// write makes the next file, with a whole state, the log.
+// first returns the first record of a file.
+func (f *Folder) first(h raft.HardState, s raft.Snapshot, entries []raft.Entry) *wire.LogRecord {
+	return &wire.LogRecord{
+		Format: format, Identity: f.identity,
+		Hard: codec.HardState(&h), Snapshot: codec.Snapshot(&s), Entries: codec.Entries(entries),
+	}
+}
+
+// write makes a file with a whole state the log.
 func (f *Folder) write(h raft.HardState, s raft.Snapshot, entries []raft.Entry) error {
-	path := filepath.Join(f.Path, temporary)
-	file, err := f.create(path)
+	b, err := encode(f.first(h, s, entries))
 	if err != nil {
-		return errors.Wrap(err, "create log")
+		return err
 	}
-	f.bytes = 0
-	r := &wire.LogRecord{
-		Format: format, Identity: f.identity,
-		Hard: codec.HardState(&h), Snapshot: codec.Snapshot(&s), Entries: codec.Entries(entries),
+	file, err := f.create(filepath.Join(f.Path, temporary))
+	if err != nil {
+		return errors.Wrap(err, "create log")
 	}
-	if err := f.put(file, r); err != nil {
+	if err := write(file, b); err != nil {
 		file.Close()
 		return err
 	}
-	if err := os.Rename(path, f.name(f.number+1)); err != nil {
+	return f.replace(file, temporary, int64(len(b)))
+}
+
+// replace gives file, which has a temporary name and a number of bytes, the next
+// number, and removes the file before it.
+func (f *Folder) replace(file File, name string, bytes int64) error {
+	if err := os.Rename(filepath.Join(f.Path, name), f.name(f.number+1)); err != nil {
 		file.Close()
 		return errors.Wrap(err, "rename log")
 	}
@@ -188,6 +274,7 @@
 	}
 	old := f.file
 	f.file = file
+	f.bytes = bytes
 	f.number++
 	if old == nil {
 		return nil
--- a/internal/quorum/disk/disk_test.go
+++ b/internal/quorum/disk/disk_test.go
@@ -152,6 +152,49 @@
 	shut(t, blank)
 }
 
+// TestDraftTakesThePlaceOfTheLogOnceAdopted saves beside a draft, ends without
+// adopting it, and then adopts another.
+func TestDraftTakesThePlaceOfTheLogOnceAdopted(t *testing.T) {
+	f := &disk.Folder{Path: t.TempDir()}
+	open(t, f)
+	hard := raft.HardState{Term: 1, Group: "g"}
+	if err := f.Save(&hard, []raft.Entry{entry(1, 1), entry(2, 1)}); err != nil {
+		t.Fatal(err)
+	}
+	snap := raft.Snapshot{Index: 1, Term: 1, State: bytes.Repeat([]byte("s"), 3<<20)}
+	later := raft.HardState{Term: 2, Vote: "x", Group: "g"}
+	draft := func() {
+		ended := make(chan error)
+		go func() { ended <- f.Draft(hard, snap) }()
+		if err := f.Save(&later, []raft.Entry{entry(3, 2)}); err != nil {
+			t.Fatal(err)
+		}
+		if err := <-ended; err != nil {
+			t.Fatal(err)
+		}
+	}
+	draft()
+	shut(t, f)
+	if s := open(t, f); s.Snapshot.Index != 0 || len(s.Entries) != 3 || s.Hard != later {
+		t.Fatalf("before it is adopted: %d, %+v, %+v", s.Snapshot.Index, s.Entries, s.Hard)
+	}
+	draft()
+	rest := []raft.Entry{entry(2, 1), entry(3, 2)}
+	if err := f.Adopt(later, rest); err != nil {
+		t.Fatal(err)
+	}
+	if err := f.Save(nil, []raft.Entry{entry(4, 2)}); err != nil {
+		t.Fatal(err)
+	}
+	length := f.Bytes()
+	shut(t, f)
+	s := open(t, f)
+	if s.Snapshot.Index != 1 || s.Hard != later || !reflect.DeepEqual(s.Entries, append(rest, entry(4, 2))) || f.Bytes() != length {
+		t.Fatalf("after it is adopted: %d, %+v, %+v, %d bytes of %d", s.Snapshot.Index, s.Entries, s.Hard, f.Bytes(), length)
+	}
+	shut(t, f)
+}
+
 // failing is a file whose syncs fail once told to.
 type failing struct {
 	disk.File
--- a/internal/quorum/driver/bench_test.go
+++ b/internal/quorum/driver/bench_test.go
@@ -27,8 +27,8 @@
 )
 
 // loopback starts three replicas with real disks that call each other over twirp
-// on the loopback interface, and returns the leader.
-func loopback(b *testing.B) *driver.Log {
+// on the loopback interface, and returns the leader. Each replica is prepared first.
+func loopback(b *testing.B, prepare func(l *driver.Log)) *driver.Log {
 	var control []snipefront.Instance
 	var listeners []net.Listener
 	for i := range 3 {
@@ -53,6 +53,7 @@
 			Name: c.Name, Control: control, Machine: &state.State{}, Storage: f, Saved: saved, Caller: &peers.Client{},
 			Lease: 2 * time.Second, Random: rand.Int64N, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		}
+		prepare(l)
 		r := mux.NewRouter()
 		(&peers.Server{Leader: &leader.Leader{}, Log: l, Steps: l.Deliver}).Route(r)
 		s := &http.Server{Handler: r}
@@ -86,7 +87,7 @@
 func BenchmarkPropose(b *testing.B) {
 	for _, proposers := range []int{1, 16, 256} {
 		b.Run(fmt.Sprint(proposers), func(b *testing.B) {
-			l := loopback(b)
+			l := loopback(b, func(*driver.Log) {})
 			var mu sync.Mutex
 			var times []time.Duration
 			var work sync.WaitGroup
--- a/internal/quorum/driver/driver.go
+++ b/internal/quorum/driver/driver.go
@@ -37,8 +37,13 @@
 	queueLength = 1024
 	// maxBatch is the most proposals and deliveries taken in before a save.
 	maxBatch = 1024
-	// defaultSnapshotEntries is the least number of entries between snapshots.
+	// defaultSnapshotEntries and defaultSnapshotBytes are the least that the log
+	// grows by between snapshots.
 	defaultSnapshotEntries = 4096
+	defaultSnapshotBytes   = 4 << 20
+	// logPerSnapshot is the least length of the log when a snapshot is taken, as a
+	// multiple of the snapshot before.
+	logPerSnapshot = 2
 	// keptEntries stay in memory after a snapshot, for replicas that lag.
 	keptEntries = 1024
 )
@@ -46,12 +51,24 @@
 // Storage saves a replica. Each call returns once its data are on the disk.
 type Storage interface {
 	Save(h *raft.HardState, entries []raft.Entry) error
+	// Compact replaces the whole log.
 	Compact(h raft.HardState, s raft.Snapshot, entries []raft.Entry) error
+	// Draft writes a log that starts with s, beside calls of Save. Adopt makes it
+	// the log.
+	Draft(h raft.HardState, s raft.Snapshot) error
+	Adopt(h raft.HardState, entries []raft.Entry) error
 	// Bytes returns the length of what is saved.
 	Bytes() int64
 	Close() error
 }
 
+// Capturer is a Machine whose state is encoded beside later changes of it. The
+// state of any other Machine is encoded at once.
+type Capturer interface {
+	// Capture returns a function that encodes the state as it is now.
+	Capture() func() ([]byte, error)
+}
+
 // Caller delivers messages to the control instance at address.
 type Caller interface {
 	// Step returns the replies that are ready at once.
@@ -77,7 +94,10 @@
 	// SnapshotEntries is the least number of entries between two snapshots. Zero
 	// takes the default.
 	SnapshotEntries uint64
-	Logger          *slog.Logger
+	// SnapshotBytes is the least length of the log between two snapshots. Zero
+	// takes the default.
+	SnapshotBytes int64
+	Logger        *slog.Logger
 
 	once      sync.Once
 	proposals chan proposal
@@ -93,9 +113,20 @@
 	// calls are the deliveries taken in since the last save.
 	calls   []*delivery
 	applied uint64
-	// snapped is the last entry in a snapshot, base the length of the log after it.
+	// snapped is the last entry in a snapshot, base the length of the log after it,
+	// and size the length of its state.
 	snapped uint64
 	base    int64
+	size    int64
+	// drafting is true from the start of a draft until it is read from drafted.
+	drafting bool
+	drafted  chan draft
+}
+
+// draft is a snapshot of which a draft is saved.
+type draft struct {
+	snapshot raft.Snapshot
+	err      error
 }
 
 // view is what Leadership reads.
@@ -218,6 +249,9 @@
 	for range l.links {
 		<-closed
 	}
+	if l.drafting {
+		<-l.drafted
+	}
 	if err != nil {
 		l.Logger.Error("log storage failed, replica steps aside", "error", err)
 		<-ctx.Done()
@@ -231,6 +265,7 @@
 		l.inbox = make(chan *delivery, queueLength)
 		l.ended = make(chan struct{})
 		l.waiting = map[uint64]waiter{}
+		l.drafted = make(chan draft, 1)
 	})
 }
 
@@ -244,6 +279,8 @@
 	l.hard = s.Hard
 	l.applied = s.Snapshot.Index
 	l.snapped = s.Snapshot.Index
+	l.size = int64(len(s.Snapshot.State))
+	l.base = l.size
 	l.replica = &raft.Replica{
 		Name:      l.Name,
 		Identity:  s.Identity,
--- a/internal/quorum/driver/fleet_test.go
+++ b/internal/quorum/driver/fleet_test.go
@@ -28,6 +28,11 @@
 	saved disk.Saved
 	bytes int64
 	fail  bool
+	draft raft.Snapshot
+	// drafted and logged are the bytes written for snapshots and for entries.
+	drafted, logged int64
+	// slow is how long a draft takes.
+	slow time.Duration
 	// event is called before and after each save.
 	event func()
 }
@@ -46,6 +51,7 @@
 	for _, e := range entries {
 		m.saved.Entries = append(slices.Clone(m.saved.Entries[:e.Index-m.saved.Snapshot.Index-1]), e)
 		m.bytes += int64(len(e.Command))
+		m.logged += int64(len(e.Command))
 	}
 	return nil
 }
@@ -61,6 +67,26 @@
 	return nil
 }
 
+func (m *memory) Draft(_ raft.HardState, s raft.Snapshot) error {
+	m.event()
+	time.Sleep(m.slow)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.fail {
+		return errDown
+	}
+	m.draft = s
+	m.drafted += int64(len(s.State))
+	return nil
+}
+
+func (m *memory) Adopt(h raft.HardState, entries []raft.Entry) error {
+	m.mu.Lock()
+	s := m.draft
+	m.mu.Unlock()
+	return m.Compact(h, s, entries)
+}
+
 func (m *memory) Bytes() int64 { return m.bytes }
 
 func (m *memory) Close() error { return nil }
@@ -122,7 +148,7 @@
 	b := &member{state: &state.State{}, memory: m, cancel: cancel, ended: make(chan error, 1)}
 	b.Log = &driver.Log{
 		Name: name, Machine: b.state, Storage: m, Saved: m.saved, Caller: caller{f, name}, Lease: 2 * time.Second,
-		Random: rand.New(rand.NewPCG(uint64(f.disks), uint64(name[0]))).Int64N, SnapshotEntries: 16, Logger: slog.New(slog.DiscardHandler),
+		Random: rand.New(rand.NewPCG(uint64(f.disks), uint64(name[0]))).Int64N, SnapshotEntries: 16, SnapshotBytes: 1, Logger: slog.New(slog.DiscardHandler),
 	}
 	for _, n := range f.names {
 		b.Control = append(b.Control, snipefront.Instance{Name: n, PeerAddress: n})
--- a/internal/quorum/driver/loop.go
+++ b/internal/quorum/driver/loop.go
@@ -20,6 +20,10 @@
 		case <-ctx.Done():
 			return nil
 		case <-t.C:
+		case d := <-l.drafted:
+			if err := l.adopt(d); err != nil {
+				return err
+			}
 		case p := <-l.proposals:
 			first = append(first, p)
 		case d := <-l.inbox:
@@ -101,7 +105,8 @@
 	if !l.replica.Leads() {
 		l.abandon()
 	}
-	return l.compact()
+	l.draft()
+	return nil
 }
 
 func (l *Log) save(d *raft.Ready) error {
@@ -165,6 +170,7 @@
 		l.applied = s.Index
 		l.snapped = s.Index
 		l.base = l.Storage.Bytes()
+		l.size = int64(len(s.State))
 		l.Logger.Info("snapshot received", "index", s.Index, "bytes", len(s.State))
 	}
 	for _, e := range d.Committed {
@@ -218,27 +224,3 @@
 		l.Logger.Info("leader seen", "leader", next.leader, "term", next.term)
 	}
 }
-
-// compact saves a snapshot in place of the log once the log has grown by enough
-// entries, and by as many bytes as the snapshot takes.
-func (l *Log) compact() error {
-	every := l.SnapshotEntries
-	if every == 0 {
-		every = defaultSnapshotEntries
-	}
-	grown := l.Storage.Bytes() - l.base
-	if l.applied-l.snapped < every || grown < l.base {
-		return nil
-	}
-	s, err := l.Machine.Snapshot()
-	if err != nil {
-		return errors.Wrap(err, "take snapshot")
-	}
-	if err := l.Storage.Compact(l.replica.Compact(l.applied, s, keptEntries)); err != nil {
-		return err
-	}
-	l.snapped = l.applied
-	l.base = l.Storage.Bytes()
-	l.Logger.Debug("snapshot saved", "index", l.applied, "bytes", len(s))
-	return nil
-}
--- a/internal/quorum/raft/raft.go
+++ b/internal/quorum/raft/raft.go
@@ -195,12 +195,19 @@
 	}
 }
 
+// SnapshotAt returns the snapshot after the entry at index, which was applied, but
+// for the machine's state.
+func (r *Replica) SnapshotAt(index uint64) Snapshot {
+	t, _ := r.log.term(index)
+	return Snapshot{Index: index, Term: t, Members: r.MembersAt(index)}
+}
+
 // Compact says that state is the machine's state after the entry at index,
 // which was applied. Up to keep entries before it stay for slow replicas. It
 // returns the snapshot and the kept entries, to be saved in place of the log.
 func (r *Replica) Compact(index uint64, state []byte, keep uint64) (HardState, Snapshot, []Entry) {
-	t, _ := r.log.term(index)
-	r.snapshot = Snapshot{Index: index, Term: t, Members: r.MembersAt(index), State: state}
+	r.snapshot = r.SnapshotAt(index)
+	r.snapshot.State = state
 	if index > keep {
 		r.log.discard(index - keep)
 	}
