rpc: count the bytes of the control service and leave out idle header fields

Cause: what control costs in bytes could not be seen, and each call carried a User-Agent and a Date that no instance reads.

snipefront_control_bytes_total{direction} counts whole connections, of the callers from their dialler, of the servers from the first call of the control service on. The callers of that service have connections of their own for this, so a request that is passed on is never counted.

Seen to fail first: TestBothEndsCountTheSameBytes with a dialler that does not count, a handler that does not, and a listener that always does.

--- a/internal/daemon/module/lifecycle.go
+++ b/internal/daemon/module/lifecycle.go
@@ -20,6 +20,7 @@
 	"github.com/snipefront/snipefront/internal/entry/locate"
 	"github.com/snipefront/snipefront/internal/entry/notice"
 	"github.com/snipefront/snipefront/internal/request/claim"
+	"github.com/snipefront/snipefront/internal/rpc/meter"
 	"github.com/snipefront/snipefront/internal/rpc/peers"
 )
 
@@ -66,7 +67,7 @@
 
 func newLifecycle(
 	s sets.Settings, sock Sockets, logger *slog.Logger, m *member.Member, l *cells.Set, d *leader.Leader, c *claim.Filter,
-	b *probe.Prober, f *front.Front, at *locate.Handler, an *notice.Handler, ad *admin.Admin, p *peers.Server,
+	b *probe.Prober, f *front.Front, at *locate.Handler, an *notice.Handler, ad *admin.Admin, p *peers.Server, t *meter.Meter,
 ) *Lifecycle {
 	own := mux.NewRouter()
 	own.Handle("/.well-known/snipefront/addresses", at).Methods(http.MethodGet)
@@ -76,6 +77,9 @@
 	callers.PathPrefix("/").Handler(f)
 	between := mux.NewRouter()
 	p.Route(between)
+	peer := newHTTP(between, peerHeaderBytes, logger)
+	peer.ConnContext = meter.Context
+	sock.Peer = t.Listener(sock.Peer)
 	operators := mux.NewRouter()
 	ad.Route(operators)
 	return &Lifecycle{
@@ -88,7 +92,7 @@
 		claims:   c,
 		prober:   b,
 		caller:   newHTTP(closing(callers, m.Leaving), s.MaxHeaderBytes, logger),
-		peer:     newHTTP(between, peerHeaderBytes, logger),
+		peer:     peer,
 		operator: newHTTP(operators, s.MaxHeaderBytes, logger),
 		ended:    make(chan error),
 		closed:   make(chan error),
--- a/internal/daemon/module/module.go
+++ b/internal/daemon/module/module.go
@@ -35,6 +35,7 @@
 	"github.com/snipefront/snipefront/internal/request/claim"
 	"github.com/snipefront/snipefront/internal/request/poison"
 	"github.com/snipefront/snipefront/internal/request/route"
+	"github.com/snipefront/snipefront/internal/rpc/meter"
 	"github.com/snipefront/snipefront/internal/rpc/peers"
 )
 
@@ -51,7 +52,7 @@
 		fx.NopLogger,
 		fx.Supply(s, sock, logger),
 		fx.Provide(
-			stats.New, newInstance, newControl, newClient, newSender, newState, newReplica, newLog, newLeader,
+			stats.New, newInstance, newControl, newMeter, newClient, newSender, newState, newReplica, newLog, newLeader,
 			newAccess, newCells, newMember, newRouter, newClaim, newFront, newLocate, newNotice,
 			newProber, newAdmin, newServer, newLifecycle,
 		),
@@ -82,7 +83,15 @@
 	return list
 }
 
-func newClient() *peers.Client { return &peers.Client{} }
+func newMeter(n *stats.Stats) *meter.Meter {
+	m := &meter.Meter{}
+	m.Received, m.Sent = n.ControlBytes()
+	return m
+}
+
+func newClient(m *meter.Meter) *peers.Client {
+	return &peers.Client{DialControl: m.Dialer(peers.DialTimeout)}
+}
 
 func newSender() *sender.Sender { return &sender.Sender{MaxAnswerBytes: maxAnswerBytes} }
 
--- a/internal/observe/stats/stats.go
+++ b/internal/observe/stats/stats.go
@@ -19,6 +19,7 @@
 	retries  *prometheus.CounterVec
 	probes   *prometheus.CounterVec
 	latency  *prometheus.HistogramVec
+	control  *prometheus.CounterVec
 }
 
 // New returns metrics in a registry of their own.
@@ -46,8 +47,12 @@
 			Help:    "Time from the request's arrival to its answer, by service.",
 			Buckets: prometheus.ExponentialBuckets(0.0005, 2, 14),
 		}, []string{"service"}),
+		control: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "snipefront_control_bytes_total",
+			Help: "Bytes of the connections that carry the control service, by direction.",
+		}, []string{"direction"}),
 	}
-	s.registry.MustRegister(s.answers, s.refusals, s.retries, s.probes, s.latency)
+	s.registry.MustRegister(s.answers, s.refusals, s.retries, s.probes, s.latency, s.control)
 	s.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return s
 }
@@ -57,6 +62,11 @@
 	return s.registry
 }
 
+// ControlBytes returns the counters of the control service.
+func (s *Stats) ControlBytes() (received, sent prometheus.Counter) {
+	return s.control.WithLabelValues("received"), s.control.WithLabelValues("sent")
+}
+
 // Answered counts an answer of a backend server.
 func (s *Stats) Answered(service string, status int, taken time.Duration) {
 	s.answers.WithLabelValues(service, strconv.Itoa(status)).Inc()
--- a/internal/rpc/peers/client.go
+++ b/internal/rpc/peers/client.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -20,15 +21,21 @@
 )
 
 const (
-	dialTimeout = 250 * time.Millisecond
+	// DialTimeout bounds opening a connection to another instance.
+	DialTimeout = 250 * time.Millisecond
 	idleTimeout = 30 * time.Second
 	idlePerHost = 128
 )
 
 // Client calls other instances. Its zero value is ready.
 type Client struct {
+	// DialControl opens the connections of the control service. Nil opens plain
+	// ones.
+	DialControl func(ctx context.Context, network, address string) (net.Conn, error)
+
 	once    sync.Once
 	http    *http.Client
+	terse   terse
 	peer    sync.Map
 	control sync.Map
 }
@@ -135,10 +142,31 @@
 	return codec.ToMessages(r.Messages), nil
 }
 
+// terse sends requests without the header fields that no instance reads.
+type terse struct {
+	*http.Client
+}
+
+// Do implements wire.HTTPClient.
+func (t terse) Do(r *http.Request) (*http.Response, error) {
+	r.Header["User-Agent"] = nil
+	return t.Client.Do(r)
+}
+
 func (c *Client) client() *http.Client {
 	c.once.Do(func() {
+		dial := c.DialControl
+		if dial == nil {
+			dial = (&net.Dialer{Timeout: DialTimeout}).DialContext
+		}
+		c.terse.Client = &http.Client{Transport: &http.Transport{
+			DialContext:         dial,
+			DisableCompression:  true,
+			MaxIdleConnsPerHost: idlePerHost,
+			IdleConnTimeout:     idleTimeout,
+		}}
 		c.http = &http.Client{Transport: &http.Transport{
-			DialContext:         watch.Dialer(dialTimeout),
+			DialContext:         watch.Dialer(DialTimeout),
 			DisableCompression:  true,
 			MaxIdleConnsPerHost: idlePerHost,
 			IdleConnTimeout:     idleTimeout,
@@ -159,7 +187,8 @@
 	if p, ok := c.control.Load(address); ok {
 		return p.(wire.Control)
 	}
-	p, _ := c.control.LoadOrStore(address, wire.NewControlProtobufClient("http://"+address, c.client()))
+	c.client()
+	p, _ := c.control.LoadOrStore(address, wire.NewControlProtobufClient("http://"+address, c.terse))
 	return p.(wire.Control)
 }
 
--- a/internal/rpc/peers/server.go
+++ b/internal/rpc/peers/server.go
@@ -14,6 +14,7 @@
 	"github.com/snipefront/snipefront/internal/control/leader"
 	"github.com/snipefront/snipefront/internal/quorum/codec"
 	"github.com/snipefront/snipefront/internal/quorum/raft"
+	"github.com/snipefront/snipefront/internal/rpc/meter"
 	"github.com/snipefront/snipefront/internal/rpc/wire"
 )
 
@@ -42,11 +43,19 @@
 func (s *Server) Route(r *mux.Router) {
 	r.PathPrefix(wire.PeerPathPrefix).Handler(wire.NewPeerServer(s))
 	if s.Leader != nil {
-		r.PathPrefix(wire.ControlPathPrefix).Handler(wire.NewControlServer(s))
+		r.PathPrefix(wire.ControlPathPrefix).Handler(meter.Handler(undated(wire.NewControlServer(s))))
 	}
 	r.NotFoundHandler = http.NotFoundHandler()
 }
 
+// undated leaves out a header field that no instance reads.
+func undated(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header()["Date"] = nil
+		next.ServeHTTP(w, r)
+	})
+}
+
 // Forward implements wire.Peer.
 func (s *Server) Forward(ctx context.Context, f *wire.ForwardRequest) (*wire.ForwardResponse, error) {
 	c := snipefront.Cell{Service: f.Service, DataCentre: f.DataCentre}
