--- a/internal/daemon/module/module.go
+++ b/internal/daemon/module/module.go
@@ -36,6 +36,7 @@
 	"github.com/snipefront/snipefront/internal/request/poison"
 	"github.com/snipefront/snipefront/internal/request/route"
 	"github.com/snipefront/snipefront/internal/request/spread"
+	"github.com/snipefront/snipefront/internal/rpc/meter"
 	"github.com/snipefront/snipefront/internal/rpc/peers"
 )
 
@@ -55,7 +56,7 @@
 		fx.NopLogger,
 		fx.Supply(s, sock, logger),
 		fx.Provide(
-			stats.New, newInstance, newControl, newClient, newSender, newRegister, newSpreader, newState, newReplica, newLog, newLeader,
+			stats.New, newInstance, newControl, newMeter, newClient, newSender, newRegister, newSpreader, newState, newReplica, newLog, newLeader,
 			newAccess, newCells, newMember, newRouter, newClaim, newFront, newLocate, newNotice,
 			newProber, newAdmin, newServer, newLifecycle,
 		),
@@ -86,7 +87,15 @@
 	return list
 }
 
-func newClient(s sets.Settings) *peers.Client { return &peers.Client{MaxBytes: messageBytes(s)} }
+func newMeter(n *stats.Stats) *meter.Meter {
+	m := &meter.Meter{}
+	m.Received, m.Sent = n.ControlBytes()
+	return m
+}
+
+func newClient(s sets.Settings, m *meter.Meter) *peers.Client {
+	return &peers.Client{MaxBytes: messageBytes(s), DialControl: m.Dialer(peers.DialTimeout)}
+}
 
 // messageBytes bounds a message that holds a request or an answer.
 func messageBytes(s sets.Settings) int64 {
--- a/internal/observe/stats/stats.go
+++ b/internal/observe/stats/stats.go
@@ -20,6 +20,7 @@
 	probes   *prometheus.CounterVec
 	latency  *prometheus.HistogramVec
 	unshared prometheus.Counter
+	control  *prometheus.CounterVec
 }
 
 // New returns metrics in a registry of their own.
@@ -51,8 +52,12 @@
 			Name: "snipefront_suspects_unshared_total",
 			Help: "Requests under which a backend server fell that were not shared with an instance.",
 		}),
+		control: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "snipefront_control_bytes_total",
+			Help: "Bytes of the connections that carry the control service, by direction.",
+		}, []string{"direction"}),
 	}
-	s.registry.MustRegister(s.answers, s.refusals, s.retries, s.probes, s.latency, s.unshared)
+	s.registry.MustRegister(s.answers, s.refusals, s.retries, s.probes, s.latency, s.unshared, s.control)
 	s.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return s
 }
@@ -62,6 +67,11 @@
 	return s.registry
 }
 
+// ControlBytes returns the counters of the control service.
+func (s *Stats) ControlBytes() (received, sent prometheus.Counter) {
+	return s.control.WithLabelValues("received"), s.control.WithLabelValues("sent")
+}
+
 // Answered counts an answer of a backend server.
 func (s *Stats) Answered(service string, status int, taken time.Duration) {
 	s.answers.WithLabelValues(service, strconv.Itoa(status)).Inc()
--- a/internal/quorum/driver/driver.go
+++ b/internal/quorum/driver/driver.go
@@ -7,6 +7,9 @@
 // each other replica sends, one call at a time, and drops messages where the
 // other is too slow; the replica repeats what matters.
 //
+// A call is answered after that save, with the replies that its messages led to.
+// Where the caller no longer waits, they go in a call of their own.
+//
 // After a failed write the replica steps aside for good: it sends nothing,
 // acknowledges nothing and does not lead. Its instance goes on without it.
 package driver
@@ -28,16 +31,19 @@
 const (
 	// heartbeatsPerLease and electionsPerLease divide a membership lease, so that
 	// a new leader is found before the leases that the old one granted lapse.
-	heartbeatsPerLease = 20
+	heartbeatsPerLease = 15
 	electionsPerLease  = 5
-	// ticksPerHeartbeat is how often the replica looks at the clock.
-	ticksPerHeartbeat = 4
 	// queueLength bounds the proposals and deliveries that wait.
 	queueLength = 1024
 	// maxBatch is the most proposals and deliveries taken in before a save.
 	maxBatch = 1024
-	// defaultSnapshotEntries is the least number of entries between snapshots.
+	// defaultSnapshotEntries and defaultSnapshotBytes are the least that the log
+	// grows by between snapshots.
 	defaultSnapshotEntries = 4096
+	defaultSnapshotBytes   = 4 << 20
+	// logPerSnapshot is the least length of the log when a snapshot is taken, as a
+	// multiple of the snapshot before.
+	logPerSnapshot = 2
 	// keptEntries stay in memory after a snapshot, for replicas that lag.
 	keptEntries = 1024
 )
@@ -45,15 +51,28 @@
 // Storage saves a replica. Each call returns once its data are on the disk.
 type Storage interface {
 	Save(h *raft.HardState, entries []raft.Entry) error
+	// Compact replaces the whole log.
 	Compact(h raft.HardState, s raft.Snapshot, entries []raft.Entry) error
+	// Draft writes a log that starts with s, beside calls of Save. Adopt makes it
+	// the log.
+	Draft(h raft.HardState, s raft.Snapshot) error
+	Adopt(h raft.HardState, entries []raft.Entry) error
 	// Bytes returns the length of what is saved.
 	Bytes() int64
 	Close() error
 }
 
+// Capturer is a Machine whose state is encoded beside later changes of it. The
+// state of any other Machine is encoded at once.
+type Capturer interface {
+	// Capture returns a function that encodes the state as it is now.
+	Capture() func() ([]byte, error)
+}
+
 // Caller delivers messages to the control instance at address.
 type Caller interface {
-	Step(ctx context.Context, address string, messages []raft.Message) error
+	// Step returns the replies that are ready at once.
+	Step(ctx context.Context, address string, messages []raft.Message) ([]raft.Message, error)
 }
 
 // Log implements snipefront.Log. Set the exported fields before Run.
@@ -75,11 +94,14 @@
 	// SnapshotEntries is the least number of entries between two snapshots. Zero
 	// takes the default.
 	SnapshotEntries uint64
-	Logger          *slog.Logger
+	// SnapshotBytes is the least length of the log between two snapshots. Zero
+	// takes the default.
+	SnapshotBytes int64
+	Logger        *slog.Logger
 
 	once      sync.Once
 	proposals chan proposal
-	inbox     chan []raft.Message
+	inbox     chan *delivery
 	// ended is closed when the replica takes in nothing more.
 	ended chan struct{}
 	view  atomic.Pointer[view]
@@ -88,10 +110,23 @@
 	hard    raft.HardState
 	links   map[string]*link
 	waiting map[uint64]waiter
+	// calls are the deliveries taken in since the last save.
+	calls   []*delivery
 	applied uint64
-	// snapped is the last entry in a snapshot, base the length of the log after it.
+	// snapped is the last entry in a snapshot, base the length of the log after it,
+	// and size the length of its state.
 	snapped uint64
 	base    int64
+	size    int64
+	// drafting is true from the start of a draft until it is read from drafted.
+	drafting bool
+	drafted  chan draft
+}
+
+// draft is a snapshot of which a draft is saved.
+type draft struct {
+	snapshot raft.Snapshot
+	err      error
 }
 
 // view is what Leadership reads.
@@ -108,6 +143,17 @@
 	result chan outcome
 }
 
+// delivery is messages of another replica.
+type delivery struct {
+	// context is done where the sender no longer waits. Nil means that nobody
+	// waits, as for the replies that a call of this replica brought.
+	context  context.Context
+	messages []raft.Message
+	replies  []raft.Message
+	// answered has room for one token, after which replies are complete.
+	answered chan struct{}
+}
+
 type outcome struct {
 	result []byte
 	err    error
@@ -154,11 +200,30 @@
 	return snipefront.Leadership{Leader: v.leader, Term: v.term, Self: time.Now().Before(v.until)}
 }
 
-// Deliver takes in messages of other replicas.
-func (l *Log) Deliver(ctx context.Context, messages []raft.Message) error {
+// Deliver takes in messages of another replica and returns the replies to it.
+func (l *Log) Deliver(ctx context.Context, messages []raft.Message) ([]raft.Message, error) {
+	if len(messages) == 0 {
+		return nil, nil
+	}
 	l.init()
+	d := &delivery{context: ctx, messages: messages, answered: make(chan struct{}, 1)}
+	if err := l.accept(ctx, d); err != nil {
+		return nil, err
+	}
 	select {
-	case l.inbox <- messages:
+	case <-d.answered:
+		return d.replies, nil
+	case <-l.ended:
+		return nil, errEnded
+	case <-ctx.Done():
+		return nil, errors.Wrap(ctx.Err(), "deliver")
+	}
+}
+
+// accept queues d for the replica.
+func (l *Log) accept(ctx context.Context, d *delivery) error {
+	select {
+	case l.inbox <- d:
 		return nil
 	case <-l.ended:
 		return errEnded
@@ -184,6 +249,9 @@
 	for range l.links {
 		<-closed
 	}
+	if l.drafting {
+		<-l.drafted
+	}
 	if err != nil {
 		l.Logger.Error("log storage failed, replica steps aside", "error", err)
 		<-ctx.Done()
@@ -194,9 +262,10 @@
 func (l *Log) init() {
 	l.once.Do(func() {
 		l.proposals = make(chan proposal, queueLength)
-		l.inbox = make(chan []raft.Message, queueLength)
+		l.inbox = make(chan *delivery, queueLength)
 		l.ended = make(chan struct{})
 		l.waiting = map[uint64]waiter{}
+		l.drafted = make(chan draft, 1)
 	})
 }
 
@@ -210,6 +279,8 @@
 	l.hard = s.Hard
 	l.applied = s.Snapshot.Index
 	l.snapped = s.Snapshot.Index
+	l.size = int64(len(s.Snapshot.State))
+	l.base = l.size
 	l.replica = &raft.Replica{
 		Name:      l.Name,
 		Identity:  s.Identity,
@@ -234,7 +305,10 @@
 		if c.Name == l.Name {
 			continue
 		}
-		k := &link{address: c.PeerAddress, caller: l.Caller, timeout: l.Lease / electionsPerLease, ready: make(chan struct{}, 1)}
+		k := &link{
+			address: c.PeerAddress, caller: l.Caller, accept: l.accept,
+			timeout: l.Lease / electionsPerLease, ready: make(chan struct{}, 1),
+		}
 		l.links[c.Name] = k
 		go func() {
 			k.run(ctx)
--- a/internal/quorum/driver/fleet_test.go
+++ b/internal/quorum/driver/fleet_test.go
@@ -28,6 +28,11 @@
 	saved disk.Saved
 	bytes int64
 	fail  bool
+	draft raft.Snapshot
+	// drafted and logged are the bytes written for snapshots and for entries.
+	drafted, logged int64
+	// slow is how long a draft takes.
+	slow time.Duration
 	// event is called before and after each save.
 	event func()
 }
@@ -46,6 +51,7 @@
 	for _, e := range entries {
 		m.saved.Entries = append(slices.Clone(m.saved.Entries[:e.Index-m.saved.Snapshot.Index-1]), e)
 		m.bytes += int64(len(e.Command))
+		m.logged += int64(len(e.Command))
 	}
 	return nil
 }
@@ -61,6 +67,26 @@
 	return nil
 }
 
+func (m *memory) Draft(_ raft.HardState, s raft.Snapshot) error {
+	m.event()
+	time.Sleep(m.slow)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.fail {
+		return errDown
+	}
+	m.draft = s
+	m.drafted += int64(len(s.State))
+	return nil
+}
+
+func (m *memory) Adopt(h raft.HardState, entries []raft.Entry) error {
+	m.mu.Lock()
+	s := m.draft
+	m.mu.Unlock()
+	return m.Compact(h, s, entries)
+}
+
 func (m *memory) Bytes() int64 { return m.bytes }
 
 func (m *memory) Close() error { return nil }
@@ -98,10 +124,12 @@
 	up map[string]*member
 	// deaf receives nothing and mute sends nothing.
 	deaf, mute string
+	// calls and replies count the calls of each replica and the replies in them.
+	calls, replies map[string]int
 }
 
 func newFleet(t *testing.T, names ...string) *fleet {
-	f := &fleet{t: t, names: names, up: map[string]*member{}}
+	f := &fleet{t: t, names: names, up: map[string]*member{}, calls: map[string]int{}, replies: map[string]int{}}
 	for _, n := range names {
 		f.start(n, f.blank(n))
 	}
@@ -120,7 +148,7 @@
 	b := &member{state: &state.State{}, memory: m, cancel: cancel, ended: make(chan error, 1)}
 	b.Log = &driver.Log{
 		Name: name, Machine: b.state, Storage: m, Saved: m.saved, Caller: caller{f, name}, Lease: 2 * time.Second,
-		Random: rand.New(rand.NewPCG(uint64(f.disks), uint64(name[0]))).Int64N, SnapshotEntries: 16, Logger: slog.New(slog.DiscardHandler),
+		Random: rand.New(rand.NewPCG(uint64(f.disks), uint64(name[0]))).Int64N, SnapshotEntries: 16, SnapshotBytes: 1, Logger: slog.New(slog.DiscardHandler),
 	}
 	for _, n := range f.names {
 		b.Control = append(b.Control, snipefront.Instance{Name: n, PeerAddress: n})
@@ -247,18 +275,44 @@
 	f.t.Fatal("the replicas differ")
 }
 
+func (f *fleet) count(name string, messages []raft.Message) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls[name]++
+	for _, m := range messages {
+		if m.Kind.Reply() {
+			f.replies[name]++
+		}
+	}
+}
+
+// counts returns the calls of a replica and the replies in them, and forgets all.
+func (f *fleet) counts(name string) (calls, replies int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	calls, replies = f.calls[name], f.replies[name]
+	clear(f.calls)
+	clear(f.replies)
+	return calls, replies
+}
+
 // caller delivers messages for the replica that it names.
 type caller struct {
 	fleet *fleet
 	name  string
 }
 
-func (c caller) Step(ctx context.Context, address string, messages []raft.Message) error {
+func (c caller) Step(ctx context.Context, address string, messages []raft.Message) ([]raft.Message, error) {
 	c.fleet.happen(c.name)
+	c.fleet.count(c.name, messages)
 	to := c.fleet.at(address)
 	if to == nil || c.fleet.at(c.name) == nil || c.fleet.cut(c.name, address) {
-		return errDown
+		return nil, errDown
 	}
 	time.Sleep(time.Millisecond)
-	return to.Deliver(ctx, messages)
+	replies, err := to.Deliver(ctx, messages)
+	if c.fleet.cut(address, c.name) || c.fleet.at(address) != to {
+		return nil, errDown
+	}
+	return replies, err
 }
--- a/internal/quorum/driver/loop.go
+++ b/internal/quorum/driver/loop.go
@@ -12,7 +12,7 @@
 
 // loop drives the replica until ctx ends or the storage fails.
 func (l *Log) loop(ctx context.Context) error {
-	t := time.NewTicker(l.Lease / heartbeatsPerLease / ticksPerHeartbeat)
+	t := time.NewTimer(0)
 	defer t.Stop()
 	for {
 		var first []proposal
@@ -20,24 +20,33 @@
 		case <-ctx.Done():
 			return nil
 		case <-t.C:
+		case d := <-l.drafted:
+			if err := l.adopt(d); err != nil {
+				return err
+			}
 		case p := <-l.proposals:
 			first = append(first, p)
-		case m := <-l.inbox:
-			l.step(m)
+		case d := <-l.inbox:
+			l.step(d)
 		}
 		l.gather(first)
 		l.replica.Tick(time.Now())
 		if err := l.settle(); err != nil {
 			return err
 		}
+		l.reply()
+		t.Reset(time.Until(l.replica.Due()))
 	}
 }
 
-func (l *Log) step(messages []raft.Message) {
+func (l *Log) step(d *delivery) {
 	now := time.Now()
-	for _, m := range messages {
+	for _, m := range d.messages {
 		l.replica.Step(now, m)
 	}
+	if d.context != nil {
+		l.calls = append(l.calls, d)
+	}
 }
 
 // gather takes in what waits, so that it shares one save.
@@ -47,8 +56,8 @@
 		case p := <-l.proposals:
 			batch = append(batch, p)
 			continue
-		case m := <-l.inbox:
-			l.step(m)
+		case d := <-l.inbox:
+			l.step(d)
 			continue
 		default:
 		}
@@ -96,7 +105,8 @@
 	if !l.replica.Leads() {
 		l.abandon()
 	}
-	return l.compact()
+	l.draft()
+	return nil
 }
 
 func (l *Log) save(d *raft.Ready) error {
@@ -115,12 +125,43 @@
 
 func (l *Log) send(messages []raft.Message) {
 	for _, m := range messages {
-		if k := l.links[m.ToName]; k != nil {
-			k.put(m)
+		if d := l.call(m); d != nil {
+			d.replies = append(d.replies, m)
+			continue
 		}
+		l.post(m)
 	}
 }
 
+// call returns the open call whose answer can carry m, or nil where m is no reply
+// or its caller has given up.
+func (l *Log) call(m raft.Message) *delivery {
+	if !m.Kind.Reply() {
+		return nil
+	}
+	for _, d := range l.calls {
+		if d.messages[0].From == m.To && d.context.Err() == nil {
+			return d
+		}
+	}
+	return nil
+}
+
+func (l *Log) post(m raft.Message) {
+	if k := l.links[m.ToName]; k != nil {
+		k.put(m)
+	}
+}
+
+// reply answers the open calls.
+func (l *Log) reply() {
+	for _, d := range l.calls {
+		d.answered <- struct{}{}
+	}
+	clear(l.calls)
+	l.calls = l.calls[:0]
+}
+
 func (l *Log) apply(d *raft.Ready) error {
 	if s := d.Snapshot; s != nil {
 		if err := l.Machine.Restore(s.State); err != nil {
@@ -129,6 +170,7 @@
 		l.applied = s.Index
 		l.snapped = s.Index
 		l.base = l.Storage.Bytes()
+		l.size = int64(len(s.State))
 		l.Logger.Info("snapshot received", "index", s.Index, "bytes", len(s.State))
 	}
 	for _, e := range d.Committed {
@@ -182,27 +224,3 @@
 		l.Logger.Info("leader seen", "leader", next.leader, "term", next.term)
 	}
 }
-
-// compact saves a snapshot in place of the log once the log has grown by enough
-// entries, and by as many bytes as the snapshot takes.
-func (l *Log) compact() error {
-	every := l.SnapshotEntries
-	if every == 0 {
-		every = defaultSnapshotEntries
-	}
-	grown := l.Storage.Bytes() - l.base
-	if l.applied-l.snapped < every || grown < l.base {
-		return nil
-	}
-	s, err := l.Machine.Snapshot()
-	if err != nil {
-		return errors.Wrap(err, "take snapshot")
-	}
-	if err := l.Storage.Compact(l.replica.Compact(l.applied, s, keptEntries)); err != nil {
-		return err
-	}
-	l.snapped = l.applied
-	l.base = l.Storage.Bytes()
-	l.Logger.Debug("snapshot saved", "index", l.applied, "bytes", len(s))
-	return nil
-}
--- a/internal/rpc/peers/client.go
+++ b/internal/rpc/peers/client.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,10 +17,13 @@
 	"github.com/snipefront/snipefront/internal/control/state"
 	"github.com/snipefront/snipefront/internal/quorum/codec"
 	"github.com/snipefront/snipefront/internal/quorum/raft"
+	"github.com/snipefront/snipefront/internal/rpc/watch"
 	"github.com/snipefront/snipefront/internal/rpc/wire"
 )
 
 const (
+	// DialTimeout bounds opening a connection to another instance.
+	DialTimeout = 250 * time.Millisecond
 	// defaultMaxBytes bounds a message on the path of requests.
 	defaultMaxBytes = 16 << 20
 	// unusedTime is the time without a call after which an address is forgotten.
@@ -43,6 +47,10 @@
 	// tenth of a second.
 	OverdueFloor time.Duration
 
+	// DialControl opens the connections of the control service. Nil opens plain
+	// ones.
+	DialControl func(ctx context.Context, network, address string) (net.Conn, error)
+
 	// peer and control hold a link for each address. They are apart, so that no
 	// fault or flood on the path of requests delays a renewal.
 	peer    sync.Map
@@ -115,28 +123,37 @@
 }
 
 // Step delivers messages of the replicated log to the control instance at
-// address.
-func (c *Client) Step(ctx context.Context, address string, messages []raft.Message) error {
+// address, and returns its replies.
+func (c *Client) Step(ctx context.Context, address string, messages []raft.Message) ([]raft.Message, error) {
 	l := c.controlAt(address)
+	var r *wire.StepResponse
 	err := l.do(ctx, func(ctx context.Context) error {
-		_, err := l.control.Step(ctx, &wire.StepRequest{Messages: codec.Messages(messages)})
+		var err error
+		r, err = l.control.Step(ctx, &wire.StepRequest{Messages: codec.Messages(messages)})
 		return err
 	})
-	return errors.Wrap(err, "step")
+	if err != nil {
+		return nil, errors.Wrap(err, "step")
+	}
+	return codec.ToMessages(r.Messages), nil
 }
 
 func (c *Client) peerAt(address string) *link {
-	return linkAt(&c.peer, address, c.maxBytes())
+	return linkAt(&c.peer, address, c.maxBytes(), watch.Dialer(DialTimeout))
 }
 
 func (c *Client) controlAt(address string) *link {
-	return linkAt(&c.control, address, maxControlBytes)
+	dial := watch.Dialer(DialTimeout)
+	if c.DialControl != nil {
+		dial = watch.Over(c.DialControl)
+	}
+	return linkAt(&c.control, address, maxControlBytes, dial)
 }
 
-func linkAt(links *sync.Map, address string, maxBytes int64) *link {
+func linkAt(links *sync.Map, address string, maxBytes int64, dial watch.Dial) *link {
 	v, ok := links.Load(address)
 	if !ok {
-		v, _ = links.LoadOrStore(address, newLink(address, maxBytes))
+		v, _ = links.LoadOrStore(address, newLink(address, maxBytes, dial))
 	}
 	l := v.(*link)
 	l.used.Store(time.Now().UnixNano())
--- a/internal/rpc/peers/hop_test.go
+++ b/internal/rpc/peers/hop_test.go
@@ -108,9 +108,9 @@
 // on a new one, and those of requests stay.
 func TestRenewalApart(t *testing.T) {
 	l, m := newLeader(1), make(meeting)
-	steps := func(context.Context, []raft.Message) error {
+	steps := func(context.Context, []raft.Message) ([]raft.Message, error) {
 		m.wait()
-		return nil
+		return nil, nil
 	}
 	r := newRelay(t, host(t, &peers.Server{Owner: pairs(), Leader: l, Log: l.Log, Steps: steps}))
 	c := &peers.Client{}
@@ -127,7 +127,10 @@
 			t.Errorf("%d connections, want %d", got, n)
 		}
 	}
-	twice(t, func() error { return c.Step(t.Context(), address, nil) })
+	twice(t, func() error {
+		_, err := c.Step(t.Context(), address, nil)
+		return err
+	})
 	r.silence()
 	openTwo(t, c, address)
 	expect(4)
--- a/internal/rpc/peers/link.go
+++ b/internal/rpc/peers/link.go
@@ -16,7 +16,6 @@
 )
 
 const (
-	dialTimeout = 250 * time.Millisecond
 	idleTimeout = 30 * time.Second
 	idlePerHost = 128
 	// headerBytes bounds the header of an answer.
@@ -52,7 +51,8 @@
 	checking sync.Mutex
 }
 
-func newLink(address string, maxBytes int64) *link {
+func newLink(address string, maxBytes int64, dial watch.Dial) *link {
+	newTransport := func(single bool) *http.Transport { return transport(single, dial) }
 	l := &link{
 		conns:    conns.Conns{New: newTransport},
 		maxBytes: maxBytes,
@@ -65,10 +65,10 @@
 	return l
 }
 
-func newTransport(single bool) *http.Transport {
+func transport(single bool, dial watch.Dial) *http.Transport {
 	return &http.Transport{
 		DisableKeepAlives:      single,
-		DialContext:            watch.Dialer(dialTimeout),
+		DialContext:            dial,
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    idlePerHost,
 		IdleConnTimeout:        idleTimeout,
--- a/internal/rpc/peers/propose_test.go
+++ b/internal/rpc/peers/propose_test.go
@@ -32,15 +32,18 @@
 // good, and after that a log that is slow.
 func TestSilentProposal(t *testing.T) {
 	log, m := &slowLog{}, make(meeting)
-	steps := func(context.Context, []raft.Message) error {
+	steps := func(context.Context, []raft.Message) ([]raft.Message, error) {
 		m.wait()
-		return nil
+		return nil, nil
 	}
 	r := newRelay(t, host(t, &peers.Server{Owner: owner{}, Leader: &leader.Leader{}, Log: log, Steps: steps}))
 	c := &peers.Client{OverdueFloor: overdue}
 	ctx, cancel := context.WithTimeout(t.Context(), limit)
 	defer cancel()
-	twice(t, func() error { return c.Step(ctx, r.Addr().String(), nil) })
+	twice(t, func() error {
+		_, err := c.Step(ctx, r.Addr().String(), nil)
+		return err
+	})
 	r.silence()
 	for _, takes := range []time.Duration{0, 10 * overdue} {
 		log.takes = takes
--- a/internal/rpc/peers/server.go
+++ b/internal/rpc/peers/server.go
@@ -14,6 +14,7 @@
 	"github.com/snipefront/snipefront/internal/control/leader"
 	"github.com/snipefront/snipefront/internal/quorum/codec"
 	"github.com/snipefront/snipefront/internal/quorum/raft"
+	"github.com/snipefront/snipefront/internal/rpc/meter"
 	"github.com/snipefront/snipefront/internal/rpc/wire"
 )
 
@@ -33,8 +34,9 @@
 	// Leader and Log are nil where this instance is not in the control quorum.
 	Leader *leader.Leader
 	Log    snipefront.Log
-	// Steps takes in messages of the replicated log. It may be nil.
-	Steps func(ctx context.Context, messages []raft.Message) error
+	// Steps takes in messages of the replicated log and returns the replies. It
+	// may be nil.
+	Steps func(ctx context.Context, messages []raft.Message) ([]raft.Message, error)
 	// Suspects takes in and gives out records. It may be nil.
 	Suspects Suspects
 	// MaxBytes bounds a message on the path of requests. Zero means 16 MB.
@@ -47,7 +49,7 @@
 func (s *Server) Route(r *mux.Router) {
 	r.PathPrefix(wire.PeerPathPrefix).Handler(dateless(http.MaxBytesHandler(wire.NewPeerServer(s), s.maxBytes())))
 	if s.Leader != nil {
-		r.PathPrefix(wire.ControlPathPrefix).Handler(dateless(http.MaxBytesHandler(wire.NewControlServer(s), maxControlBytes)))
+		r.PathPrefix(wire.ControlPathPrefix).Handler(meter.Handler(dateless(http.MaxBytesHandler(wire.NewControlServer(s), maxControlBytes))))
 	}
 	r.NotFoundHandler = http.NotFoundHandler()
 }
@@ -167,7 +169,11 @@
 	if s.Steps == nil {
 		return &wire.StepResponse{}, nil
 	}
-	return &wire.StepResponse{}, s.Steps(ctx, codec.ToMessages(m.Messages))
+	replies, err := s.Steps(ctx, codec.ToMessages(m.Messages))
+	if err != nil {
+		return nil, err
+	}
+	return &wire.StepResponse{Messages: codec.Messages(replies)}, nil
 }
 
 func (s *Server) maxBytes() int64 {
--- a/internal/rpc/watch/watch.go
+++ b/internal/rpc/watch/watch.go
@@ -19,12 +19,20 @@
 	"time"
 )
 
+// Dial opens a connection.
+type Dial = func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Dialer returns a dial function for an http.Transport that carries one request
 // at a time on a connection.
-func Dialer(timeout time.Duration) func(ctx context.Context, network, address string) (net.Conn, error) {
-	d := &net.Dialer{Timeout: timeout}
+func Dialer(timeout time.Duration) Dial {
+	return Over((&net.Dialer{Timeout: timeout}).DialContext)
+}
+
+// Over returns a dial function as Dialer does, whose connections are opened by
+// dial.
+func Over(dial Dial) Dial {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		c, err := d.DialContext(ctx, network, address)
+		c, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
