module: match callers' requests without a router

Cause: each request of a caller went through two routers, which copy it twice and put two values into its context, only to tell snipefront's own two paths from all others. The own paths keep their router.

--- a/internal/daemon/module/lifecycle.go
+++ b/internal/daemon/module/lifecycle.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -26,6 +27,9 @@
 )
 
 const (
+	// ownPrefix begins the paths that snipefront itself answers for callers and
+	// backend servers.
+	ownPrefix = "/.well-known/snipefront/"
 	// addressLifetime is for how long a caller may keep an address.
 	addressLifetime = 3 * time.Second
 	// leaveTimeout bounds the wait until no new answer names a stopping instance.
@@ -74,11 +78,8 @@
 	t *meter.Meter,
 ) *Lifecycle {
 	own := mux.NewRouter()
-	own.Handle("/.well-known/snipefront/addresses", at).Methods(http.MethodGet)
-	own.Handle("/.well-known/snipefront/announce", an).Methods(http.MethodPost)
-	callers := mux.NewRouter().SkipClean(true).UseEncodedPath()
-	callers.PathPrefix("/.well-known/snipefront/").Handler(own)
-	callers.PathPrefix("/").Handler(f)
+	own.Handle(ownPrefix+"addresses", at).Methods(http.MethodGet)
+	own.Handle(ownPrefix+"announce", an).Methods(http.MethodPost)
 	between := mux.NewRouter()
 	p.Route(between)
 	peer := newHTTP(between, peerHeaderBytes, logger)
@@ -97,7 +98,7 @@
 		prober:   b,
 		spreader: sp,
 		client:   cl,
-		caller:   newHTTP(closing(callers, m.Leaving), s.MaxHeaderBytes, logger),
+		caller:   newHTTP(closing(split(own, f), m.Leaving), s.MaxHeaderBytes, logger),
 		peer:     peer,
 		operator: newHTTP(operators, s.MaxHeaderBytes, logger),
 		ended:    make(chan error),
@@ -115,6 +116,18 @@
 	}
 }
 
+// split hands the paths of snipefront itself to own and all others to services as
+// they are.
+func split(own, services http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, h *http.Request) {
+		if strings.HasPrefix(h.URL.EscapedPath(), ownPrefix) {
+			own.ServeHTTP(w, h)
+			return
+		}
+		services.ServeHTTP(w, h)
+	})
+}
+
 // closing asks callers to close their connections, by their next answers, while
 // the instance is leaving. An idle connection stays open, since a request may be
 // under way on it.
