dispatch/cells: choose no backend server on a lapsed lease

The lease was looked at when a request came to its cell, and not again. A request that waited in the queue, or that was to be repeated or hedged, was sent after the lease had lapsed: at an instance that woke from a freeze, or that was cut off while its queue was long. By then another owner may run the cell, the data centre may be out, or a newer configuration in force elsewhere.

A check in the router after the wait was ruled out: the queue grants slots and the dispatcher repeats below it. Ending the context at the lapse was ruled out, since it would cut off what is running. Now the picker of each cell chooses nothing while the lease is lapsed, so that every slot depends on it, and the cells are closed within a quarter of a second of the lapse, so that what waits is refused as not run and does not sit there until its deadline.

Before: the second request of TestNothingIsDispatchedOnLapsedLease ran, and TestRepeatNeedsLease saw one repeat. Without the close the waiting request hung until its deadline of 30 s. After: both pass under the race detector.

Not covered: a request whose slot was taken while the lease held and whose first byte is not yet written when the process freezes.

--- a/internal/daemon/module/lifecycle.go
+++ b/internal/daemon/module/lifecycle.go
@@ -76,6 +76,7 @@
 	callers.PathPrefix("/").Handler(f)
 	between := mux.NewRouter()
 	p.Route(between)
+	l.Lease = &m.Lease
 	operators := mux.NewRouter()
 	ad.Route(operators)
 	return &Lifecycle{
--- a/internal/dispatch/cells/cells.go
+++ b/internal/dispatch/cells/cells.go
@@ -3,6 +3,10 @@
 //
 // The set of cells is replaced as a whole when a cell is added, so that the
 // path of a request reads it without a lock.
+//
+// The lease of the instance is looked at again for each choice of a backend
+// server: a request that waited, or that is repeated, may outlive the lease that
+// it came under.
 package cells
 
 import (
@@ -17,17 +21,27 @@
 	"github.com/snipefront/snipefront/internal/dispatch/local"
 )
 
-// expiryInterval is the time between looks for lapsed announcements.
+// expiryInterval is the time between looks for lapsed announcements and at the
+// lease.
 const expiryInterval = 250 * time.Millisecond
 
+// Lease tells whether this instance may dispatch.
+type Lease interface {
+	Held(now time.Time) bool
+}
+
 // Set is the cells of one instance. Set the exported fields before Run.
 type Set struct {
 	// Make returns a new closed cell with its dispatcher.
 	Make func(snipefront.Cell) *local.Dispatcher
-
-	mu    sync.Mutex
-	view  *member.View
-	cells atomic.Pointer[map[snipefront.Cell]*local.Dispatcher]
+	// Lease bounds dispatch. No backend server is chosen while it is lapsed.
+	Lease Lease
+
+	mu   sync.Mutex
+	view *member.View
+	// lapsed is true once the cells were closed because the lease had lapsed.
+	lapsed bool
+	cells  atomic.Pointer[map[snipefront.Cell]*local.Dispatcher]
 }
 
 // Get returns the dispatcher of c, or nil.
@@ -100,7 +114,8 @@
 	return n
 }
 
-// Run forgets lapsed announcements until ctx ends.
+// Run forgets lapsed announcements and closes the cells while the lease is
+// lapsed, until ctx ends.
 func (s *Set) Run(ctx context.Context) error {
 	t := time.NewTicker(expiryInterval)
 	defer t.Stop()
@@ -109,6 +124,7 @@
 		case <-ctx.Done():
 			return nil
 		case now := <-t.C:
+			s.follow(now)
 			for _, d := range s.All() {
 				d.Cell.Expire(now)
 			}
@@ -116,6 +132,25 @@
 	}
 }
 
+// follow closes the cells once the lease has lapsed, which refuses the requests
+// that wait, and places them again once it is held.
+func (s *Set) follow(now time.Time) {
+	lapsed := !s.Lease.Held(now)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if lapsed == s.lapsed {
+		return
+	}
+	s.lapsed = lapsed
+	for n, d := range s.All() {
+		if lapsed {
+			d.Cell.Close()
+			continue
+		}
+		s.place(now, n, d)
+	}
+}
+
 func (s *Set) add(now time.Time, c snipefront.Cell) *local.Dispatcher {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -128,6 +163,7 @@
 		next[n] = d
 	}
 	d := s.Make(c)
+	d.Cell.Picker = leased{Picker: d.Cell.Picker, lease: s.Lease}
 	next[c] = d
 	s.cells.Store(&next)
 	s.place(now, c, d)
