tool/inst: add sessions of a frozen owner and of a loss right after a repair

Two sessions of separate processes in which failures come together.

frozen: the owner of a cell is stopped while one charge runs and another waits for the only slot, and its data centre is taken out meanwhile. Awake again, with a free slot, it dispatches nothing. It proves the look at the lease for each choice of a backend server: with that taken out, the second charge was answered and 2 runs were counted in place of 1. So many backend servers are known there that announcements outlive the lease; with few, their lapse hid the fault, and the session passed without the mechanism.

repair: a revision and a charge are accepted by two control instances while the third is away. Both are killed, one returns with an emptied disk next to the one that was away, and they accept nothing until the other disk is back. It proves the identity of disks: with the path of the folder as identity, the session failed.

The sessions out and stop now compare what callers were told with what ran, by the audit of the stand-in caller, so a refusal as not run that had run fails them. For that a result in JSON holds the outcome of each request with a key.

--- a/internal/stand/caller/result.go
+++ b/internal/stand/caller/result.go
@@ -69,7 +69,7 @@
 	// Histogram has the latencies in microseconds.
 	Histogram *hdrhistogram.Histogram `json:"-"`
 	// Outcomes has an entry for each POST, up to a bound of about a million.
-	Outcomes []Outcome `json:"-"`
+	Outcomes []Outcome `json:",omitempty"`
 }
 
 // ReasonCount is the number of refusals for one reason.
--- a/internal/tool/inst/session_test.go
+++ b/internal/tool/inst/session_test.go
@@ -57,9 +57,13 @@
 		Dir:           "testdata",
 		UpdateScripts: os.Getenv("UPDATE_SCRIPTS") != "",
 		Setup: func(e *testscript.Env) error {
+			e.Values["asked"] = &asked{calls: map[string]<-chan string{}}
 			return prepare(e, int(networks.Add(1))+firstNetwork)
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"ask":       ask,
+			"audit":     audit,
+			"bore":      bore,
 			"call":      call,
 			"empty":     empty,
 			"insist":    insist,
@@ -68,8 +72,10 @@
 			"once":      once,
 			"runs":      runs,
 			"same":      same,
+			"signal":    signal,
 			"status":    status,
 			"terminate": terminate,
+			"told":      told,
 			"until":     until,
 		},
 	})
@@ -172,15 +178,24 @@
 }
 
 func send(ts *testscript.TestScript, method, address string, head http.Header, q *answer.Question) (*http.Response, []byte) {
-	r, err := http.NewRequest(method, "http://"+address+q.Target, bytes.NewReader(q.Body))
+	w, b, err := roundTrip(method, address, head, q)
 	ts.Check(err)
+	return w, b
+}
+
+func roundTrip(method, address string, head http.Header, q *answer.Question) (*http.Response, []byte, error) {
+	r, err := http.NewRequest(method, "http://"+address+q.Target, bytes.NewReader(q.Body))
+	if err != nil {
+		return nil, nil, err
+	}
 	r.Header = head
 	w, err := http.DefaultClient.Do(r)
-	ts.Check(err)
+	if err != nil {
+		return nil, nil, err
+	}
 	defer w.Body.Close()
 	b, err := io.ReadAll(w.Body)
-	ts.Check(err)
-	return w, b
+	return w, b, err
 }
 
 // describe returns the outcome of a call in one line.
