--- a/internal/daemon/module/module.go
+++ b/internal/daemon/module/module.go
@@ -155,7 +155,7 @@
 }
 
 func newMember(s sets.Settings, n snipefront.Instance, c control, p *peers.Client, l *cells.Set, logger *slog.Logger) *member.Member {
-	return &member.Member{
+	m := &member.Member{
 		Instance: n,
 		Control:  c,
 		Renewer:  p,
@@ -163,6 +163,8 @@
 		Interval: s.Renew,
 		Logger:   logger,
 	}
+	l.Lease = &m.Lease
+	return m
 }
 
 // newProber returns the probes of the instance, which the checks of the sender
