cell: keep the slot of a request that was given up for a moment

Cause: with the 3 slots of a backend server taken, it was seen running 4 requests at once, while requests were canceled or late under load. An attempt that this side gives up freed its slot at once, while the backend server learns of it only when the end of the connection reaches it. The slot now stays taken for 5 ms.

Ruled out: 20 ms, which at 5% of hedges would hold a fifth of the slots of backend servers that answer in 5 ms; keeping the slots of silent connections until the deadline, since what runs there has long ended when they are found, and all slots would be held. Seen failing first: TestGivenUpAttemptKeepsItsSlot with the slot freed at once.

--- a/internal/dispatch/cell/cell_test.go
+++ b/internal/dispatch/cell/cell_test.go
@@ -265,3 +265,20 @@
 		take(t, c, within(time.Second)).Done(cell.Answered)
 	})
 }
+
+// TestGivenUpAttemptKeepsItsSlot shows that a backend server which may still be
+// running a request that was given up gets no other in its place.
+func TestGivenUpAttemptKeepsItsSlot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := opened(1)
+		take(t, c, within(time.Hour)).DoneAfter(cell.Canceled, work)
+		next := waiting(t, c, within(time.Hour))
+		time.Sleep(work - 1)
+		synctest.Wait()
+		if c.InFlight() != 1 || len(next) > 0 {
+			t.Fatalf("%d in flight, and the next request was granted: %v", c.InFlight(), len(next) > 0)
+		}
+		time.Sleep(1)
+		ended(t, next).slot.Done(cell.Answered)
+	})
+}
--- a/internal/dispatch/cell/probe.go
+++ b/internal/dispatch/cell/probe.go
@@ -47,16 +47,13 @@
 	c := s.cell
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s.server.inFlight--
-	c.inFlight--
 	s.server.news = now
-	if s.server.announced.Incarnation != s.BackendServer.Incarnation {
-		return
-	}
-	if answered {
+	switch {
+	case s.server.announced.Incarnation != s.BackendServer.Incarnation:
+	case answered:
 		s.server.limiter.Revive()
-	} else {
+	default:
 		s.server.limiter.Failed(now)
 	}
-	c.serve(now)
+	s.release(now)
 }
--- a/internal/dispatch/cell/slot.go
+++ b/internal/dispatch/cell/slot.go
@@ -174,19 +174,40 @@
 // Done gives the slot back with the outcome of the attempt.
 func (s *Slot) Done(o Outcome) {
 	now := time.Now()
-	held := now.Sub(s.taken.Taken)
 	c := s.cell
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	s.learn(now, o)
+	s.release(now)
+}
+
+// DoneAfter is Done for an attempt that was given up while it may be running. The
+// slot stays taken for d, the time in which the backend server learns of it.
+func (s *Slot) DoneAfter(o Outcome, d time.Duration) {
+	c := s.cell
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s.learn(time.Now(), o)
+	time.AfterFunc(d, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		s.release(time.Now())
+	})
+}
+
+// release gives the slot to the next request. The lock is held.
+func (s *Slot) release(now time.Time) {
 	s.server.inFlight--
-	c.inFlight--
-	if s.server.announced.Incarnation == s.BackendServer.Incarnation {
-		s.learn(now, held, o)
-	}
-	c.serve(now)
+	s.cell.inFlight--
+	s.cell.serve(now)
 }
 
-func (s *Slot) learn(now time.Time, held time.Duration, o Outcome) {
+// learn takes in the outcome of the attempt. The lock is held.
+func (s *Slot) learn(now time.Time, o Outcome) {
+	if s.server.announced.Incarnation != s.BackendServer.Incarnation {
+		return
+	}
+	held := now.Sub(s.taken.Taken)
 	switch o {
 	case Answered:
 		s.server.news = now
--- a/internal/dispatch/local/attempt.go
+++ b/internal/dispatch/local/attempt.go
@@ -151,7 +151,11 @@
 		send = d.Sender.SendProven
 	}
 	a := send(ctx, b, r, s)
-	slot.Done(outcome(ctx, a))
+	if ctx.Err() != nil && a.Verdict == snipefront.MayHaveRun {
+		slot.DoneAfter(outcome(ctx, a), cancelTime)
+	} else {
+		slot.Done(outcome(ctx, a))
+	}
 	if a.Response != nil {
 		d.Poison.Answered(r.Fingerprint)
 	}
--- a/internal/dispatch/local/local.go
+++ b/internal/dispatch/local/local.go
@@ -31,6 +31,9 @@
 	// maxAttempts is the most attempts of one request within a cell, without
 	// hedges.
 	maxAttempts = 3
+	// cancelTime is the time in which a backend server learns that an attempt was
+	// given up.
+	cancelTime = 5 * time.Millisecond
 	// retryAfter is the time after which a caller may ask again.
 	retryAfter = time.Second
 )
