poison: blame no request for an outage

Cause: with all backend servers of a fleet killed at once under load, 35 lookups were refused as quarantined that no one had marked to crash. Popular requests have one fingerprint and are in flight on several backend servers. Where three fall within a second, more than one request can make fall, the second fall of a request no longer quarantines it, and quarantines of that second are taken back, also at the instances that learn of the falls.

Ruled out: counting only falls of attempts that began after the fall before, since the repeat of a broken attempt begins some milliseconds later in an outage, too. What remains: a request that makes backend servers fall during an outage may cost more than two. Seen failing first: no outage, no acquittal, no bound on its time and no word to other instances each fail TestOutageQuarantinesNothing.

--- a/internal/request/poison/poison.go
+++ b/internal/request/poison/poison.go
@@ -10,6 +10,10 @@
 // cleared by its answer, so with three slots a first fall makes three suspects
 // and the second one quarantine.
 //
+// Where more backend servers fall within a second than one request can make fall,
+// it is an outage: requests that were in flight on two of them are not quarantined
+// for that, since popular ones always are.
+//
 // A backend server fell where a connection to it broke and it then accepts no
 // new one, or announces a new incarnation. The time is passed in.
 package poison
@@ -85,6 +89,8 @@
 	mu       sync.Mutex
 	suspects map[uint64]*entry
 	broken   map[place][]breakage
+	// falls holds the falls of the last moments, each backend server once.
+	falls []fall
 	// swept is when sweep last ran.
 	swept time.Time
 }
@@ -93,6 +99,8 @@
 type entry struct {
 	fallen []Server
 	ends   time.Time
+	// convicted is when the last fall made or kept a quarantine.
+	convicted time.Time
 }
 
 // place is a backend server over all its starts.
@@ -197,6 +205,8 @@
 			kept = append(kept, b)
 		case g.add(now, b.fingerprint, b.server, 0):
 			changed = append(changed, g.record(now, b.fingerprint))
+		case len(g.falls) >= outageFalls:
+			changed = append(changed, Record{Fingerprint: b.fingerprint, Fallen: []Server{b.server}, Left: suspicion})
 		}
 	}
 	g.keep(p, kept)
@@ -227,7 +237,16 @@
 	if len(e.fallen) >= maxFallen || slices.Contains(e.fallen, s) {
 		return false
 	}
+	if g.outage(now, s) {
+		g.acquit(now)
+		if len(e.fallen) >= fatal-1 {
+			return false
+		}
+	}
 	e.fallen = append(e.fallen, s)
+	if len(e.fallen) >= fatal {
+		e.convicted = now
+	}
 	if left == 0 {
 		left = lasting(len(e.fallen))
 	}
--- a/internal/request/poison/poison_test.go
+++ b/internal/request/poison/poison_test.go
@@ -129,3 +129,24 @@
 	}
 	return g
 }
+
+// TestOutageQuarantinesNothing has a popular request in flight on many backend
+// servers that fall at once, and then makes two fall by itself.
+func TestOutageQuarantinesNothing(t *testing.T) {
+	var g, other poison.Register
+	g.Spread = shared{&other}
+	for i, n := range []string{"a", "b", "c", "d", "e"} {
+		at := start.Add(time.Duration(i) * 10 * time.Millisecond)
+		g.Broke(at, 7, server(n, 1))
+		g.Fell(at, server(n, 1))
+	}
+	expect(t, &g, start.Add(time.Second), 7, poison.Alone)
+	expect(t, &other, start.Add(time.Second), 7, poison.Alone)
+	g.Answered(7)
+	for i, n := range []string{"a", "b"} {
+		at := start.Add(time.Minute + time.Duration(i)*10*time.Millisecond)
+		g.Broke(at, 7, server(n, 2))
+		g.Fell(at, server(n, 2))
+	}
+	expect(t, &g, start.Add(time.Minute+time.Second), 7, poison.Quarantined)
+}
