module: build servers and controllers apart from the lifecycle

The lifecycle took sixteen parts, most of them only to start them. Servers and controllers now have constructors and files of their own. Behaviour is unchanged.

--- /dev/null
+++ b/internal/daemon/module/control.go
@@ -0,0 +1,28 @@
+package module
+
+import (
+	"context"
+
+	"github.com/snipefront/snipefront/internal/control/leader"
+	"github.com/snipefront/snipefront/internal/control/member"
+	"github.com/snipefront/snipefront/internal/dispatch/cells"
+	"github.com/snipefront/snipefront/internal/dispatch/probe"
+	"github.com/snipefront/snipefront/internal/request/spread"
+	"github.com/snipefront/snipefront/internal/rpc/peers"
+)
+
+// controllers are what an instance runs beside its servers, each until its context
+// ends.
+type controllers []func(ctx context.Context) error
+
+// newControllers returns the controllers in the order in which they start. The
+// leader is nil outside of the control quorum.
+func newControllers(
+	d *leader.Leader, l *cells.Set, b *probe.Prober, c *peers.Client, s *spread.Spreader, m *member.Member,
+) controllers {
+	list := controllers{l.Run, b.Run, c.Run, s.Run, m.Run}
+	if d != nil {
+		list = append(list, d.Run)
+	}
+	return list
+}
--- a/internal/daemon/module/lifecycle.go
+++ b/internal/daemon/module/lifecycle.go
@@ -5,156 +5,73 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"strings"
 	"time"
 
-	"github.com/gorilla/mux"
 	"github.com/pkg/errors"
 
 	"github.com/snipefront/snipefront/internal/config/sets"
-	"github.com/snipefront/snipefront/internal/control/leader"
 	"github.com/snipefront/snipefront/internal/control/member"
 	"github.com/snipefront/snipefront/internal/dispatch/cells"
-	"github.com/snipefront/snipefront/internal/dispatch/probe"
-	"github.com/snipefront/snipefront/internal/entry/admin"
-	"github.com/snipefront/snipefront/internal/entry/front"
-	"github.com/snipefront/snipefront/internal/entry/locate"
-	"github.com/snipefront/snipefront/internal/entry/notice"
 	"github.com/snipefront/snipefront/internal/request/claim"
-	"github.com/snipefront/snipefront/internal/request/spread"
-	"github.com/snipefront/snipefront/internal/rpc/meter"
-	"github.com/snipefront/snipefront/internal/rpc/peers"
 )
 
 const (
-	// ownPrefix begins the paths that snipefront itself answers for callers and
-	// backend servers.
-	ownPrefix = "/.well-known/snipefront/"
 	// addressLifetime is for how long a caller may keep an address.
 	addressLifetime = 3 * time.Second
 	// leaveTimeout bounds the wait until no new answer names a stopping instance.
 	leaveTimeout = 10 * time.Second
 	// answerMargin is the time that an address may take to reach its caller.
 	answerMargin = 500 * time.Millisecond
-	// headerTimeout bounds reading the header of a request.
-	headerTimeout = 5 * time.Second
-	// idleTimeout bounds how long a connection without a request stays open.
-	idleTimeout = 2 * time.Minute
-	// peerHeaderBytes bounds the header of a call between instances.
-	peerHeaderBytes = 32 << 10
 	// pollInterval is the time between looks at what a stop waits for.
 	pollInterval = 10 * time.Millisecond
 )
 
 // Lifecycle starts and stops an instance.
 type Lifecycle struct {
-	settings sets.Settings
-	sockets  Sockets
-	logger   *slog.Logger
-	member   *member.Member
-	cells    *cells.Set
-	leader   *leader.Leader
-	claims   *claim.Filter
-	prober   *probe.Prober
-	spreader *spread.Spreader
-	client   *peers.Client
-
-	caller   *http.Server
-	peer     *http.Server
-	operator *http.Server
+	settings    sets.Settings
+	sockets     Sockets
+	logger      *slog.Logger
+	member      *member.Member
+	cells       *cells.Set
+	claims      *claim.Filter
+	servers     servers
+	controllers controllers
 
 	// cancel ends the controllers, each of which then reports on ended.
-	cancel      context.CancelFunc
-	ended       chan error
-	controllers int
-	// closed is where each server reports its end.
-	closed  chan error
-	servers int
+	cancel context.CancelFunc
+	ended  chan error
+	// closed is where each server reports its end, and open their number.
+	closed chan error
+	open   int
 }
 
 func newLifecycle(
-	s sets.Settings, sock Sockets, logger *slog.Logger, m *member.Member, l *cells.Set, d *leader.Leader, c *claim.Filter,
-	b *probe.Prober, f *front.Front, at *locate.Handler, an *notice.Handler, ad *admin.Admin, p *peers.Server, sp *spread.Spreader, cl *peers.Client,
-	t *meter.Meter,
+	s sets.Settings, sock Sockets, logger *slog.Logger, m *member.Member, l *cells.Set, c *claim.Filter, h servers, r controllers,
 ) *Lifecycle {
-	own := mux.NewRouter()
-	own.Handle(ownPrefix+"addresses", at).Methods(http.MethodGet)
-	own.Handle(ownPrefix+"announce", an).Methods(http.MethodPost)
-	between := mux.NewRouter()
-	p.Route(between)
-	peer := newHTTP(between, peerHeaderBytes, logger)
-	peer.ConnContext = meter.Context
-	sock.Peer = t.Listener(sock.Peer)
-	operators := mux.NewRouter()
-	ad.Route(operators)
 	return &Lifecycle{
-		settings: s,
-		sockets:  sock,
-		logger:   logger,
-		member:   m,
-		cells:    l,
-		leader:   d,
-		claims:   c,
-		prober:   b,
-		spreader: sp,
-		client:   cl,
-		caller:   newHTTP(closing(split(own, f), m.Leaving), s.MaxHeaderBytes, logger),
-		peer:     peer,
-		operator: newHTTP(operators, s.MaxHeaderBytes, logger),
-		ended:    make(chan error),
-		closed:   make(chan error),
-	}
-}
-
-func newHTTP(h http.Handler, headerBytes int, logger *slog.Logger) *http.Server {
-	return &http.Server{
-		Handler:           h,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    headerBytes,
-		ErrorLog:          slog.NewLogLogger(logger.Handler(), slog.LevelDebug),
+		settings:    s,
+		sockets:     sock,
+		logger:      logger,
+		member:      m,
+		cells:       l,
+		claims:      c,
+		servers:     h,
+		controllers: r,
+		ended:       make(chan error),
+		closed:      make(chan error),
 	}
 }
 
-// split hands the paths of snipefront itself to own and all others to services as
-// they are.
-func split(own, services http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, h *http.Request) {
-		if strings.HasPrefix(h.URL.EscapedPath(), ownPrefix) {
-			own.ServeHTTP(w, h)
-			return
-		}
-		services.ServeHTTP(w, h)
-	})
-}
-
-// closing asks callers to close their connections, by their next answers, while
-// the instance is leaving. An idle connection stays open, since a request may be
-// under way on it.
-func closing(next http.Handler, leaving func() bool) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, h *http.Request) {
-		if leaving() {
-			w.Header().Set("Connection", "close")
-		}
-		next.ServeHTTP(w, h)
-	})
-}
-
 // Start starts the servers and the controllers.
 func (n *Lifecycle) Start(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	n.cancel = cancel
-	n.serve(n.peer, n.sockets.Peer)
-	n.serve(n.operator, n.sockets.Operator)
-	if n.leader != nil {
-		n.run(ctx, n.leader.Run)
+	n.serve(n.servers.peer, n.servers.meter.Listener(n.sockets.Peer))
+	n.serve(n.servers.operator, n.sockets.Operator)
+	for _, f := range n.controllers {
+		n.run(ctx, f)
 	}
-	n.run(ctx, n.cells.Run)
-	n.run(ctx, n.prober.Run)
-	n.run(ctx, n.client.Run)
-	n.run(ctx, n.spreader.Run)
-	n.run(ctx, n.member.Run)
-	n.serve(n.caller, n.sockets.Caller)
+	n.serve(n.servers.caller, n.sockets.Caller)
 	n.logger.Info("started", "instance", n.settings.Instance, "callers", n.sockets.Caller.Addr(), "operators", n.sockets.Operator.Addr())
 	return nil
 }
@@ -166,7 +83,7 @@
 	n.logger.Info("stopping", "instance", n.settings.Instance)
 	n.member.Leave()
 	n.awaitLapse(ctx)
-	err := n.caller.Shutdown(ctx)
+	err := n.servers.caller.Shutdown(ctx)
 	n.await(ctx, func() bool { return n.cells.InFlight() == 0 && n.claims.Pending() == 0 })
 	n.cancel()
 	for range n.controllers {
@@ -197,9 +114,9 @@
 }
 
 func (n *Lifecycle) closeRest(ctx context.Context, err error) error {
-	err = first(err, n.peer.Shutdown(ctx))
-	err = first(err, n.operator.Shutdown(ctx))
-	for range n.servers {
+	err = first(err, n.servers.peer.Shutdown(ctx))
+	err = first(err, n.servers.operator.Shutdown(ctx))
+	for range n.open {
 		err = first(err, <-n.closed)
 	}
 	n.logger.Info("stopped", "instance", n.settings.Instance)
@@ -220,7 +137,6 @@
 }
 
 func (n *Lifecycle) run(ctx context.Context, f func(context.Context) error) {
-	n.controllers++
 	go func() {
 		err := f(ctx)
 		if err != nil {
@@ -231,7 +147,7 @@
 }
 
 func (n *Lifecycle) serve(s *http.Server, l net.Listener) {
-	n.servers++
+	n.open++
 	go func() {
 		err := s.Serve(l)
 		if errors.Is(err, http.ErrServerClosed) {
--- a/internal/daemon/module/module.go
+++ b/internal/daemon/module/module.go
@@ -58,7 +58,7 @@
 		fx.Provide(
 			stats.New, newInstance, newControl, newMeter, newClient, newSender, newRegister, newSpreader, newState, newReplica, newLog, newLeader,
 			newAccess, newCells, newMember, newRouter, newClaim, newFront, newLocate, newNotice,
-			newProber, newAdmin, newServer, newLifecycle,
+			newProber, newAdmin, newServer, newServers, newControllers, newLifecycle,
 		),
 		fx.Invoke(func(l fx.Lifecycle, n *Lifecycle) {
 			l.Append(fx.Hook{OnStart: n.Start, OnStop: n.Stop})
