--- a/internal/daemon/module/added_test.go
+++ b/internal/daemon/module/added_test.go
@@ -1,22 +1,14 @@
 package module_test
 
 import (
-	"bytes"
-	"cmp"
 	"flag"
-	"fmt"
-	"io"
-	"math/rand/v2"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
-	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/snipefront/snipefront/internal/stand/added"
 )
 
 var (
@@ -26,17 +18,6 @@
 	pidsFlag    = flag.String("pids", "", "BenchmarkAdded: name=process whose processor time is told per call, comma separated")
 )
 
-const (
-	// mostMicroseconds is the longest time that is told apart.
-	mostMicroseconds = 60_000_000
-	figures          = 3
-	// warmUp is the time in which answers are not counted.
-	warmUp = time.Second
-	// ticksPerSecond is the unit of processor time in /proc.
-	ticksPerSecond = 100
-	connections    = 512
-)
-
 // named is an entry of a flag.
 type named struct{ name, value string }
 
@@ -49,17 +30,8 @@
 	return all
 }
 
-// target is where every so-many-th call goes.
-type target struct {
-	name, base string
-	mu         sync.Mutex
-	latencies  *hdrhistogram.Histogram
-	failed     atomic.Int64
-}
-
 // BenchmarkAdded measures in an open loop what a call through an instance adds
-// to a direct one. The arrivals go to the targets in turn, so that all meet the
-// same backend server and the same noise. Run it with -benchtime 1x.
+// to a direct one. Run it with -benchtime 1x.
 func BenchmarkAdded(b *testing.B) {
 	list := namedOf(*targetsFlag)
 	if len(list) == 0 {
@@ -74,7 +46,7 @@
 					b.Fatal(err)
 				}
 				for range b.N {
-					measure(b, list, method, r)
+					measure(b, list, &added.Measurement{Method: method, Rate: r, Length: *lengthFlag})
 				}
 			})
 		}
@@ -86,107 +58,45 @@
 	return h
 }
 
-func measure(b *testing.B, list []named, method string, rate float64) {
-	var targets []*target
+func measure(b *testing.B, list []named, m *added.Measurement) {
 	for _, n := range list {
-		targets = append(targets, &target{name: n.name, base: "http://" + n.value, latencies: hdrhistogram.New(1, mostMicroseconds, figures)})
+		m.Addresses = append(m.Addresses, n.value)
 	}
-	c := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: connections, DisableCompression: true}}
-	defer c.CloseIdleConnections()
 	processes := namedOf(*pidsFlag)
 	before := processorTimes(b, processes)
-	calls := arrive(b, c, targets, method, rate*float64(len(targets)))
+	targets, calls := m.Run(b.Context())
 	after := processorTimes(b, processes)
-	for _, t := range targets {
-		report(b, t, targets[0])
+	for i, t := range targets {
+		report(b, list[i].name, t, targets[0])
 	}
 	for i, p := range processes {
-		b.ReportMetric((after[i]-before[i])/float64(calls)*1e6, p.name+"-cpu-us/call")
+		b.ReportMetric(float64((after[i]-before[i]).Microseconds())/float64(calls), p.name+"-cpu-us/call")
 	}
 }
 
-// arrive makes the calls and returns their number.
-func arrive(b *testing.B, c *http.Client, targets []*target, method string, perSecond float64) int {
-	random := rand.New(rand.NewPCG(1, 2))
-	var all sync.WaitGroup
-	start := time.Now()
-	at := start
-	n := 0
-	for ; at.Sub(start) < warmUp+*lengthFlag; n++ {
-		at = at.Add(time.Duration(random.ExpFloat64() / perSecond * float64(time.Second)))
-		time.Sleep(time.Until(at))
-		t := targets[n%len(targets)]
-		key := fmt.Sprintf("%d-%d", start.UnixNano(), n)
-		due := time.Now()
-		all.Go(func() { t.call(b, c, method, key, due, due.Sub(start) > warmUp) })
-	}
-	all.Wait()
-	return n
-}
-
-// call makes one call and counts its time from the instant due.
-func (t *target) call(b *testing.B, c *http.Client, method, key string, due time.Time, counts bool) {
-	var body io.Reader
-	if method == http.MethodPost {
-		body = bytes.NewReader([]byte("charge of 17 pages"))
-	}
-	r, err := http.NewRequestWithContext(b.Context(), method, t.base+"/balance/17", body)
-	if err != nil {
-		b.Error(err)
-		return
-	}
-	if method == http.MethodPost {
-		r.Header.Set("Idempotency-Key", key)
-	}
-	w, err := c.Do(r)
-	if err != nil {
-		t.failed.Add(1)
-		return
-	}
-	defer w.Body.Close()
-	if _, err := io.Copy(io.Discard, w.Body); err != nil || w.StatusCode != http.StatusOK {
-		t.failed.Add(1)
-		return
-	}
-	taken := time.Since(due)
-	if !counts {
-		return
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	_ = t.latencies.RecordValue(taken.Microseconds())
-}
-
-func report(b *testing.B, t, direct *target) {
+func report(b *testing.B, name string, t, direct *added.Target) {
 	for _, q := range []struct {
 		name string
 		at   float64
 	}{{"p50", 50}, {"p99", 99}, {"p99.9", 99.9}} {
-		v, d := t.latencies.ValueAtQuantile(q.at), direct.latencies.ValueAtQuantile(q.at)
-		b.ReportMetric(float64(v), t.name+"-"+q.name+"-us")
+		v, d := t.Latencies.ValueAtQuantile(q.at), direct.Latencies.ValueAtQuantile(q.at)
+		b.ReportMetric(float64(v), name+"-"+q.name+"-us")
 		if t != direct {
-			b.ReportMetric(float64(v-d), t.name+"-"+q.name+"-added-us")
-			b.ReportMetric(float64(v)/float64(max(d, 1)), t.name+"-"+q.name+"-ratio")
+			b.ReportMetric(float64(v-d), name+"-"+q.name+"-added-us")
+			b.ReportMetric(float64(v)/float64(max(d, 1)), name+"-"+q.name+"-ratio")
 		}
 	}
-	b.ReportMetric(float64(t.failed.Load()), t.name+"-failed")
+	b.ReportMetric(float64(t.Failed), name+"-failed")
 }
 
-// processorTimes returns the processor time of each process in seconds.
-func processorTimes(b *testing.B, processes []named) []float64 {
-	var list []float64
+func processorTimes(b *testing.B, processes []named) []time.Duration {
+	var list []time.Duration
 	for _, p := range processes {
-		text, err := os.ReadFile("/proc/" + p.value + "/stat")
+		t, err := added.ProcessorTime(p.value)
 		if err != nil {
 			b.Fatal(err)
 		}
-		fields := strings.Fields(string(text[bytes.LastIndexByte(text, ')')+1:]))
-		user, errUser := strconv.ParseFloat(fields[11], 64)
-		system, errSystem := strconv.ParseFloat(fields[12], 64)
-		if err := cmp.Or(errUser, errSystem); err != nil {
-			b.Fatal(err)
-		}
-		list = append(list, (user+system)/ticksPerSecond)
+		list = append(list, t)
 	}
 	return list
 }
--- a/internal/rpc/peers/relay_test.go
+++ b/internal/rpc/peers/fakes_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -15,6 +13,7 @@
 
 	"github.com/snipefront/snipefront"
 	"github.com/snipefront/snipefront/internal/rpc/peers"
+	"github.com/snipefront/snipefront/internal/stand/relay"
 )
 
 const (
@@ -24,95 +23,16 @@
 	overdue = 20 * time.Millisecond
 )
 
-// relay passes bytes between connections until it is told to silence those that
-// are open.
-type relay struct {
-	net.Listener
-	to string
-
-	mu       sync.Mutex
-	silent   []*atomic.Bool
-	accepted int
-	// closed counts the connections that the client closed.
-	closed int
-}
-
-func newRelay(t *testing.T, to string) *relay {
+func newRelay(t *testing.T, to string) *relay.Relay {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	r, err := relay.Start(to)
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { l.Close() })
-	r := &relay{Listener: l, to: to}
-	go r.run()
+	t.Cleanup(func() { r.Close() })
 	return r
 }
 
-func (r *relay) run() {
-	for {
-		c, err := r.Accept()
-		if err != nil {
-			return
-		}
-		s, err := net.Dial("tcp", r.to)
-		if err != nil {
-			c.Close()
-			continue
-		}
-		silent := &atomic.Bool{}
-		r.mu.Lock()
-		r.accepted++
-		r.silent = append(r.silent, silent)
-		r.mu.Unlock()
-		go func() {
-			pass(s, c, silent)
-			r.mu.Lock()
-			defer r.mu.Unlock()
-			r.closed++
-		}()
-		go pass(c, s, silent)
-	}
-}
-
-// pass copies bytes and the end of the connection while it is not silent.
-func pass(to, from net.Conn, silent *atomic.Bool) {
-	b := make([]byte, 32<<10)
-	for {
-		n, err := from.Read(b)
-		if silent.Load() {
-			_, _ = io.Copy(io.Discard, from)
-			return
-		}
-		if _, e := to.Write(b[:n]); err != nil || e != nil {
-			to.Close()
-			return
-		}
-	}
-}
-
-// silence makes all open connections silent for good.
-func (r *relay) silence() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, s := range r.silent {
-		s.Store(true)
-	}
-}
-
-func (r *relay) connections() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.accepted
-}
-
-// open returns the number of connections that the client holds open.
-func (r *relay) open() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.accepted - r.closed
-}
-
 // run is an owner that runs requests with a function and counts them.
 type run struct {
 	owner
--- a/internal/rpc/peers/hop_test.go
+++ b/internal/rpc/peers/hop_test.go
@@ -34,7 +34,7 @@
 			c := &peers.Client{OverdueFloor: overdue, ProvenFor: limit}
 			address := r.Addr().String()
 			openTwo(t, c, address)
-			r.silence()
+			r.Silence()
 			before := o.count.Load()
 			a, err := forward(t, c, address, request(method, "x"))
 			switch {
@@ -59,7 +59,7 @@
 	r := newRelay(t, host(t, &peers.Server{Owner: pairs()}))
 	c := &peers.Client{OverdueFloor: overdue, ProvenFor: time.Nanosecond}
 	openTwo(t, c, r.Addr().String())
-	r.silence()
+	r.Silence()
 	if _, err := forward(t, c, r.Addr().String(), request(http.MethodPost, "x")); err != nil {
 		t.Error(err)
 	}
@@ -93,7 +93,7 @@
 	r := newRelay(t, host(t, &peers.Server{Owner: pairs()}))
 	c := &peers.Client{OverdueFloor: overdue}
 	openTwo(t, c, r.Addr().String())
-	r.silence()
+	r.Silence()
 	r.Close()
 	q := request(http.MethodGet, "x")
 	_, err := forward(t, c, r.Addr().String(), q)
@@ -124,7 +124,7 @@
 	}
 	expect := func(n int) {
 		t.Helper()
-		if got := r.connections(); got != n {
+		if got := r.Accepted(); got != n {
 			t.Errorf("%d connections, want %d", got, n)
 		}
 	}
@@ -132,7 +132,7 @@
 		_, err := c.Step(t.Context(), address, nil)
 		return err
 	})
-	r.silence()
+	r.Silence()
 	openTwo(t, c, address)
 	expect(4)
 	if err := renew(overdue); err == nil {
@@ -158,12 +158,12 @@
 			t.Errorf("%d addresses are left, want %d", n, kept)
 		}
 	}
-	if n := r.connections(); n != 4 {
+	if n := r.Accepted(); n != 4 {
 		t.Errorf("%d connections, want two before and two after", n)
 	}
-	for end := time.Now().Add(limit); r.open() != 2; time.Sleep(time.Millisecond) {
+	for end := time.Now().Add(limit); r.Open() != 2; time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
-			t.Fatalf("%d connections are open, want two", r.open())
+			t.Fatalf("%d connections are open, want two", r.Open())
 		}
 	}
 }
--- a/internal/rpc/peers/propose_test.go
+++ b/internal/rpc/peers/propose_test.go
@@ -44,7 +44,7 @@
 		_, err := c.Step(ctx, r.Addr().String(), nil)
 		return err
 	})
-	r.silence()
+	r.Silence()
 	for _, takes := range []time.Duration{0, 10 * overdue} {
 		log.takes = takes
 		before := log.count.Load()
