admin: tell of all cells from any instance

Cause: the status of an instance told of the backend servers of its own cells and those it stands by for, so an operator had to ask every owner why a backend server gets no work. The instance that is asked now asks the owners, side by side and for a second at most, and shows what they know; of an owner that does not answer it still names the cells. The server and its client share the types of the body, which stood twice. The test fails where the owners' answers are left out.

--- a/internal/daemon/module/module.go
+++ b/internal/daemon/module/module.go
@@ -219,21 +219,22 @@
 	return &notice.Handler{Self: n.Name, View: m.View, Local: t, Passer: p}
 }
 
-func newAdmin(n snipefront.Instance, m *member.Member, l *cells.Set, a *access.Access, c *stats.Stats, logger *slog.Logger) *admin.Admin {
+func newAdmin(n snipefront.Instance, m *member.Member, l *cells.Set, a *access.Access, p *peers.Client, c *stats.Stats, logger *slog.Logger) *admin.Admin {
 	return &admin.Admin{
 		Self:     n.Name,
 		View:     m.View,
 		Lease:    &m.Lease,
 		Cells:    l,
 		Control:  a,
+		Peers:    p,
 		Metrics:  c.Gatherer(),
 		Stopping: m.Leaving,
 		Logger:   logger,
 	}
 }
 
-func newServer(s sets.Settings, g *poison.Register, t *route.Router, d *leader.Leader, l *driver.Log) *peers.Server {
-	p := &peers.Server{Owner: t, Suspects: g, MaxBytes: messageBytes(s)}
+func newServer(s sets.Settings, ad *admin.Admin, g *poison.Register, t *route.Router, d *leader.Leader, l *driver.Log) *peers.Server {
+	p := &peers.Server{Owner: t, Suspects: g, Cells: ad.Owned, MaxBytes: messageBytes(s)}
 	if l != nil {
 		p.Leader, p.Log, p.Steps = d, l, l.Deliver
 	}
--- a/internal/entry/admin/admin.go
+++ b/internal/entry/admin/admin.go
@@ -50,6 +50,7 @@
 	Lease   *member.Lease
 	Cells   *cells.Set
 	Control Control
+	Peers   Peers
 	Metrics prometheus.Gatherer
 	// Stopping returns whether the instance has begun to stop.
 	Stopping func() bool
--- a/internal/entry/admin/admin_test.go
+++ b/internal/entry/admin/admin_test.go
@@ -39,6 +39,14 @@
 	return state.Decode(q.state.Apply(0, b), result)
 }
 
+// Load implements admin.Peers for the instance b, which owns one cell.
+func (q *quorum) Load(_ context.Context, address string) ([]byte, error) {
+	if address != "peer-b" {
+		return nil, errors.New("unreachable")
+	}
+	return []byte(`[{"Service":"balance","DataCentre":"dc2","Owner":"b","Free":2,"BackendServers":[{"Name":"x","Reason":"draining"}]}]`), nil
+}
+
 func (q *quorum) Read(_ context.Context, _ string, _ uint64, result any) error {
 	if q.gone {
 		return errors.New("no quorum")
@@ -53,8 +61,10 @@
 // ask sends a request to an instance in dc1 whose quorum is q.
 func ask(q *quorum, method, target, body string) *httptest.ResponseRecorder {
 	v := &member.View{
-		Self:   "a",
-		Epoch:  snipefront.Epoch{Number: 1, Instances: []snipefront.Instance{{Name: "a", DataCentre: "dc1"}}},
+		Self: "a",
+		Epoch: snipefront.Epoch{Number: 1, Instances: []snipefront.Instance{
+			{Name: "a", DataCentre: "dc1"}, {Name: "b", DataCentre: "dc2", PeerAddress: "peer-b"}, {Name: "c", DataCentre: "dc3"},
+		}},
 		Config: &snipefront.Config{Services: map[string]snipefront.Service{"balance": {}}},
 	}
 	a := &admin.Admin{
@@ -63,6 +73,7 @@
 		Lease:    &member.Lease{},
 		Cells:    &cells.Set{},
 		Control:  q,
+		Peers:    q,
 		Metrics:  stats.New().Gatherer(),
 		Stopping: func() bool { return false },
 		Logger:   slog.New(slog.NewTextHandler(io.Discard, nil)),
@@ -110,7 +121,7 @@
 }
 
 // TestStatusOutlivesTheQuorum shows that an instance without a lease says so, and
-// still tells who owns what.
+// still tells who owns what, with what those owners know that answer.
 func TestStatusOutlivesTheQuorum(t *testing.T) {
 	q := &quorum{gone: true}
 	if w := ask(q, http.MethodGet, "/readyz", ""); w.Code != http.StatusServiceUnavailable || !strings.Contains(w.Body.String(), "no lease") {
@@ -120,7 +131,13 @@
 		t.Errorf("health: %d", w.Code)
 	}
 	w := ask(q, http.MethodGet, "/v1/status", "")
-	if w.Code != http.StatusOK || !strings.Contains(w.Body.String(), `"Service":"balance","DataCentre":"dc1","Owner":"a"`) {
-		t.Errorf("status: %d %s", w.Code, w.Body)
+	for _, part := range []string{
+		`"Service":"balance","DataCentre":"dc1","Owner":"a"`,
+		`"DataCentre":"dc2","Owner":"b","InFlight":0,"Queued":0,"Free":2,"BackendServers":[{"Name":"x"`,
+		`"Service":"balance","DataCentre":"dc3","Owner":"c"`,
+	} {
+		if w.Code != http.StatusOK || !strings.Contains(w.Body.String(), part) {
+			t.Errorf("status: %d %s, want %s", w.Code, w.Body, part)
+		}
 	}
 }
--- a/internal/entry/admin/status.go
+++ b/internal/entry/admin/status.go
@@ -2,41 +2,31 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
+	"slices"
 	"sort"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/config/client"
 	"github.com/snipefront/snipefront/internal/control/leader"
 	"github.com/snipefront/snipefront/internal/control/owner"
 	"github.com/snipefront/snipefront/internal/dispatch/cell"
 )
 
-// cellStatus is one cell as this instance knows it.
-type cellStatus struct {
-	Service        string
-	DataCentre     string
-	Owner          string
-	InFlight       int
-	Queued         int
-	Free           int
-	BackendServers []serverStatus
-}
+// loadTimeout bounds asking the owners of cells.
+const loadTimeout = time.Second
 
-// serverStatus is one backend server as its cell knows it.
-type serverStatus struct {
-	Name     string
-	Address  string
-	State    string
-	Limit    int
-	Slots    int
-	InFlight int
-	// Reason tells why it receives no work, or why little.
-	Reason string
+// Peers asks other instances for the cells that they own, in JSON.
+type Peers interface {
+	Load(ctx context.Context, address string) ([]byte, error)
 }
 
-// status answers with what this instance knows and, where the control quorum
-// answers, what its leader knows.
+// status answers with what this instance knows and, as far as they answer, what
+// the leader of the control quorum and the owners of the cells know.
 func (a *Admin) status(w http.ResponseWriter, h *http.Request) {
 	ctx, cancel := context.WithTimeout(h.Context(), askTimeout)
 	defer cancel()
@@ -44,26 +34,93 @@
 	if err := a.Control.Read(ctx, "Overview", 0, &v); err != nil {
 		a.Logger.Warn("status without the leader", "error", err)
 	}
-	now := time.Now()
-	answer(w, http.StatusOK, struct {
-		Instance          string
-		Leader            string
-		Term              uint64
-		Epoch             uint64
-		Settled           uint64
-		Revision          uint64
-		LeaseMilliseconds int64
-		Members           []leader.MemberInfo
-		Cells             []cellStatus
-	}{
-		a.Self, v.Leader, v.Term, a.View().Epoch.Number, v.Settled, a.View().Config.Revision,
-		a.Lease.Left(now).Milliseconds(), v.Members, a.cells(now),
-	})
+	s := client.Status{
+		Instance:          a.Self,
+		Leader:            v.Leader,
+		Term:              v.Term,
+		Epoch:             a.View().Epoch.Number,
+		Settled:           v.Settled,
+		Revision:          a.View().Config.Revision,
+		LeaseMilliseconds: a.Lease.Left(time.Now()).Milliseconds(),
+		Cells:             a.fleet(h.Context()),
+	}
+	for _, m := range v.Members {
+		s.Members = append(s.Members, client.Member{
+			Name:          m.Name,
+			DataCentre:    m.DataCentre,
+			CallerAddress: m.CallerAddress,
+			PeerAddress:   m.PeerAddress,
+			Epoch:         m.Epoch,
+			Revision:      m.Revision,
+		})
+	}
+	answer(w, http.StatusOK, s)
+}
+
+// Owned returns the cells that this instance owns, as JSON.
+func (a *Admin) Owned() ([]byte, error) {
+	var list []client.Cell
+	for _, c := range a.known(time.Now()) {
+		if c.Owner == a.Self {
+			list = append(list, c)
+		}
+	}
+	b, err := json.Marshal(list)
+	return b, errors.Wrap(err, "encode cells")
+}
+
+// fleet returns all cells with their owners, and with what their owners know as far
+// as they answer.
+func (a *Admin) fleet(ctx context.Context) []client.Cell {
+	list := a.known(time.Now())
+	owned := a.loads(ctx, list)
+	for i, c := range list {
+		if o, ok := owned[snipefront.Cell{Service: c.Service, DataCentre: c.DataCentre}]; ok {
+			list[i] = o
+		}
+	}
+	return list
+}
+
+// loads asks the owners in list, each once and side by side, for their cells.
+func (a *Admin) loads(ctx context.Context, list []client.Cell) map[snipefront.Cell]client.Cell {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	asked := 0
+	answers := make(chan []client.Cell)
+	for _, n := range a.View().Epoch.Instances {
+		owns := slices.ContainsFunc(list, func(c client.Cell) bool { return c.Owner == n.Name })
+		if n.Name == a.Self || !owns {
+			continue
+		}
+		asked++
+		go func() { answers <- a.load(ctx, n) }()
+	}
+	owned := map[snipefront.Cell]client.Cell{}
+	for range asked {
+		for _, c := range <-answers {
+			owned[snipefront.Cell{Service: c.Service, DataCentre: c.DataCentre}] = c
+		}
+	}
+	return owned
+}
+
+// load asks n for its cells and returns none where it does not answer.
+func (a *Admin) load(ctx context.Context, n snipefront.Instance) []client.Cell {
+	var list []client.Cell
+	b, err := a.Peers.Load(ctx, n.PeerAddress)
+	if err == nil {
+		err = json.Unmarshal(b, &list)
+	}
+	if err != nil {
+		a.Logger.Warn("status without an owner", "owner", n.Name, "error", err)
+	}
+	return list
 }
 
-// cells returns all cells with their owners. Of those that this instance does not
+// known returns all cells with their owners. Of those that this instance does not
 // know nothing else is told.
-func (a *Admin) cells(now time.Time) []cellStatus {
+func (a *Admin) known(now time.Time) []client.Cell {
 	loads := map[snipefront.Cell]cell.Load{}
 	v := a.View()
 	for _, n := range owner.DataCentres(v.Epoch) {
@@ -74,7 +131,7 @@
 	for c, d := range a.Cells.All() {
 		loads[c] = d.Cell.Load(now)
 	}
-	var list []cellStatus
+	var list []client.Cell
 	for c, l := range loads {
 		list = append(list, a.cell(c, l))
 	}
@@ -85,9 +142,9 @@
 	return list
 }
 
-func (a *Admin) cell(c snipefront.Cell, l cell.Load) cellStatus {
+func (a *Admin) cell(c snipefront.Cell, l cell.Load) client.Cell {
 	o, _ := owner.Of(a.View().Epoch, c)
-	s := cellStatus{
+	s := client.Cell{
 		Service:    c.Service,
 		DataCentre: c.DataCentre,
 		Owner:      o.Name,
@@ -102,8 +159,8 @@
 	return s
 }
 
-func serverOf(b cell.ServerLoad) serverStatus {
-	s := serverStatus{
+func serverOf(b cell.ServerLoad) client.BackendServer {
+	s := client.BackendServer{
 		Name:     b.Announced.Name,
 		Address:  b.Announced.Address,
 		State:    "ready",
--- a/internal/rpc/peers/client.go
+++ b/internal/rpc/peers/client.go
@@ -83,6 +83,21 @@
 	return time.Duration(r.LeaseMillis) * time.Millisecond, nil
 }
 
+// Load returns the cells that the instance at address owns, as the operators'
+// interface shows them.
+func (c *Client) Load(ctx context.Context, address string) ([]byte, error) {
+	l := c.peerAt(address)
+	var r *wire.LoadResponse
+	err := l.do(ctx, func(ctx context.Context) (err error) {
+		r, err = l.peer.Load(ctx, &wire.LoadRequest{})
+		return err
+	})
+	if err != nil {
+		return nil, errors.Wrap(err, "load")
+	}
+	return r.Cells, nil
+}
+
 // Renew implements member.Renewer.
 func (c *Client) Renew(ctx context.Context, address string, r leader.Renewal) (leader.Grant, error) {
 	l := c.controlAt(address)
--- a/internal/rpc/peers/server.go
+++ b/internal/rpc/peers/server.go
@@ -39,6 +39,9 @@
 	Steps func(ctx context.Context, messages []raft.Message) ([]raft.Message, error)
 	// Suspects takes in and gives out records. It may be nil.
 	Suspects Suspects
+	// Cells returns the own cells as the operators' interface shows them. It may be
+	// nil.
+	Cells func() ([]byte, error)
 	// MaxBytes bounds a message on the path of requests. Zero means 16 MB.
 	MaxBytes int64
 
@@ -99,6 +102,15 @@
 	return &wire.AnnounceResponse{LeaseMillis: lease.Milliseconds()}, nil
 }
 
+// Load implements wire.Peer.
+func (s *Server) Load(context.Context, *wire.LoadRequest) (*wire.LoadResponse, error) {
+	if s.Cells == nil {
+		return &wire.LoadResponse{}, nil
+	}
+	b, err := s.Cells()
+	return &wire.LoadResponse{Cells: b}, err
+}
+
 // Renew implements wire.Control.
 func (s *Server) Renew(_ context.Context, r *wire.RenewRequest) (*wire.RenewResponse, error) {
 	g := s.Leader.Renew(time.Now(), leader.Renewal{
