front, cell, poison: one concept a file

Reading a request, the state of a cell, the choice of a backend server, and what instances share and conclude of falls have files of their own. No code changed.

--- /dev/null
+++ b/internal/dispatch/cell/load.go
@@ -0,0 +1,102 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/snipefront/snipefront"
+)
+
+// Load is the state of a cell at one instant.
+type Load struct {
+	// Free is the number of slots that may be taken now.
+	Free int
+	// Queued is the number of requests that wait.
+	Queued   int
+	InFlight int
+	// Servers tells of each backend server.
+	Servers []ServerLoad
+}
+
+// ServerLoad is the state of one backend server at one instant.
+type ServerLoad struct {
+	Announced snipefront.BackendServer
+	Limit     int
+	InFlight  int
+	// Reason tells why it receives no work, and is empty where it may.
+	Reason string
+}
+
+// Counts is what routers choose by.
+type Counts struct {
+	// Free is the number of slots that may be taken now.
+	Free int
+	// Queued is the number of requests that wait.
+	Queued int
+	// Wait is the expected time until a new request has a slot. It is zero where
+	// one is free.
+	Wait time.Duration
+}
+
+// Count returns the counts at the instant now.
+func (c *Cell) Count(now time.Time) Counts {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := Counts{Free: c.free(now), Queued: c.queue.len()}
+	if n.Free == 0 {
+		n.Wait = c.expectedWait(now, snipefront.Background)
+	}
+	return n
+}
+
+// Load returns the whole state.
+func (c *Cell) Load(now time.Time) Load {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l := Load{Free: c.free(now), Queued: c.queue.len(), InFlight: c.inFlight}
+	for _, s := range c.order {
+		l.Servers = append(l.Servers, ServerLoad{
+			Announced: s.announced,
+			Limit:     s.limiter.Limit(),
+			InFlight:  s.inFlight,
+			Reason:    c.whyIdle(now, s),
+		})
+	}
+	return l
+}
+
+func (c *Cell) free(now time.Time) int {
+	if !c.open || c.rules.Out {
+		return 0
+	}
+	n := 0
+	for _, s := range c.order {
+		if s.usable(now) && !s.limiter.Suspended(now) {
+			n += max(0, s.limiter.Limit()-s.inFlight)
+		}
+	}
+	return n
+}
+
+// whyIdle returns why s receives no work, or the empty text.
+func (c *Cell) whyIdle(now time.Time, s *server) string {
+	switch {
+	case !c.open:
+		return "not owner"
+	case c.rules.Out:
+		return "data centre out"
+	case s.announced.Draining:
+		return "draining"
+	case !now.Before(s.announced.Expires):
+		return "announcement lapsed"
+	case s.inFlight >= s.limiter.Limit():
+		return "at its limit"
+	case s.limiter.Suspended(now):
+		return "suspended after failures"
+	case c.rules.Spares[s.announced.Name]:
+		return "spare"
+	case s.limiter.IsCold(now):
+		return "cold start"
+	default:
+		return ""
+	}
+}
--- a/internal/request/poison/poison.go
+++ b/internal/request/poison/poison.go
@@ -27,21 +27,6 @@
 	"github.com/snipefront/snipefront"
 )
 
-const (
-	// quarantine is how long a request on two fallen backend servers is refused.
-	quarantine = 5 * time.Minute
-	// suspicion is how long a request on one fallen backend server runs alone.
-	suspicion = time.Minute
-	// fatal is the number of fallen backend servers that quarantines.
-	fatal = 2
-	// maxFallen bounds the fallen backend servers that are remembered of a suspect.
-	maxFallen = 8
-	// maxEntries bounds the suspects that are remembered.
-	maxEntries = 4096
-	// sweepInterval is the time between looks for what no longer holds.
-	sweepInterval = time.Second
-)
-
 // Server is one start of a backend server.
 type Server struct {
 	Service     string
@@ -50,21 +35,6 @@
 	Incarnation uint64
 }
 
-// Record is what is known of one suspect. Instances share it.
-type Record struct {
-	Fingerprint uint64
-	// Fallen lists the backend servers that fell under it. At least one.
-	Fallen []Server
-	// Left is the time for which the record still holds.
-	Left time.Duration
-}
-
-// Spread shares a record with the other instances.
-type Spread interface {
-	// Spread must not wait.
-	Spread(r Record)
-}
-
 // Admission says whether a request may run.
 type Admission uint8
 
@@ -106,13 +76,6 @@
 // place is a backend server over all its starts.
 type place struct{ service, dataCentre, name string }
 
-// breakage is a connection that broke with a request in flight.
-type breakage struct {
-	fingerprint uint64
-	server      Server
-	ends        time.Time
-}
-
 // Admit returns whether the request f may run, and for how long it is refused.
 func (g *Register) Admit(now time.Time, f uint64) (Admission, time.Duration) {
 	if g == nil || !g.busy.Load() {
@@ -152,47 +115,6 @@
 	}
 }
 
-// Broke takes in that a connection to s broke while f was in flight. Whether s
-// fell is not known yet.
-func (g *Register) Broke(now time.Time, f uint64, s Server) {
-	if g == nil {
-		return
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.sweep(now)
-	g.start()
-	p := s.place()
-	if len(g.broken[p]) < maxEntries {
-		g.broken[p] = append(g.broken[p], breakage{fingerprint: f, server: s, ends: now.Add(suspicion)})
-	}
-}
-
-// Fell takes in that the start s of a backend server has ended.
-func (g *Register) Fell(now time.Time, s Server) {
-	g.convict(now, s, func(o Server) bool { return o.Incarnation <= s.Incarnation })
-}
-
-// Seen takes in that s is running. Earlier starts of it have ended.
-func (g *Register) Seen(now time.Time, s Server) {
-	if g == nil || !g.busy.Load() {
-		return
-	}
-	g.convict(now, s, func(o Server) bool { return o.Incarnation < s.Incarnation })
-}
-
-// convict makes suspects of the requests on the starts of s that ended.
-func (g *Register) convict(now time.Time, s Server, ended func(Server) bool) {
-	if g == nil {
-		return
-	}
-	for _, r := range g.suspect(now, s.place(), ended) {
-		if g.Spread != nil {
-			g.Spread.Spread(r)
-		}
-	}
-}
-
 func (g *Register) suspect(now time.Time, p place, ended func(Server) bool) []Record {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -213,14 +135,6 @@
 	return changed
 }
 
-func (g *Register) keep(p place, kept []breakage) {
-	if len(kept) == 0 {
-		delete(g.broken, p)
-		return
-	}
-	g.broken[p] = kept
-}
-
 // add puts s to the fallen of f and returns whether that is new. A left of zero
 // begins the full time. The lock is held.
 func (g *Register) add(now time.Time, f uint64, s Server, left time.Duration) bool {
@@ -302,47 +216,6 @@
 	g.busy.Store(true)
 }
 
-// Records returns all suspects.
-func (g *Register) Records(now time.Time) []Record {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.sweep(now)
-	list := make([]Record, 0, len(g.suspects))
-	for f := range g.suspects {
-		list = append(list, g.record(now, f))
-	}
-	return list
-}
-
-// Merge takes in the records of another instance.
-func (g *Register) Merge(now time.Time, list []Record) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for _, r := range list {
-		if r.Left > 0 {
-			g.merge(now, r)
-		}
-	}
-}
-
-// merge takes in r. Where it and what is known here make a quarantine that
-// neither was alone, the quarantine begins now. The lock is held.
-func (g *Register) merge(now time.Time, r Record) {
-	left := min(r.Left, quarantine)
-	for _, s := range r.Fallen {
-		isNew := g.add(now, r.Fingerprint, s, left)
-		if e := g.suspects[r.Fingerprint]; isNew && len(e.fallen) >= fatal && len(r.Fallen) < fatal {
-			e.ends = now.Add(quarantine)
-		}
-	}
-}
-
-// record returns the record of the suspect f. The lock is held.
-func (g *Register) record(now time.Time, f uint64) Record {
-	e := g.suspects[f]
-	return Record{Fingerprint: f, Fallen: slices.Clone(e.fallen), Left: e.ends.Sub(now)}
-}
-
 func (s Server) place() place {
 	return place{service: s.Service, dataCentre: s.DataCentre, name: s.Name}
 }
