local: keep the slot of a connection that was cut as silent, too

Cause: an answer that is merely slow is cut off like one on a silent connection and asked for again, and its slot was free at once although the backend server may be running it still. Ruled out as the cause of 4 requests at 3 slots: deadlines and hedges.

--- a/internal/dispatch/local/attempt.go
+++ b/internal/dispatch/local/attempt.go
@@ -151,7 +151,7 @@
 		send = d.Sender.SendProven
 	}
 	a := send(ctx, b, r, s)
-	if ctx.Err() != nil && a.Verdict == snipefront.MayHaveRun {
+	if a.Verdict == snipefront.MayHaveRun && (ctx.Err() != nil || a.Silent) {
 		slot.DoneAfter(outcome(ctx, a), cancelTime)
 	} else {
 		slot.Done(outcome(ctx, a))
