--- a/internal/config/client/wire.go
+++ b/internal/config/client/wire.go
@@ -78,6 +78,8 @@
 	Epoch    uint64
 	Settled  uint64
 	Revision uint64
+	// Claims is the number of claims that the control quorum keeps.
+	Claims int
 	// LeaseMilliseconds is what is left of the instance's own lease.
 	LeaseMilliseconds int64
 	Members           []Member
--- a/internal/entry/admin/status.go
+++ b/internal/entry/admin/status.go
@@ -41,6 +41,7 @@
 		Epoch:             a.View().Epoch.Number,
 		Settled:           v.Settled,
 		Revision:          a.View().Config.Revision,
+		Claims:            v.Claims,
 		LeaseMilliseconds: a.Lease.Left(time.Now()).Milliseconds(),
 		Cells:             a.fleet(h.Context()),
 	}
--- a/internal/tool/oper/script_test.go
+++ b/internal/tool/oper/script_test.go
@@ -179,7 +179,7 @@
 }
 
 func (f *fakeFleet) status(w http.ResponseWriter, _ *http.Request) {
-	fmt.Fprint(w, `{"Instance":"a1","Leader":"a1","Term":3,"Epoch":4,"Settled":4,"Revision":7,"LeaseMilliseconds":1500,
+	fmt.Fprint(w, `{"Instance":"a1","Leader":"a1","Term":3,"Epoch":4,"Settled":4,"Revision":7,"Claims":12,"LeaseMilliseconds":1500,
 "Members":[{"Name":"a1","DataCentre":"dc1","CallerAddress":"127.0.1.1:80","PeerAddress":"127.0.1.1:81","Epoch":4,"Revision":7}],
 "Cells":[{"Service":"balance","DataCentre":"dc1","Owner":"a1","InFlight":2,"Queued":0,"Free":1,"BackendServers":[
 {"Name":"b1","Address":"127.0.1.9:80","State":"Warm","Limit":3,"Slots":3,"InFlight":2,"Reason":""},
--- a/internal/tool/oper/show.go
+++ b/internal/tool/oper/show.go
@@ -72,8 +72,8 @@
 
 func printStatus(output io.Writer, s *client.Status) error {
 	w := newTable(output)
-	row(w, "INSTANCE", "LEADER", "TERM", "EPOCH", "SETTLED", "REVISION", "LEASE")
-	row(w, s.Instance, orDash(s.Leader), s.Term, s.Epoch, s.Settled, s.Revision, s.Lease())
+	row(w, "INSTANCE", "LEADER", "TERM", "EPOCH", "SETTLED", "REVISION", "CLAIMS", "LEASE")
+	row(w, s.Instance, orDash(s.Leader), s.Term, s.Epoch, s.Settled, s.Revision, s.Claims, s.Lease())
 	fmt.Fprintln(w)
 	row(w, "MEMBER", "DATA CENTRE", "CALLERS", "PEERS", "EPOCH", "REVISION")
 	for _, m := range s.Members {
