cells: forget the connections to addresses that backend servers have left

Cause: the sender kept its connections and averages for every address that was ever called, and its Forget was never called, so that restarts on new addresses would grow an instance without end. The cell now tells which backend servers lapsed and which moved. TestLeftAddressesAreForgotten failed without the call. A reason that nothing gave is gone.

--- a/internal/dispatch/cell/cell.go
+++ b/internal/dispatch/cell/cell.go
@@ -39,10 +39,13 @@
 	// Random returns uniform numbers. Nil is a source seeded by chance.
 	Random func() uint64
 
-	mu       sync.Mutex
-	rules    Rules
-	open     bool
-	servers  map[string]*server
+	mu      sync.Mutex
+	rules   Rules
+	open    bool
+	servers map[string]*server
+	// moved holds earlier starts of backend servers at addresses that they left,
+	// until Expire returns them.
+	moved    []snipefront.BackendServer
 	order    []*server
 	queue    queue
 	inFlight int
@@ -82,6 +85,9 @@
 		return
 	case b.Incarnation > s.announced.Incarnation || b.Address != s.announced.Address:
 		c.start(now, s, b)
+		if b.Address != s.announced.Address {
+			c.moved = append(c.moved, s.announced)
+		}
 	}
 	s.announced = b
 	s.limiter.Ceiling = max(b.Slots, s.limiter.Cold)
@@ -138,10 +144,13 @@
 	c.refuseAll(snipefront.Refused(snipefront.ReasonNotOwner, retrySoon, "the cell moved to another instance"))
 }
 
-// Expire forgets the backend servers whose announcements have lapsed.
-func (c *Cell) Expire(now time.Time) {
+// Expire forgets the backend servers whose announcements have lapsed. It returns
+// those, and the earlier starts of others at an address that they have left.
+func (c *Cell) Expire(now time.Time) []snipefront.BackendServer {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	gone := c.moved
+	c.moved = nil
 	kept := c.order[:0]
 	for _, s := range c.order {
 		if now.Before(s.announced.Expires) || s.inFlight > 0 {
@@ -149,10 +158,12 @@
 			continue
 		}
 		delete(c.servers, s.announced.Name)
+		gone = append(gone, s.announced)
 	}
 	clear(c.order[len(kept):])
 	c.order = kept
 	c.serve(now)
+	return gone
 }
 
 // Size returns the number of backend servers that are known.
--- a/internal/dispatch/cells/cells.go
+++ b/internal/dispatch/cells/cells.go
@@ -126,7 +126,9 @@
 		case now := <-t.C:
 			s.follow(now)
 			for _, d := range s.All() {
-				d.Cell.Expire(now)
+				for _, b := range d.Cell.Expire(now) {
+					d.Sender.Forget(b)
+				}
 			}
 		}
 	}
--- a/internal/dispatch/cells/cells_test.go
+++ b/internal/dispatch/cells/cells_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -150,3 +151,42 @@
 		}
 	}
 }
+
+// TestLeftAddressesAreForgotten has a backend server announce itself at another
+// address, and then not any more. No connection to either address stays open.
+func TestLeftAddressesAreForgotten(t *testing.T) {
+	var open atomic.Int64
+	s := set(t, &lease{}, func(http.ResponseWriter, *http.Request) {})
+	b := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	b.Config.ConnState = func(_ net.Conn, c http.ConnState) {
+		switch c {
+		case http.StateNew:
+			open.Add(1)
+		case http.StateClosed:
+			open.Add(-1)
+		}
+	}
+	b.Start()
+	t.Cleanup(b.Close)
+	announce := func(address string, incarnation uint64) {
+		s.Announce(time.Now(), snipefront.BackendServer{
+			Service: name.Service, DataCentre: name.DataCentre, Name: "b1", Address: address, Incarnation: incarnation, Slots: 1,
+		})
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- s.Run(ctx) }()
+	announce(b.Listener.Addr().String(), 2)
+	if err := <-serve(t, s, "/first"); err != nil {
+		t.Fatal(err)
+	}
+	if n := open.Load(); n != 1 {
+		t.Fatalf("%d connections are open after a request, want 1", n)
+	}
+	announce("127.0.0.1:1", 3)
+	await(t, func() bool { return open.Load() == 0 })
+	cancel()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
--- a/reason.go
+++ b/reason.go
@@ -16,7 +16,6 @@
 	ReasonOverload         Reason = "overload"
 	ReasonDeadline         Reason = "deadline"
 	ReasonCanceled         Reason = "canceled"
-	ReasonStopping         Reason = "stopping"
 	ReasonQuarantined      Reason = "quarantined"
 	ReasonClaimUnavailable Reason = "claim_unavailable"
 	ReasonClaimPending     Reason = "claim_pending"
