tool/inst: let a session that fails with a stopped process end

Cause: a script that failed while an instance was stopped waited for it to end, which a stopped process never does, until the time of the whole test run was over, and the failure was told behind a dump of goroutines. The stopped process is now continued after the limit against hanging; nothing else depends on that time.

Leader.Members, which nothing called, is gone.

--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -11,8 +11,6 @@
 import (
 	"context"
 	"log/slog"
-	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -143,16 +141,6 @@
 	return len(waiting) == 0 && l.State.Revision() >= revision, waiting, true
 }
 
-// Members returns what the holders of leases last said.
-func (l *Leader) Members() []Member {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.table == nil {
-		return nil
-	}
-	return slices.Collect(maps.Values(l.table.members))
-}
-
 // Plan returns the change of epoch that is due at the instant now, or nil.
 func (l *Leader) Plan(now time.Time) *state.EpochChange {
 	ld := l.Log.Leadership()
--- a/internal/tool/inst/fault_test.go
+++ b/internal/tool/inst/fault_test.go
@@ -4,10 +4,12 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
 
@@ -60,6 +62,12 @@
 	return describe(w, b, q)
 }
 
+// wake continues p after the limit against hanging, since a script that fails
+// meanwhile waits for its processes to end, and a stopped one never does.
+func wake(p *os.Process) {
+	time.AfterFunc(hangLimit, func() { _ = p.Signal(syscall.SIGCONT) })
+}
+
 // signal runs "signal NAME ARGUMENT" and sends STOP, CONT or TERM to the
 // background processes that were started with that argument.
 func signal(ts *testscript.TestScript, _ bool, args []string) {
@@ -72,6 +80,9 @@
 		if slices.Contains(c.Args, args[1]) {
 			ts.Check(c.Process.Signal(s))
 			sent++
+			if s == syscall.SIGSTOP {
+				wake(c.Process)
+			}
 		}
 	}
 	if sent == 0 {
