--- /dev/null
+++ b/cmd/snipenode/main.go
@@ -0,0 +1,10 @@
+// Command snipenode runs an instance of snipefront on the users' platform.
+package main
+
+import (
+	"os"
+
+	"github.com/snipefront/snipefront/platform"
+)
+
+func main() { os.Exit(platform.Run(os.Args[1:], os.Stdout, os.Stderr)) }
--- a/fleet.go
+++ b/fleet.go
@@ -51,7 +51,7 @@
 	// Draining is true where it accepts no new work.
 	Draining bool
 	// Expires is the instant at which the announcement lapses.
-	Expires time.Time
+	Expires time.Time `json:",omitzero"`
 }
 
 // CellOf returns the cell to which b belongs.
--- a/internal/control/access/access.go
+++ b/internal/control/access/access.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	// tryTimeout bounds one call to one control instance.
-	tryTimeout = 2 * time.Second
+	// defaultTryTimeout bounds one call to one control instance.
+	defaultTryTimeout = 2 * time.Second
 	// pause is the time between rounds over all control instances.
 	pause = 50 * time.Millisecond
 )
@@ -29,9 +29,11 @@
 
 // Access finds the leader and asks it. Set the exported fields before use.
 type Access struct {
-	// Control lists the control instances. At least one.
-	Control []snipefront.Instance
+	// Control returns the control instances. At least one.
+	Control func() []snipefront.Instance
 	Caller  Caller
+	// TryTimeout bounds one call to one control instance. Zero means 2 s.
+	TryTimeout time.Duration
 
 	// target is the place in Control of the last known leader.
 	target atomic.Int64
@@ -44,15 +46,21 @@
 	if err != nil {
 		return err
 	}
-	text, err := a.ask(ctx, func(ctx context.Context, address string) ([]byte, string, error) {
-		return a.Caller.Propose(ctx, address, b)
-	})
+	text, err := a.Submit(ctx, b)
 	if err != nil {
 		return err
 	}
 	return state.Decode(text, result)
 }
 
+// Submit applies an encoded command, resending it until ctx ends, and returns its
+// result. After an error it may or may not be applied.
+func (a *Access) Submit(ctx context.Context, command []byte) ([]byte, error) {
+	return a.ask(ctx, func(ctx context.Context, address string) ([]byte, string, error) {
+		return a.Caller.Propose(ctx, address, command)
+	})
+}
+
 // Read reads what the leader knows into result.
 func (a *Access) Read(ctx context.Context, what string, revision uint64, result any) error {
 	text, err := a.ask(ctx, func(ctx context.Context, address string) ([]byte, string, error) {
@@ -69,13 +77,14 @@
 // ask puts q to the control instances in turn until one answers or ctx ends.
 func (a *Access) ask(ctx context.Context, q question) ([]byte, error) {
 	for n := 1; ; n++ {
-		c := a.Control[int(a.target.Load())%len(a.Control)]
+		list := a.Control()
+		c := list[int(a.target.Load())%len(list)]
 		text, leader, err := a.try(ctx, q, c.PeerAddress)
 		if err == nil {
 			return text, nil
 		}
-		a.follow(leader)
-		if n%len(a.Control) != 0 && ctx.Err() == nil {
+		a.follow(list, leader)
+		if n%len(list) != 0 && ctx.Err() == nil {
 			continue
 		}
 		select {
@@ -87,19 +96,23 @@
 }
 
 func (a *Access) try(ctx context.Context, q question, address string) ([]byte, string, error) {
-	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	limit := a.TryTimeout
+	if limit == 0 {
+		limit = defaultTryTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	return q(ctx, address)
 }
 
-// follow makes the named leader the next to be asked, or the next instance
-// where the leader is unknown.
-func (a *Access) follow(leader string) {
-	for i, c := range a.Control {
+// follow makes the named leader in list the next to be asked, or the next
+// instance where the leader is unknown.
+func (a *Access) follow(list []snipefront.Instance, leader string) {
+	for i, c := range list {
 		if c.Name == leader {
 			a.target.Store(int64(i))
 			return
 		}
 	}
-	a.target.Store((a.target.Load() + 1) % int64(len(a.Control)))
+	a.target.Store((a.target.Load() + 1) % int64(len(list)))
 }
--- /dev/null
+++ b/internal/control/fleet/fleet.go
@@ -0,0 +1,169 @@
+// Package fleet holds the replicated state of a fleet whose instances and backend
+// servers are all found at run time: the routing configuration as the operator
+// sent it, the registered backend servers and instances, and the data centres out
+// of service.
+//
+// A State is driven by a snipefront.Log. Each change has the index of its log
+// entry, so that a reader that holds the state at one index gets only what
+// changed after it (Since). Applying a command again changes nothing, so a
+// proposer that lost an answer proposes the same command once more. The state
+// never reads a clock.
+package fleet
+
+import (
+	"encoding/json"
+	"sync"
+
+	"github.com/pkg/errors"
+)
+
+// keptRemovals is the number of removals that Since can tell of.
+const keptRemovals = 1024
+
+// State implements snipefront.Machine. Its zero value is empty and ready. Reads
+// may come from any goroutine.
+type State struct {
+	mu   sync.RWMutex
+	data data
+	// changed is closed and replaced at each change.
+	changed chan struct{}
+}
+
+// data is the whole state as it is stored.
+type data struct {
+	// Index is that of the last entry that changed anything.
+	Index     uint64
+	Document  Document
+	Servers   map[string]Server
+	Instances map[string]Instance
+	// Out holds the data centres out of service.
+	Out map[string]bool
+	// OutIndex is the index of the last change of Out.
+	OutIndex uint64
+	// Removals are the latest, oldest first.
+	Removals []Removal
+	// Forgotten is the index of the last removal that is no longer in Removals.
+	Forgotten uint64
+	Suspects  []Suspect
+}
+
+// Removal is a server or an instance that was taken out.
+type Removal struct {
+	Index uint64
+	// Server and Instance are names, one of which is empty.
+	Server   string `json:",omitempty"`
+	Instance string `json:",omitempty"`
+	// Incarnation is that of a server which said itself that it leaves. Zero is
+	// none: it may register again.
+	Incarnation uint64 `json:",omitempty"`
+}
+
+// Document is a configuration as the operator sent it.
+type Document struct {
+	// Version is the operator's. The highest is in force.
+	Version uint64
+	// Source is the compressed text.
+	Source []byte
+	// Index is that of the entry that brought it. Zero is none yet.
+	Index uint64
+}
+
+// Apply applies one encoded Command and returns its encoded Result.
+func (s *State) Apply(index uint64, command []byte) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.init()
+	var c Command
+	r := Result{}
+	if err := json.Unmarshal(command, &c); err != nil {
+		r.Failure = "unreadable command: " + err.Error()
+	} else {
+		r = s.apply(index, c)
+	}
+	b, err := json.Marshal(r)
+	if err != nil {
+		// A Result has only types that can be encoded.
+		panic(err)
+	}
+	return b
+}
+
+// Snapshot returns the whole state.
+func (s *State) Snapshot() ([]byte, error) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	b, err := json.Marshal(s.data)
+	return b, errors.Wrap(err, "encode fleet")
+}
+
+// Restore replaces the whole state.
+func (s *State) Restore(snapshot []byte) error {
+	var d data
+	if err := json.Unmarshal(snapshot, &d); err != nil {
+		return errors.Wrap(err, "decode fleet")
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.data = d
+	s.init()
+	s.notify()
+	return nil
+}
+
+// Changed returns a channel that is closed at the next change.
+func (s *State) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.init()
+	return s.changed
+}
+
+// Index returns the index of the last change.
+func (s *State) Index() uint64 {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.data.Index
+}
+
+// Document returns the configuration in force.
+func (s *State) Document() Document {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.data.Document
+}
+
+// Server returns the named backend server.
+func (s *State) Server(name string) (Server, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	v, ok := s.data.Servers[name]
+	return v, ok
+}
+
+// Instance returns the named instance.
+func (s *State) Instance(name string) (Instance, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	v, ok := s.data.Instances[name]
+	return v, ok
+}
+
+func (s *State) init() {
+	if s.data.Servers == nil {
+		s.data.Servers = map[string]Server{}
+	}
+	if s.data.Instances == nil {
+		s.data.Instances = map[string]Instance{}
+	}
+	if s.data.Out == nil {
+		s.data.Out = map[string]bool{}
+	}
+	if s.changed == nil {
+		s.changed = make(chan struct{})
+	}
+}
+
+func (s *State) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
--- a/internal/daemon/module/module.go
+++ b/internal/daemon/module/module.go
@@ -120,7 +120,7 @@
 }
 
 func newAccess(c control, p *peers.Client) *access.Access {
-	return &access.Access{Control: c, Caller: p}
+	return &access.Access{Control: func() []snipefront.Instance { return c }, Caller: p}
 }
 
 func newRegister() *poison.Register { return &poison.Register{} }
--- a/internal/dispatch/budget/share.go
+++ b/internal/dispatch/budget/share.go
@@ -7,8 +7,8 @@
 const (
 	// unit is the fixed point of a Share: this many make one extra attempt.
 	unit = 1000
-	// burst is the most extra attempts that can be saved up.
-	burst = 10
+	// defaultBurst is the most extra attempts that can be saved up.
+	defaultBurst = 10
 	// opening is the extra attempts that a new Share has.
 	opening = 3
 )
@@ -16,12 +16,20 @@
 // Share bounds extra attempts to a share of the requests. Its zero value has a
 // few to begin with.
 type Share struct {
+	// Burst is the most extra attempts that can be saved up, at least 3. Zero means
+	// 10. It is set before use.
+	Burst int64
+
 	// saved is the number of units beyond the opening ones.
 	saved atomic.Int64
 }
 
 // Earn counts a request that adds share, 0 to 1, to the budget.
 func (s *Share) Earn(share float64) {
+	burst := s.Burst
+	if burst == 0 {
+		burst = defaultBurst
+	}
 	if s.saved.Add(int64(share*unit)) > (burst-opening)*unit {
 		s.saved.Store((burst - opening) * unit)
 	}
--- /dev/null
+++ b/internal/dispatch/direct/direct.go
@@ -0,0 +1,200 @@
+// Package direct sends requests to backend servers that several instances choose
+// from at the same time.
+//
+// Before a choice the targets of the own data centre are asked for their load, and
+// those of others where all of the own are slow. An attempt that surely did not run
+// may be repeated at another target, whatever the request; one that may have run is
+// repeated only for an idempotent request. Repeats draw on a budget. A request that
+// no target has room for is refused at once.
+package direct
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/dispatch/budget"
+	"github.com/snipefront/snipefront/internal/dispatch/look"
+	"github.com/snipefront/snipefront/internal/dispatch/pool"
+)
+
+const (
+	// maxDials is the most targets whose connections may fail under one request.
+	maxDials = 4
+	// leastTime is the time left under which no attempt begins.
+	leastTime = 5 * time.Millisecond
+	// retryAfter is the time after which a caller may ask again where nothing is
+	// known of the wait.
+	retryAfter = 200 * time.Millisecond
+	// maxAnswerBytes bounds the body of an answer.
+	maxAnswerBytes = 16 << 20
+)
+
+// Counter counts retries by their reason.
+type Counter interface {
+	Retried(service string, reason snipefront.Reason)
+	Probed(service string, answered bool)
+}
+
+// Dispatcher sends requests. Set the exported fields before use.
+type Dispatcher struct {
+	Targets *look.Set
+	Pool    *pool.Pool
+	Fields  snipefront.Fields
+	// Budget bounds the repeats of all services together.
+	Budget *budget.Share
+	// RetryShare is what each request adds to Budget, 0 to 1.
+	RetryShare float64
+	// Counter counts what happens.
+	Counter Counter
+	Logger  *slog.Logger
+}
+
+// Call is one request of a caller on its way.
+type Call struct {
+	*snipefront.Request
+	// ID is the caller's, which backend servers echo.
+	ID string
+	// Attempts is the most targets that it may be sent to.
+	Attempts int
+}
+
+// attempt is one sending of a call.
+type attempt struct {
+	response *snipefront.Response
+	verdict  snipefront.Verdict
+	reason   snipefront.Reason
+	err      error
+	outcome  look.Outcome
+}
+
+// progress is what became of a call so far.
+type progress struct {
+	verdict snipefront.Verdict
+	// sent counts the attempts that reached a target, dials those that did not.
+	sent, dials int
+	// avoid names the targets that were tried.
+	avoid map[string]bool
+	// last is the last attempt, kept the best answer that is a failure.
+	last attempt
+	kept *snipefront.Response
+}
+
+// Serve sends c and returns an answer of a backend server or a *snipefront.Error.
+// It ends at the deadline of c.
+func (d *Dispatcher) Serve(ctx context.Context, c *Call) (*snipefront.Response, error) {
+	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
+	defer cancel()
+	d.Budget.Earn(d.RetryShare)
+	p := progress{verdict: snipefront.NotRun, avoid: map[string]bool{}}
+	for {
+		if time.Until(c.Deadline) < leastTime || ctx.Err() != nil {
+			return d.end(ctx, c, &p, late(ctx, &p))
+		}
+		t, ok := d.choose(ctx, c.Service, p.avoid)
+		if !ok {
+			return d.end(ctx, c, &p, d.noRoom(ctx, c, &p))
+		}
+		a := d.send(ctx, c, t)
+		d.note(c, &p, t, a)
+		if a.response != nil && !isFailure(a.response) {
+			return a.response, nil
+		}
+		if !d.mayRepeat(ctx, c, &p) {
+			return d.end(ctx, c, &p, d.failed(ctx, c, &p))
+		}
+		d.Counter.Retried(c.Service, a.reason)
+	}
+}
+
+// note takes in what became of an attempt at t.
+func (d *Dispatcher) note(c *Call, p *progress, t choice, a attempt) {
+	p.last = a
+	p.avoid[t.target.Server.Name] = true
+	if a.response != nil {
+		p.kept = a.response
+	}
+	if a.verdict != snipefront.NotRun {
+		p.verdict = snipefront.MayHaveRun
+	}
+	if a.outcome == look.Unreachable {
+		p.dials++
+	} else {
+		p.sent++
+	}
+	if a.response != nil && !isFailure(a.response) {
+		return
+	}
+	d.Logger.Info("attempt failed", "request", c.ID, "service", c.Service, "server", t.target.Server.Name,
+		"attempt", p.sent, "cost", t.cost, "verdict", a.verdict, "reason", a.reason, "error", a.err, "left", time.Until(c.Deadline))
+}
+
+// isFailure returns whether another target may do better.
+func isFailure(r *snipefront.Response) bool { return r.Status >= http.StatusInternalServerError }
+
+// mayRepeat returns whether the call may go to another target.
+func (d *Dispatcher) mayRepeat(ctx context.Context, c *Call, p *progress) bool {
+	switch {
+	case ctx.Err() != nil, p.sent >= c.Attempts, p.dials > maxDials:
+		return false
+	case p.verdict != snipefront.NotRun && !c.Idempotent:
+		return false
+	case p.last.outcome == look.Unreachable:
+		return true
+	}
+	return d.Budget.Spend()
+}
+
+// end returns the kept answer of a backend server, or else e.
+func (d *Dispatcher) end(_ context.Context, c *Call, p *progress, e *snipefront.Error) (*snipefront.Response, error) {
+	if p.kept != nil {
+		return p.kept, nil
+	}
+	d.Logger.Info("request given up", "request", c.ID, "service", c.Service, "verdict", e.Verdict, "reason", e.Reason,
+		"status", e.Status, "attempts", p.sent, "dials", p.dials, "retryAfter", e.RetryAfter, "detail", e.Detail)
+	return nil, e
+}
+
+// late is the final answer once the time is over.
+func late(ctx context.Context, p *progress) *snipefront.Error {
+	reason := snipefront.ReasonDeadline
+	if errors.Is(ctx.Err(), context.Canceled) {
+		reason = snipefront.ReasonCanceled
+	}
+	if p.verdict == snipefront.NotRun {
+		return snipefront.Refused(reason, retryAfter, "the time was over before the request was sent")
+	}
+	return &snipefront.Error{Verdict: p.verdict, Reason: reason, Status: http.StatusGatewayTimeout, Detail: "no answer in time"}
+}
+
+// noRoom is the final answer where no target can take the call.
+func (d *Dispatcher) noRoom(ctx context.Context, c *Call, p *progress) *snipefront.Error {
+	switch {
+	case ctx.Err() != nil:
+		return late(ctx, p)
+	case p.verdict != snipefront.NotRun:
+		return d.failed(ctx, c, p)
+	case len(d.Targets.Candidates(c.Service)) == 0:
+		return snipefront.Refused(snipefront.ReasonNoBackendServer, retryAfter, "no backend server takes requests")
+	}
+	return snipefront.Refused(snipefront.ReasonOverload, retryAfter, "no backend server has room")
+}
+
+// failed is the final answer after the last attempt.
+func (d *Dispatcher) failed(ctx context.Context, _ *Call, p *progress) *snipefront.Error {
+	if ctx.Err() != nil {
+		return late(ctx, p)
+	}
+	detail := "the backend server gave no answer"
+	if p.last.err != nil {
+		detail = p.last.err.Error()
+	}
+	if p.verdict == snipefront.NotRun {
+		return snipefront.Refused(p.last.reason, retryAfter, detail)
+	}
+	return &snipefront.Error{Verdict: p.verdict, Reason: p.last.reason, Status: http.StatusBadGateway, Detail: detail}
+}
--- /dev/null
+++ b/internal/dispatch/look/target.go
@@ -0,0 +1,200 @@
+package look
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/control/fleet"
+)
+
+const (
+	// lifetime is how long a report is good for.
+	lifetime = 30 * time.Millisecond
+	// firstPause and maxPause are the times for which a backend server that could
+	// not be reached is left alone. The pause doubles with each failure in a row.
+	firstPause = 200 * time.Millisecond
+	maxPause   = 2 * time.Second
+	// faultWeight is the weight of one outcome in the share of faults.
+	faultWeight = 0.25
+)
+
+// Target is a backend server as this instance sees it. It is never changed; a new
+// registration makes a new Target of the same state.
+type Target struct {
+	// Server is as it was registered.
+	Server fleet.Server
+	// Profile is that of its service.
+	Profile snipefront.Profile
+	// Near is true where it is in the data centre of this instance.
+	Near bool
+	*state
+}
+
+// state is what is known of one incarnation of a backend server.
+type state struct {
+	mu sync.Mutex
+	// coldUntil is when it is warm by what it registered.
+	coldUntil time.Time
+	report    Report
+	// looking is closed when the look under way has ended. Nil is none.
+	looking chan struct{}
+	// sent counts the requests that this instance sent since the report, running
+	// those that have not ended.
+	sent    int
+	running int
+	// faults is the moving share of requests that failed.
+	faults float64
+	pause  time.Duration
+	until  time.Time
+	cold   bucket
+}
+
+// Sight is what is known of a target at one instant.
+type Sight struct {
+	Report Report
+	// Sent counts the requests that this instance sent since the report.
+	Sent int
+	// Running counts the requests of this instance that have not ended.
+	Running int
+	// Faults is the share of requests that failed lately, 0 to 1.
+	Faults float64
+	// Cold is true where the backend server bears little yet.
+	Cold bool
+	Near bool
+	// Slots is the announced number.
+	Slots int
+}
+
+// Sight returns what is known of t.
+func (t *Target) Sight(now time.Time) Sight {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return Sight{
+		Report: t.report, Sent: t.sent, Running: t.running, Faults: t.faults,
+		Cold: t.isCold(now), Near: t.Near, Slots: t.Server.Slots,
+	}
+}
+
+// Available returns whether t may be tried: it has not been out of reach lately.
+func (t *Target) Available(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !now.Before(t.until)
+}
+
+// Reserve counts a request as sent, and returns false where t is cold and has had
+// all that it bears.
+func (t *Target) Reserve(now time.Time, rate float64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.isCold(now) && !t.cold.take(now, rate) {
+		return false
+	}
+	t.sent++
+	t.running++
+	return true
+}
+
+// Outcome is what became of a request at a target.
+type Outcome uint8
+
+// The outcomes.
+const (
+	// Answered is an answer that the target made by running the request.
+	Answered Outcome = iota
+	// Faulty is a failure that is the target's.
+	Faulty
+	// Unreachable is a connection that could not be opened.
+	Unreachable
+	// Neutral says nothing of the target: it had no room, or the caller left.
+	Neutral
+)
+
+// Done counts the end of a request.
+func (t *Target) Done(now time.Time, o Outcome) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.running--
+	switch o {
+	case Answered:
+		t.faults *= 1 - faultWeight
+		t.pause = 0
+	case Faulty:
+		t.faults += faultWeight * (1 - t.faults)
+	case Unreachable:
+		t.miss(now)
+	case Neutral:
+	}
+}
+
+// miss leaves t alone for a while. The lock is held.
+func (t *Target) miss(now time.Time) {
+	t.pause = min(max(firstPause, 2*t.pause), maxPause)
+	t.until = now.Add(t.pause)
+}
+
+func (t *Target) isCold(now time.Time) bool {
+	return now.Before(t.coldUntil) || t.report.Cold > now.Sub(t.report.At)
+}
+
+// Look asks t for its load unless a report is fresh. It returns once there is an
+// answer or ctx ends.
+func (t *Target) Look(ctx context.Context, asker Asker) {
+	t.mu.Lock()
+	if time.Since(t.report.At) < lifetime {
+		t.mu.Unlock()
+		return
+	}
+	under := t.looking
+	if under == nil {
+		under = make(chan struct{})
+		t.looking = under
+		go t.ask(asker, under)
+	}
+	t.mu.Unlock()
+	select {
+	case <-under:
+	case <-ctx.Done():
+	}
+}
+
+// ask asks for the load and closes ended.
+func (t *Target) ask(asker Asker, ended chan struct{}) {
+	r, err := asker.Ask(t)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.looking = nil
+	close(ended)
+	if err != nil || r.Server != "" && r.Server != t.Server.Name {
+		t.miss(time.Now())
+		return
+	}
+	t.report = r
+	t.sent = 0
+	t.pause = 0
+	t.until = time.Time{}
+}
+
+// bucket spreads requests over time.
+type bucket struct {
+	tokens float64
+	at     time.Time
+}
+
+// take returns whether a request fits in, where rate a second do and one may come
+// at any time.
+func (b *bucket) take(now time.Time, rate float64) bool {
+	if b.at.IsZero() {
+		b.tokens = 1
+	} else {
+		b.tokens = min(1, b.tokens+now.Sub(b.at).Seconds()*rate)
+	}
+	b.at = now
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
--- /dev/null
+++ b/internal/dispatch/pool/exchange.go
@@ -0,0 +1,160 @@
+package pool
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// smallBody is the most bytes of a body that is sent before the answer is read.
+	smallBody = 16 << 10
+	// maxStrays is the most answers to other requests that are passed over.
+	maxStrays = 4
+)
+
+// Exchange is a request and its answer on one connection.
+type Exchange struct {
+	// Head is the request line and header, with the empty line.
+	Head []byte
+	Body []byte
+	// Method is that of the request.
+	Method string
+	// IDField and ID name and hold what the answer must echo. An empty field takes
+	// any answer.
+	IDField string
+	ID      string
+	// MaxBytes bounds the body of the answer.
+	MaxBytes int64
+
+	// Sent is true once a byte of the request may have left.
+	Sent bool
+	// Response is the answer's head. Body is closed.
+	Response *http.Response
+	// Answer is the whole body of the answer.
+	Answer []byte
+}
+
+// Errors of an exchange.
+var (
+	ErrTooBig  = errors.New("answer over the size limit")
+	ErrStrays  = errors.New("answers to other requests")
+	ErrClosing = errors.New("connection closed without an answer")
+)
+
+// Do sends e on c and reads the answer. It closes c unless it can be used again,
+// and returns whether it can. When ctx ends, c is closed.
+func (e *Exchange) Do(ctx context.Context, c *Conn) (reusable bool, err error) {
+	stop := context.AfterFunc(ctx, func() { c.Close() })
+	defer func() {
+		if !stop() {
+			reusable = false
+		}
+		if !reusable {
+			c.Close()
+		}
+	}()
+	e.Sent = true
+	written, err := e.write(c)
+	if err != nil {
+		return false, err
+	}
+	reusable, err = e.read(c)
+	select {
+	case w := <-written:
+		return reusable && w == nil, err
+	default:
+		// The rest of the body is still due, so no other request may follow it.
+		return false, err
+	}
+}
+
+// write sends the request. A long body goes on beside the answer, which may come
+// before all of it was read.
+func (e *Exchange) write(c *Conn) (<-chan error, error) {
+	done := make(chan error, 1)
+	if len(e.Body) <= smallBody {
+		b := net.Buffers{e.Head}
+		if len(e.Body) > 0 {
+			b = append(b, e.Body)
+		}
+		_, err := b.WriteTo(c.Conn)
+		done <- err
+		if err != nil && c.Reused {
+			return nil, errors.Wrap(err, "write")
+		}
+		return done, nil
+	}
+	go func() {
+		b := net.Buffers{e.Head, e.Body}
+		_, err := b.WriteTo(c.Conn)
+		done <- err
+	}()
+	return done, nil
+}
+
+// read reads the answer that echoes the request's id.
+func (e *Exchange) read(c *Conn) (reusable bool, err error) {
+	for range maxStrays {
+		reusable, err = e.readOne(c)
+		if err != nil {
+			return false, err
+		}
+		if e.IDField == "" || e.Response.Header.Get(e.IDField) == e.ID {
+			return reusable && c.reader.Buffered() == 0, nil
+		}
+		if !reusable {
+			break
+		}
+	}
+	e.Response = nil
+	return false, ErrStrays
+}
+
+func (e *Exchange) readOne(c *Conn) (reusable bool, err error) {
+	resp, err := http.ReadResponse(c.reader, &http.Request{Method: e.Method})
+	for err == nil && resp.StatusCode < http.StatusOK {
+		resp, err = http.ReadResponse(c.reader, &http.Request{Method: e.Method})
+	}
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		return false, errors.WithMessage(ErrClosing, err.Error())
+	}
+	if err != nil {
+		return false, errors.Wrap(err, "read answer")
+	}
+	defer resp.Body.Close()
+	var body bytes.Buffer
+	n, err := body.ReadFrom(io.LimitReader(resp.Body, e.MaxBytes+1))
+	if err != nil {
+		return false, errors.Wrap(err, "read body of answer")
+	}
+	if n > e.MaxBytes {
+		return false, ErrTooBig
+	}
+	e.Response = resp
+	e.Answer = body.Bytes()
+	c.keep = keepOf(resp.Header.Get("Keep-Alive"))
+	return !resp.Close, nil
+}
+
+// keepOf returns for how long a connection may stay unused, by the Keep-Alive
+// field of its last answer.
+func keepOf(field string) time.Duration {
+	for _, part := range strings.Split(field, ",") {
+		k, v, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if !strings.EqualFold(k, "timeout") {
+			continue
+		}
+		if s, err := strconv.Atoi(v); err == nil && s > 0 {
+			return min(defaultIdle, max(time.Duration(s)*time.Second-idleMargin, idleMargin/4))
+		}
+	}
+	return defaultIdle
+}
--- /dev/null
+++ b/internal/entry/gate/gate.go
@@ -0,0 +1,189 @@
+// Package gate takes requests of callers by the routes of a routing configuration:
+// it finds the route, sets the deadline, chooses the service and hands the request
+// to a Sender.
+package gate
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/dispatch/direct"
+	"github.com/snipefront/snipefront/internal/entry/pipe"
+	"github.com/snipefront/snipefront/internal/request/paths"
+)
+
+const (
+	// unknownRetry is the time after which a caller may ask again where this instance
+	// has no configuration yet.
+	unknownRetry = 250 * time.Millisecond
+	// slowAnswer is the share of the route's goal from which an answer is logged.
+	slowAnswer = 1.0
+)
+
+// Sender sends a call to a backend server.
+type Sender interface {
+	Serve(ctx context.Context, c *direct.Call) (*snipefront.Response, error)
+}
+
+// Counter counts answers.
+type Counter interface {
+	Answered(service string, status int, taken time.Duration)
+	Refused(service string, e *snipefront.Error)
+}
+
+// Gate implements pipe.Handler. Set the exported fields before use.
+type Gate struct {
+	Sender  Sender
+	Fields  snipefront.Fields
+	Counter Counter
+	Logger  *slog.Logger
+
+	table atomic.Pointer[paths.Table]
+	split paths.Splitter
+}
+
+// SetTable puts the routes of t into force.
+func (g *Gate) SetTable(t *paths.Table) {
+	g.table.Store(t)
+	g.split.Forget(t)
+}
+
+// Table returns the routes in force, or nil.
+func (g *Gate) Table() *paths.Table { return g.table.Load() }
+
+// Limits returns the bounds on what callers may send.
+func (g *Gate) Limits() pipe.Limits {
+	t := g.table.Load()
+	if t == nil {
+		return defaultLimits
+	}
+	l := t.Routing.Limits
+	return pipe.Limits{
+		HeaderBytes:   orElse(l.HeaderBytes, defaultLimits.HeaderBytes),
+		BodyBytes:     orElse(l.BodyBytes, defaultLimits.BodyBytes),
+		HeaderTimeout: orElse(l.HeaderTimeout, defaultLimits.HeaderTimeout),
+		IdleTimeout:   orElse(l.IdleTimeout, defaultLimits.IdleTimeout),
+	}
+}
+
+// defaultLimits hold until there is a configuration.
+var defaultLimits = pipe.Limits{
+	HeaderBytes:   64 << 10,
+	BodyBytes:     64 << 20,
+	HeaderTimeout: 10 * time.Second,
+	IdleTimeout:   time.Minute,
+}
+
+func orElse[T int | int64 | time.Duration](v, other T) T {
+	if v > 0 {
+		return v
+	}
+	return other
+}
+
+// Handle implements pipe.Handler.
+func (g *Gate) Handle(ctx context.Context, r *pipe.Request) pipe.Answer {
+	id := r.Header.Get(g.Fields.RequestID)
+	t := g.table.Load()
+	if t == nil {
+		return g.refuse("", id, snipefront.Refused(snipefront.ReasonNoConfig, unknownRetry, "this instance has no configuration yet"))
+	}
+	n, ok := t.Find(r.Host, r.URL.EscapedPath())
+	if !ok {
+		g.Logger.Info("no route", "request", id, "host", r.Host, "path", r.URL.EscapedPath(), "version", t.Routing.Version)
+		return g.refuse("", id, snipefront.Rejected(snipefront.ReasonUnknownService, http.StatusNotFound, "no route for this host and path"))
+	}
+	c := g.call(r, id, n)
+	response, err := g.Sender.Serve(ctx, c)
+	if err != nil {
+		return g.refuse(c.Service, id, snipefront.AsError(err))
+	}
+	taken := time.Since(r.Read)
+	g.Counter.Answered(c.Service, response.Status, taken)
+	if float64(taken) > slowAnswer*float64(n.Goal) {
+		g.Logger.Info("answer over the goal", "request", id, "route", n.Name, "service", c.Service,
+			"server", response.BackendServer, "status", response.Status, "taken", taken, "version", t.Routing.Version)
+	}
+	return pipe.Answer{Status: response.Status, Header: endToEnd(response.Header), Body: response.Body}
+}
+
+// call returns the call of r on route n.
+func (g *Gate) call(r *pipe.Request, id string, n *snipefront.Route) *direct.Call {
+	h := endToEnd(r.Header)
+	h.Del(g.Fields.Remaining)
+	h.Del(g.Fields.Expected)
+	h.Del("Expect")
+	h["Host"] = []string{r.Host}
+	left := n.Timeout
+	if ms, err := strconv.ParseFloat(r.Header.Get(g.Fields.Remaining), 64); err == nil && ms >= 0 {
+		left = min(left, time.Duration(ms*float64(time.Millisecond)))
+	}
+	return &direct.Call{
+		ID:       id,
+		Attempts: n.Attempts,
+		Request: &snipefront.Request{
+			Service:    g.split.Next(n),
+			Method:     r.Method,
+			Target:     r.RequestURI,
+			Header:     h,
+			Body:       r.Content,
+			Deadline:   r.Read.Add(left),
+			Idempotent: n.Idempotent,
+		},
+	}
+}
+
+// problem is the body of an answer that is not a backend server's.
+type problem struct {
+	Reason  snipefront.Reason
+	Verdict string
+	Detail  string
+}
+
+// refuse returns the answer for e.
+func (g *Gate) refuse(service, id string, e *snipefront.Error) pipe.Answer {
+	g.Counter.Refused(service, e)
+	h := http.Header{}
+	if id != "" {
+		h.Set(g.Fields.RequestID, id)
+	}
+	h.Set("Content-Type", "application/json")
+	if e.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(e.RetryAfter.Seconds(), 'f', 3, 64))
+	}
+	b, err := json.Marshal(problem{Reason: e.Reason, Verdict: e.Verdict.String(), Detail: e.Detail})
+	if err != nil {
+		g.Logger.Error("problem not encoded", "error", err)
+	}
+	return pipe.Answer{Status: e.Status, Header: h, Body: b}
+}
+
+// connectionFields concern one connection only.
+var connectionFields = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Content-Length",
+}
+
+// endToEnd returns a copy of h without the fields of one connection.
+func endToEnd(h http.Header) http.Header {
+	out := make(http.Header, len(h))
+	for k, v := range h {
+		out[k] = v
+	}
+	for _, v := range h["Connection"] {
+		for _, name := range strings.Split(v, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, k := range connectionFields {
+		delete(out, k)
+	}
+	return out
+}
--- a/internal/quorum/driver/driver.go
+++ b/internal/quorum/driver/driver.go
@@ -17,6 +17,7 @@
 import (
 	"context"
 	"log/slog"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -46,6 +47,8 @@
 	logPerSnapshot = 2
 	// keptEntries stay in memory after a snapshot, for replicas that lag.
 	keptEntries = 1024
+	// memberSeparator stands in no name.
+	memberSeparator = "\n"
 )
 
 // Storage saves a replica. Each call returns once its data are on the disk.
@@ -79,10 +82,17 @@
 type Log struct {
 	// Name is this instance, one of Control.
 	Name string
-	// Control lists the instances with a replica, in the same order at each.
+	// Control lists the instances with a replica, in the same order at each. Where
+	// MaxVoters is set they are only those to ask first, and the name of an instance
+	// is its peer address.
 	Control []snipefront.Instance
-	Machine snipefront.Machine
-	Storage Storage
+	// MaxVoters opens the group to any instance and bounds the voters. Zero keeps
+	// the group to Control.
+	MaxVoters int
+	// JoinOnly is true where this replica must not start a group.
+	JoinOnly bool
+	Machine  snipefront.Machine
+	Storage  Storage
 	// Saved is what Storage held at the start.
 	Saved  disk.Saved
 	Caller Caller
@@ -109,6 +119,9 @@
 	replica *raft.Replica
 	hard    raft.HardState
 	links   map[string]*link
+	// sending ends the links, each of which then reports on closed.
+	sending context.Context
+	closed  chan struct{}
 	waiting map[uint64]waiter
 	// calls are the deliveries taken in since the last save.
 	calls   []*delivery
@@ -129,10 +142,14 @@
 	err      error
 }
 
-// view is what Leadership reads.
+// view is what Leadership and Members read.
 type view struct {
 	leader string
 	term   uint64
+	// members holds the names of the members, sorted.
+	members string
+	// silent holds those that do not answer this leader, sorted.
+	silent string
 	// until is the end of the leader's own lease. Zero is none.
 	until time.Time
 }
@@ -200,6 +217,32 @@
 	return snipefront.Leadership{Leader: v.leader, Term: v.term, Self: time.Now().Before(v.until)}
 }
 
+// Members returns the names of the members as this replica knows them.
+func (l *Log) Members() []string {
+	v := l.view.Load()
+	if v == nil {
+		return nil
+	}
+	return namesOf(v.members)
+}
+
+// Silent returns the names of the members that do not answer this replica. It is
+// empty where this replica does not lead.
+func (l *Log) Silent() []string {
+	v := l.view.Load()
+	if v == nil {
+		return nil
+	}
+	return namesOf(v.silent)
+}
+
+func namesOf(joined string) []string {
+	if joined == "" {
+		return nil
+	}
+	return strings.Split(joined, memberSeparator)
+}
+
 // Deliver takes in messages of another replica and returns the replies to it.
 func (l *Log) Deliver(ctx context.Context, messages []raft.Message) ([]raft.Message, error) {
 	if len(messages) == 0 {
@@ -241,13 +284,13 @@
 	}
 	sending, cancel := context.WithCancel(ctx)
 	defer cancel()
-	closed := l.open(sending)
+	l.open(sending)
 	err := l.loop(ctx)
 	l.view.Store(nil)
 	close(l.ended)
 	cancel()
 	for range l.links {
-		<-closed
+		<-l.closed
 	}
 	if l.drafting {
 		<-l.drafted
@@ -287,6 +330,8 @@
 		Heartbeat: l.Lease / heartbeatsPerLease,
 		Election:  l.Lease / electionsPerLease,
 		Random:    l.Random,
+		MaxVoters: l.MaxVoters,
+		JoinOnly:  l.JoinOnly,
 	}
 	for _, c := range l.Control {
 		l.replica.Names = append(l.replica.Names, c.Name)
@@ -296,24 +341,29 @@
 	return nil
 }
 
-// open starts a goroutine for each other replica, which reports its end on the
-// returned channel.
-func (l *Log) open(ctx context.Context) <-chan struct{} {
-	closed := make(chan struct{})
+// open starts a goroutine for each other replica, which reports its end on
+// closed.
+func (l *Log) open(ctx context.Context) {
+	l.sending = ctx
+	l.closed = make(chan struct{})
 	l.links = map[string]*link{}
 	for _, c := range l.Control {
-		if c.Name == l.Name {
-			continue
-		}
-		k := &link{
-			address: c.PeerAddress, caller: l.Caller, accept: l.accept,
-			timeout: l.Lease / electionsPerLease, ready: make(chan struct{}, 1),
+		if c.Name != l.Name {
+			l.connect(c)
 		}
-		l.links[c.Name] = k
-		go func() {
-			k.run(ctx)
-			closed <- struct{}{}
-		}()
 	}
-	return closed
+}
+
+// connect starts the goroutine that sends to c.
+func (l *Log) connect(c snipefront.Instance) *link {
+	k := &link{
+		address: c.PeerAddress, caller: l.Caller, accept: l.accept,
+		timeout: l.Lease / electionsPerLease, ready: make(chan struct{}, 1),
+	}
+	l.links[c.Name] = k
+	go func() {
+		k.run(l.sending)
+		l.closed <- struct{}{}
+	}()
+	return k
 }
--- a/internal/quorum/driver/loop.go
+++ b/internal/quorum/driver/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -148,7 +149,11 @@
 }
 
 func (l *Log) post(m raft.Message) {
-	if k := l.links[m.ToName]; k != nil {
+	k := l.links[m.ToName]
+	if k == nil && l.MaxVoters > 0 && m.ToName != l.Name {
+		k = l.connect(snipefront.Instance{Name: m.ToName, PeerAddress: m.ToName})
+	}
+	if k != nil {
 		k.put(m)
 	}
 }
@@ -212,6 +217,10 @@
 // publish makes the leadership known, before any vote that ends it is sent.
 func (l *Log) publish() {
 	next := view{leader: l.replica.Leader(), term: l.replica.Term()}
+	if l.MaxVoters > 0 {
+		next.members = strings.Join(l.replica.MemberNames(), memberSeparator)
+		next.silent = strings.Join(l.replica.SilentNames(time.Now()), memberSeparator)
+	}
 	if until, from, ok := l.replica.Lease(); ok && l.applied >= from {
 		next.until = until
 	}
--- a/internal/quorum/raft/elect.go
+++ b/internal/quorum/raft/elect.go
@@ -4,6 +4,9 @@
 
 // Due returns when Tick has something to do, as far as is known now.
 func (r *Replica) Due() time.Time {
+	if r.role == leading && r.hurry {
+		return time.Time{}
+	}
 	if r.role == leading {
 		return r.nextBeat
 	}
--- a/internal/quorum/raft/lead.go
+++ b/internal/quorum/raft/lead.go
@@ -6,7 +6,7 @@
 )
 
 func (r *Replica) tickLeader(now time.Time) {
-	if now.Before(r.nextBeat) {
+	if now.Before(r.nextBeat) && !r.hurry {
 		return
 	}
 	a, ok := r.answered()
@@ -17,6 +17,7 @@
 		return
 	}
 	r.promote(now)
+	r.trim(now)
 	r.beat(now)
 }
 
@@ -24,6 +25,7 @@
 // not been answered.
 func (r *Replica) beat(now time.Time) {
 	r.nextBeat = now.Add(r.Heartbeat)
+	r.hurry = false
 	for _, p := range r.ordered() {
 		r.send(Message{
 			Kind: Heartbeat, To: p.Identity, ToName: p.Name, Term: r.hard.Term,
@@ -137,6 +139,7 @@
 	i := nth(matches, r.quorum())
 	if t, ok := r.log.term(i); ok && t == r.hard.Term && i > r.commit {
 		r.commit = i
+		r.hurry = r.MaxVoters > 0
 	}
 }
 
--- a/internal/quorum/raft/members.go
+++ b/internal/quorum/raft/members.go
@@ -10,6 +10,29 @@
 	return r.changes[len(r.changes)-1].members
 }
 
+// MemberNames returns the names in the latest configuration, sorted.
+func (r *Replica) MemberNames() []string {
+	list := make([]string, 0, len(r.members()))
+	for _, m := range r.members() {
+		list = append(list, m.Name)
+	}
+	slices.Sort(list)
+	return list
+}
+
+// SilentNames returns the names of the members that have not answered this leader
+// for an election timeout, sorted. It is empty at any other replica.
+func (r *Replica) SilentNames(now time.Time) []string {
+	var list []string
+	for _, m := range r.members() {
+		if p := r.peers[m.Identity]; p != nil && r.silent(now, p) > r.Election {
+			list = append(list, m.Name)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
 // MembersAt returns the configuration after the entry at index, which is in the
 // log or the last of a snapshot.
 func (r *Replica) MembersAt(index uint64) []Member {
@@ -22,15 +45,7 @@
 	return m
 }
 
-func (r *Replica) quorum() int {
-	n := 0
-	for _, m := range r.members() {
-		if m.Voter {
-			n++
-		}
-	}
-	return n/2 + 1
-}
+func (r *Replica) quorum() int { return r.voters()/2 + 1 }
 
 func (r *Replica) voter(identity string) bool {
 	for _, m := range r.members() {
@@ -101,12 +116,33 @@
 		return
 	}
 	foreign := m.Group != "" && m.Group != r.hard.Group
-	if !r.settled() || m.FromName == r.Name || foreign || !slices.Contains(r.Names, m.FromName) {
+	known := r.MaxVoters > 0 || slices.Contains(r.Names, m.FromName)
+	if r.role != leading && r.MaxVoters > 0 && !foreign {
+		r.refer(m)
+	}
+	if !r.settled() || m.FromName == r.Name || foreign || !known {
 		return
 	}
 	r.admit(m.FromName, m.From)
 }
 
+// refer answers a Join with the members, one of which leads.
+func (r *Replica) refer(m Message) {
+	list := []Entry{{Kind: Change, Members: r.members()}}
+	r.send(Message{Kind: JoinReply, To: m.From, ToName: m.FromName, Sent: m.Sent, Entries: list}, true)
+}
+
+// learn adds the members that a reply refers to.
+func (r *Replica) learn(entries []Entry) {
+	for _, e := range entries {
+		for _, m := range e.Members {
+			if !slices.Contains(r.Names, m.Name) {
+				r.Names = append(r.Names, m.Name)
+			}
+		}
+	}
+}
+
 // admit takes the next step to make identity a member under name.
 func (r *Replica) admit(name, identity string) {
 	var next []Member
@@ -136,7 +172,8 @@
 	return rest
 }
 
-// promote makes a learner that has the committed log a voter.
+// promote makes a learner that has the committed log a voter. Where there is no
+// place for one, a voter that is out of reach is taken out first.
 func (r *Replica) promote(now time.Time) {
 	if !r.settled() {
 		return
@@ -146,9 +183,13 @@
 			continue
 		}
 		p := r.peers[m.Identity]
-		if p.match < r.commit || now.Sub(r.start)-p.answered > r.Election {
+		if p.match < r.commit || r.silent(now, p) > r.Election {
 			continue
 		}
+		if r.MaxVoters > 0 && r.voters() >= r.MaxVoters {
+			r.makeRoom(now)
+			return
+		}
 		next := slices.Clone(r.members())
 		next[i].Voter = true
 		r.change(next)
@@ -156,7 +197,51 @@
 	}
 }
 
+// makeRoom takes out a voter that is out of reach.
+func (r *Replica) makeRoom(now time.Time) {
+	for _, m := range r.members() {
+		p := r.peers[m.Identity]
+		if m.Voter && p != nil && r.silent(now, p) > replaceTimeouts*r.Election {
+			r.change(without(r.members(), m.Name))
+			return
+		}
+	}
+}
+
+// trim takes out a learner that is out of reach for long.
+func (r *Replica) trim(now time.Time) {
+	if r.MaxVoters == 0 || !r.settled() {
+		return
+	}
+	for _, m := range r.members() {
+		p := r.peers[m.Identity]
+		if !m.Voter && p != nil && r.silent(now, p) > forgetTimeouts*r.Election {
+			r.change(without(r.members(), m.Name))
+			return
+		}
+	}
+}
+
+// silent returns the time since the peer p last answered, and at most since the
+// election of this leader.
+func (r *Replica) silent(now time.Time, p *peer) time.Duration {
+	return min(now.Sub(r.start)-p.answered, now.Sub(r.elected))
+}
+
+func (r *Replica) voters() int {
+	n := 0
+	for _, m := range r.members() {
+		if m.Voter {
+			n++
+		}
+	}
+	return n
+}
+
 func (r *Replica) stepJoinReply(now time.Time, m Message) {
+	if r.MaxVoters > 0 && (r.hard.Group == "" || r.hard.Group == m.Group) {
+		r.learn(m.Entries)
+	}
 	if r.hard.Group != "" || m.Group != "" {
 		return
 	}
@@ -167,7 +252,7 @@
 // found starts a group where this is the first configured instance and all of
 // them are blank.
 func (r *Replica) found(now time.Time) {
-	if r.hard.Group != "" || r.Name != r.Names[0] {
+	if r.hard.Group != "" || r.JoinOnly || len(r.Names) == 0 || r.Name != r.Names[0] {
 		return
 	}
 	var members []Member
--- a/internal/quorum/raft/raft.go
+++ b/internal/quorum/raft/raft.go
@@ -48,6 +48,12 @@
 	leaseShare = 9
 	// installPause is the number of heartbeats between two sends of a snapshot.
 	installPause = 20
+	// replaceTimeouts is the number of election timeouts without an answer after
+	// which a voter gives its place to a learner.
+	replaceTimeouts = 3
+	// forgetTimeouts is the number of election timeouts without an answer after
+	// which a learner is taken out.
+	forgetTimeouts = 12
 	// lonelyTimeouts is the number of election timeouts without a leader after
 	// which a replica asks to join.
 	lonelyTimeouts = 10
@@ -68,8 +74,14 @@
 	Name string
 	// Identity is that of the disk.
 	Identity string
-	// Names are the configured instances, the same list at each.
+	// Names are the configured instances, the same list at each. Where MaxVoters is
+	// set they are only the instances to ask first.
 	Names []string
+	// MaxVoters opens the group to instances outside of Names and bounds the
+	// voters. Zero keeps the group to Names.
+	MaxVoters int
+	// JoinOnly is true where this replica must not start a group.
+	JoinOnly bool
 	// Heartbeat is the time between heartbeats.
 	Heartbeat time.Duration
 	// Election is the minimum election timeout. The maximum is twice that.
@@ -104,6 +116,8 @@
 	nextBeat time.Time
 	peers    map[string]*peer
 
+	// hurry is true where followers are to learn of a commit at once.
+	hurry    bool
 	dirty    bool
 	received *Snapshot
 	before   []Message
--- a/internal/rpc/peers/server.go
+++ b/internal/rpc/peers/server.go
@@ -9,6 +9,7 @@
 
 	"github.com/gorilla/mux"
 	"github.com/pkg/errors"
+	"github.com/twitchtv/twirp"
 
 	"github.com/snipefront/snipefront"
 	"github.com/snipefront/snipefront/internal/control/leader"
@@ -37,6 +38,8 @@
 	// Steps takes in messages of the replicated log and returns the replies. It
 	// may be nil.
 	Steps func(ctx context.Context, messages []raft.Message) ([]raft.Message, error)
+	// Watcher answers instances that watch the fleet. It may be nil.
+	Watcher Watcher
 	// Suspects takes in and gives out records. It may be nil.
 	Suspects Suspects
 	// Cells returns the own cells as the operators' interface shows them. It may be
@@ -48,10 +51,13 @@
 	calls calls
 }
 
-// Route adds the services to r.
+// Route adds the services to r: that of the path of requests where there is an
+// Owner, that of control where there is a Leader or a Watcher.
 func (s *Server) Route(r *mux.Router) {
-	r.PathPrefix(wire.PeerPathPrefix).Handler(dateless(http.MaxBytesHandler(wire.NewPeerServer(s), s.maxBytes())))
-	if s.Leader != nil {
+	if s.Owner != nil {
+		r.PathPrefix(wire.PeerPathPrefix).Handler(dateless(http.MaxBytesHandler(wire.NewPeerServer(s), s.maxBytes())))
+	}
+	if s.Leader != nil || s.Watcher != nil {
 		r.PathPrefix(wire.ControlPathPrefix).Handler(meter.Handler(dateless(http.MaxBytesHandler(wire.NewControlServer(s), maxControlBytes))))
 	}
 	r.NotFoundHandler = http.NotFoundHandler()
@@ -113,6 +119,9 @@
 
 // Renew implements wire.Control.
 func (s *Server) Renew(_ context.Context, r *wire.RenewRequest) (*wire.RenewResponse, error) {
+	if s.Leader == nil {
+		return nil, twirp.NewError(twirp.Unimplemented, "this control quorum grants no leases")
+	}
 	g := s.Leader.Renew(time.Now(), leader.Renewal{
 		Instance:  instanceOf(r.Instance),
 		Epoch:     r.Epoch,
@@ -161,6 +170,9 @@
 
 // Read implements wire.Control.
 func (s *Server) Read(_ context.Context, r *wire.ReadRequest) (*wire.ReadResponse, error) {
+	if s.Leader == nil {
+		return nil, twirp.NewError(twirp.Unimplemented, "this control quorum grants no leases")
+	}
 	v, ok := s.Leader.Overview(time.Now(), r.Revision)
 	if !ok {
 		return &wire.ReadResponse{NotLeader: true, Leader: s.Log.Leadership().Leader}, nil
--- a/reason.go
+++ b/reason.go
@@ -8,6 +8,7 @@
 const (
 	ReasonBadRequest       Reason = "bad_request"
 	ReasonUnknownService   Reason = "unknown_service"
+	ReasonNoConfig         Reason = "no_config"
 	ReasonTooLarge         Reason = "too_large"
 	ReasonNoLease          Reason = "no_lease"
 	ReasonNotOwner         Reason = "not_owner"
