--- a/internal/control/keeper/keeper.go
+++ b/internal/control/keeper/keeper.go
@@ -28,6 +28,8 @@
 	orderTimeout = 900 * time.Millisecond
 	// maxWait bounds the wait of one Watch.
 	maxWait = time.Second
+	// checkInterval is the time between looks whether a leader is still known.
+	checkInterval = 250 * time.Millisecond
 	// settleTime is the time after a change in which further ones join its answer.
 	settleTime = 20 * time.Millisecond
 )
@@ -142,28 +144,41 @@
 func (k *Keeper) Watch(ctx context.Context, w peers.Watch) (peers.News, error) {
 	w.Instance.Keeper = k.Self.Name
 	k.seen(w.Instance)
+	if err := k.await(ctx, w); err != nil {
+		k.dropped(w.Instance)
+		return peers.News{}, err
+	}
+	d := k.State.Since(w.Held)
+	return peers.News{Current: k.current() && d.Index >= w.Held, Delta: d}, nil
+}
+
+// await waits for a change after the one that w holds, for as long as w says and
+// this instance is in touch with the control quorum.
+func (k *Keeper) await(ctx context.Context, w peers.Watch) error {
 	expired := time.NewTimer(min(w.Wait, maxWait))
 	defer expired.Stop()
+	checks := time.NewTicker(checkInterval)
+	defer checks.Stop()
 	for {
 		changed := k.State.Changed()
-		if k.State.Index() != w.Held {
-			break
+		if k.State.Index() != w.Held || !k.current() {
+			return nil
 		}
 		select {
 		case <-changed:
 			time.Sleep(settleTime)
-			continue
+		case <-checks.C:
 		case <-expired.C:
+			return nil
 		case <-ctx.Done():
-			k.dropped(w.Instance)
-			return peers.News{}, ctx.Err()
+			return ctx.Err()
 		}
-		break
 	}
-	d := k.State.Since(w.Held)
-	return peers.News{Current: k.Log.Leadership().Leader != "" && d.Index >= w.Held, Delta: d}, nil
 }
 
+// current returns whether this instance is in touch with the control quorum.
+func (k *Keeper) current() bool { return k.Log.Leadership().Leader != "" }
+
 // Entries returns the caller addresses of the instances of a data centre that take
 // requests, and where there are fewer than two, those of its whole region. An
 // unknown region stands for all.
