control/follow: ask all control instances in turn while none answers

Cause: after an outage of all control instances each instance waited out pauses that had doubled with each failure, so that it served seconds after they were back. Change: while all have failed lately they are asked in turn without pauses; the lines about it end once the pause is at its bound. Test: follow, an outage of 20 s.

--- a/internal/control/follow/follow.go
+++ b/internal/control/follow/follow.go
@@ -29,8 +29,9 @@
 	// is not asked again. The pause doubles with each failure in a row.
 	firstPause = 250 * time.Millisecond
 	maxPause   = 8 * time.Second
-	// idlePause is the time between rounds where no control instance answers.
-	idlePause = 100 * time.Millisecond
+	// idlePause is the time between calls where all control instances have failed
+	// lately. They are then asked in turn whatever their pauses.
+	idlePause = 60 * time.Millisecond
 )
 
 // Caller calls a control instance.
@@ -66,6 +67,7 @@
 
 // failure is what is known of a control instance that did not answer.
 type failure struct {
+	at    time.Time
 	until time.Time
 	pause time.Duration
 }
@@ -100,6 +102,9 @@
 		if address == "" {
 			f.seeds = f.Seeds()
 			pause(ctx, idlePause)
+			address = f.oldest()
+		}
+		if address == "" {
 			continue
 		}
 		if err := f.watch(ctx, address); err != nil && ctx.Err() == nil {
@@ -161,9 +166,12 @@
 func (f *Follower) fail(address string, err error) {
 	e := f.failed[address]
 	e.pause = min(max(firstPause, 2*e.pause), maxPause)
-	e.until = time.Now().Add(e.pause)
+	e.at = time.Now()
+	e.until = e.at.Add(e.pause)
 	f.failed[address] = e
-	f.Logger.Warn("control instance lost", "address", address, "error", err, "pause", e.pause, "index", f.view.Index)
+	if e.pause < maxPause || f.source == address {
+		f.Logger.Warn("control instance lost", "address", address, "error", err, "pause", e.pause, "index", f.view.Index)
+	}
 	if f.source == address {
 		f.source = ""
 	}
@@ -209,6 +217,18 @@
 	return ""
 }
 
+// oldest returns the control instance whose failure is the longest ago, or empty
+// where none is known.
+func (f *Follower) oldest() string {
+	address := ""
+	for a, e := range f.failed {
+		if address == "" || e.at.Before(f.failed[address].at) {
+			address = a
+		}
+	}
+	return address
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- /dev/null
+++ b/internal/control/follow/follow_test.go
@@ -0,0 +1,124 @@
+package follow_test
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/control/fleet"
+	"github.com/snipefront/snipefront/internal/control/follow"
+	"github.com/snipefront/snipefront/internal/rpc/peers"
+)
+
+// answers is what a control instance answers at an address at a time since the
+// start of the test.
+type answers func(address string, since time.Duration) (peers.News, error)
+
+// caller implements follow.Caller.
+type caller struct {
+	begun  time.Time
+	answer answers
+
+	mu    sync.Mutex
+	asked []string
+}
+
+// Watch implements follow.Caller. Only a watch without news takes its time.
+func (c *caller) Watch(ctx context.Context, address string, w peers.Watch) (peers.News, error) {
+	c.mu.Lock()
+	c.asked = append(c.asked, address)
+	c.mu.Unlock()
+	n, err := c.answer(address, time.Since(c.begun))
+	if err == nil && n.Current && n.Delta.Index <= w.Held {
+		select {
+		case <-time.After(w.Wait):
+		case <-ctx.Done():
+			return peers.News{}, ctx.Err()
+		}
+	}
+	return n, err
+}
+
+// run follows a for the given time and returns when each view came.
+func run(t *testing.T, length time.Duration, a answers) (views map[uint64]time.Duration, c *caller) {
+	t.Helper()
+	c = &caller{begun: time.Now(), answer: a}
+	views = map[uint64]time.Duration{}
+	f := &follow.Follower{
+		Self:    fleet.Instance{Instance: snipefront.Instance{Name: "e", DataCentre: "dc1"}},
+		Seeds:   func() []string { return []string{"c1", "c2"} },
+		Caller:  c,
+		Publish: func(v fleet.View) { views[v.Index] = time.Since(c.begun) },
+		Logger:  slog.New(slog.NewTextHandler(io.Discard, nil)),
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), length)
+	defer cancel()
+	if err := f.Run(ctx); err != nil {
+		t.Error(err)
+	}
+	return views, c
+}
+
+// TestFollowsSoonAfterAnOutageOfAll shows that an instance learns of the fleet soon
+// after the control instances are back, however long they were away.
+func TestFollowsSoonAfterAnOutageOfAll(t *testing.T) {
+	const outage = 20 * time.Second
+	for name, away := range map[string]answers{
+		"unreachable": func(string, time.Duration) (peers.News, error) { return peers.News{}, errors.New("refused") },
+		"no leader":   func(string, time.Duration) (peers.News, error) { return peers.News{}, nil },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				views, _ := run(t, outage+5*time.Second, func(address string, since time.Duration) (peers.News, error) {
+					if since < outage {
+						return away(address, since)
+					}
+					return peers.News{Current: true, Delta: fleet.Delta{Index: 7, Whole: true}}, nil
+				})
+				at, ok := views[7]
+				if !ok || at > outage+300*time.Millisecond {
+					t.Errorf("the view came at %v (%v), %v after the outage", at, ok, at-outage)
+				}
+			})
+		})
+	}
+}
+
+// TestLeavesAControlInstanceOutOfTouch shows that an instance follows another
+// control instance than the one of its own data centre, while that is out of touch,
+// and rarely asks it.
+func TestLeavesAControlInstanceOutOfTouch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near := fleet.Instance{Control: true, Index: 1}
+		near.Name, near.PeerAddress, near.DataCentre = "c1", "c1", "dc1"
+		whole := fleet.Delta{Index: 1, Whole: true, Instances: []fleet.Instance{near}}
+		views, c := run(t, 20*time.Second, func(address string, since time.Duration) (peers.News, error) {
+			switch {
+			case address == "c1":
+				return peers.News{Delta: whole}, nil
+			case since < 5*time.Second:
+				return peers.News{Current: true, Delta: whole}, nil
+			}
+			return peers.News{Current: true, Delta: fleet.Delta{Index: 2}}, nil
+		})
+		if at := views[2]; at == 0 || at > 6200*time.Millisecond {
+			t.Errorf("the change at 5s was seen at %v", at)
+		}
+		n := 0
+		for _, a := range c.asked {
+			if a == "c1" {
+				n++
+			}
+		}
+		if n > 10 {
+			t.Errorf("the control instance out of touch was asked %d times in 20s", n)
+		}
+	})
+}
