quorum/raft: let replicas vote as soon as they start where no lease counts

Cause: after a loss of power of all, each replica kept its vote for an election timeout, out of respect for a lease that nobody relies on in an open group. Change: Leaseless; the first election begins within half a timeout of the start.

--- a/internal/daemon/core/core.go
+++ b/internal/daemon/core/core.go
@@ -76,6 +76,7 @@
 		Control:   instancesOf(s.Seeds),
 		MaxVoters: maxVoters,
 		JoinOnly:  s.JoinOnly,
+		Leaseless: true,
 		Machine:   st,
 		Storage:   folder,
 		Saved:     saved,
--- a/internal/quorum/driver/driver.go
+++ b/internal/quorum/driver/driver.go
@@ -91,8 +91,11 @@
 	MaxVoters int
 	// JoinOnly is true where this replica must not start a group.
 	JoinOnly bool
-	Machine  snipefront.Machine
-	Storage  Storage
+	// Leaseless is true where nobody relies on Leadership.Self to be exclusive. A
+	// replica may then vote as soon as it has started.
+	Leaseless bool
+	Machine   snipefront.Machine
+	Storage   Storage
 	// Saved is what Storage held at the start.
 	Saved  disk.Saved
 	Caller Caller
@@ -332,6 +335,7 @@
 		Random:    l.Random,
 		MaxVoters: l.MaxVoters,
 		JoinOnly:  l.JoinOnly,
+		Leaseless: l.Leaseless,
 	}
 	for _, c := range l.Control {
 		l.replica.Names = append(l.replica.Names, c.Name)
--- a/internal/quorum/raft/raft.go
+++ b/internal/quorum/raft/raft.go
@@ -82,6 +82,9 @@
 	MaxVoters int
 	// JoinOnly is true where this replica must not start a group.
 	JoinOnly bool
+	// Leaseless is true where nobody relies on Lease, so that a replica may vote as
+	// soon as it has started.
+	Leaseless bool
 	// Heartbeat is the time between heartbeats.
 	Heartbeat time.Duration
 	// Election is the minimum election timeout. The maximum is twice that.
@@ -166,6 +169,10 @@
 	r.note(entries)
 	r.blank = map[string]sighting{}
 	r.resetDeadline(now)
+	if r.Leaseless {
+		r.heard = now.Add(-r.Election)
+		r.deadline = now.Add(time.Duration(r.Random(int64(r.Election / 2))))
+	}
 }
 
 // Propose appends commands where this replica leads, and returns the index of
@@ -252,7 +259,8 @@
 
 // Lease returns the instant until which no other replica can be elected, and
 // the entry that must be applied before the machine shows all that earlier
-// leaders committed. Where ok is false there is no such instant.
+// leaders committed. Where ok is false there is no such instant. In a Leaseless
+// group another may be elected before it.
 func (r *Replica) Lease() (until time.Time, from uint64, ok bool) {
 	if r.role != leading || r.commit < r.first {
 		return time.Time{}, 0, false
