--- a/internal/daemon/edge/edge.go
+++ b/internal/daemon/edge/edge.go
@@ -18,6 +18,7 @@
 	"github.com/snipefront/snipefront/internal/daemon/serve"
 	"github.com/snipefront/snipefront/internal/dispatch/budget"
 	"github.com/snipefront/snipefront/internal/dispatch/direct"
+	"github.com/snipefront/snipefront/internal/dispatch/link"
 	"github.com/snipefront/snipefront/internal/dispatch/look"
 	"github.com/snipefront/snipefront/internal/dispatch/pool"
 	"github.com/snipefront/snipefront/internal/entry/gate"
@@ -82,7 +83,7 @@
 	return fx.Options(
 		fx.NopLogger,
 		fx.Supply(s, logger),
-		fx.Provide(stats.New, newTargets, newPool, newDispatcher, newGate, newServer, newEdge),
+		fx.Provide(stats.New, newTargets, newPool, newLink, newDispatcher, newGate, newServer, newEdge),
 		fx.Invoke(run),
 	)
 }
@@ -91,9 +92,13 @@
 
 func newPool() *pool.Pool { return &pool.Pool{} }
 
-func newDispatcher(s Settings, t *look.Set, p *pool.Pool, st *stats.Stats, logger *slog.Logger) *direct.Dispatcher {
+func newLink(s Settings, t *look.Set, p *pool.Pool, st *stats.Stats, logger *slog.Logger) *link.Link {
+	return &link.Link{Pool: p, Targets: t, Fields: s.Fields, Counter: st, Logger: logger}
+}
+
+func newDispatcher(t *look.Set, l *link.Link, st *stats.Stats, logger *slog.Logger) *direct.Dispatcher {
 	return &direct.Dispatcher{
-		Targets: t, Pool: p, Fields: s.Fields, Counter: st, Logger: logger,
+		Targets: t, Link: l, Counter: st, Logger: logger,
 		Budget: &budget.Share{Burst: retryBurst}, RetryShare: retryShare,
 	}
 }
--- a/internal/dispatch/direct/choose.go
+++ b/internal/dispatch/direct/choose.go
@@ -128,7 +128,7 @@
 	defer cancel()
 	var all sync.WaitGroup
 	for _, t := range list {
-		all.Go(func() { t.Look(ctx, d) })
+		all.Go(func() { t.Look(ctx, d.Link) })
 	}
 	all.Wait()
 }
--- a/internal/dispatch/direct/direct.go
+++ b/internal/dispatch/direct/direct.go
@@ -19,7 +19,6 @@
 	"github.com/snipefront/snipefront"
 	"github.com/snipefront/snipefront/internal/dispatch/budget"
 	"github.com/snipefront/snipefront/internal/dispatch/look"
-	"github.com/snipefront/snipefront/internal/dispatch/pool"
 )
 
 const (
@@ -30,21 +29,17 @@
 	// retryAfter is the time after which a caller may ask again where nothing is
 	// known of the wait.
 	retryAfter = 200 * time.Millisecond
-	// maxAnswerBytes bounds the body of an answer.
-	maxAnswerBytes = 16 << 20
 )
 
 // Counter counts retries by their reason.
 type Counter interface {
 	Retried(service string, reason snipefront.Reason)
-	Probed(service string, answered bool)
 }
 
 // Dispatcher sends requests. Set the exported fields before use.
 type Dispatcher struct {
 	Targets *look.Set
-	Pool    *pool.Pool
-	Fields  snipefront.Fields
+	Link    Link
 	// Budget bounds the repeats of all services together.
 	Budget *budget.Share
 	// RetryShare is what each request adds to Budget, 0 to 1.
@@ -63,13 +58,24 @@
 	Attempts int
 }
 
-// attempt is one sending of a call.
-type attempt struct {
-	response *snipefront.Response
-	verdict  snipefront.Verdict
-	reason   snipefront.Reason
-	err      error
-	outcome  look.Outcome
+// Attempt is what became of one sending of a call.
+type Attempt struct {
+	// Response is nil where there is no whole answer of the backend server.
+	Response *snipefront.Response
+	Verdict  snipefront.Verdict
+	Reason   snipefront.Reason
+	// Err says why there is no answer.
+	Err error
+	// Outcome is what it says of the target.
+	Outcome look.Outcome
+}
+
+// Link carries calls and looks to backend servers.
+type Link interface {
+	look.Asker
+	// Send sends c to t and returns once there is an answer, or none can come any
+	// more, or ctx ends.
+	Send(ctx context.Context, c *Call, t *look.Target) Attempt
 }
 
 // progress is what became of a call so far.
@@ -80,7 +86,7 @@
 	// avoid names the targets that were tried.
 	avoid map[string]bool
 	// last is the last attempt, kept the best answer that is a failure.
-	last attempt
+	last Attempt
 	kept *snipefront.Response
 }
 
@@ -101,36 +107,46 @@
 		}
 		a := d.send(ctx, c, t)
 		d.note(c, &p, t, a)
-		if a.response != nil && !isFailure(a.response) {
-			return a.response, nil
+		if a.Response != nil && !isFailure(a.Response) {
+			return a.Response, nil
 		}
 		if !d.mayRepeat(ctx, c, &p) {
 			return d.end(ctx, c, &p, d.failed(ctx, c, &p))
 		}
-		d.Counter.Retried(c.Service, a.reason)
+		d.Counter.Retried(c.Service, a.Reason)
+	}
+}
+
+// send sends c to the chosen target, at which a request is reserved.
+func (d *Dispatcher) send(ctx context.Context, c *Call, t choice) Attempt {
+	a := d.Link.Send(ctx, c, t.target)
+	if ctx.Err() != nil && a.Response == nil {
+		a.Outcome = look.Neutral
 	}
+	t.target.Done(time.Now(), a.Outcome)
+	return a
 }
 
 // note takes in what became of an attempt at t.
-func (d *Dispatcher) note(c *Call, p *progress, t choice, a attempt) {
+func (d *Dispatcher) note(c *Call, p *progress, t choice, a Attempt) {
 	p.last = a
 	p.avoid[t.target.Server.Name] = true
-	if a.response != nil {
-		p.kept = a.response
+	if a.Response != nil {
+		p.kept = a.Response
 	}
-	if a.verdict != snipefront.NotRun {
+	if a.Verdict != snipefront.NotRun {
 		p.verdict = snipefront.MayHaveRun
 	}
-	if a.outcome == look.Unreachable {
+	if a.Outcome == look.Unreachable {
 		p.dials++
 	} else {
 		p.sent++
 	}
-	if a.response != nil && !isFailure(a.response) {
+	if a.Response != nil && !isFailure(a.Response) {
 		return
 	}
 	d.Logger.Info("attempt failed", "request", c.ID, "service", c.Service, "server", t.target.Server.Name,
-		"attempt", p.sent, "cost", t.cost, "verdict", a.verdict, "reason", a.reason, "error", a.err, "left", time.Until(c.Deadline))
+		"attempt", p.sent, "cost", t.cost, "verdict", a.Verdict, "reason", a.Reason, "error", a.Err, "left", time.Until(c.Deadline))
 }
 
 // isFailure returns whether another target may do better.
@@ -143,7 +159,7 @@
 		return false
 	case p.verdict != snipefront.NotRun && !c.Idempotent:
 		return false
-	case p.last.outcome == look.Unreachable:
+	case p.last.Outcome == look.Unreachable:
 		return true
 	}
 	return d.Budget.Spend()
@@ -190,11 +206,11 @@
 		return late(ctx, p)
 	}
 	detail := "the backend server gave no answer"
-	if p.last.err != nil {
-		detail = p.last.err.Error()
+	if p.last.Err != nil {
+		detail = p.last.Err.Error()
 	}
 	if p.verdict == snipefront.NotRun {
-		return snipefront.Refused(p.last.reason, retryAfter, detail)
+		return snipefront.Refused(p.last.Reason, retryAfter, detail)
 	}
-	return &snipefront.Error{Verdict: p.verdict, Reason: p.last.reason, Status: http.StatusBadGateway, Detail: detail}
+	return &snipefront.Error{Verdict: p.verdict, Reason: p.last.Reason, Status: http.StatusBadGateway, Detail: detail}
 }
--- /dev/null
+++ b/internal/dispatch/link/link.go
@@ -0,0 +1,147 @@
+// Package link carries requests and looks to backend servers over HTTP.
+package link
+
+import (
+	"bytes"
+	"context"
+	"log/slog"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/dispatch/direct"
+	"github.com/snipefront/snipefront/internal/dispatch/look"
+	"github.com/snipefront/snipefront/internal/dispatch/pool"
+)
+
+const (
+	// askTimeout bounds one look.
+	askTimeout = 150 * time.Millisecond
+	// maxReportBytes bounds the body of the answer to a look.
+	maxReportBytes = 64 << 10
+	// maxAnswerBytes bounds the body of an answer.
+	maxAnswerBytes = 16 << 20
+)
+
+// errUnsigned means that an answer bears no sign that the backend server made it.
+var errUnsigned = errors.New("answer without the backend server's signature")
+
+// Counter counts looks.
+type Counter interface {
+	Probed(service string, answered bool)
+}
+
+// Link implements direct.Link. Set the exported fields before use.
+type Link struct {
+	Pool *pool.Pool
+	// Targets tells which backend servers take requests.
+	Targets *look.Set
+	Fields  snipefront.Fields
+	Counter Counter
+	Logger  *slog.Logger
+}
+
+// Send implements direct.Link.
+func (l *Link) Send(ctx context.Context, c *direct.Call, t *look.Target) direct.Attempt {
+	conn, err := l.Pool.Get(ctx, t.Server.Address, !c.Idempotent)
+	if err != nil {
+		return direct.Attempt{Verdict: snipefront.NotRun, Reason: snipefront.ReasonConnect, Err: err, Outcome: look.Unreachable}
+	}
+	if cur, takes := l.Targets.Current(t.Server.Name); !takes || cur.Server.Incarnation != t.Server.Incarnation {
+		l.Pool.Put(conn)
+		return direct.Attempt{Verdict: snipefront.NotRun, Reason: snipefront.ReasonNoBackendServer, Err: errors.New("backend server left"), Outcome: look.Unreachable}
+	}
+	e := pool.Exchange{
+		Head: l.head(c, t, time.Until(c.Deadline)), Body: c.Body, Method: c.Method,
+		IDField: l.Fields.RequestID, ID: c.ID, MaxBytes: maxAnswerBytes,
+	}
+	reusable, err := e.Do(ctx, conn)
+	if reusable {
+		l.Pool.Put(conn)
+	}
+	if err != nil {
+		return direct.Attempt{Verdict: snipefront.MayHaveRun, Reason: snipefront.ReasonBrokenAnswer, Err: err, Outcome: look.Faulty}
+	}
+	return l.judge(&e, t)
+}
+
+// judge tells what an answer means.
+func (l *Link) judge(e *pool.Exchange, t *look.Target) direct.Attempt {
+	h := e.Response.Header
+	status := e.Response.StatusCode
+	signed := h.Get(l.Fields.Signature) != ""
+	switch {
+	case status == http.StatusMisdirectedRequest:
+		return direct.Attempt{Verdict: snipefront.NotRun, Reason: snipefront.ReasonNoBackendServer, Err: errors.New("another backend server has the address"), Outcome: look.Unreachable}
+	case h.Get(l.Fields.NotRun) != "":
+		return direct.Attempt{Verdict: snipefront.NotRun, Reason: snipefront.ReasonShed, Err: errors.Errorf("backend server refused with status %d", status), Outcome: look.Neutral}
+	case !signed && status < http.StatusMultipleChoices:
+		return direct.Attempt{Verdict: snipefront.MayHaveRun, Reason: snipefront.ReasonBrokenAnswer, Err: errUnsigned, Outcome: look.Faulty}
+	}
+	a := direct.Attempt{Verdict: snipefront.Ran, Reason: snipefront.ReasonBackendServer, Outcome: look.Answered}
+	a.Response = &snipefront.Response{Status: status, Header: h, Body: e.Answer, BackendServer: t.Server.Name}
+	if a.Response.Status >= http.StatusInternalServerError {
+		a.Outcome = look.Faulty
+	}
+	return a
+}
+
+// head returns the request line and header for t, which is told to stop work when
+// left is over.
+func (l *Link) head(c *direct.Call, t *look.Target, left time.Duration) []byte {
+	var b bytes.Buffer
+	b.Grow(512)
+	b.WriteString(c.Method)
+	b.WriteByte(' ')
+	b.WriteString(c.Target)
+	b.WriteString(" HTTP/1.1\r\n")
+	_ = c.Header.Write(&b) // a Buffer takes all
+	field(&b, l.Fields.Remaining, strconv.FormatInt(max(1, left.Milliseconds()), 10))
+	field(&b, l.Fields.Expected, t.Server.Name)
+	if len(c.Body) > 0 || c.Method != http.MethodGet && c.Method != http.MethodHead {
+		field(&b, "Content-Length", strconv.Itoa(len(c.Body)))
+	}
+	b.WriteString("\r\n")
+	return b.Bytes()
+}
+
+func field(b *bytes.Buffer, name, value string) {
+	b.WriteString(name)
+	b.WriteString(": ")
+	b.WriteString(value)
+	b.WriteString("\r\n")
+}
+
+// Ask implements look.Asker.
+func (l *Link) Ask(t *look.Target) (look.Report, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	r, err := l.ask(ctx, t)
+	l.Counter.Probed(t.Server.Service, err == nil)
+	if err != nil {
+		l.Logger.Info("look failed", "server", t.Server.Name, "service", t.Server.Service, "address", t.Server.Address, "error", err)
+	}
+	return r, err
+}
+
+func (l *Link) ask(ctx context.Context, t *look.Target) (look.Report, error) {
+	conn, err := l.Pool.Get(ctx, t.Server.Address, false)
+	if err != nil {
+		return look.Report{}, err
+	}
+	var b bytes.Buffer
+	b.WriteString("GET " + t.Profile.HealthPath + " HTTP/1.1\r\nHost: " + t.Server.Address + "\r\n\r\n")
+	e := pool.Exchange{Head: b.Bytes(), Method: http.MethodGet, MaxBytes: maxReportBytes}
+	at := time.Now()
+	reusable, err := e.Do(ctx, conn)
+	if err != nil {
+		return look.Report{}, err
+	}
+	if reusable {
+		l.Pool.Put(conn)
+	}
+	return look.ReportOf(l.Fields, e.Response.StatusCode, e.Response.Header, at), nil
+}
