dispatch/direct: choose by the estimated time, and shed what can't meet its goal

Change: a target is chosen by the time that the request would take there: the usual time of its service, learned from answers, times the pace at the target. A request that would be late everywhere is held while a target may become free in time; one that can't meet its goal any more gets only a target that stays below its full share. A caller that comes back is known by its shorter time to wait.

--- a/internal/dispatch/direct/choose.go
+++ b/internal/dispatch/direct/choose.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -13,97 +12,86 @@
 const (
 	// lookWait bounds the wait for the answers to looks.
 	lookWait = 25 * time.Millisecond
-	// maxNear and maxFar are the most targets that are looked at for one request, in
+	// maxNear and maxFar are the most targets that are looked at for one choice, in
 	// the own data centre and beyond it.
 	maxNear = 6
-	maxFar  = 6
-	// goodCost is the cost up to which a near target is taken without a look at
-	// others. An idle one has the cost 1.
-	goodCost = 1.35
-	// farCost is the price of leaving the data centre.
-	farCost = 0.3
-	// fullShare is the share of slots in use from which work takes longer, and
-	// fullFactor how much longer.
-	fullShare  = 0.8
-	fullFactor = 1.3
-	// coldFactor is how much longer work takes at a cold target.
-	coldFactor = 2
-	// faultCost is the price of a target that fails all requests.
-	faultCost = 8
-	// illCost is the price of a target that says it is ill. It may be wrong.
-	illCost = 6
-	// unknownCost is the price of a target of which no fresh report came.
-	unknownCost = 3
-	// staleAfter is the age from which a report is no longer one.
-	staleAfter = 200 * time.Millisecond
+	maxFar  = 4
+	// goodFactor is the multiple of the usual time up to which a near target is taken
+	// without a look at others.
+	goodFactor = 1.35
 	// spareRoom is how many requests beyond its slots a target is given. More may
 	// find no place in its queue.
 	spareRoom = 2
+	// holdStep is the time between choices of a request that is held.
+	holdStep = 25 * time.Millisecond
 	// warmUpShare is the part of what a cold target bears that it is sent.
 	warmUpShare = 0.9
 )
 
-// Cost returns how long a request would take at a target, as a multiple of the
-// usual time of work. It is infinite where the target has no room.
-func Cost(s look.Sight, now time.Time) float64 {
-	r := s.Report
-	slots := max(s.Slots, 1)
-	if !r.Known || now.Sub(r.At) > staleAfter {
-		ahead := float64(s.Running)
-		return unknownCost + ahead/float64(slots) + extra(s)
-	}
-	slots = r.Slots
-	ahead := r.Running + r.Waiting + s.Sent
-	if ahead >= slots+spareRoom {
-		return math.Inf(1)
-	}
-	pace := r.Pace
-	if pace == 0 {
-		pace = 1
-	}
-	if float64(ahead+1) > fullShare*float64(slots) {
-		pace *= fullFactor
-	}
-	if s.Cold {
-		pace *= coldFactor
-	}
-	wait := float64(max(0, ahead+1-slots)) / float64(slots)
-	return pace*(1+wait) + extra(s)
+// choice is a target with a request reserved at it.
+type choice struct {
+	target *look.Target
+	// takes is how long the request will take there, as estimated.
+	takes time.Duration
+	sight look.Sight
 }
 
-// extra is the part of the cost that does not depend on the load.
-func extra(s look.Sight) float64 {
-	c := s.Faults * faultCost
-	if !s.Report.At.IsZero() && !s.Report.Healthy {
-		c += illCost
-	}
-	if !s.Near {
-		c += farCost
+// choose reserves a request at the target where it takes the least time. A request
+// that would be late everywhere is held while a target may still become free in
+// time for its goal. One that can't meet its goal any more is given only what
+// others leave free. It returns false where no target has room.
+func (d *Dispatcher) choose(ctx context.Context, c *Call, avoid map[string]bool) (choice, bool) {
+	unit := d.units.of(c)
+	for {
+		best, ok := d.best(ctx, c, unit, avoid)
+		now := time.Now()
+		inTime := ok && !now.Add(best.takes).After(c.Goal)
+		hopeful := now.Add(unit).Before(c.Goal)
+		switch {
+		case inTime, ok && !hopeful && hasFree(best.sight):
+			if d.reserve(now, best.target) {
+				return best, true
+			}
+		case !hopeful && !ok:
+			return choice{}, false
+		}
+		if !d.hold(ctx, c, hopeful) {
+			return choice{}, false
+		}
 	}
-	return c
 }
 
-// choice is a target with a request reserved at it.
-type choice struct {
-	target *look.Target
-	cost   float64
-	// asked is the number of targets that were looked at.
-	asked int
+// hold waits before the next choice for c, and returns false where c is not to be
+// held any longer.
+func (d *Dispatcher) hold(ctx context.Context, _ *Call, hopeful bool) bool {
+	if !hopeful {
+		return false
+	}
+	t := time.NewTimer(holdStep)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
 }
 
-// choose reserves a request at the target where it takes the least time. It
-// returns false where no target has room. No name in avoid is taken.
-func (d *Dispatcher) choose(ctx context.Context, service string, avoid map[string]bool) (choice, bool) {
-	near, far := d.split(service, avoid)
+// best looks at the targets of c and returns the one where it takes the least time,
+// one of the own data centre where that is good enough. It returns false where none
+// has room.
+func (d *Dispatcher) best(ctx context.Context, c *Call, unit time.Duration, avoid map[string]bool) (choice, bool) {
+	near, far := d.split(c.Service, avoid)
 	near = sample(near, maxNear)
-	c, ok := d.best(ctx, near, goodCost)
-	if ok {
-		return c, true
+	d.look(ctx, near)
+	b := d.least(near, unit)
+	if b.target != nil && float64(b.takes) <= goodFactor*float64(unit) {
+		return b, true
 	}
 	far = sample(far, maxFar)
 	d.look(ctx, far)
-	c, ok = d.best(ctx, append(near, far...), math.MaxFloat64)
-	return c, ok
+	b = d.least(append(near, far...), unit)
+	return b, b.target != nil
 }
 
 // split returns the targets of a service that may be tried, those of the own data
@@ -133,38 +121,27 @@
 	all.Wait()
 }
 
-// best looks at list and reserves a request at the target of the least cost, at
-// most limit.
-func (d *Dispatcher) best(ctx context.Context, list []*look.Target, limit float64) (choice, bool) {
-	d.look(ctx, list)
-	taken := map[*look.Target]bool{}
-	for range list {
-		now := time.Now()
-		var c choice
-		for _, t := range list {
-			cost := Cost(t.Sight(now), now)
-			if taken[t] || cost > limit || c.target != nil && cost >= c.cost || !t.Available(now) {
-				continue
-			}
-			c = choice{target: t, cost: cost, asked: len(list)}
-		}
-		if c.target == nil {
-			return choice{}, false
+// least returns the target of list where a request takes the least time. A cold
+// target is left to the one instance that warms it up, as fast as it bears.
+func (d *Dispatcher) least(list []*look.Target, unit time.Duration) choice {
+	var b choice
+	now := time.Now()
+	for _, t := range list {
+		s := t.Sight(now)
+		e, ok := Estimate(s, unit, now)
+		if !ok || b.target != nil && e >= b.takes || !t.Available(now) {
+			continue
 		}
-		if d.reserve(now, c.target) {
-			return c, true
+		if s.Cold && !(d.Targets.WarmsUp(t) && t.MayWarm(now, t.Profile.WarmUpRate*warmUpShare)) {
+			continue
 		}
-		taken[c.target] = true
+		b = choice{target: t, takes: e, sight: s}
 	}
-	return choice{}, false
+	return b
 }
 
-// reserve reserves a request at t. A cold target is left to the one instance that
-// warms it up.
+// reserve reserves a request at t.
 func (d *Dispatcher) reserve(now time.Time, t *look.Target) bool {
-	if t.Sight(now).Cold && !d.Targets.WarmsUp(t) {
-		return false
-	}
 	return t.Reserve(now, t.Profile.WarmUpRate*warmUpShare)
 }
 
--- a/internal/dispatch/direct/direct.go
+++ b/internal/dispatch/direct/direct.go
@@ -47,6 +47,8 @@
 	// Counter counts what happens.
 	Counter Counter
 	Logger  *slog.Logger
+
+	units units
 }
 
 // Call is one request of a caller on its way.
@@ -54,6 +56,8 @@
 	*snipefront.Request
 	// ID is the caller's, which backend servers echo.
 	ID string
+	// Goal is the instant until which an answer has its full worth.
+	Goal time.Time
 	// Attempts is the most targets that it may be sent to.
 	Attempts int
 }
@@ -101,7 +105,7 @@
 		if time.Until(c.Deadline) < leastTime || ctx.Err() != nil {
 			return d.end(ctx, c, &p, late(ctx, &p))
 		}
-		t, ok := d.choose(ctx, c.Service, p.avoid)
+		t, ok := d.choose(ctx, c, p.avoid)
 		if !ok {
 			return d.end(ctx, c, &p, d.noRoom(ctx, c, &p))
 		}
@@ -119,7 +123,11 @@
 
 // send sends c to the chosen target, at which a request is reserved.
 func (d *Dispatcher) send(ctx context.Context, c *Call, t choice) Attempt {
+	begun, unit := time.Now(), d.units.of(c)
 	a := d.Link.Send(ctx, c, t.target)
+	if a.Outcome == look.Answered {
+		d.units.learn(c, time.Since(begun), t.takes, unit)
+	}
 	if ctx.Err() != nil && a.Response == nil {
 		a.Outcome = look.Neutral
 	}
@@ -146,7 +154,7 @@
 		return
 	}
 	d.Logger.Info("attempt failed", "request", c.ID, "service", c.Service, "server", t.target.Server.Name,
-		"attempt", p.sent, "cost", t.cost, "verdict", a.Verdict, "reason", a.Reason, "error", a.Err, "left", time.Until(c.Deadline))
+		"attempt", p.sent, "estimated", t.takes, "verdict", a.Verdict, "reason", a.Reason, "error", a.Err, "left", time.Until(c.Deadline))
 }
 
 // isFailure returns whether another target may do better.
--- a/internal/dispatch/look/target.go
+++ b/internal/dispatch/look/target.go
@@ -84,6 +84,13 @@
 	return !now.Before(t.until)
 }
 
+// MayWarm returns whether Reserve would take a request at a cold target.
+func (t *Target) MayWarm(now time.Time, rate float64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.cold.has(now, rate)
+}
+
 // Reserve counts a request as sent, and returns false where t is cold and has had
 // all that it bears.
 func (t *Target) Reserve(now time.Time, rate float64) bool {
@@ -186,15 +193,20 @@
 // take returns whether a request fits in, where rate a second do and one may come
 // at any time.
 func (b *bucket) take(now time.Time, rate float64) bool {
+	if !b.has(now, rate) {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// has returns whether take would.
+func (b *bucket) has(now time.Time, rate float64) bool {
 	if b.at.IsZero() {
 		b.tokens = 1
 	} else {
 		b.tokens = min(1, b.tokens+now.Sub(b.at).Seconds()*rate)
 	}
 	b.at = now
-	if b.tokens < 1 {
-		return false
-	}
-	b.tokens--
-	return true
+	return b.tokens >= 1
 }
--- a/internal/entry/gate/gate.go
+++ b/internal/entry/gate/gate.go
@@ -47,12 +47,15 @@
 
 	table atomic.Pointer[paths.Table]
 	split paths.Splitter
+	waits waits
 }
 
 // SetTable puts the routes of t into force.
 func (g *Gate) SetTable(t *paths.Table) {
 	g.table.Store(t)
-	g.split.Forget(t)
+	names := t.Names()
+	g.split.Forget(names)
+	g.waits.forget(names)
 }
 
 // Table returns the routes in force, or nil.
@@ -122,12 +125,16 @@
 	h.Del("Expect")
 	h["Host"] = []string{r.Host}
 	left := n.Timeout
+	var waited time.Duration
 	if ms, err := strconv.ParseFloat(r.Header.Get(g.Fields.Remaining), 64); err == nil && ms >= 0 {
-		left = min(left, time.Duration(ms*float64(time.Millisecond)))
+		remaining := time.Duration(ms * float64(time.Millisecond))
+		waited = g.waits.before(n.Name, remaining)
+		left = min(left, remaining)
 	}
 	return &direct.Call{
 		ID:       id,
 		Attempts: n.Attempts,
+		Goal:     r.Read.Add(n.Goal - waited),
 		Request: &snipefront.Request{
 			Service:    g.split.Next(n),
 			Method:     r.Method,
--- a/internal/request/paths/paths.go
+++ b/internal/request/paths/paths.go
@@ -46,6 +46,15 @@
 	return t, nil
 }
 
+// Names returns the names of the routes.
+func (t *Table) Names() map[string]bool {
+	names := make(map[string]bool, len(t.Routing.Routes))
+	for i := range t.Routing.Routes {
+		names[t.Routing.Routes[i].Name] = true
+	}
+	return names
+}
+
 func (t *Table) add(n *snipefront.Route) error {
 	if p := check(t.Routing, n); p != "" {
 		return &Problem{Route: n.Name, Text: p}
--- a/internal/request/paths/split.go
+++ b/internal/request/paths/split.go
@@ -43,14 +43,10 @@
 	return name
 }
 
-// Forget drops what routes are owed that t does not have.
-func (s *Splitter) Forget(t *Table) {
+// Forget drops what routes are owed that are not in names.
+func (s *Splitter) Forget(names map[string]bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	names := map[string]bool{}
-	for i := range t.Routing.Routes {
-		names[t.Routing.Routes[i].Name] = true
-	}
 	for k := range s.credit {
 		if !names[k[0]] {
 			delete(s.credit, k)
--- /dev/null
+++ b/internal/stand/shift/shift.go
@@ -0,0 +1,209 @@
+// Package shift is a model of backend servers whose pace shifts within fractions of
+// a second, for tests of direct dispatch in virtual time. It uses no network.
+//
+// A server runs as many requests at once as it has slots and queues a few more in
+// the order of their arrival. Its pace is drawn anew at the end of each period; a
+// request takes as long as the pace at its start says.
+package shift
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/dispatch/direct"
+	"github.com/snipefront/snipefront/internal/dispatch/look"
+)
+
+// Kind says how the servers of a service behave.
+type Kind struct {
+	Slots int
+	// Queue is the most requests that wait. A request beyond it is never answered.
+	Queue int
+	// Work is the mean time of a request at the usual pace, Spread its relative
+	// spread.
+	Work   time.Duration
+	Spread float64
+	// SlowShare is the share of periods in which work takes SlowFactor times as long.
+	SlowShare  float64
+	SlowFactor float64
+	Period     time.Duration
+	// FullShare is the share of slots in use beyond which work takes FullFactor times
+	// as long.
+	FullShare  float64
+	FullFactor float64
+	// Delay is the time that a look or a request takes on its way and back.
+	Delay time.Duration
+}
+
+// Servers implements direct.Link over servers of one kind.
+type Servers struct {
+	Kind Kind
+	// Random is used under a lock.
+	Random *rand.Rand
+
+	mu      sync.Mutex
+	servers map[string]*server
+	// Lost counts the requests that found no place in a queue.
+	Lost int
+	// Looks counts the looks.
+	Looks int
+}
+
+// server is one backend server.
+type server struct {
+	running, waiting int
+	pace             float64
+	// free is signalled when a slot becomes free.
+	free chan struct{}
+}
+
+// Run shifts the pace of the servers until ctx ends.
+func (s *Servers) Run(ctx context.Context) {
+	t := time.NewTicker(s.Kind.Period)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			s.shift()
+		}
+	}
+}
+
+func (s *Servers) shift() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, v := range s.servers {
+		v.pace = s.draw()
+	}
+}
+
+// draw returns a pace. The lock is held.
+func (s *Servers) draw() float64 {
+	if s.Random.Float64() < s.Kind.SlowShare {
+		return s.Kind.SlowFactor
+	}
+	return 1
+}
+
+// at returns the server of t. The lock is held.
+func (s *Servers) at(t *look.Target) *server {
+	if s.servers == nil {
+		s.servers = map[string]*server{}
+	}
+	v := s.servers[t.Server.Name]
+	if v == nil {
+		v = &server{pace: s.draw(), free: make(chan struct{}, s.Kind.Queue)}
+		s.servers[t.Server.Name] = v
+	}
+	return v
+}
+
+// Ask implements look.Asker.
+func (s *Servers) Ask(t *look.Target) (look.Report, error) {
+	time.Sleep(s.Kind.Delay)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Looks++
+	v := s.at(t)
+	return look.Report{
+		At: time.Now(), Known: true, Healthy: true, Running: v.running, Waiting: v.waiting, Slots: s.Kind.Slots, Pace: v.pace,
+	}, nil
+}
+
+// Send implements direct.Link.
+func (s *Servers) Send(ctx context.Context, _ *direct.Call, t *look.Target) direct.Attempt {
+	time.Sleep(s.Kind.Delay)
+	v, ok := s.enter(ctx, t)
+	if !ok {
+		return direct.Attempt{Verdict: snipefront.MayHaveRun, Reason: snipefront.ReasonBrokenAnswer, Err: ctx.Err(), Outcome: look.Faulty}
+	}
+	done := s.work(ctx, v)
+	s.leave(v)
+	if !done {
+		return direct.Attempt{Verdict: snipefront.MayHaveRun, Reason: snipefront.ReasonBrokenAnswer, Err: ctx.Err(), Outcome: look.Faulty}
+	}
+	return direct.Attempt{
+		Verdict: snipefront.Ran, Outcome: look.Answered,
+		Response: &snipefront.Response{Status: http.StatusOK, BackendServer: t.Server.Name},
+	}
+}
+
+// enter takes a slot of the server of t, or waits for one until ctx ends.
+func (s *Servers) enter(ctx context.Context, t *look.Target) (*server, bool) {
+	s.mu.Lock()
+	v := s.at(t)
+	if v.running < s.Kind.Slots {
+		v.running++
+		s.mu.Unlock()
+		return v, true
+	}
+	if v.waiting >= s.Kind.Queue {
+		s.Lost++
+		s.mu.Unlock()
+		<-ctx.Done()
+		return nil, false
+	}
+	v.waiting++
+	s.mu.Unlock()
+	select {
+	case <-v.free:
+		return v, true
+	case <-ctx.Done():
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	select {
+	case <-v.free:
+		// The slot came at the same moment.
+		s.pass(v)
+	default:
+		v.waiting--
+	}
+	return nil, false
+}
+
+// leave gives a slot back.
+func (s *Servers) leave(v *server) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pass(v)
+}
+
+// pass gives a slot to who waits for one. The lock is held.
+func (s *Servers) pass(v *server) {
+	if v.waiting == 0 {
+		v.running--
+		return
+	}
+	v.waiting--
+	v.free <- struct{}{}
+}
+
+// paceOf returns how long work takes at v. The lock is held.
+func (s *Servers) paceOf(v *server) float64 {
+	if float64(v.running) > s.Kind.FullShare*float64(s.Kind.Slots) {
+		return v.pace * s.Kind.FullFactor
+	}
+	return v.pace
+}
+
+// work does a request's work at the present pace of v, and returns whether ctx let it end.
+func (s *Servers) work(ctx context.Context, v *server) bool {
+	s.mu.Lock()
+	takes := float64(s.Kind.Work) * max(0.2, 1+s.Kind.Spread*s.Random.NormFloat64()) * s.paceOf(v)
+	s.mu.Unlock()
+	t := time.NewTimer(time.Duration(takes))
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
