request/inform: quarantine requests under which backend servers fall, everywhere

A request that crashes each backend server that runs it was sent on without end. Instances that choose for themselves now use the register of package poison, and share its records through the replicated state of the fleet. The test of direct found that a request without any backend server was held for its goal; it is refused at once now.

--- a/internal/control/fleet/command.go
+++ b/internal/control/fleet/command.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/request/poison"
 )
 
 // Command is one change of the state, or a Read. Exactly one field is set.
@@ -78,7 +79,7 @@
 type Suspect struct {
 	Fingerprint uint64
 	// Fallen holds the backend servers with their incarnations, each once.
-	Fallen []string
+	Fallen []poison.Server
 	Index  uint64
 }
 
--- a/internal/daemon/edge/edge.go
+++ b/internal/daemon/edge/edge.go
@@ -6,6 +6,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -13,6 +14,7 @@
 	"go.uber.org/fx"
 
 	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/control/access"
 	"github.com/snipefront/snipefront/internal/control/fleet"
 	"github.com/snipefront/snipefront/internal/control/follow"
 	"github.com/snipefront/snipefront/internal/daemon/serve"
@@ -24,7 +26,9 @@
 	"github.com/snipefront/snipefront/internal/entry/gate"
 	"github.com/snipefront/snipefront/internal/entry/pipe"
 	"github.com/snipefront/snipefront/internal/observe/stats"
+	"github.com/snipefront/snipefront/internal/request/inform"
 	"github.com/snipefront/snipefront/internal/request/paths"
+	"github.com/snipefront/snipefront/internal/request/poison"
 	"github.com/snipefront/snipefront/internal/rpc/peers"
 )
 
@@ -66,6 +70,7 @@
 	settings Settings
 	logger   *slog.Logger
 	follower *follow.Follower
+	informer *inform.Informer
 	targets  *look.Set
 	pool     *pool.Pool
 	gate     *gate.Gate
@@ -74,6 +79,11 @@
 	group    serve.Group
 	// version is that of the configuration that was last tried.
 	version uint64
+	poison  *poison.Register
+	// control holds the control instances.
+	control atomic.Pointer[[]snipefront.Instance]
+	// suspects is the index of the view whose suspects were taken in.
+	suspects uint64
 	// begun is true once requests are taken.
 	begun bool
 }
@@ -83,22 +93,24 @@
 	return fx.Options(
 		fx.NopLogger,
 		fx.Supply(s, logger),
-		fx.Provide(stats.New, newTargets, newPool, newLink, newDispatcher, newGate, newServer, newEdge),
+		fx.Provide(stats.New, newTargets, newPool, newPoison, newLink, newDispatcher, newGate, newServer, newEdge),
 		fx.Invoke(run),
 	)
 }
 
 func newTargets(s Settings) *look.Set { return &look.Set{Self: s.Self.Instance} }
 
+func newPoison() *poison.Register { return &poison.Register{} }
+
 func newPool() *pool.Pool { return &pool.Pool{} }
 
 func newLink(s Settings, t *look.Set, p *pool.Pool, st *stats.Stats, logger *slog.Logger) *link.Link {
 	return &link.Link{Pool: p, Targets: t, Fields: s.Fields, Counter: st, Logger: logger}
 }
 
-func newDispatcher(t *look.Set, l *link.Link, st *stats.Stats, logger *slog.Logger) *direct.Dispatcher {
+func newDispatcher(t *look.Set, l *link.Link, p *poison.Register, st *stats.Stats, logger *slog.Logger) *direct.Dispatcher {
 	return &direct.Dispatcher{
-		Targets: t, Link: l, Counter: st, Logger: logger,
+		Targets: t, Link: l, Poison: p, Counter: st, Logger: logger,
 		Budget: &budget.Share{Burst: retryBurst}, RetryShare: retryShare,
 	}
 }
@@ -111,10 +123,13 @@
 	return &pipe.Server{Handler: g, Limits: g.Limits, Logger: logger}
 }
 
-func newEdge(s Settings, t *look.Set, p *pool.Pool, g *gate.Gate, v *pipe.Server, st *stats.Stats, logger *slog.Logger) *Edge {
-	e := &Edge{settings: s, logger: logger, targets: t, pool: p, gate: g, server: v, stats: st}
+func newEdge(s Settings, t *look.Set, p *pool.Pool, q *poison.Register, g *gate.Gate, v *pipe.Server, st *stats.Stats, logger *slog.Logger) *Edge {
+	e := &Edge{settings: s, logger: logger, targets: t, pool: p, poison: q, gate: g, server: v, stats: st}
 	e.group.Logger = logger
-	e.follower = &follow.Follower{Self: s.Self, Seeds: s.Seeds, Caller: &peers.Client{}, Publish: e.publish, Logger: logger}
+	c := &peers.Client{}
+	e.informer = &inform.Informer{Submitter: &access.Access{Control: e.controlInstances, Caller: c}, Logger: logger}
+	q.Spread = e.informer
+	e.follower = &follow.Follower{Self: s.Self, Seeds: s.Seeds, Caller: c, Publish: e.publish, Logger: logger}
 	return e
 }
 
@@ -150,6 +165,7 @@
 	}
 	e.group.Go(ctx, "callers", func(ctx context.Context) error { return e.server.Serve(ctx, l) })
 	e.group.Go(ctx, "follower", e.follower.Run)
+	e.group.Go(ctx, "informer", e.informer.Run)
 	e.group.Go(ctx, "pool", e.expire)
 	e.logger.Info("started", "instance", e.settings.Self.Name, "dataCentre", e.settings.Self.DataCentre, "seeds", e.settings.Seeds())
 	return nil
@@ -166,12 +182,45 @@
 		return
 	}
 	e.targets.Update(time.Now(), v, t.Routing)
+	e.shareSuspects(v)
 	if !e.begun {
 		e.begun = true
 		e.follower.SetReady(true)
 	}
 }
 
+// shareSuspects takes in the requests under which backend servers fell elsewhere,
+// and learns of starts that ended.
+func (e *Edge) shareSuspects(v fleet.View) {
+	now := time.Now()
+	for _, n := range v.Servers {
+		if n.Index > e.suspects {
+			e.poison.Seen(now, direct.ServerOf(n))
+		}
+	}
+	e.poison.Merge(now, inform.Records(v, e.suspects))
+	e.suspects = v.Index
+	var list []snipefront.Instance
+	for _, n := range v.Instances {
+		if n.Control {
+			list = append(list, n.Instance)
+		}
+	}
+	e.control.Store(&list)
+}
+
+// controlInstances returns the control instances, or the seeds where none is known.
+func (e *Edge) controlInstances() []snipefront.Instance {
+	if list := e.control.Load(); list != nil && len(*list) > 0 {
+		return *list
+	}
+	var list []snipefront.Instance
+	for _, a := range e.settings.Seeds() {
+		list = append(list, snipefront.Instance{Name: a, PeerAddress: a})
+	}
+	return list
+}
+
 // configure puts the routes of d into force.
 func (e *Edge) configure(d fleet.Document) {
 	if d.Version <= e.version {
--- a/internal/dispatch/direct/choose.go
+++ b/internal/dispatch/direct/choose.go
@@ -42,7 +42,7 @@
 // others leave free. It returns false where no target has room.
 func (d *Dispatcher) choose(ctx context.Context, c *Call, avoid map[string]bool) (choice, bool) {
 	unit := d.units.of(c)
-	for {
+	for len(d.Targets.Candidates(c.Service)) > 0 {
 		best, ok := d.best(ctx, c, unit, avoid)
 		now := time.Now()
 		inTime := ok && !now.Add(best.takes).After(c.Goal)
@@ -55,15 +55,16 @@
 		case !hopeful && !ok:
 			return choice{}, false
 		}
-		if !d.hold(ctx, c, hopeful) {
+		if !d.hold(ctx, hopeful) {
 			return choice{}, false
 		}
 	}
+	return choice{}, false
 }
 
-// hold waits before the next choice for c, and returns false where c is not to be
-// held any longer.
-func (d *Dispatcher) hold(ctx context.Context, _ *Call, hopeful bool) bool {
+// hold waits before the next choice for a request, and returns false where it is
+// not to be held any longer.
+func (d *Dispatcher) hold(ctx context.Context, hopeful bool) bool {
 	if !hopeful {
 		return false
 	}
--- a/internal/dispatch/direct/direct.go
+++ b/internal/dispatch/direct/direct.go
@@ -17,8 +17,10 @@
 	"github.com/pkg/errors"
 
 	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/control/fleet"
 	"github.com/snipefront/snipefront/internal/dispatch/budget"
 	"github.com/snipefront/snipefront/internal/dispatch/look"
+	"github.com/snipefront/snipefront/internal/request/poison"
 )
 
 const (
@@ -44,6 +46,9 @@
 	Budget *budget.Share
 	// RetryShare is what each request adds to Budget, 0 to 1.
 	RetryShare float64
+	// Poison remembers the requests under which backend servers fell. Nil remembers
+	// none.
+	Poison *poison.Register
 	// Counter counts what happens.
 	Counter Counter
 	Logger  *slog.Logger
@@ -80,6 +85,8 @@
 	// Send sends c to t and returns once there is an answer, or none can come any
 	// more, or ctx ends.
 	Send(ctx context.Context, c *Call, t *look.Target) Attempt
+	// Up returns whether t takes a new connection.
+	Up(ctx context.Context, t *look.Target) bool
 }
 
 // progress is what became of a call so far.
@@ -105,6 +112,9 @@
 		if time.Until(c.Deadline) < leastTime || ctx.Err() != nil {
 			return d.end(ctx, c, &p, late(ctx, &p))
 		}
+		if a, left := d.Poison.Admit(time.Now(), c.Fingerprint); a == poison.Quarantined {
+			return d.end(ctx, c, &p, weaken(poison.Refusal(left), p.verdict))
+		}
 		t, ok := d.choose(ctx, c, p.avoid)
 		if !ok {
 			return d.end(ctx, c, &p, d.noRoom(ctx, c, &p))
@@ -132,9 +142,42 @@
 		a.Outcome = look.Neutral
 	}
 	t.target.Done(time.Now(), a.Outcome)
+	if a.Response != nil {
+		d.Poison.Answered(c.Fingerprint)
+	}
+	if a.Reason == snipefront.ReasonBrokenAnswer && ctx.Err() == nil {
+		d.suspect(ctx, c, t.target)
+	}
 	return a
 }
 
+// suspect finds out whether t fell under c.
+func (d *Dispatcher) suspect(ctx context.Context, c *Call, t *look.Target) {
+	if d.Poison == nil {
+		return
+	}
+	s := ServerOf(t.Server)
+	d.Poison.Broke(time.Now(), c.Fingerprint, s)
+	if d.Link.Up(ctx, t) || ctx.Err() != nil {
+		return
+	}
+	d.Logger.Info("backend server fell", "request", c.ID, "server", s.Name, "incarnation", s.Incarnation, "fingerprint", c.Fingerprint)
+	d.Poison.Fell(time.Now(), s)
+}
+
+// ServerOf returns the incarnation of n as poison knows it.
+func ServerOf(n fleet.Server) poison.Server {
+	return poison.Server{Service: n.Service, DataCentre: n.DataCentre, Name: n.Name, Incarnation: n.Incarnation}
+}
+
+// weaken returns e with the verdict v of earlier attempts, where that is weaker.
+func weaken(e *snipefront.Error, v snipefront.Verdict) *snipefront.Error {
+	if v == snipefront.NotRun {
+		return e
+	}
+	return &snipefront.Error{Verdict: v, Reason: e.Reason, Status: http.StatusBadGateway, Detail: e.Detail}
+}
+
 // note takes in what became of an attempt at t.
 func (d *Dispatcher) note(c *Call, p *progress, t choice, a Attempt) {
 	p.last = a
--- /dev/null
+++ b/internal/dispatch/direct/direct_test.go
@@ -0,0 +1,222 @@
+package direct_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/control/fleet"
+	"github.com/snipefront/snipefront/internal/dispatch/budget"
+	"github.com/snipefront/snipefront/internal/dispatch/direct"
+	"github.com/snipefront/snipefront/internal/dispatch/look"
+	"github.com/snipefront/snipefront/internal/request/poison"
+)
+
+// script implements direct.Link: each send is answered by the function.
+type script struct {
+	send func(ctx context.Context, name string) direct.Attempt
+
+	mu   sync.Mutex
+	down map[string]bool
+	sent []string
+}
+
+// Send implements direct.Link.
+func (s *script) Send(ctx context.Context, _ *direct.Call, t *look.Target) direct.Attempt {
+	s.mu.Lock()
+	s.sent = append(s.sent, t.Server.Name)
+	s.mu.Unlock()
+	return s.send(ctx, t.Server.Name)
+}
+
+// Ask implements look.Asker.
+func (s *script) Ask(t *look.Target) (look.Report, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down[t.Server.Name] {
+		return look.Report{}, errors.New("refused")
+	}
+	return look.Report{At: time.Now(), Known: true, Healthy: true, Slots: 2, Pace: 1}, nil
+}
+
+// Up implements direct.Link.
+func (s *script) Up(_ context.Context, t *look.Target) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.down[t.Server.Name]
+}
+
+func (s *script) fall(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down[name] = true
+}
+
+var (
+	answered = direct.Attempt{
+		Verdict: snipefront.Ran, Outcome: look.Answered, Response: &snipefront.Response{Status: http.StatusOK},
+	}
+	broken = direct.Attempt{
+		Verdict: snipefront.MayHaveRun, Reason: snipefront.ReasonBrokenAnswer, Err: errors.New("reset"), Outcome: look.Faulty,
+	}
+	shed = direct.Attempt{
+		Verdict: snipefront.NotRun, Reason: snipefront.ReasonShed, Err: errors.New("full"), Outcome: look.Neutral,
+	}
+)
+
+// newDispatcher returns a dispatcher before servers in its own data centre.
+func newDispatcher(servers int, s *script) *direct.Dispatcher {
+	s.down = map[string]bool{}
+	v := fleet.View{Servers: map[string]fleet.Server{}}
+	for i := range servers {
+		var n fleet.Server
+		n.Name, n.Service, n.DataCentre, n.Slots, n.Incarnation = fmt.Sprint("s", i), service, "dc1", 2, 1
+		v.Servers[n.Name] = n
+	}
+	set := &look.Set{Self: snipefront.Instance{Name: "e", DataCentre: "dc1"}}
+	set.Update(time.Now(), v, &snipefront.Routing{Services: map[string]snipefront.Profile{service: {Name: service}}})
+	return &direct.Dispatcher{
+		Targets: set, Link: s, Counter: uncounted{}, Budget: &budget.Share{Burst: 3}, RetryShare: 0.15, Poison: &poison.Register{},
+		Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+	}
+}
+
+func newCall(idempotent bool) *direct.Call {
+	now := time.Now()
+	return &direct.Call{ID: "r", Attempts: 2, Goal: now.Add(300 * time.Millisecond), Request: &snipefront.Request{
+		Service: service, Idempotent: idempotent, Deadline: now.Add(time.Second), Fingerprint: 7,
+	}}
+}
+
+func errorOf(t *testing.T, err error) *snipefront.Error {
+	t.Helper()
+	var e *snipefront.Error
+	if !errors.As(err, &e) {
+		t.Fatalf("no *snipefront.Error but %v", err)
+	}
+	return e
+}
+
+// TestRequestThatCrashesServersIsQuarantined shows that a request under which two
+// backend servers fell reaches no third.
+func TestRequestThatCrashesServersIsQuarantined(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &script{}
+		s.send = func(_ context.Context, name string) direct.Attempt {
+			s.fall(name)
+			return broken
+		}
+		d := newDispatcher(5, s)
+		for range 6 {
+			_, err := d.Serve(t.Context(), newCall(true))
+			if err == nil {
+				t.Fatal("an answer of a backend server that fell")
+			}
+			time.Sleep(500 * time.Millisecond)
+		}
+		if len(s.sent) != 2 {
+			t.Errorf("the request reached %v, want two backend servers", s.sent)
+		}
+		_, err := d.Serve(t.Context(), newCall(true))
+		if e := errorOf(t, err); e.Verdict != snipefront.NotRun || e.Reason != snipefront.ReasonQuarantined {
+			t.Errorf("the resend is refused with %v", e)
+		}
+	})
+}
+
+// TestRepeats shows which attempts are repeated.
+func TestRepeats(t *testing.T) {
+	for name, c := range map[string]struct {
+		idempotent bool
+		first      direct.Attempt
+		sent       int
+		verdict    snipefront.Verdict
+		ok         bool
+	}{
+		"idempotent that broke":      {idempotent: true, first: broken, sent: 2, ok: true},
+		"not idempotent that broke":  {first: broken, sent: 1, verdict: snipefront.MayHaveRun},
+		"not idempotent, not run":    {first: shed, sent: 2, ok: true},
+		"not idempotent, unreached":  {first: direct.Attempt{Verdict: snipefront.NotRun, Outcome: look.Unreachable}, sent: 2, ok: true},
+		"not idempotent, no failure": {first: answered, sent: 1, ok: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &script{}
+				s.send = func(context.Context, string) direct.Attempt {
+					if len(s.sent) == 1 {
+						return c.first
+					}
+					return answered
+				}
+				_, err := newDispatcher(3, s).Serve(t.Context(), newCall(c.idempotent))
+				if len(s.sent) != c.sent || slices.Contains(s.sent[1:], s.sent[0]) {
+					t.Errorf("sent to %v, want %d different", s.sent, c.sent)
+				}
+				if (err == nil) != c.ok {
+					t.Fatalf("the error is %v", err)
+				}
+				if err == nil {
+					return
+				}
+				if e := errorOf(t, err); e.Verdict != c.verdict {
+					t.Errorf("the verdict is %v, want %v", e.Verdict, c.verdict)
+				}
+			})
+		})
+	}
+}
+
+// TestAttemptsAreBounded shows that a request goes to no more targets than its
+// route allows, though each refuses it.
+func TestAttemptsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &script{send: func(context.Context, string) direct.Attempt { return shed }}
+		_, err := newDispatcher(5, s).Serve(t.Context(), newCall(true))
+		if e := errorOf(t, err); e.Verdict != snipefront.NotRun || e.RetryAfter == 0 {
+			t.Errorf("refused with %v", e)
+		}
+		if len(s.sent) != 2 {
+			t.Errorf("sent to %v, want two", s.sent)
+		}
+	})
+}
+
+// TestNoServerIsRefusedAtOnce shows that a request that nobody can serve is not
+// held.
+func TestNoServerIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		begun := time.Now()
+		_, err := newDispatcher(0, &script{}).Serve(t.Context(), newCall(true))
+		e := errorOf(t, err)
+		if e.Reason != snipefront.ReasonNoBackendServer || e.RetryAfter == 0 || time.Since(begun) > 0 {
+			t.Errorf("refused with %v after %v", e, time.Since(begun))
+		}
+	})
+}
+
+// TestGivenUpAtItsDeadline shows that a request without an answer ends when its time
+// is over, and not as one that has not run.
+func TestGivenUpAtItsDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &script{send: func(ctx context.Context, _ string) direct.Attempt {
+			<-ctx.Done()
+			return broken
+		}}
+		begun := time.Now()
+		_, err := newDispatcher(3, s).Serve(t.Context(), newCall(false))
+		e := errorOf(t, err)
+		if e.Status != http.StatusGatewayTimeout || e.Verdict != snipefront.MayHaveRun || time.Since(begun) != time.Second {
+			t.Errorf("ended with %d, %v after %v", e.Status, e, time.Since(begun))
+		}
+	})
+}
--- a/internal/dispatch/link/link.go
+++ b/internal/dispatch/link/link.go
@@ -115,6 +115,15 @@
 	b.WriteString("\r\n")
 }
 
+// Up implements direct.Link.
+func (l *Link) Up(ctx context.Context, t *look.Target) bool {
+	l.Pool.Drop(t.Server.Address)
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	_, err := l.ask(ctx, t)
+	return err == nil
+}
+
 // Ask implements look.Asker.
 func (l *Link) Ask(t *look.Target) (look.Report, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
--- a/internal/entry/front/read.go
+++ b/internal/entry/front/read.go
@@ -1,7 +1,6 @@
 package front
 
 import (
-	"hash/fnv"
 	"io"
 	"net/http"
 	"os"
@@ -56,7 +55,7 @@
 		r.IdempotencyKey = ""
 		r.Idempotent = true
 	}
-	r.Fingerprint = fingerprint(r)
+	r.Fingerprint = r.ContentFingerprint()
 	return r, nil
 }
 
@@ -156,13 +155,3 @@
 func isIdempotent(method string) bool {
 	return isSafe(method) || method == http.MethodPut || method == http.MethodDelete
 }
-
-func fingerprint(r *snipefront.Request) uint64 {
-	h := fnv.New64a()
-	for _, part := range []string{r.Method, r.Target, r.IdempotencyKey} {
-		_, _ = io.WriteString(h, part)
-		_, _ = h.Write([]byte{0})
-	}
-	_, _ = h.Write(r.Body)
-	return h.Sum64()
-}
--- a/internal/entry/gate/gate.go
+++ b/internal/entry/gate/gate.go
@@ -131,7 +131,7 @@
 		waited = g.waits.before(n.Name, remaining)
 		left = min(left, remaining)
 	}
-	return &direct.Call{
+	c := &direct.Call{
 		ID:       id,
 		Attempts: n.Attempts,
 		Goal:     r.Read.Add(n.Goal - waited),
@@ -145,6 +145,8 @@
 			Idempotent: n.Idempotent,
 		},
 	}
+	c.Fingerprint = c.ContentFingerprint()
+	return c
 }
 
 // problem is the body of an answer that is not a backend server's.
--- a/internal/request/poison/poison.go
+++ b/internal/request/poison/poison.go
@@ -162,7 +162,7 @@
 		e.convicted = now
 	}
 	if left == 0 {
-		left = lasting(len(e.fallen))
+		left = Lasting(len(e.fallen))
 	}
 	if ends := now.Add(left); ends.After(e.ends) {
 		e.ends = ends
@@ -170,7 +170,9 @@
 	return true
 }
 
-func lasting(fallen int) time.Duration {
+// Lasting returns how long a record holds of a request under which that many
+// backend servers fell.
+func Lasting(fallen int) time.Duration {
 	if fallen < fatal {
 		return suspicion
 	}
--- a/internal/stand/shift/shift.go
+++ b/internal/stand/shift/shift.go
@@ -134,6 +134,9 @@
 	}
 }
 
+// Up implements direct.Link.
+func (s *Servers) Up(context.Context, *look.Target) bool { return true }
+
 // enter takes a slot of the server of t, or waits for one until ctx ends.
 func (s *Servers) enter(ctx context.Context, t *look.Target) (*server, bool) {
 	s.mu.Lock()
--- a/request.go
+++ b/request.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"hash/fnv"
+	"io"
 	"net/http"
 	"time"
 )
@@ -36,6 +38,18 @@
 	Forwarded bool
 }
 
+// ContentFingerprint returns the hash of what r asks for: method, target, body and
+// key.
+func (r *Request) ContentFingerprint() uint64 {
+	h := fnv.New64a()
+	for _, part := range []string{r.Method, r.Target, r.IdempotencyKey} {
+		_, _ = io.WriteString(h, part)
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.Write(r.Body)
+	return h.Sum64()
+}
+
 // MaxBroken is the most attempts of one request whose connection breaks, since the
 // request itself may be what makes backend servers fall.
 const MaxBroken = 2
