--- /dev/null
+++ b/internal/entry/pipe/pipe_test.go
@@ -0,0 +1,187 @@
+package pipe_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/snipefront/snipefront/internal/entry/pipe"
+)
+
+// limit bounds a wait that only a hanging test reaches.
+const limit = 20 * time.Second
+
+type handler func(ctx context.Context, r *pipe.Request) pipe.Answer
+
+// Handle implements pipe.Handler.
+func (h handler) Handle(ctx context.Context, r *pipe.Request) pipe.Answer { return h(ctx, r) }
+
+var limits = pipe.Limits{HeaderBytes: 2 << 10, BodyBytes: 1 << 10, HeaderTimeout: limit, IdleTimeout: limit}
+
+// serve starts a server and returns it with a connection to it.
+func serve(t *testing.T, h handler) (*pipe.Server, net.Conn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &pipe.Server{Handler: h, Limits: func() pipe.Limits { return limits }, Logger: slog.New(slog.NewTextHandler(io.Discard, nil))}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- s.Serve(ctx, l) }()
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := c.SetDeadline(time.Now().Add(limit)); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		c.Close()
+		cancel()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+	return s, c
+}
+
+func echo(_ context.Context, r *pipe.Request) pipe.Answer {
+	return pipe.Answer{Status: http.StatusOK, Header: http.Header{"Path": {r.URL.Path}}, Body: r.Content}
+}
+
+// read reads one answer with its body.
+func read(t *testing.T, b *bufio.Reader) (*http.Response, string) {
+	t.Helper()
+	r, err := http.ReadResponse(b, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Body.Close()
+	text, err := io.ReadAll(r.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r, string(text)
+}
+
+// TestPipelinedRequestsRunSideBySide shows that the second request runs while the
+// first does, and that its answer waits for that of the first.
+func TestPipelinedRequestsRunSideBySide(t *testing.T) {
+	second := make(chan struct{})
+	_, c := serve(t, func(ctx context.Context, r *pipe.Request) pipe.Answer {
+		if r.URL.Path == "/1" {
+			select {
+			case <-second:
+			case <-ctx.Done():
+			}
+		} else {
+			close(second)
+		}
+		return echo(ctx, r)
+	})
+	fmt.Fprint(c, "GET /1 HTTP/1.1\r\nHost: x\r\n\r\nGET /2 HTTP/1.1\r\nHost: x\r\n\r\n")
+	b := bufio.NewReader(c)
+	for _, want := range []string{"/1", "/2"} {
+		if r, _ := read(t, b); r.Header.Get("Path") != want {
+			t.Errorf("the answer is that of %s, want %s", r.Header.Get("Path"), want)
+		}
+	}
+}
+
+// TestBodiesArriveWhole shows bodies with a length and in chunks.
+func TestBodiesArriveWhole(t *testing.T) {
+	_, c := serve(t, echo)
+	b := bufio.NewReader(c)
+	for _, body := range []string{"Content-Length: 5\r\n\r\nhello", "Transfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n"} {
+		fmt.Fprint(c, "POST /p HTTP/1.1\r\nHost: x\r\n"+body)
+		if _, text := read(t, b); text != "hello" {
+			t.Errorf("the body is %q", text)
+		}
+	}
+}
+
+// TestUnreadableRequestsAreRefused shows the answers to requests over the limits.
+func TestUnreadableRequestsAreRefused(t *testing.T) {
+	for name, c := range map[string]struct {
+		text   string
+		status int
+	}{
+		"no request":    {"hello\r\n\r\n", http.StatusBadRequest},
+		"large header":  {"GET / HTTP/1.1\r\nHost: x\r\nA: " + strings.Repeat("a", 16<<10), http.StatusRequestHeaderFieldsTooLarge},
+		"large body":    {"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5000\r\n\r\n", http.StatusRequestEntityTooLarge},
+		"large chunks":  {"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n800\r\n" + strings.Repeat("a", 2048) + "\r\n", http.StatusRequestEntityTooLarge},
+		"two lengths":   {"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nhello", http.StatusBadRequest},
+		"no known code": {"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: gzip\r\n\r\nhello", http.StatusBadRequest},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, n := serve(t, func(context.Context, *pipe.Request) pipe.Answer {
+				t.Error("the request was handled")
+				return pipe.Answer{}
+			})
+			fmt.Fprint(n, c.text)
+			if r, _ := read(t, bufio.NewReader(n)); r.StatusCode != c.status || !r.Close {
+				t.Errorf("the status is %d (close %v), want %d", r.StatusCode, r.Close, c.status)
+			}
+		})
+	}
+}
+
+// TestLeavingCallerEndsItsRequests shows that a request ends when its caller closes
+// the connection.
+func TestLeavingCallerEndsItsRequests(t *testing.T) {
+	begun, ended := make(chan struct{}), make(chan struct{})
+	_, c := serve(t, func(ctx context.Context, _ *pipe.Request) pipe.Answer {
+		close(begun)
+		<-ctx.Done()
+		close(ended)
+		return pipe.Answer{Status: http.StatusOK}
+	})
+	fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	<-begun
+	c.Close()
+	select {
+	case <-ended:
+	case <-time.After(limit):
+		t.Error("the request goes on")
+	}
+}
+
+// TestDrainAnswersWhatWasTaken shows that every request that was taken gets its
+// answer, that the last one ends the connection, and that none is taken after it.
+func TestDrainAnswersWhatWasTaken(t *testing.T) {
+	begun, release := make(chan struct{}, 2), make(chan struct{})
+	s, c := serve(t, func(ctx context.Context, r *pipe.Request) pipe.Answer {
+		begun <- struct{}{}
+		<-release
+		return echo(ctx, r)
+	})
+	fmt.Fprint(c, "GET /1 HTTP/1.1\r\nHost: x\r\n\r\nGET /2 HTTP/1.1\r\nHost: x\r\n\r\n")
+	<-begun
+	<-begun
+	s.Drain()
+	close(release)
+	b := bufio.NewReader(c)
+	if r, _ := read(t, b); r.Close {
+		t.Error("the first answer ends the connection before the second")
+	}
+	if r, _ := read(t, b); !r.Close {
+		t.Error("the last answer leaves the connection open")
+	}
+	fmt.Fprint(c, "GET /3 HTTP/1.1\r\nHost: x\r\n\r\n")
+	if _, err := b.ReadByte(); err != io.EOF {
+		t.Errorf("after the last answer came %v", err)
+	}
+	select {
+	case <-begun:
+		t.Error("a request was taken behind the last answer")
+	default:
+	}
+}
