--- a/internal/dispatch/direct/direct.go
+++ b/internal/dispatch/direct/direct.go
@@ -119,8 +119,7 @@
 		if !ok {
 			return d.end(ctx, c, &p, d.noRoom(ctx, c, &p))
 		}
-		a := d.send(ctx, c, t)
-		d.note(c, &p, t, a)
+		a := d.run(ctx, c, &p, t)
 		if a.Response != nil && !isFailure(a.Response) {
 			return a.Response, nil
 		}
@@ -131,40 +130,6 @@
 	}
 }
 
-// send sends c to the chosen target, at which a request is reserved.
-func (d *Dispatcher) send(ctx context.Context, c *Call, t choice) Attempt {
-	begun, unit := time.Now(), d.units.of(c)
-	a := d.Link.Send(ctx, c, t.target)
-	if a.Outcome == look.Answered {
-		d.units.learn(c, time.Since(begun), t.takes, unit)
-	}
-	if ctx.Err() != nil && a.Response == nil {
-		a.Outcome = look.Neutral
-	}
-	t.target.Done(time.Now(), a.Outcome)
-	if a.Response != nil {
-		d.Poison.Answered(c.Fingerprint)
-	}
-	if a.Reason == snipefront.ReasonBrokenAnswer && ctx.Err() == nil {
-		d.suspect(ctx, c, t.target)
-	}
-	return a
-}
-
-// suspect finds out whether t fell under c.
-func (d *Dispatcher) suspect(ctx context.Context, c *Call, t *look.Target) {
-	if d.Poison == nil {
-		return
-	}
-	s := ServerOf(t.Server)
-	d.Poison.Broke(time.Now(), c.Fingerprint, s)
-	if d.Link.Up(ctx, t) || ctx.Err() != nil {
-		return
-	}
-	d.Logger.Info("backend server fell", "request", c.ID, "server", s.Name, "incarnation", s.Incarnation, "fingerprint", c.Fingerprint)
-	d.Poison.Fell(time.Now(), s)
-}
-
 // ServerOf returns the incarnation of n as poison knows it.
 func ServerOf(n fleet.Server) poison.Server {
 	return poison.Server{Service: n.Service, DataCentre: n.DataCentre, Name: n.Name, Incarnation: n.Incarnation}
--- a/internal/dispatch/direct/direct_test.go
+++ b/internal/dispatch/direct/direct_test.go
@@ -220,3 +220,30 @@
 		}
 	})
 }
+
+// TestOverdueAnswerIsSoughtElsewhere shows that a backend server that stays silent
+// costs an idempotent request part of its time only, and that no other request is
+// sent twice for it.
+func TestOverdueAnswerIsSoughtElsewhere(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			s := &script{}
+			s.send = func(ctx context.Context, name string) direct.Attempt {
+				if name == s.sent[0] {
+					<-ctx.Done()
+					return broken
+				}
+				return answered
+			}
+			begun := time.Now()
+			_, err := newDispatcher(3, s).Serve(t.Context(), newCall(idempotent))
+			taken := time.Since(begun)
+			if idempotent && (err != nil || taken > 500*time.Millisecond || len(s.sent) != 2) {
+				t.Errorf("idempotent: %v after %v, sent to %v", err, taken, s.sent)
+			}
+			if !idempotent && (err == nil || len(s.sent) != 1) {
+				t.Errorf("not idempotent: %v after %v, sent to %v", err, taken, s.sent)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/dispatch/direct/run.go
@@ -0,0 +1,121 @@
+package direct
+
+import (
+	"context"
+	"time"
+
+	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/dispatch/look"
+)
+
+const (
+	// overdueFactor is the multiple of the estimated time after which an answer is
+	// overdue, and overdueFloor the least such time.
+	overdueFactor = 2.5
+	overdueFloor  = 150 * time.Millisecond
+)
+
+// ended is an attempt that has ended.
+type ended struct {
+	choice
+	Attempt
+}
+
+// run sends c to t. Where the answer of an idempotent call is overdue, it is sent to
+// a second target beside the first; the first good answer ends both. Each attempt
+// is noted in p.
+func (d *Dispatcher) run(ctx context.Context, c *Call, p *progress, t choice) Attempt {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan ended, 2)
+	d.start(ctx, c, t, results)
+	running := 1
+	overdue := time.NewTimer(max(overdueFloor, time.Duration(overdueFactor*float64(t.takes))))
+	defer overdue.Stop()
+	var last Attempt
+	for running > 0 {
+		select {
+		case r := <-results:
+			running--
+			last = r.Attempt
+			d.note(c, p, r.choice, r.Attempt)
+			if last.Response == nil || isFailure(last.Response) {
+				continue
+			}
+			cancel()
+			for ; running > 0; running-- {
+				r := <-results
+				d.note(c, p, r.choice, r.Attempt)
+			}
+			return last
+		case <-overdue.C:
+			if d.hedge(ctx, c, p, t, results) {
+				running++
+			}
+		}
+	}
+	return last
+}
+
+// start sends c to t and reports the end on results.
+func (d *Dispatcher) start(ctx context.Context, c *Call, t choice, results chan<- ended) {
+	go func() { results <- ended{choice: t, Attempt: d.send(ctx, c, t)} }()
+}
+
+// hedge sends c to a second target where that may bring an answer sooner, and
+// returns whether it did.
+func (d *Dispatcher) hedge(ctx context.Context, c *Call, p *progress, t choice, results chan<- ended) bool {
+	if !c.Idempotent || p.sent+2 > c.Attempts {
+		return false
+	}
+	avoid := map[string]bool{t.target.Server.Name: true}
+	for n := range p.avoid {
+		avoid[n] = true
+	}
+	u, ok := d.best(ctx, c, d.units.of(c), avoid)
+	if !ok || !hasFree(u.sight) || time.Now().Add(u.takes).After(c.Deadline) {
+		return false
+	}
+	if !d.Budget.Spend() || !d.reserve(time.Now(), u.target) {
+		return false
+	}
+	d.Counter.Retried(c.Service, snipefront.ReasonHedge)
+	d.Logger.Info("answer overdue, sent a second time", "request", c.ID, "service", c.Service, "server", t.target.Server.Name,
+		"estimated", t.takes, "second", u.target.Server.Name, "secondEstimated", u.takes)
+	d.start(ctx, c, u, results)
+	return true
+}
+
+// send sends c to the chosen target, at which a request is reserved.
+func (d *Dispatcher) send(ctx context.Context, c *Call, t choice) Attempt {
+	begun, unit := time.Now(), d.units.of(c)
+	a := d.Link.Send(ctx, c, t.target)
+	if a.Outcome == look.Answered {
+		d.units.learn(c, time.Since(begun), t.takes, unit)
+	}
+	if ctx.Err() != nil && a.Response == nil {
+		a.Outcome = look.Neutral
+	}
+	t.target.Done(time.Now(), a.Outcome)
+	if a.Response != nil {
+		d.Poison.Answered(c.Fingerprint)
+	}
+	if a.Reason == snipefront.ReasonBrokenAnswer && ctx.Err() == nil {
+		d.suspect(ctx, c, t.target)
+	}
+	return a
+}
+
+// suspect finds out whether t fell under c.
+func (d *Dispatcher) suspect(ctx context.Context, c *Call, t *look.Target) {
+	if d.Poison == nil {
+		return
+	}
+	s := ServerOf(t.Server)
+	d.Poison.Broke(time.Now(), c.Fingerprint, s)
+	if d.Link.Up(ctx, t) || ctx.Err() != nil {
+		return
+	}
+	d.Logger.Info("backend server fell", "request", c.ID, "server", s.Name, "incarnation", s.Incarnation, "fingerprint", c.Fingerprint)
+	d.Poison.Fell(time.Now(), s)
+}
