dispatch/direct: learn the usual time of work as a median

Change: each answer moves the usual time by a fixed step; estimates count with 1.7 times of it. Requests that can't meet their goal take a free slot while few are in use. The lines of a refusal tell what was seen of the best target. Tried and left: the upper quartile in place of the factor, a margin on the estimate alone (both let queues grow under overload), a bound of 0.6 to 1.0 of slots in use.

--- a/internal/dispatch/direct/choose.go
+++ b/internal/dispatch/direct/choose.go
@@ -22,8 +22,14 @@
 	// spareRoom is how many requests beyond its slots a target is given. More may
 	// find no place in its queue.
 	spareRoom = 2
+	// caution is the multiple of the usual time of work that estimates count with,
+	// so that most requests keep to theirs.
+	caution = 1.7
 	// holdStep is the time between choices of a request that is held.
 	holdStep = 25 * time.Millisecond
+	// calmLoad is the share of slots in use up to which a request that can't meet its
+	// goal takes any room.
+	calmLoad = 0.3
 	// warmUpShare is the part of what a cold target bears that it is sent.
 	warmUpShare = 0.9
 )
@@ -34,6 +40,8 @@
 	// takes is how long the request will take there, as estimated.
 	takes time.Duration
 	sight look.Sight
+	// load is the share of slots in use or waited for at the targets looked at.
+	load float64
 }
 
 // choose reserves a request at the target where it takes the least time. A request
@@ -41,14 +49,14 @@
 // time for its goal. One that can't meet its goal any more is given only what
 // others leave free. It returns false where no target has room.
 func (d *Dispatcher) choose(ctx context.Context, c *Call, avoid map[string]bool) (choice, bool) {
-	unit := d.units.of(c)
+	unit := time.Duration(caution * float64(d.units.of(c)))
 	for len(d.Targets.Candidates(c.Service)) > 0 {
 		best, ok := d.best(ctx, c, unit, avoid)
 		now := time.Now()
 		inTime := ok && !now.Add(best.takes).After(c.Goal)
 		hopeful := now.Add(unit).Before(c.Goal)
 		switch {
-		case inTime, ok && !hopeful && hasFree(best.sight):
+		case inTime, ok && !hopeful && (best.load <= calmLoad || hasFree(best.sight)):
 			if d.reserve(now, best.target) {
 				return best, true
 			}
@@ -56,12 +64,22 @@
 			return choice{}, false
 		}
 		if !d.hold(ctx, hopeful) {
+			d.Logger.Info("no target in time", "request", c.ID, "service", c.Service, "goalIn", time.Until(c.Goal), "usual", unit,
+				"best", best.name(), "estimated", best.takes, "sight", best.sight)
 			return choice{}, false
 		}
 	}
 	return choice{}, false
 }
 
+// name returns the name of the chosen target, or nothing.
+func (c choice) name() string {
+	if c.target == nil {
+		return ""
+	}
+	return c.target.Server.Name
+}
+
 // hold waits before the next choice for a request, and returns false where it is
 // not to be held any longer.
 func (d *Dispatcher) hold(ctx context.Context, hopeful bool) bool {
@@ -127,8 +145,13 @@
 func (d *Dispatcher) least(list []*look.Target, unit time.Duration) choice {
 	var b choice
 	now := time.Now()
+	used, slots := 0, 0
 	for _, t := range list {
 		s := t.Sight(now)
+		if s.Report.Known {
+			used += s.Report.Running + s.Report.Waiting + s.Sent
+			slots += s.Report.Slots
+		}
 		e, ok := Estimate(s, unit, now)
 		if !ok || b.target != nil && e >= b.takes || !t.Available(now) {
 			continue
@@ -138,6 +161,7 @@
 		}
 		b = choice{target: t, takes: e, sight: s}
 	}
+	b.load = float64(used) / float64(max(slots, 1))
 	return b
 }
 
--- a/internal/dispatch/direct/direct_test.go
+++ b/internal/dispatch/direct/direct_test.go
@@ -247,3 +247,30 @@
 		})
 	}
 }
+
+// TestUsualTimeIsRobust shows that a few slow answers don't make later requests seem
+// late everywhere. It is the pattern "noisy neighbour": an answer in five takes eight
+// times as long as its backend server's report promised.
+func TestUsualTimeIsRobust(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := 0
+		s := &script{send: func(context.Context, string) direct.Attempt {
+			n++
+			time.Sleep(100 * time.Millisecond)
+			if n%5 == 0 {
+				time.Sleep(700 * time.Millisecond)
+			}
+			return answered
+		}}
+		d := newDispatcher(3, s)
+		refused := 0
+		for range 200 {
+			if _, err := d.Serve(t.Context(), newCall(false)); err != nil {
+				refused++
+			}
+		}
+		if refused > 0 {
+			t.Errorf("%d of 200 requests were refused by idle backend servers", refused)
+		}
+	})
+}
--- a/internal/dispatch/direct/estimate.go
+++ b/internal/dispatch/direct/estimate.go
@@ -28,8 +28,8 @@
 	// unitShare is the part of a call's goal that its work is taken to last where
 	// nothing is known of it.
 	unitShare = 0.4
-	// unitWeight is the weight of one answer in the usual time of work.
-	unitWeight = 0.1
+	// unitStep is the factor by which one answer moves the usual time of work.
+	unitStep = 1.04
 )
 
 // Estimate returns how long a request would take at a target, where unit is the
@@ -89,20 +89,18 @@
 	return max(time.Millisecond, time.Duration(unitShare*float64(time.Until(c.Goal))))
 }
 
-// learn takes in that c took the given time where takes was estimated from unit.
-func (u *units) learn(c *Call, taken, takes, unit time.Duration) {
-	if takes <= 0 {
-		return
-	}
+// learn takes in that c took the given time where takes was estimated. The usual
+// time goes up or down by a fixed factor, so that no single answer moves it far.
+func (u *units) learn(c *Call, taken, takes time.Duration) {
+	unit := u.of(c)
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.known == nil {
 		u.known = map[string]time.Duration{}
 	}
-	sample := float64(unit) * float64(taken) / float64(takes)
-	old, ok := u.known[c.Service]
-	if !ok {
-		old = unit
+	if taken > takes {
+		u.known[c.Service] = time.Duration(float64(unit) * unitStep)
+		return
 	}
-	u.known[c.Service] = time.Duration(float64(old) + unitWeight*(sample-float64(old)))
+	u.known[c.Service] = max(time.Millisecond, time.Duration(float64(unit)/unitStep))
 }
--- a/internal/dispatch/direct/run.go
+++ b/internal/dispatch/direct/run.go
@@ -88,10 +88,10 @@
 
 // send sends c to the chosen target, at which a request is reserved.
 func (d *Dispatcher) send(ctx context.Context, c *Call, t choice) Attempt {
-	begun, unit := time.Now(), d.units.of(c)
+	begun := time.Now()
 	a := d.Link.Send(ctx, c, t.target)
 	if a.Outcome == look.Answered {
-		d.units.learn(c, time.Since(begun), t.takes, unit)
+		d.units.learn(c, time.Since(begun), time.Duration(float64(t.takes)/caution))
 	}
 	if ctx.Err() != nil && a.Response == nil {
 		a.Outcome = look.Neutral
--- a/internal/dispatch/look/target.go
+++ b/internal/dispatch/look/target.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"log/slog"
 	"sync"
 	"time"
 
@@ -67,6 +69,13 @@
 	Slots int
 }
 
+// LogValue implements slog.LogValuer.
+func (s Sight) LogValue() slog.Value {
+	r := s.Report
+	return slog.StringValue(fmt.Sprintf("age=%v running=%d waiting=%d slots=%d pace=%.2f sent=%d own=%d faults=%.2f cold=%v healthy=%v near=%v",
+		time.Since(r.At).Round(time.Millisecond), r.Running, r.Waiting, r.Slots, r.Pace, s.Sent, s.Running, s.Faults, s.Cold, r.Healthy, s.Near))
+}
+
 // Sight returns what is known of t.
 func (t *Target) Sight(now time.Time) Sight {
 	t.mu.Lock()
