dispatch/direct: learn how far to trust estimates, by route

Change: the median time of work and the multiple that one answer in seven exceeds are learned by route and service. Tried and left: fixed cautions of 1.2 (queues grow under overload in the model) and 1.5 to 1.75. Tests: a route with a far goal; load_test.

--- a/internal/dispatch/direct/choose.go
+++ b/internal/dispatch/direct/choose.go
@@ -22,14 +22,11 @@
 	// spareRoom is how many requests beyond its slots a target is given. More may
 	// find no place in its queue.
 	spareRoom = 2
-	// caution is the multiple of the usual time of work that estimates count with,
-	// so that most requests keep to theirs.
-	caution = 1.7
 	// holdStep is the time between choices of a request that is held.
 	holdStep = 25 * time.Millisecond
 	// calmLoad is the share of slots in use up to which a request that can't meet its
 	// goal takes any room.
-	calmLoad = 0.3
+	calmLoad = 0.4
 	// warmUpShare is the part of what a cold target bears that it is sent.
 	warmUpShare = 0.9
 )
@@ -49,7 +46,7 @@
 // time for its goal. One that can't meet its goal any more is given only what
 // others leave free. It returns false where no target has room.
 func (d *Dispatcher) choose(ctx context.Context, c *Call, avoid map[string]bool) (choice, bool) {
-	unit := time.Duration(caution * float64(d.units.of(c)))
+	unit := d.times.unit(c)
 	for len(d.Targets.Candidates(c.Service)) > 0 {
 		best, ok := d.best(ctx, c, unit, avoid)
 		now := time.Now()
--- a/internal/dispatch/direct/direct.go
+++ b/internal/dispatch/direct/direct.go
@@ -53,7 +53,7 @@
 	Counter Counter
 	Logger  *slog.Logger
 
-	units units
+	times times
 }
 
 // Call is one request of a caller on its way.
@@ -61,6 +61,8 @@
 	*snipefront.Request
 	// ID is the caller's, which backend servers echo.
 	ID string
+	// Route is the name of its route.
+	Route string
 	// Goal is the instant until which an answer has its full worth.
 	Goal time.Time
 	// Attempts is the most targets that it may be sent to.
--- a/internal/dispatch/direct/direct_test.go
+++ b/internal/dispatch/direct/direct_test.go
@@ -29,6 +29,8 @@
 	mu   sync.Mutex
 	down map[string]bool
 	sent []string
+	// busy is the number of requests of others at each server.
+	busy int
 }
 
 // Send implements direct.Link.
@@ -46,7 +48,7 @@
 	if s.down[t.Server.Name] {
 		return look.Report{}, errors.New("refused")
 	}
-	return look.Report{At: time.Now(), Known: true, Healthy: true, Slots: 2, Pace: 1}, nil
+	return look.Report{At: time.Now(), Known: true, Healthy: true, Running: s.busy, Slots: 2, Pace: 1}, nil
 }
 
 // Up implements direct.Link.
@@ -274,3 +276,19 @@
 		}
 	})
 }
+
+// TestUsualTimeIsThatOfTheRoute shows that a route with a far goal says nothing of
+// the work of others at the same service.
+func TestUsualTimeIsThatOfTheRoute(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &script{busy: 1, send: func(context.Context, string) direct.Attempt { return answered }}
+		d := newDispatcher(3, s)
+		far := newCall(true)
+		far.Route, far.Goal = "far", time.Now().Add(5*time.Second)
+		for _, c := range []*direct.Call{far, newCall(true)} {
+			if _, err := d.Serve(t.Context(), c); err != nil {
+				t.Errorf("route %q: %v", c.Route, err)
+			}
+		}
+	})
+}
--- a/internal/dispatch/direct/estimate.go
+++ b/internal/dispatch/direct/estimate.go
@@ -11,7 +11,7 @@
 	// fullShare is the share of slots in use beyond which work takes longer, and
 	// fullFactor how much longer.
 	fullShare  = 0.8
-	fullFactor = 1.5
+	fullFactor = 1.7
 	// coldFactor is how much longer work takes at a cold target.
 	coldFactor = 2
 	// faultFactor is how much longer a request takes, in effect, at a target that
@@ -25,11 +25,18 @@
 	farCost = 20 * time.Millisecond
 	// staleAfter is the age from which a report is no longer one.
 	staleAfter = 200 * time.Millisecond
-	// unitShare is the part of a call's goal that its work is taken to last where
+	// usualShare is the part of a call's goal that its work is taken to last where
 	// nothing is known of it.
-	unitShare = 0.4
-	// unitStep is the factor by which one answer moves the usual time of work.
-	unitStep = 1.04
+	usualShare = 0.3
+	// usualStep is the factor by which one answer moves the usual time of work.
+	usualStep = 1.04
+	// cautionUp and cautionDown are the factors by which an answer later or sooner
+	// than estimated moves the caution. They even out where one in seven is later.
+	cautionUp   = 1.08
+	cautionDown = 1.013
+	// firstCaution is the caution where nothing is known, maxCaution its bound.
+	firstCaution = 1.2
+	maxCaution   = 2.5
 )
 
 // Estimate returns how long a request would take at a target, where unit is the
@@ -73,34 +80,63 @@
 	return r.Known && float64(r.Running+r.Waiting+s.Sent+1) <= fullShare*float64(r.Slots)
 }
 
-// units learns the usual time of work of each service.
-type units struct {
+// times learns how long the work of each route takes at each service, and how far to
+// trust estimates. Its zero value is ready.
+type times struct {
 	mu    sync.Mutex
-	known map[string]time.Duration
+	known map[work]*timing
 }
 
-// of returns the usual time of work of c.
-func (u *units) of(c *Call) time.Duration {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if v, ok := u.known[c.Service]; ok {
-		return v
+// work is a kind of work.
+type work struct{ route, service string }
+
+// timing is what is known of a kind of work.
+type timing struct {
+	// usual is the median time of work at an idle target of the usual pace.
+	usual time.Duration
+	// caution is the multiple of an estimate that few answers exceed.
+	caution float64
+}
+
+func (c *Call) work() work { return work{route: c.Route, service: c.Service} }
+
+// unit returns the time of work that estimates for c count with.
+func (t *times) unit(c *Call) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	w := t.at(c)
+	return time.Duration(w.caution * float64(w.usual))
+}
+
+// at returns what is known of the work of c. The lock is held.
+func (t *times) at(c *Call) *timing {
+	w := t.known[c.work()]
+	if w == nil {
+		w = &timing{usual: time.Duration(usualShare * float64(time.Until(c.Goal))), caution: firstCaution}
+		w.usual = max(time.Millisecond, w.usual)
+		if t.known == nil {
+			t.known = map[work]*timing{}
+		}
+		t.known[c.work()] = w
 	}
-	return max(time.Millisecond, time.Duration(unitShare*float64(time.Until(c.Goal))))
+	return w
 }
 
-// learn takes in that c took the given time where takes was estimated. The usual
-// time goes up or down by a fixed factor, so that no single answer moves it far.
-func (u *units) learn(c *Call, taken, takes time.Duration) {
-	unit := u.of(c)
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if u.known == nil {
-		u.known = map[string]time.Duration{}
+// learn takes in that c took the given time where takes was estimated, or was given
+// up after it. Both parts go up or down by fixed factors, so that no single answer
+// moves them far.
+func (t *times) learn(c *Call, taken, takes time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	w := t.at(c)
+	if float64(taken)*w.caution > float64(takes) {
+		w.usual = time.Duration(float64(w.usual) * usualStep)
+	} else {
+		w.usual = max(time.Millisecond, time.Duration(float64(w.usual)/usualStep))
 	}
 	if taken > takes {
-		u.known[c.Service] = time.Duration(float64(unit) * unitStep)
-		return
+		w.caution = min(maxCaution, w.caution*cautionUp)
+	} else {
+		w.caution = max(1, w.caution/cautionDown)
 	}
-	u.known[c.Service] = max(time.Millisecond, time.Duration(float64(unit)/unitStep))
 }
--- a/internal/dispatch/direct/run.go
+++ b/internal/dispatch/direct/run.go
@@ -72,7 +72,7 @@
 	for n := range p.avoid {
 		avoid[n] = true
 	}
-	u, ok := d.best(ctx, c, d.units.of(c), avoid)
+	u, ok := d.best(ctx, c, d.times.unit(c), avoid)
 	if !ok || !hasFree(u.sight) || time.Now().Add(u.takes).After(c.Deadline) {
 		return false
 	}
@@ -91,7 +91,7 @@
 	begun := time.Now()
 	a := d.Link.Send(ctx, c, t.target)
 	if a.Outcome == look.Answered {
-		d.units.learn(c, time.Since(begun), time.Duration(float64(t.takes)/caution))
+		d.times.learn(c, time.Since(begun), t.takes)
 	}
 	if ctx.Err() != nil && a.Response == nil {
 		a.Outcome = look.Neutral
--- a/internal/entry/gate/gate.go
+++ b/internal/entry/gate/gate.go
@@ -133,6 +133,7 @@
 	}
 	c := &direct.Call{
 		ID:       id,
+		Route:    n.Name,
 		Attempts: n.Attempts,
 		Goal:     r.Read.Add(n.Goal - waited),
 		Request: &snipefront.Request{
