--- a/internal/control/follow/follow.go
+++ b/internal/control/follow/follow.go
@@ -15,6 +15,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/snipefront/snipefront/internal/clock/timer"
 	"github.com/snipefront/snipefront/internal/control/fleet"
 	"github.com/snipefront/snipefront/internal/rpc/peers"
 )
@@ -101,7 +102,7 @@
 		address := f.pick(time.Now())
 		if address == "" {
 			f.seeds = f.Seeds()
-			pause(ctx, idlePause)
+			timer.Sleep(ctx, idlePause)
 			address = f.oldest()
 		}
 		if address == "" {
@@ -228,12 +229,3 @@
 	}
 	return address
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/daemon/edge/edge.go
+++ b/internal/daemon/edge/edge.go
@@ -14,6 +14,7 @@
 	"go.uber.org/fx"
 
 	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/clock/timer"
 	"github.com/snipefront/snipefront/internal/control/access"
 	"github.com/snipefront/snipefront/internal/control/fleet"
 	"github.com/snipefront/snipefront/internal/control/follow"
@@ -166,7 +167,7 @@
 	e.group.Go(ctx, "callers", func(ctx context.Context) error { return e.server.Serve(ctx, l) })
 	e.group.Go(ctx, "follower", e.follower.Run)
 	e.group.Go(ctx, "informer", e.informer.Run)
-	e.group.Go(ctx, "pool", e.expire)
+	e.group.Go(ctx, "pool", func(ctx context.Context) error { return timer.Every(ctx, expireInterval, e.pool.Expire) })
 	e.logger.Info("started", "instance", e.settings.Self.Name, "dataCentre", e.settings.Self.DataCentre, "seeds", e.settings.Seeds())
 	return nil
 }
@@ -260,16 +261,3 @@
 		time.Sleep(idlePoll)
 	}
 }
-
-func (e *Edge) expire(ctx context.Context) error {
-	t := time.NewTicker(expireInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-t.C:
-			e.pool.Expire(now)
-		}
-	}
-}
--- a/internal/dispatch/cells/cells.go
+++ b/internal/dispatch/cells/cells.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/clock/timer"
 	"github.com/snipefront/snipefront/internal/control/member"
 	"github.com/snipefront/snipefront/internal/dispatch/cell"
 	"github.com/snipefront/snipefront/internal/dispatch/local"
@@ -117,21 +118,14 @@
 // Run forgets lapsed announcements and closes the cells while the lease is
 // lapsed, until ctx ends.
 func (s *Set) Run(ctx context.Context) error {
-	t := time.NewTicker(expiryInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-t.C:
-			s.follow(now)
-			for _, d := range s.All() {
-				for _, b := range d.Cell.Expire(now) {
-					d.Sender.Forget(b)
-				}
+	return timer.Every(ctx, expiryInterval, func(now time.Time) {
+		s.follow(now)
+		for _, d := range s.All() {
+			for _, b := range d.Cell.Expire(now) {
+				d.Sender.Forget(b)
 			}
 		}
-	}
+	})
 }
 
 // follow closes the cells once the lease has lapsed, which refuses the requests
--- a/internal/dispatch/direct/choose.go
+++ b/internal/dispatch/direct/choose.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/snipefront/snipefront/internal/clock/timer"
 	"github.com/snipefront/snipefront/internal/dispatch/look"
 )
 
@@ -60,7 +61,7 @@
 		case !hopeful && !ok:
 			return choice{}, false
 		}
-		if !d.hold(ctx, hopeful) {
+		if !hopeful || !timer.Sleep(ctx, holdStep) {
 			d.Logger.Info("no target in time", "request", c.ID, "service", c.Service, "goalIn", time.Until(c.Goal), "usual", unit,
 				"best", best.name(), "estimated", best.takes, "sight", best.sight)
 			return choice{}, false
@@ -77,22 +78,6 @@
 	return c.target.Server.Name
 }
 
-// hold waits before the next choice for a request, and returns false where it is
-// not to be held any longer.
-func (d *Dispatcher) hold(ctx context.Context, hopeful bool) bool {
-	if !hopeful {
-		return false
-	}
-	t := time.NewTimer(holdStep)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // best looks at the targets of c and returns the one where it takes the least time,
 // one of the own data centre where that is good enough. It returns false where none
 // has room.
--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -12,10 +12,10 @@
 	"math"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/entry/header"
 )
 
 // The header fields of requests and answers.
@@ -78,47 +78,26 @@
 	return f.Next.Serve(ctx, r)
 }
 
-// endToEnd returns the header without the fields that concern one connection.
-// It shares the values, which are never changed in place.
+// endToEnd returns the header of a request that goes on to a backend server.
 func endToEnd(h http.Header) http.Header {
-	out := make(http.Header, len(h))
-	copyEndToEnd(out, h)
+	out := header.EndToEnd(h)
+	dropOwn(out)
 	return out
 }
 
-// copyEndToEnd copies the fields of h that don't concern one connection.
-func copyEndToEnd(out, h http.Header) {
-	for n, v := range h {
-		if !isHopByHop(n) {
-			out[n] = v
-		}
+// dropOwn drops the fields by which this package itself speaks.
+func dropOwn(h http.Header) {
+	for _, n := range []string{TimeoutHeader, VerdictHeader, ReasonHeader, BackendHeader} {
+		delete(h, n)
 	}
-	for _, v := range h["Connection"] {
-		for n := range strings.SplitSeq(v, ",") {
-			if n = http.CanonicalHeaderKey(strings.TrimSpace(n)); !isHopByHop(n) {
-				delete(out, n)
-			}
-		}
-	}
-}
-
-// isHopByHop returns whether the field, in its canonical form, concerns one
-// connection.
-func isHopByHop(name string) bool {
-	switch name {
-	case "Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
-		"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", TimeoutHeader,
-		VerdictHeader, ReasonHeader, BackendHeader:
-		return true
-	}
-	return false
 }
 
 // write sends a whole answer to a request with the given method. Nothing is
 // added to what the backend server said of its body.
 func write(w http.ResponseWriter, method string, resp *snipefront.Response) {
 	out := w.Header()
-	copyEndToEnd(out, resp.Header)
+	header.Copy(out, resp.Header)
+	dropOwn(out)
 	if _, ok := out["Content-Type"]; !ok {
 		out["Content-Type"] = nil
 	}
--- a/internal/entry/gate/gate.go
+++ b/internal/entry/gate/gate.go
@@ -9,12 +9,12 @@
 	"log/slog"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/snipefront/snipefront"
 	"github.com/snipefront/snipefront/internal/dispatch/direct"
+	"github.com/snipefront/snipefront/internal/entry/header"
 	"github.com/snipefront/snipefront/internal/entry/pipe"
 	"github.com/snipefront/snipefront/internal/request/paths"
 )
@@ -114,15 +114,17 @@
 		g.Logger.Info("answer over the goal", "request", id, "route", n.Name, "service", c.Service,
 			"server", response.BackendServer, "status", response.Status, "taken", taken, "version", t.Routing.Version)
 	}
-	return pipe.Answer{Status: response.Status, Header: endToEnd(response.Header), Body: response.Body}
+	h := header.EndToEnd(response.Header)
+	h.Del("Content-Length")
+	return pipe.Answer{Status: response.Status, Header: h, Body: response.Body}
 }
 
 // call returns the call of r on route n.
 func (g *Gate) call(r *pipe.Request, id string, n *snipefront.Route) *direct.Call {
-	h := endToEnd(r.Header)
+	h := header.EndToEnd(r.Header)
+	h.Del("Content-Length")
 	h.Del(g.Fields.Remaining)
 	h.Del(g.Fields.Expected)
-	h.Del("Expect")
 	h["Host"] = []string{r.Host}
 	left := n.Timeout
 	var waited time.Duration
@@ -174,26 +176,3 @@
 	}
 	return pipe.Answer{Status: e.Status, Header: h, Body: b}
 }
-
-// connectionFields concern one connection only.
-var connectionFields = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
-	"Transfer-Encoding", "Upgrade", "Content-Length",
-}
-
-// endToEnd returns a copy of h without the fields of one connection.
-func endToEnd(h http.Header) http.Header {
-	out := make(http.Header, len(h))
-	for k, v := range h {
-		out[k] = v
-	}
-	for _, v := range h["Connection"] {
-		for _, name := range strings.Split(v, ",") {
-			out.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, k := range connectionFields {
-		delete(out, k)
-	}
-	return out
-}
--- a/internal/rpc/peers/client.go
+++ b/internal/rpc/peers/client.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/clock/timer"
 	"github.com/snipefront/snipefront/internal/control/leader"
 	"github.com/snipefront/snipefront/internal/control/state"
 	"github.com/snipefront/snipefront/internal/quorum/codec"
@@ -177,16 +178,7 @@
 
 // Run forgets addresses that are no longer called until ctx ends.
 func (c *Client) Run(ctx context.Context) error {
-	t := time.NewTicker(expiryInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-t.C:
-			c.Expire(now)
-		}
-	}
+	return timer.Every(ctx, expiryInterval, func(now time.Time) { c.Expire(now) })
 }
 
 // Expire forgets the addresses that were not called for some time, and returns
--- a/internal/stand/bench/choose.go
+++ b/internal/stand/bench/choose.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/clock/timer"
 )
 
 const (
@@ -73,11 +74,11 @@
 		if dataCentre(int(entry)) != b.announced.DataCentre {
 			hop = far
 		}
-		if !sleep(ctx, hop) {
+		if !timer.Sleep(ctx, hop) {
 			return late
 		}
 		s = b.serve(ctx, l.work)
-		if s == late || !sleep(ctx, hop) {
+		if s == late || !timer.Sleep(ctx, hop) {
 			return late
 		}
 		if s != shed {
--- a/internal/stand/bench/fleet.go
+++ b/internal/stand/bench/fleet.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/clock/timer"
 	"github.com/snipefront/snipefront/internal/control/member"
 	"github.com/snipefront/snipefront/internal/dispatch/budget"
 	"github.com/snipefront/snipefront/internal/dispatch/cell"
@@ -269,11 +270,11 @@
 	if f.from.DataCentre != c.DataCentre {
 		hop = far
 	}
-	if !sleep(ctx, hop) {
+	if !timer.Sleep(ctx, hop) {
 		return peers.Answer{}, context.DeadlineExceeded
 	}
 	a, err := f.fleet.router(address).Forwarded(ctx, c, r, mayQueue)
-	if !sleep(ctx, hop) {
+	if !timer.Sleep(ctx, hop) {
 		return peers.Answer{}, context.DeadlineExceeded
 	}
 	return a, err
--- a/internal/stand/bench/run.go
+++ b/internal/stand/bench/run.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/clock/timer"
 )
 
 const (
@@ -119,7 +120,7 @@
 		s, publish = c, func(map[string]bool) {}
 		go func() {
 			defer close(done)
-			for sleep(ctx, reportInterval) {
+			for timer.Sleep(ctx, reportInterval) {
 				c.sample()
 			}
 		}()
@@ -139,19 +140,19 @@
 // trouble brings about the faults of l.
 func trouble(ctx context.Context, l Load, servers []*backend, publish func(map[string]bool)) {
 	if l.Leave {
-		if !sleep(ctx, settle+l.Length/3) {
+		if !timer.Sleep(ctx, settle+l.Length/3) {
 			return
 		}
 		move(servers, true)
 		publish(map[string]bool{dataCentre(0): true})
-		if !sleep(ctx, l.Length/3) {
+		if !timer.Sleep(ctx, l.Length/3) {
 			return
 		}
 		move(servers, false)
 		publish(nil)
 		return
 	}
-	if !sleep(ctx, settle+l.Length/2) {
+	if !timer.Sleep(ctx, settle+l.Length/2) {
 		return
 	}
 	for i, b := range servers {
--- a/internal/stand/bench/server.go
+++ b/internal/stand/bench/server.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/clock/timer"
 )
 
 const (
@@ -70,7 +71,7 @@
 		return late
 	}
 	now := time.Now()
-	if !sleep(ctx, b.finish(now, work).Sub(now)) {
+	if !timer.Sleep(ctx, b.finish(now, work).Sub(now)) {
 		return late
 	}
 	return answered
@@ -175,15 +176,3 @@
 	x = (x ^ x>>27) * 0x94d049bb133111eb
 	return x ^ x>>31
 }
-
-// sleep waits for d and returns false where ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/stand/caller/caller.go
+++ b/internal/stand/caller/caller.go
@@ -22,6 +22,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/snipefront/snipefront/internal/clock/timer"
 )
 
 const (
@@ -264,18 +266,7 @@
 
 // sleepUntil returns false where ctx ended first.
 func sleepUntil(ctx context.Context, at time.Time) bool {
-	d := time.Until(at)
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return timer.Sleep(ctx, time.Until(at))
 }
 
 func await(ended <-chan struct{}, n int) {
--- a/internal/stand/shift/shift.go
+++ b/internal/stand/shift/shift.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/clock/timer"
 	"github.com/snipefront/snipefront/internal/dispatch/direct"
 	"github.com/snipefront/snipefront/internal/dispatch/look"
 )
@@ -201,12 +202,5 @@
 	s.mu.Lock()
 	takes := float64(s.Kind.Work) * max(0.2, 1+s.Kind.Spread*s.Random.NormFloat64()) * s.paceOf(v)
 	s.mu.Unlock()
-	t := time.NewTimer(time.Duration(takes))
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return timer.Sleep(ctx, time.Duration(takes))
 }
