control/fleet: tell instances when the last data centre is back in service

Cause: an empty list of data centres out of service was encoded as null, which a reader takes for no change, so that a data centre that was brought back got nothing until the instances were started anew. Change: the list is never nil. The test of the whole path found it; the random test of deltas now sends them as they are sent between processes, and failed before.

--- a/internal/control/fleet/delta.go
+++ b/internal/control/fleet/delta.go
@@ -53,7 +53,9 @@
 		}
 	}
 	if d.Whole || s.data.OutIndex > held {
-		out := slices.Sorted(maps.Keys(s.data.Out))
+		// An empty list is not nil, which would say that nothing has changed.
+		out := slices.AppendSeq([]string{}, maps.Keys(s.data.Out))
+		slices.Sort(out)
 		d.Out = &out
 	}
 	if !d.Whole {
--- a/internal/control/fleet/fleet_test.go
+++ b/internal/control/fleet/fleet_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"encoding/json"
 	"reflect"
 	"testing"
 
@@ -121,11 +122,11 @@
 func TestDeltasAddUpToTheState(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		l := newLog()
-		v := fleet.View{}.Add(l.Since(0))
+		v := fleet.View{}.Add(sent(t, l.Since(0)))
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			l.do(t, command(t))
 			if rapid.IntRange(0, 3).Draw(t, "read") == 0 {
-				v = v.Add(l.Since(v.Index))
+				v = v.Add(sent(t, l.Since(v.Index)))
 			}
 			if rapid.IntRange(0, 9).Draw(t, "restart") == 0 {
 				b, err := l.Snapshot()
@@ -138,13 +139,26 @@
 				}
 			}
 		}
-		v = v.Add(l.Since(v.Index))
+		v = v.Add(sent(t, l.Since(v.Index)))
 		if w := l.View(); !reflect.DeepEqual(v, w) {
 			t.Fatalf("a reader holds\n%+v\nthe state is\n%+v", v, w)
 		}
 	})
 }
 
+// sent returns d as it arrives at a reader.
+func sent(t *rapid.T, d fleet.Delta) fleet.Delta {
+	b, err := json.Marshal(d)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var arrived fleet.Delta
+	if err := json.Unmarshal(b, &arrived); err != nil {
+		t.Fatal(err)
+	}
+	return arrived
+}
+
 func command(t *rapid.T) fleet.Command {
 	name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name")
 	number := rapid.Uint64Range(1, 5).Draw(t, "number")
