quorum/raft: count a peer as silent only since the leader met it

Cause: a replica that joined an open group more than twelve election timeouts after the election counted as silent since then, and was taken out again right after it was let in, without end.

--- a/internal/quorum/raft/elect.go
+++ b/internal/quorum/raft/elect.go
@@ -23,6 +23,7 @@
 // Tick does what is due at the instant now. It is called when Due has come, and
 // may be called at any time.
 func (r *Replica) Tick(now time.Time) {
+	r.now = now
 	if r.role == leading {
 		r.tickLeader(now)
 		return
--- a/internal/quorum/raft/members.go
+++ b/internal/quorum/raft/members.go
@@ -74,7 +74,7 @@
 		}
 		p := r.peers[m.Identity]
 		if p == nil {
-			p = &peer{next: r.log.last() + 1}
+			p = &peer{next: r.log.last() + 1, met: r.now.Sub(r.start)}
 		}
 		p.Member = m
 		keep[m.Identity] = p
@@ -222,10 +222,10 @@
 	}
 }
 
-// silent returns the time since the peer p last answered, and at most since the
-// election of this leader.
+// silent returns the time since the peer p last answered, and at most since this
+// leader met it.
 func (r *Replica) silent(now time.Time, p *peer) time.Duration {
-	return min(now.Sub(r.start)-p.answered, now.Sub(r.elected))
+	return now.Sub(r.start) - max(p.answered, p.met)
 }
 
 func (r *Replica) voters() int {
--- a/internal/quorum/raft/raft.go
+++ b/internal/quorum/raft/raft.go
@@ -108,8 +108,9 @@
 
 	role   role
 	leader string
-	// start is the instant from which Sent counts.
+	// start is the instant from which Sent counts, now that of the last call.
 	start time.Time
+	now   time.Time
 	// heard is when a leader was last heard or the replica started.
 	heard    time.Time
 	deadline time.Time
@@ -149,6 +150,8 @@
 	next  uint64
 	// known is true once an Append was accepted, so that match is exact.
 	known bool
+	// met is when this leader began to send to the peer, counted from start.
+	met time.Duration
 	// beaten is match at the last heartbeat.
 	beaten uint64
 	// answered is the latest Sent that the peer echoed.
@@ -160,6 +163,7 @@
 // Start takes in what was saved.
 func (r *Replica) Start(now time.Time, h HardState, s Snapshot, entries []Entry) {
 	r.start = now
+	r.now = now
 	r.heard = now
 	r.hard = h
 	r.snapshot = s
@@ -257,6 +261,9 @@
 // Leads returns whether this replica is the leader of its term.
 func (r *Replica) Leads() bool { return r.role == leading }
 
+// LastIndex returns the index of the last entry of the log.
+func (r *Replica) LastIndex() uint64 { return r.log.last() }
+
 // Term returns the current term.
 func (r *Replica) Term() uint64 { return r.hard.Term }
 
--- a/internal/quorum/raft/step.go
+++ b/internal/quorum/raft/step.go
@@ -4,6 +4,7 @@
 
 // Step takes in a message.
 func (r *Replica) Step(now time.Time, m Message) {
+	r.now = now
 	switch {
 	case m.Kind == Join:
 		r.stepJoin(m)
