--- a/internal/config/client/wire.go
+++ b/internal/config/client/wire.go
@@ -26,10 +26,10 @@
 
 // Change replaces the whole folder.
 type Change struct {
-	// ChangeID is chosen by the sender. A change that is sent again with the
+	// ChangeID comes from the sender. A change that is sent again with the
 	// same ID gets the first result.
 	ChangeID string
-	// Version is the revision that the change was made against.
+	// Version is the revision to which the change applies.
 	Version uint64
 	Files   []File
 }
--- a/internal/control/fleet/command.go
+++ b/internal/control/fleet/command.go
@@ -89,6 +89,27 @@
 	return b, errors.Wrap(err, "encode command")
 }
 
+// Kind names the change, for metrics and logs.
+func (c Command) Kind() string {
+	switch {
+	case c.Configure != nil:
+		return "configure"
+	case c.Register != nil:
+		return "register"
+	case c.Deregister != nil:
+		return "deregister"
+	case c.Join != nil:
+		return "join"
+	case c.Part != nil:
+		return "part"
+	case c.Serve != nil:
+		return "serve"
+	case c.Suspect != nil:
+		return "suspect"
+	}
+	return "read"
+}
+
 func (s *State) apply(index uint64, c Command) Result {
 	changed := false
 	switch {
--- a/internal/control/keeper/keeper.go
+++ b/internal/control/keeper/keeper.go
@@ -47,6 +47,11 @@
 	Submit(ctx context.Context, command []byte) ([]byte, error)
 }
 
+// Counter counts proposed changes by their kind.
+type Counter interface {
+	Proposed(kind string, committed bool, taken time.Duration)
+}
+
 // Keeper keeps the fleet. Set the exported fields before Run.
 type Keeper struct {
 	// Self is this instance. Its name is its peer address, its own keeper itself.
@@ -54,7 +59,9 @@
 	State  *fleet.State
 	Log    Log
 	Submit Submitter
-	Logger *slog.Logger
+	// Counter counts proposed changes. Nil counts none.
+	Counter Counter
+	Logger  *slog.Logger
 
 	once sync.Once
 	// joins holds the instances whose registration is to be proposed.
@@ -86,7 +93,10 @@
 // Configure puts the configuration d into force, where its version is higher than
 // the one in force.
 func (k *Keeper) Configure(ctx context.Context, d fleet.Document) error {
-	_, err := k.propose(ctx, fleet.Command{Configure: &d})
+	r, err := k.propose(ctx, fleet.Command{Configure: &d})
+	if err == nil {
+		k.Logger.Info("configuration accepted", "version", d.Version, "changed", r.Changed)
+	}
 	return err
 }
 
@@ -102,7 +112,10 @@
 
 // Serve takes a data centre out of service or back.
 func (k *Keeper) Serve(ctx context.Context, c fleet.Serve) error {
-	_, err := k.propose(ctx, fleet.Command{Serve: &c})
+	r, err := k.propose(ctx, fleet.Command{Serve: &c})
+	if err == nil {
+		k.Logger.Info("data centre ordered", "dataCentre", c.DataCentre, "out", c.Out, "changed", r.Changed)
+	}
 	return err
 }
 
@@ -134,12 +147,6 @@
 	return err
 }
 
-// Suspect notes a request under which a backend server fell.
-func (k *Keeper) Suspect(ctx context.Context, s fleet.Suspect) error {
-	_, err := k.propose(ctx, fleet.Command{Suspect: &s})
-	return err
-}
-
 // Watch implements peers.Watcher.
 func (k *Keeper) Watch(ctx context.Context, w peers.Watch) (peers.News, error) {
 	w.Instance.Keeper = k.Self.Name
@@ -225,9 +232,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
+	begun := time.Now()
 	text, err := k.Submit.Submit(ctx, b)
+	if k.Counter != nil {
+		k.Counter.Proposed(c.Kind(), err == nil, time.Since(begun))
+	}
 	if err != nil {
-		k.Logger.Warn("change not committed", "error", err)
+		k.Logger.Warn("change not committed", "kind", c.Kind(), "taken", time.Since(begun), "leader", k.Log.Leadership().Leader, "error", err)
 		return fleet.Result{}, errors.WithMessage(ErrUncommitted, err.Error())
 	}
 	return fleet.DecodeResult(text)
--- a/internal/control/keeper/keeper_test.go
+++ b/internal/control/keeper/keeper_test.go
@@ -9,6 +9,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/snipefront/snipefront"
 	"github.com/snipefront/snipefront/internal/control/fleet"
 	"github.com/snipefront/snipefront/internal/control/keeper"
@@ -21,6 +23,8 @@
 	index  atomic.Uint64
 	lost   atomic.Bool
 	silent []string
+	// members are c1 and c2 where this is nil.
+	members []string
 }
 
 // Submit implements keeper.Submitter.
@@ -40,7 +44,12 @@
 func (l *log) Silent() []string { return l.silent }
 
 // Members implements keeper.Log.
-func (l *log) Members() []string { return []string{"c1", "c2"} }
+func (l *log) Members() []string {
+	if l.members != nil {
+		return l.members
+	}
+	return []string{"c1", "c2"}
+}
 
 func newKeeper() (*keeper.Keeper, *log) {
 	l := &log{state: &fleet.State{}}
@@ -91,3 +100,148 @@
 		}
 	})
 }
+
+// run runs k until the test ends.
+func run(t *testing.T, k *keeper.Keeper) {
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- k.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// TestHeartbeatWithoutNewsIsNotProposed shows that only changes reach the log, and
+// that a late heartbeat is none.
+func TestHeartbeatWithoutNewsIsNotProposed(t *testing.T) {
+	k, l := newKeeper()
+	for n := uint64(1); n < 10; n++ {
+		if err := k.Heartbeat(t.Context(), server("s", "a:1", 5, n)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if n := l.index.Load(); n != 1 {
+		t.Errorf("%d commands for heartbeats without news, want 1", n)
+	}
+	leaving := server("s", "a:1", 5, 10)
+	leaving.Draining = true
+	if err := k.Heartbeat(t.Context(), leaving); err != nil {
+		t.Fatal(err)
+	}
+	if err := k.Heartbeat(t.Context(), server("s", "a:1", 5, 9)); err != nil {
+		t.Fatal(err)
+	}
+	if s, _ := l.state.Server("s"); !s.Draining {
+		t.Error("a late heartbeat took back that the backend server leaves")
+	}
+}
+
+// TestSilentServerIsTakenOut shows that heartbeats keep a backend server and that it
+// goes some time after the last one.
+func TestSilentServerIsTakenOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		k, l := newKeeper()
+		run(t, k)
+		for n := uint64(1); n <= 40; n++ {
+			if err := k.Heartbeat(t.Context(), server("s", "a:1", 5, n)); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(1500 * time.Millisecond)
+		}
+		if _, ok := l.state.Server("s"); !ok {
+			t.Fatal("a backend server with heartbeats was taken out")
+		}
+		time.Sleep(25 * time.Second)
+		if _, ok := l.state.Server("s"); ok {
+			t.Error("a silent backend server is still there")
+		}
+	})
+}
+
+// TestInstanceThatStopsWatchingIsTakenOut shows that callers are not sent to an
+// instance for long after it has fallen silent, and sooner where its connection
+// broke.
+func TestInstanceThatStopsWatchingIsTakenOut(t *testing.T) {
+	for _, broke := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			k, _ := newKeeper()
+			run(t, k)
+			w := peers.Watch{Wait: time.Second}
+			w.Instance.Name, w.Instance.CallerAddress, w.Instance.DataCentre, w.Instance.Ready = "e", "e:1", "dc1", true
+			for range 20 {
+				n, err := k.Watch(t.Context(), w)
+				if err != nil {
+					t.Fatal(err)
+				}
+				w.Held = n.Delta.Index
+			}
+			if list := k.Entries("r", "dc1"); len(list) != 1 {
+				t.Fatalf("callers are sent to %v", list)
+			}
+			limit := 3 * time.Second
+			if broke {
+				limit = time.Second
+				ctx, cancel := context.WithCancel(t.Context())
+				cancel()
+				if _, err := k.Watch(ctx, w); err == nil {
+					t.Error("a broken connection was answered")
+				}
+			}
+			time.Sleep(limit)
+			if list := k.Entries("r", "dc1"); len(list) != 0 {
+				t.Errorf("callers are sent to %v, %v after it fell silent (connection broke: %v)", list, limit, broke)
+			}
+		})
+	}
+}
+
+// TestLeaderActsForALostKeeper shows that an instance whose keeper is lost with it
+// is taken out, too, and that one whose keeper is there is not.
+func TestLeaderActsForALostKeeper(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		k, l := newKeeper()
+		l.silent = []string{"c2"}
+		for _, name := range []string{"c2", "c3"} {
+			var n fleet.Instance
+			n.Name, n.CallerAddress, n.Keeper, n.Ready = "e-"+name, "e:"+name, name, true
+			b, err := fleet.Command{Join: &n}.Encode()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := l.Submit(t.Context(), b); err != nil {
+				t.Fatal(err)
+			}
+		}
+		l.members = []string{"c1", "c2", "c3"}
+		run(t, k)
+		time.Sleep(10 * time.Second)
+		if _, ok := l.state.Instance("e-c2"); ok {
+			t.Error("the instance of a lost keeper is still there")
+		}
+		if _, ok := l.state.Instance("e-c3"); !ok {
+			t.Error("the instance of another keeper was taken out")
+		}
+	})
+}
+
+// TestUncommittedOrderIsNotAcknowledged shows that an order without a quorum fails.
+func TestUncommittedOrderIsNotAcknowledged(t *testing.T) {
+	k, _ := newKeeper()
+	k.Submit = unreachable{}
+	if err := k.Serve(t.Context(), fleet.Serve{DataCentre: "dc1", Out: true}); !errors.Is(err, keeper.ErrUncommitted) {
+		t.Errorf("the error is %v", err)
+	}
+	if err := k.Heartbeat(t.Context(), server("s", "a:1", 5, 1)); !errors.Is(err, keeper.ErrUncommitted) {
+		t.Errorf("the error is %v", err)
+	}
+}
+
+type unreachable struct{}
+
+// Submit implements keeper.Submitter.
+func (unreachable) Submit(context.Context, []byte) ([]byte, error) {
+	return nil, errors.New("no quorum")
+}
--- a/internal/daemon/core/core.go
+++ b/internal/daemon/core/core.go
@@ -100,10 +100,10 @@
 	}
 }
 
-func newKeeper(s Settings, st *fleet.State, l *driver.Log, a *access.Access, logger *slog.Logger) *keeper.Keeper {
+func newKeeper(s Settings, st *fleet.State, l *driver.Log, a *access.Access, c *stats.Stats, logger *slog.Logger) *keeper.Keeper {
 	self := s.Self
 	self.Keeper = self.Name
-	return &keeper.Keeper{Self: self, State: st, Log: l, Submit: a, Logger: logger}
+	return &keeper.Keeper{Self: self, State: st, Log: l, Submit: a, Counter: c, Logger: logger}
 }
 
 func newPeerServer(l *driver.Log, k *keeper.Keeper) *peers.Server {
--- a/internal/daemon/edge/edge.go
+++ b/internal/daemon/edge/edge.go
@@ -183,6 +183,7 @@
 		return
 	}
 	e.targets.Update(time.Now(), v, t.Routing)
+	e.logger.Info("view taken", "index", v.Index, "version", v.Document.Version, "servers", len(v.Servers), "instances", len(v.Instances), "out", len(v.Out))
 	e.shareSuspects(v)
 	if !e.begun {
 		e.begun = true
--- a/internal/dispatch/direct/direct.go
+++ b/internal/dispatch/direct/direct.go
@@ -189,7 +189,7 @@
 		return p.kept, nil
 	}
 	d.Logger.Info("request given up", "request", c.ID, "service", c.Service, "verdict", e.Verdict, "reason", e.Reason,
-		"status", e.Status, "attempts", p.sent, "dials", p.dials, "retryAfter", e.RetryAfter, "detail", e.Detail)
+		"status", e.Status, "attempts", p.sent, "dials", p.dials, "retryAfter", e.RetryAfter, "targets", len(d.Targets.Candidates(c.Service)), "goalIn", time.Until(c.Goal), "detail", e.Detail)
 	return nil, e
 }
 
--- a/internal/observe/stats/stats.go
+++ b/internal/observe/stats/stats.go
@@ -21,6 +21,7 @@
 	latency  *prometheus.HistogramVec
 	unshared prometheus.Counter
 	control  *prometheus.CounterVec
+	changes  *prometheus.HistogramVec
 }
 
 // New returns metrics in a registry of their own.
@@ -57,6 +58,12 @@
 			Help: "Bytes of the connections that carry the control service, by direction.",
 		}, []string{"direction"}),
 	}
+	s.changes = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name:    "snipefront_change_seconds",
+		Help:    "Time to commit a change of the fleet, by kind and whether it was.",
+		Buckets: prometheus.ExponentialBuckets(0.001, 2, 12),
+	}, []string{"kind", "committed"})
+	s.registry.MustRegister(s.changes)
 	s.registry.MustRegister(s.answers, s.refusals, s.retries, s.probes, s.latency, s.unshared, s.control)
 	s.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return s
@@ -88,6 +95,11 @@
 	s.probes.WithLabelValues(service, strconv.FormatBool(answered)).Inc()
 }
 
+// Proposed counts a change of the fleet that was proposed.
+func (s *Stats) Proposed(kind string, committed bool, taken time.Duration) {
+	s.changes.WithLabelValues(kind, strconv.FormatBool(committed)).Observe(taken.Seconds())
+}
+
 // Retried counts a repeated attempt.
 func (s *Stats) Retried(service string, reason snipefront.Reason) {
 	s.retries.WithLabelValues(service, string(reason)).Inc()
