--- a/internal/control/keeper/keeper.go
+++ b/internal/control/keeper/keeper.go
@@ -187,21 +187,27 @@
 func (k *Keeper) current() bool { return k.Log.Leadership().Leader != "" }
 
 // Entries returns the caller addresses of the instances of a data centre that take
-// requests, and where there are fewer than two, those of its whole region. An
-// unknown region stands for all.
+// requests, where there are fewer than two those of its region, and where there
+// are fewer than two again those of all regions.
 func (k *Keeper) Entries(region, dataCentre string) []string {
-	var near, all []string
+	var near, within, all []string
 	for _, n := range k.State.View().Instances {
 		if !n.Ready || n.Control {
 			continue
 		}
 		all = append(all, n.CallerAddress)
+		if n.Region == region {
+			within = append(within, n.CallerAddress)
+		}
 		if n.DataCentre == dataCentre {
 			near = append(near, n.CallerAddress)
 		}
 	}
-	if len(near) >= minEntries {
-		all = near
+	for _, list := range [][]string{near, within} {
+		if len(list) >= minEntries {
+			all = list
+			break
+		}
 	}
 	slices.Sort(all)
 	return all
--- a/internal/control/keeper/keeper_test.go
+++ b/internal/control/keeper/keeper_test.go
@@ -60,10 +60,10 @@
 	}, l
 }
 
-func server(name, address string, incarnation, sequence uint64) fleet.Server {
+func server(sequence uint64) fleet.Server {
 	var n fleet.Server
-	n.Name, n.Service, n.DataCentre, n.Address = name, "balance", "dc1", address
-	n.Incarnation, n.Sequence, n.Slots = incarnation, sequence, 2
+	n.Name, n.Service, n.DataCentre, n.Address = "s", "balance", "dc1", "a:1"
+	n.Incarnation, n.Sequence, n.Slots = 5, sequence, 2
 	return n
 }
 
@@ -119,19 +119,19 @@
 func TestHeartbeatWithoutNewsIsNotProposed(t *testing.T) {
 	k, l := newKeeper()
 	for n := uint64(1); n < 10; n++ {
-		if err := k.Heartbeat(t.Context(), server("s", "a:1", 5, n)); err != nil {
+		if err := k.Heartbeat(t.Context(), server(n)); err != nil {
 			t.Fatal(err)
 		}
 	}
 	if n := l.index.Load(); n != 1 {
 		t.Errorf("%d commands for heartbeats without news, want 1", n)
 	}
-	leaving := server("s", "a:1", 5, 10)
+	leaving := server(10)
 	leaving.Draining = true
 	if err := k.Heartbeat(t.Context(), leaving); err != nil {
 		t.Fatal(err)
 	}
-	if err := k.Heartbeat(t.Context(), server("s", "a:1", 5, 9)); err != nil {
+	if err := k.Heartbeat(t.Context(), server(9)); err != nil {
 		t.Fatal(err)
 	}
 	if s, _ := l.state.Server("s"); !s.Draining {
@@ -146,7 +146,7 @@
 		k, l := newKeeper()
 		run(t, k)
 		for n := uint64(1); n <= 40; n++ {
-			if err := k.Heartbeat(t.Context(), server("s", "a:1", 5, n)); err != nil {
+			if err := k.Heartbeat(t.Context(), server(n)); err != nil {
 				t.Fatal(err)
 			}
 			time.Sleep(1500 * time.Millisecond)
@@ -234,7 +234,7 @@
 	if err := k.Serve(t.Context(), fleet.Serve{DataCentre: "dc1", Out: true}); !errors.Is(err, keeper.ErrUncommitted) {
 		t.Errorf("the error is %v", err)
 	}
-	if err := k.Heartbeat(t.Context(), server("s", "a:1", 5, 1)); !errors.Is(err, keeper.ErrUncommitted) {
+	if err := k.Heartbeat(t.Context(), server(1)); !errors.Is(err, keeper.ErrUncommitted) {
 		t.Errorf("the error is %v", err)
 	}
 }
--- a/internal/daemon/serve/serve.go
+++ b/internal/daemon/serve/serve.go
@@ -59,7 +59,7 @@
 	}
 	g.Go(ctx, name, func(ctx context.Context) error {
 		stop := context.AfterFunc(ctx, func() {
-			closing, cancel := context.WithTimeout(context.Background(), closeTimeout)
+			closing, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeTimeout)
 			defer cancel()
 			if err := s.Shutdown(closing); err != nil {
 				s.Close()
--- a/internal/entry/pipe/conn.go
+++ b/internal/entry/pipe/conn.go
@@ -47,9 +47,10 @@
 	errBodyTooLarge   = errors.New("body over the size limit")
 )
 
-// serve serves the connection until it ends.
-func (c *conn) serve() {
-	ctx, cancel := context.WithCancel(context.Background())
+// serve serves the connection until it ends, which the end of ctx does not bring
+// about by itself.
+func (c *conn) serve(ctx context.Context) {
+	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	defer c.Close()
 	c.limited = io.LimitedReader{R: c.Conn}
--- a/internal/entry/pipe/pipe.go
+++ b/internal/entry/pipe/pipe.go
@@ -90,7 +90,7 @@
 		n, err := l.Accept()
 		switch {
 		case err == nil:
-			s.start(n)
+			s.start(ctx, n)
 		case errors.Is(err, net.ErrClosed):
 			return nil
 		case isTemporary(err):
@@ -140,7 +140,7 @@
 	}
 }
 
-func (s *Server) start(n net.Conn) {
+func (s *Server) start(ctx context.Context, n net.Conn) {
 	c := &conn{Conn: n, server: s}
 	s.mu.Lock()
 	if s.conns == nil {
@@ -151,7 +151,7 @@
 	s.ended.Add(1)
 	go func() {
 		defer s.ended.Done()
-		c.serve()
+		c.serve(ctx)
 		s.mu.Lock()
 		delete(s.conns, c)
 		s.mu.Unlock()
--- a/internal/observe/lines/lines_test.go
+++ b/internal/observe/lines/lines_test.go
@@ -65,6 +65,8 @@
 		if err := <-ended; err != nil {
 			t.Error(err)
 		}
-		w.Close()
+		if err := w.Close(); err != nil {
+			t.Error(err)
+		}
 	})
 }
