dispatch/link, dispatch/look: look over a new connection where the open one is silent

Cause: each unused connection to a backend server that had fallen silent cost a look of its own, and each time the backend server was left alone for longer. Change: a look over an open connection gets 60 ms; then all unused ones are dropped and a new one is tried. Also: backend servers that do not tell their load were taken for three times as slow and their requests held; they count now with what this instance sent to them, are looked at once a second, and a slow look says nothing of them. Tests: link_test, look_test, direct_test.

--- a/internal/dispatch/direct/direct_test.go
+++ b/internal/dispatch/direct/direct_test.go
@@ -29,6 +29,8 @@
 	mu   sync.Mutex
 	down map[string]bool
 	sent []string
+	// untold is true where reports have no figures.
+	untold bool
 	// busy is the number of requests of others at each server.
 	busy int
 }
@@ -48,7 +50,7 @@
 	if s.down[t.Server.Name] {
 		return look.Report{}, errors.New("refused")
 	}
-	return look.Report{At: time.Now(), Known: true, Healthy: true, Running: s.busy, Slots: 2, Pace: 1}, nil
+	return look.Report{At: time.Now(), Known: !s.untold, Healthy: true, Running: s.busy, Slots: 2, Pace: 1}, nil
 }
 
 // Up implements direct.Link.
@@ -292,3 +294,30 @@
 		}
 	})
 }
+
+// TestServiceThatTellsNoLoadIsServed shows that backend servers whose answers to
+// looks have no figures get requests, spread by what this instance itself sent.
+func TestServiceThatTellsNoLoadIsServed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &script{untold: true, send: func(context.Context, string) direct.Attempt {
+			time.Sleep(100 * time.Millisecond)
+			return answered
+		}}
+		d := newDispatcher(3, s)
+		var all sync.WaitGroup
+		for range 3 {
+			all.Go(func() {
+				begun := time.Now()
+				if _, err := d.Serve(t.Context(), newCall(true)); err != nil || time.Since(begun) > 200*time.Millisecond {
+					t.Errorf("%v after %v", err, time.Since(begun))
+				}
+			})
+			time.Sleep(10 * time.Millisecond)
+		}
+		all.Wait()
+		slices.Sort(s.sent)
+		if len(slices.Compact(s.sent)) != 3 {
+			t.Errorf("three requests at once went to %v", s.sent)
+		}
+	})
+}
--- a/internal/dispatch/direct/estimate.go
+++ b/internal/dispatch/direct/estimate.go
@@ -49,15 +49,11 @@
 	if s.Cold {
 		work *= coldFactor
 	}
-	slots := max(s.Slots, 1)
-	ahead := s.Running
-	if r := s.Report; r.Known && now.Sub(r.At) <= staleAfter {
-		slots = r.Slots
-		ahead = r.Running + r.Waiting + s.Sent
-		if r.Pace > 0 {
-			work *= r.Pace
-		}
-	} else {
+	ahead, slots := ahead(s)
+	switch r := s.Report; {
+	case r.Known && now.Sub(r.At) <= staleAfter && r.Pace > 0:
+		work *= r.Pace
+	case r.At.IsZero() || r.Known && now.Sub(r.At) > staleAfter:
 		work *= unknownFactor
 	}
 	if ahead >= slots+spareRoom {
@@ -74,10 +70,19 @@
 	return total, true
 }
 
+// ahead returns the requests at a target that a further one comes behind, and its
+// slots. A target that does not tell its load has at least those of this instance.
+func ahead(s look.Sight) (requests, slots int) {
+	if r := s.Report; r.Known {
+		return r.Running + r.Waiting + s.Sent, r.Slots
+	}
+	return s.Running, max(s.Slots, 1)
+}
+
 // hasFree returns whether a target has a slot free that no one else needs.
 func hasFree(s look.Sight) bool {
-	r := s.Report
-	return r.Known && float64(r.Running+r.Waiting+s.Sent+1) <= fullShare*float64(r.Slots)
+	requests, slots := ahead(s)
+	return !s.Report.At.IsZero() && float64(requests+1) <= fullShare*float64(slots)
 }
 
 // times learns how long the work of each route takes at each service, and how far to
--- a/internal/dispatch/link/link.go
+++ b/internal/dispatch/link/link.go
@@ -18,8 +18,10 @@
 )
 
 const (
-	// askTimeout bounds one look.
-	askTimeout = 150 * time.Millisecond
+	// askTimeout bounds one look, and reusedTimeout its part over a connection that
+	// was open before.
+	askTimeout    = 150 * time.Millisecond
+	reusedTimeout = 60 * time.Millisecond
 	// maxReportBytes bounds the body of the answer to a look.
 	maxReportBytes = 64 << 10
 	// maxAnswerBytes bounds the body of an answer.
@@ -121,7 +123,7 @@
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	_, err := l.ask(ctx, t)
-	return err == nil
+	return err == nil || errors.Is(err, look.ErrSlow)
 }
 
 // Ask implements look.Asker.
@@ -136,21 +138,43 @@
 	return r, err
 }
 
+// ask asks over a connection that is open, and over a new one where that stays
+// silent or breaks.
 func (l *Link) ask(ctx context.Context, t *look.Target) (look.Report, error) {
-	conn, err := l.Pool.Get(ctx, t.Server.Address, false)
+	c, err := l.Pool.Get(ctx, t.Server.Address, false)
 	if err != nil {
 		return look.Report{}, err
 	}
-	var b bytes.Buffer
-	b.WriteString("GET " + t.Profile.HealthPath + " HTTP/1.1\r\nHost: " + t.Server.Address + "\r\n\r\n")
-	e := pool.Exchange{Head: b.Bytes(), Method: http.MethodGet, MaxBytes: maxReportBytes}
+	if !c.Reused {
+		return l.askOn(ctx, c, t)
+	}
+	short, cancel := context.WithTimeout(ctx, reusedTimeout)
+	r, err := l.askOn(short, c, t)
+	cancel()
+	if err == nil || ctx.Err() != nil {
+		return r, err
+	}
+	l.Pool.Drop(t.Server.Address)
+	if c, err = l.Pool.Get(ctx, t.Server.Address, false); err != nil {
+		return look.Report{}, err
+	}
+	return l.askOn(ctx, c, t)
+}
+
+// askOn asks over c.
+func (l *Link) askOn(ctx context.Context, c *pool.Conn, t *look.Target) (look.Report, error) {
+	head := "GET " + t.Profile.HealthPath + " HTTP/1.1\r\nHost: " + t.Server.Address + "\r\n\r\n"
+	e := pool.Exchange{Head: []byte(head), Method: http.MethodGet, MaxBytes: maxReportBytes}
 	at := time.Now()
-	reusable, err := e.Do(ctx, conn)
+	reusable, err := e.Do(ctx, c)
+	if err != nil && ctx.Err() != nil {
+		return look.Report{}, errors.WithMessage(look.ErrSlow, err.Error())
+	}
 	if err != nil {
 		return look.Report{}, err
 	}
 	if reusable {
-		l.Pool.Put(conn)
+		l.Pool.Put(c)
 	}
 	return look.ReportOf(l.Fields, e.Response.StatusCode, e.Response.Header, at), nil
 }
--- a/internal/dispatch/look/look_test.go
+++ b/internal/dispatch/look/look_test.go
@@ -200,3 +200,17 @@
 		t.Error("a new start has requests of the old one")
 	}
 }
+
+// TestSlowLookSaysNothingOfTargetThatTellsNoLoad shows that a target whose health
+// path waits for a slot like any request is not left alone for that.
+func TestSlowLookSaysNothingOfTargetThatTellsNoLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, target := newSet("e1", func(*fleet.Server) {})
+		target.Look(t.Context(), &asker{report: look.Report{Healthy: true}})
+		time.Sleep(2 * time.Second)
+		target.Look(t.Context(), &asker{err: errors.WithMessage(look.ErrSlow, "no answer")})
+		if !target.Available(time.Now()) {
+			t.Error("it is left alone")
+		}
+	})
+}
--- a/internal/dispatch/look/target.go
+++ b/internal/dispatch/look/target.go
@@ -7,13 +7,17 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/snipefront/snipefront"
 	"github.com/snipefront/snipefront/internal/control/fleet"
 )
 
 const (
-	// lifetime is how long a report is good for.
-	lifetime = 30 * time.Millisecond
+	// lifetime is how long a report is good for, and untoldLifetime the same for one
+	// without figures of the load, which tells only that the target is there.
+	lifetime       = 30 * time.Millisecond
+	untoldLifetime = time.Second
 	// firstPause and maxPause are the times for which a backend server that could
 	// not be reached is left alone. The pause doubles with each failure in a row.
 	firstPause = 200 * time.Millisecond
@@ -22,6 +26,11 @@
 	faultWeight = 0.25
 )
 
+// ErrSlow means that a look was not answered in time, over a connection that could
+// be opened. It says little of a target whose health path waits for a slot, as it
+// may where a service does not tell its load.
+var ErrSlow = errors.New("look not answered in time")
+
 // Target is a backend server as this instance sees it. It is never changed; a new
 // registration makes a new Target of the same state.
 type Target struct {
@@ -159,7 +168,7 @@
 // answer or ctx ends.
 func (t *Target) Look(ctx context.Context, asker Asker) {
 	t.mu.Lock()
-	if time.Since(t.report.At) < lifetime {
+	if t.isFresh() {
 		t.mu.Unlock()
 		return
 	}
@@ -176,6 +185,12 @@
 	}
 }
 
+// isFresh returns whether the report is good. The lock is held.
+func (t *Target) isFresh() bool {
+	age := time.Since(t.report.At)
+	return age < lifetime || !t.report.Known && !t.report.At.IsZero() && age < untoldLifetime
+}
+
 // ask asks for the load and closes ended.
 func (t *Target) ask(asker Asker, ended chan struct{}) {
 	r, err := asker.Ask(t)
@@ -183,6 +198,10 @@
 	defer t.mu.Unlock()
 	t.looking = nil
 	close(ended)
+	if errors.Is(err, ErrSlow) && !t.report.Known && !t.report.At.IsZero() {
+		t.report.At = time.Now()
+		return
+	}
 	if err != nil || r.Server != "" && r.Server != t.Server.Name {
 		t.miss(time.Now())
 		return
