--- a/internal/control/fleet/delta.go
+++ b/internal/control/fleet/delta.go
@@ -76,7 +76,14 @@
 
 // Add returns v with the changes of d. It leaves v as it is.
 func (v View) Add(d Delta) View {
-	next := View{Index: d.Index, Document: v.Document, Servers: map[string]Server{}, Instances: map[string]Instance{}, Suspects: map[uint64]Suspect{}, Out: v.Out}
+	next := View{
+		Index:     d.Index,
+		Document:  v.Document,
+		Servers:   map[string]Server{},
+		Instances: map[string]Instance{},
+		Suspects:  map[uint64]Suspect{},
+		Out:       v.Out,
+	}
 	if !d.Whole {
 		maps.Copy(next.Servers, v.Servers)
 		maps.Copy(next.Instances, v.Instances)
--- a/internal/dispatch/direct/choose.go
+++ b/internal/dispatch/direct/choose.go
@@ -32,7 +32,7 @@
 	warmUpShare = 0.9
 )
 
-// choice is a target with a request reserved at it.
+// choice is the target that is best for a request.
 type choice struct {
 	target *look.Target
 	// takes is how long the request will take there, as estimated.
@@ -53,13 +53,9 @@
 		now := time.Now()
 		inTime := ok && !now.Add(best.takes).After(c.Goal)
 		hopeful := now.Add(unit).Before(c.Goal)
-		switch {
-		case inTime, ok && !hopeful && (best.load <= calmLoad || hasFree(best.sight)):
-			if d.reserve(now, best.target) {
-				return best, true
-			}
-		case !hopeful && !ok:
-			return choice{}, false
+		spare := ok && !hopeful && (best.load <= calmLoad || hasFree(best.sight))
+		if (inTime || spare) && d.reserve(now, best.target) {
+			return best, true
 		}
 		if !hopeful || !timer.Sleep(ctx, holdStep) {
 			d.Logger.Info("no target in time", "request", c.ID, "service", c.Service, "goalIn", time.Until(c.Goal), "usual", unit,
--- a/internal/dispatch/direct/direct.go
+++ b/internal/dispatch/direct/direct.go
@@ -112,21 +112,21 @@
 	p := progress{verdict: snipefront.NotRun, avoid: map[string]bool{}}
 	for {
 		if time.Until(c.Deadline) < leastTime || ctx.Err() != nil {
-			return d.end(ctx, c, &p, late(ctx, &p))
+			return d.end(c, &p, late(ctx, &p))
 		}
 		if a, left := d.Poison.Admit(time.Now(), c.Fingerprint); a == poison.Quarantined {
-			return d.end(ctx, c, &p, weaken(poison.Refusal(left), p.verdict))
+			return d.end(c, &p, weaken(poison.Refusal(left), p.verdict))
 		}
 		t, ok := d.choose(ctx, c, p.avoid)
 		if !ok {
-			return d.end(ctx, c, &p, d.noRoom(ctx, c, &p))
+			return d.end(c, &p, d.noRoom(ctx, c, &p))
 		}
 		a := d.run(ctx, c, &p, t)
 		if a.Response != nil && !isFailure(a.Response) {
 			return a.Response, nil
 		}
 		if !d.mayRepeat(ctx, c, &p) {
-			return d.end(ctx, c, &p, d.failed(ctx, c, &p))
+			return d.end(c, &p, failed(ctx, &p))
 		}
 		d.Counter.Retried(c.Service, a.Reason)
 	}
@@ -184,7 +184,7 @@
 }
 
 // end returns the kept answer of a backend server, or else e.
-func (d *Dispatcher) end(_ context.Context, c *Call, p *progress, e *snipefront.Error) (*snipefront.Response, error) {
+func (d *Dispatcher) end(c *Call, p *progress, e *snipefront.Error) (*snipefront.Response, error) {
 	if p.kept != nil {
 		return p.kept, nil
 	}
@@ -211,7 +211,7 @@
 	case ctx.Err() != nil:
 		return late(ctx, p)
 	case p.verdict != snipefront.NotRun:
-		return d.failed(ctx, c, p)
+		return failed(ctx, p)
 	case len(d.Targets.Candidates(c.Service)) == 0:
 		return snipefront.Refused(snipefront.ReasonNoBackendServer, retryAfter, "no backend server takes requests")
 	}
@@ -219,7 +219,7 @@
 }
 
 // failed is the final answer after the last attempt.
-func (d *Dispatcher) failed(ctx context.Context, _ *Call, p *progress) *snipefront.Error {
+func failed(ctx context.Context, p *progress) *snipefront.Error {
 	if ctx.Err() != nil {
 		return late(ctx, p)
 	}
--- a/internal/dispatch/probe/probe.go
+++ b/internal/dispatch/probe/probe.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/clock/timer"
 	"github.com/snipefront/snipefront/internal/dispatch/budget"
 	"github.com/snipefront/snipefront/internal/dispatch/cell"
 )
@@ -50,16 +51,7 @@
 
 // Run sends probes until ctx ends. Probes are sent one at a time.
 func (p *Prober) Run(ctx context.Context) error {
-	t := time.NewTicker(interval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-			p.step(ctx)
-		}
-	}
+	return timer.Every(ctx, interval, func(time.Time) { p.step(ctx) })
 }
 
 // step probes one backend server at most.
