rpc/peers: serve the path of requests where only suspects are shared

Cause: since the control service can stand alone, the other one was left out without an Owner, so that an instance that only shares suspects answered none.

--- a/internal/rpc/peers/server.go
+++ b/internal/rpc/peers/server.go
@@ -52,9 +52,9 @@
 }
 
 // Route adds the services to r: that of the path of requests where there is an
-// Owner, that of control where there is a Leader or a Watcher.
+// Owner or there are Suspects, that of control where there is a Leader or a Watcher.
 func (s *Server) Route(r *mux.Router) {
-	if s.Owner != nil {
+	if s.Owner != nil || s.Suspects != nil {
 		r.PathPrefix(wire.PeerPathPrefix).Handler(dateless(http.MaxBytesHandler(wire.NewPeerServer(s), s.maxBytes())))
 	}
 	if s.Leader != nil || s.Watcher != nil {
