--- a/internal/control/fleet/command.go
+++ b/internal/control/fleet/command.go
@@ -172,7 +172,7 @@
 	return true
 }
 
-// follows returns whether n is a later word than old of the same backend server.
+// follows returns whether n was sent after old by the same backend server.
 func (n Server) follows(old Server) bool {
 	if n.Incarnation != old.Incarnation {
 		return n.Incarnation > old.Incarnation
--- a/internal/control/fleet/fleet_test.go
+++ b/internal/control/fleet/fleet_test.go
@@ -43,16 +43,16 @@
 	return l.do(t, fleet.Command{Register: n}).Changed
 }
 
-// TestLaterWordOfAServerHolds shows which of two words of a backend server counts.
-func TestLaterWordOfAServerHolds(t *testing.T) {
+// TestLaterHeartbeatHolds shows which of two heartbeats of a backend server counts.
+func TestLaterHeartbeatHolds(t *testing.T) {
 	l := newLog()
 	l.register(t, server("s", "a:1", 5, 3))
 	draining := server("s", "a:1", 5, 4)
 	draining.Draining = true
 	l.register(t, draining)
 	for name, n := range map[string]*fleet.Server{
-		"late word":              server("s", "a:1", 5, 3),
-		"word of an older start": server("s", "a:1", 4, 90),
+		"late heartbeat":              server("s", "a:1", 5, 3),
+		"heartbeat of an older start": server("s", "a:1", 4, 90),
 	} {
 		if l.register(t, n) {
 			t.Errorf("a %s was taken in", name)
@@ -77,11 +77,11 @@
 		t.Error("the earlier backend server still has the address")
 	}
 	if l.register(t, server("old", "a:1", 5, 4)) {
-		t.Error("a delayed word of the earlier one was taken in")
+		t.Error("a delayed heartbeat of the earlier one was taken in")
 	}
 }
 
-// TestLeftServerStaysAway shows that a delayed word does not bring back a backend
+// TestLeftServerStaysAway shows that a delayed heartbeat does not bring back a backend
 // server that has left, and that one which merely fell silent may come back.
 func TestLeftServerStaysAway(t *testing.T) {
 	l := newLog()
--- a/internal/control/keeper/keeper.go
+++ b/internal/control/keeper/keeper.go
@@ -127,7 +127,7 @@
 		return nil
 	}
 	old, ok := k.State.Server(n.Name)
-	if ok && sameWord(old, n) {
+	if ok && isUnchanged(old, n) {
 		return nil
 	}
 	r, err := k.propose(ctx, fleet.Command{Register: &n})
@@ -250,8 +250,8 @@
 	return fleet.DecodeResult(text)
 }
 
-// sameWord returns whether n says nothing that old does not.
-func sameWord(old, n fleet.Server) bool {
+// isUnchanged returns whether n brings nothing new after old.
+func isUnchanged(old, n fleet.Server) bool {
 	n.Draining = n.Draining || old.Draining
 	same := old.BackendServer == n.BackendServer && old.Version == n.Version && old.Keeper == n.Keeper
 	return same && (old.ColdMillis > 0) == (n.ColdMillis > 0)
--- a/internal/dispatch/direct/estimate.go
+++ b/internal/dispatch/direct/estimate.go
@@ -30,13 +30,13 @@
 	usualShare = 0.3
 	// usualStep is the factor by which one answer moves the usual time of work.
 	usualStep = 1.04
-	// cautionUp and cautionDown are the factors by which an answer later or sooner
-	// than estimated moves the caution. They even out where one in seven is later.
-	cautionUp   = 1.08
-	cautionDown = 1.013
-	// firstCaution is the caution where nothing is known, maxCaution its bound.
-	firstCaution = 1.2
-	maxCaution   = 2.5
+	// safetyUp and safetyDown are the factors by which an answer later or sooner
+	// than estimated moves the safety factor. They even out where one in seven is later.
+	safetyUp   = 1.08
+	safetyDown = 1.013
+	// firstSafety is the safety factor where nothing is known, maxSafety its bound.
+	firstSafety = 1.2
+	maxSafety   = 2.5
 )
 
 // Estimate returns how long a request would take at a target, where unit is the
@@ -99,8 +99,8 @@
 type timing struct {
 	// usual is the median time of work at an idle target of the usual pace.
 	usual time.Duration
-	// caution is the multiple of an estimate that few answers exceed.
-	caution float64
+	// safety is the factor on estimates that few answers exceed.
+	safety float64
 }
 
 func (c *Call) work() work { return work{route: c.Route, service: c.Service} }
@@ -110,14 +110,14 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	w := t.at(c)
-	return time.Duration(w.caution * float64(w.usual))
+	return time.Duration(w.safety * float64(w.usual))
 }
 
 // at returns what is known of the work of c. The lock is held.
 func (t *times) at(c *Call) *timing {
 	w := t.known[c.work()]
 	if w == nil {
-		w = &timing{usual: time.Duration(usualShare * float64(time.Until(c.Goal))), caution: firstCaution}
+		w = &timing{usual: time.Duration(usualShare * float64(time.Until(c.Goal))), safety: firstSafety}
 		w.usual = max(time.Millisecond, w.usual)
 		if t.known == nil {
 			t.known = map[work]*timing{}
@@ -134,14 +134,14 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	w := t.at(c)
-	if float64(taken)*w.caution > float64(takes) {
+	if float64(taken)*w.safety > float64(takes) {
 		w.usual = time.Duration(float64(w.usual) * usualStep)
 	} else {
 		w.usual = max(time.Millisecond, time.Duration(float64(w.usual)/usualStep))
 	}
 	if taken > takes {
-		w.caution = min(maxCaution, w.caution*cautionUp)
+		w.safety = min(maxSafety, w.safety*safetyUp)
 	} else {
-		w.caution = max(1, w.caution/cautionDown)
+		w.safety = max(1, w.safety/safetyDown)
 	}
 }
--- a/internal/dispatch/direct/load_test.go
+++ b/internal/dispatch/direct/load_test.go
@@ -21,9 +21,9 @@
 	"github.com/snipefront/snipefront/internal/stand/shift"
 )
 
-// shop is a fleet of dispatchers before shifting backend servers, with callers that
+// site is a fleet of dispatchers before shifting backend servers, with callers that
 // come back once after a refusal.
-type shop struct {
+type site struct {
 	servers     *shift.Servers
 	dispatchers []*direct.Dispatcher
 	callers     callers
@@ -53,9 +53,9 @@
 	service     = "status"
 )
 
-// newShop returns a shop of instances and servers spread over the data centres.
-func newShop(seed uint64, instances, servers int, k shift.Kind, c callers) *shop {
-	s := &shop{servers: &shift.Servers{Kind: k, Random: rand.New(rand.NewPCG(seed, 1))}, callers: c}
+// newSite returns a site of instances and servers spread over the data centres.
+func newSite(seed uint64, instances, servers int, k shift.Kind, c callers) *site {
+	s := &site{servers: &shift.Servers{Kind: k, Random: rand.New(rand.NewPCG(seed, 1))}, callers: c}
 	v := fleet.View{Servers: map[string]fleet.Server{}, Instances: map[string]fleet.Instance{}}
 	for i := range servers {
 		var n fleet.Server
@@ -81,7 +81,7 @@
 }
 
 // play sends requests in all phases and returns what became of them.
-func (s *shop) play(t *testing.T, seed uint64, phases ...phase) result {
+func (s *site) play(t *testing.T, seed uint64, phases ...phase) result {
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
@@ -103,7 +103,7 @@
 }
 
 // ask is one caller: it asks d, and other after a refusal.
-func (s *shop) ask(d, other *direct.Dispatcher) {
+func (s *site) ask(d, other *direct.Dispatcher) {
 	begun := time.Now()
 	end := begun.Add(s.callers.deadline)
 	var err error
@@ -124,7 +124,7 @@
 	s.note(time.Since(begun), err)
 }
 
-func (s *shop) note(taken time.Duration, err error) {
+func (s *site) note(taken time.Duration, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.result.asked++
@@ -154,7 +154,7 @@
 	t.Helper()
 	for seed := range uint64(3) {
 		synctest.Test(t, func(t *testing.T) {
-			s := newShop(seed, 14, 11, statusKind, statusCallers)
+			s := newSite(seed, 14, 11, statusKind, statusCallers)
 			r := s.play(t, seed, phases...)
 			sum.asked += r.asked
 			sum.inGoal += r.inGoal
--- a/internal/dispatch/link/link_test.go
+++ b/internal/dispatch/link/link_test.go
@@ -101,15 +101,15 @@
 		verdict snipefront.Verdict
 		status  int
 	}{
-		"an answer":            {signed, snipefront.Ran, http.StatusOK},
-		"its failure":          {strings.Replace(signed, "200 OK", "500 Oops", 1), snipefront.Ran, http.StatusInternalServerError},
-		"without a signature":  {strings.Replace(signed, "Signature: x\r\n", "", 1), snipefront.MayHaveRun, 0},
-		"cut short":            {signed[:len(signed)-1], snipefront.MayHaveRun, 0},
-		"of another request":   {strings.Replace(signed, "Id: 7", "Id: 8", 1), snipefront.MayHaveRun, 0},
-		"nothing":              {"", snipefront.MayHaveRun, 0},
-		"not run":              {"HTTP/1.1 503 Full\r\nId: 7\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", snipefront.NotRun, 0},
-		"a 503 without a word": {"HTTP/1.1 503 Full\r\nId: 7\r\nContent-Length: 0\r\n\r\n", snipefront.Ran, http.StatusServiceUnavailable},
-		"another server":       {"HTTP/1.1 421 Other\r\nId: 7\r\nContent-Length: 0\r\n\r\n", snipefront.NotRun, 0},
+		"an answer":                  {signed, snipefront.Ran, http.StatusOK},
+		"its failure":                {strings.Replace(signed, "200 OK", "500 Oops", 1), snipefront.Ran, http.StatusInternalServerError},
+		"without a signature":        {strings.Replace(signed, "Signature: x\r\n", "", 1), snipefront.MayHaveRun, 0},
+		"cut short":                  {signed[:len(signed)-1], snipefront.MayHaveRun, 0},
+		"of another request":         {strings.Replace(signed, "Id: 7", "Id: 8", 1), snipefront.MayHaveRun, 0},
+		"nothing":                    {"", snipefront.MayHaveRun, 0},
+		"not run":                    {"HTTP/1.1 503 Full\r\nId: 7\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", snipefront.NotRun, 0},
+		"a 503 that does not say so": {"HTTP/1.1 503 Full\r\nId: 7\r\nContent-Length: 0\r\n\r\n", snipefront.Ran, http.StatusServiceUnavailable},
+		"another server":             {"HTTP/1.1 421 Other\r\nId: 7\r\nContent-Length: 0\r\n\r\n", snipefront.NotRun, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			got := make(chan *http.Request, 1)
--- a/internal/quorum/raft/elect.go
+++ b/internal/quorum/raft/elect.go
@@ -4,7 +4,7 @@
 
 // Due returns when Tick has something to do, as far as is known now.
 func (r *Replica) Due() time.Time {
-	if r.role == leading && r.hurry {
+	if r.role == leading && r.newCommit {
 		return time.Time{}
 	}
 	if r.role == leading {
--- a/internal/quorum/raft/lead.go
+++ b/internal/quorum/raft/lead.go
@@ -6,7 +6,7 @@
 )
 
 func (r *Replica) tickLeader(now time.Time) {
-	if now.Before(r.nextBeat) && !r.hurry {
+	if now.Before(r.nextBeat) && !r.newCommit {
 		return
 	}
 	a, ok := r.answered()
@@ -25,7 +25,7 @@
 // not been answered.
 func (r *Replica) beat(now time.Time) {
 	r.nextBeat = now.Add(r.Heartbeat)
-	r.hurry = false
+	r.newCommit = false
 	for _, p := range r.ordered() {
 		r.send(Message{
 			Kind: Heartbeat, To: p.Identity, ToName: p.Name, Term: r.hard.Term,
@@ -139,7 +139,7 @@
 	i := nth(matches, r.quorum())
 	if t, ok := r.log.term(i); ok && t == r.hard.Term && i > r.commit {
 		r.commit = i
-		r.hurry = r.MaxVoters > 0
+		r.newCommit = r.MaxVoters > 0
 	}
 }
 
--- a/internal/quorum/raft/open_test.go
+++ b/internal/quorum/raft/open_test.go
@@ -54,9 +54,9 @@
 // changes that made it.
 func (g *group) members() []string { return g.leader().MemberNames() }
 
-// TestLearnerJoinsALongReign shows that a replica that joins long after the election
+// TestLearnerJoinsLongAfterTheElection shows that a replica that joins late in a term
 // stays a member, though it never answered before it was one.
-func TestLearnerJoinsALongReign(t *testing.T) {
+func TestLearnerJoinsLongAfterTheElection(t *testing.T) {
 	g := newGroup(1, []string{"a", "b", "c"}, open)
 	g.pass(40 * election)
 	g.join("d")
--- a/internal/quorum/raft/raft.go
+++ b/internal/quorum/raft/raft.go
@@ -123,12 +123,12 @@
 	nextBeat time.Time
 	peers    map[string]*peer
 
-	// hurry is true where followers are to learn of a commit at once.
-	hurry    bool
-	dirty    bool
-	received *Snapshot
-	before   []Message
-	after    []Message
+	// newCommit is true where followers are to learn of a commit at once.
+	newCommit bool
+	dirty     bool
+	received  *Snapshot
+	before    []Message
+	after     []Message
 }
 
 // change is a configuration and the index of its entry.
