--- a/internal/stand/server/mode.go
+++ b/internal/stand/server/mode.go
@@ -117,8 +117,16 @@
 		http.Error(w, "mode: Slow: expected at least 0", http.StatusBadRequest)
 		return
 	}
-	s.SetMode(m)
+	if !m.Crash {
+		s.SetMode(m)
+		w.WriteHeader(http.StatusNoContent)
+		return
+	}
 	w.WriteHeader(http.StatusNoContent)
+	if err := http.NewResponseController(w).Flush(); err != nil {
+		s.Log.Warn("answer before the crash not sent", "error", err)
+	}
+	s.SetMode(m)
 }
 
 func (s *Server) serveRuns(w http.ResponseWriter, _ *http.Request) {
--- a/internal/stand/server/server_test.go
+++ b/internal/stand/server/server_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -271,3 +272,31 @@
 	}
 	return nil
 }
+
+// flushed calls f when its answer is sent.
+type flushed struct {
+	*httptest.ResponseRecorder
+	f func()
+}
+
+// Flush implements http.Flusher.
+func (w flushed) Flush() {
+	w.f()
+	w.ResponseRecorder.Flush()
+}
+
+// TestCrashIsAnsweredFirst shows that the order to crash has its answer on the way
+// before the server crashes.
+func TestCrashIsAnsweredFirst(t *testing.T) {
+	s := &server.Server{Slots: 1, Fixed: true}
+	running := 0
+	w := flushed{ResponseRecorder: httptest.NewRecorder(), f: func() { running = ask(t.Context(), s, "GET", "") }}
+	r := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/.stand/mode", strings.NewReader(`{"Crash":true}`))
+	s.ServeHTTP(w, r)
+	if w.Code != http.StatusNoContent || running != http.StatusOK {
+		t.Errorf("the answer is %d; while it was sent a request got %d", w.Code, running)
+	}
+	if got := ask(t.Context(), s, "GET", ""); got != 0 {
+		t.Errorf("after it a request got %d", got)
+	}
+}
