--- a/internal/stand/server/handle.go
+++ b/internal/stand/server/handle.go
@@ -51,6 +51,9 @@
 	case <-s.crashed:
 		panic(http.ErrAbortHandler)
 	}
+	if s.hasCrashed() {
+		panic(http.ErrAbortHandler)
+	}
 	if ctx.Err() != nil {
 		refuse(w)
 		return
--- a/internal/stand/server/server.go
+++ b/internal/stand/server/server.go
@@ -219,6 +219,15 @@
 	s.crash.Do(func() { close(s.crashed) })
 }
 
+func (s *Server) hasCrashed() bool {
+	select {
+	case <-s.crashed:
+		return true
+	default:
+		return false
+	}
+}
+
 func orDefault(d, otherwise time.Duration) time.Duration {
 	if d == 0 {
 		return otherwise
