entry/pipe, control/access, dispatch: one copy of what stood twice, drop what nothing reads

pipe had its own copy of snipefront.CallerLimits; the control instances at plain addresses were made in both roles (access.At); Exchange.Sent was set and never read; a factor of 1 on a goal is gone; a comment said that attempts which were given up teach the time of work, which they do not. Behaviour stays as it was.

--- a/internal/control/access/access.go
+++ b/internal/control/access/access.go
@@ -72,6 +72,15 @@
 	return errors.Wrap(json.Unmarshal(text, result), "decode")
 }
 
+// At returns the control instances at peer addresses, each named by its own.
+func At(addresses []string) []snipefront.Instance {
+	var list []snipefront.Instance
+	for _, a := range addresses {
+		list = append(list, snipefront.Instance{Name: a, PeerAddress: a})
+	}
+	return list
+}
+
 type question func(ctx context.Context, address string) ([]byte, string, error)
 
 // ask puts q to the control instances in turn until one answers or ctx ends.
--- a/internal/daemon/core/core.go
+++ b/internal/daemon/core/core.go
@@ -73,7 +73,7 @@
 	}
 	return &driver.Log{
 		Name:      s.Self.Name,
-		Control:   instancesOf(s.Seeds),
+		Control:   access.At(s.Seeds),
 		MaxVoters: maxVoters,
 		JoinOnly:  s.JoinOnly,
 		Leaseless: true,
@@ -91,9 +91,9 @@
 	return &access.Access{
 		Control: func() []snipefront.Instance {
 			if list := l.Members(); len(list) > 0 {
-				return instancesOf(list)
+				return access.At(list)
 			}
-			return instancesOf([]string{s.Self.Name})
+			return access.At([]string{s.Self.Name})
 		},
 		Caller:     &caller{self: s.Self.Name, log: l, client: c},
 		TryTimeout: tryTimeout,
@@ -146,14 +146,6 @@
 	})
 }
 
-func instancesOf(addresses []string) []snipefront.Instance {
-	var list []snipefront.Instance
-	for _, a := range addresses {
-		list = append(list, snipefront.Instance{Name: a, PeerAddress: a})
-	}
-	return list
-}
-
 // caller calls control instances, this one without the network.
 type caller struct {
 	self   string
--- a/internal/daemon/edge/edge.go
+++ b/internal/daemon/edge/edge.go
@@ -216,11 +216,7 @@
 	if list := e.control.Load(); list != nil && len(*list) > 0 {
 		return *list
 	}
-	var list []snipefront.Instance
-	for _, a := range e.settings.Seeds() {
-		list = append(list, snipefront.Instance{Name: a, PeerAddress: a})
-	}
-	return list
+	return access.At(e.settings.Seeds())
 }
 
 // configure puts the routes of d into force.
--- a/internal/dispatch/direct/estimate.go
+++ b/internal/dispatch/direct/estimate.go
@@ -127,8 +127,8 @@
 	return w
 }
 
-// learn takes in that c took the given time where takes was estimated, or was given
-// up after it. Both parts go up or down by fixed factors, so that no single answer
+// learn takes in that c was answered after the given time where takes was
+// estimated. Both parts go up or down by fixed factors, so that no single answer
 // moves them far.
 func (t *times) learn(c *Call, taken, takes time.Duration) {
 	t.mu.Lock()
--- a/internal/dispatch/pool/exchange.go
+++ b/internal/dispatch/pool/exchange.go
@@ -34,8 +34,6 @@
 	// MaxBytes bounds the body of the answer.
 	MaxBytes int64
 
-	// Sent is true once a byte of the request may have left.
-	Sent bool
 	// Response is the answer's head. Body is closed.
 	Response *http.Response
 	// Answer is the whole body of the answer.
@@ -61,7 +59,6 @@
 			c.Close()
 		}
 	}()
-	e.Sent = true
 	written, err := e.write(c)
 	if err != nil {
 		return false, err
--- a/internal/entry/gate/gate.go
+++ b/internal/entry/gate/gate.go
@@ -23,8 +23,6 @@
 	// unknownRetry is the time after which a caller may ask again where this instance
 	// has no configuration yet.
 	unknownRetry = 250 * time.Millisecond
-	// slowAnswer is the share of the route's goal from which an answer is logged.
-	slowAnswer = 1.0
 )
 
 // Sender sends a call to a backend server.
@@ -62,13 +60,13 @@
 func (g *Gate) Table() *paths.Table { return g.table.Load() }
 
 // Limits returns the bounds on what callers may send.
-func (g *Gate) Limits() pipe.Limits {
+func (g *Gate) Limits() snipefront.CallerLimits {
 	t := g.table.Load()
 	if t == nil {
 		return defaultLimits
 	}
 	l := t.Routing.Limits
-	return pipe.Limits{
+	return snipefront.CallerLimits{
 		HeaderBytes:   orElse(l.HeaderBytes, defaultLimits.HeaderBytes),
 		BodyBytes:     orElse(l.BodyBytes, defaultLimits.BodyBytes),
 		HeaderTimeout: orElse(l.HeaderTimeout, defaultLimits.HeaderTimeout),
@@ -77,7 +75,7 @@
 }
 
 // defaultLimits hold until there is a configuration.
-var defaultLimits = pipe.Limits{
+var defaultLimits = snipefront.CallerLimits{
 	HeaderBytes:   64 << 10,
 	BodyBytes:     64 << 20,
 	HeaderTimeout: 10 * time.Second,
@@ -110,7 +108,7 @@
 	}
 	taken := time.Since(r.Read)
 	g.Counter.Answered(c.Service, response.Status, taken)
-	if float64(taken) > slowAnswer*float64(n.Goal) {
+	if taken > n.Goal {
 		g.Logger.Info("answer over the goal", "request", id, "route", n.Name, "service", c.Service,
 			"server", response.BackendServer, "status", response.Status, "taken", taken, "version", t.Routing.Version)
 	}
--- a/internal/entry/pipe/pipe.go
+++ b/internal/entry/pipe/pipe.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/snipefront/snipefront"
 )
 
 const (
@@ -52,19 +54,11 @@
 	Handle(ctx context.Context, r *Request) Answer
 }
 
-// Limits bound what a caller may send.
-type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
-}
-
 // Server serves callers. Set the exported fields before Serve.
 type Server struct {
 	Handler Handler
 	// Limits returns the bounds for the next request.
-	Limits func() Limits
+	Limits func() snipefront.CallerLimits
 	Logger *slog.Logger
 
 	closing  atomic.Bool
--- a/internal/entry/pipe/pipe_test.go
+++ b/internal/entry/pipe/pipe_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/snipefront/snipefront"
 	"github.com/snipefront/snipefront/internal/entry/pipe"
 )
 
@@ -23,7 +24,7 @@
 // Handle implements pipe.Handler.
 func (h handler) Handle(ctx context.Context, r *pipe.Request) pipe.Answer { return h(ctx, r) }
 
-var limits = pipe.Limits{HeaderBytes: 2 << 10, BodyBytes: 1 << 10, HeaderTimeout: limit, IdleTimeout: limit}
+var limits = snipefront.CallerLimits{HeaderBytes: 2 << 10, BodyBytes: 1 << 10, HeaderTimeout: limit, IdleTimeout: limit}
 
 // serve starts a server and returns it with a connection to it.
 func serve(t *testing.T, h handler) (*pipe.Server, net.Conn) {
@@ -32,7 +33,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &pipe.Server{Handler: h, Limits: func() pipe.Limits { return limits }, Logger: slog.New(slog.NewTextHandler(io.Discard, nil))}
+	s := &pipe.Server{Handler: h, Limits: func() snipefront.CallerLimits { return limits }, Logger: slog.New(slog.NewTextHandler(io.Discard, nil))}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- s.Serve(ctx, l) }()
