control/follow: forget the failures of an outage of all control instances

An edge that started before its control instances, or lived through an outage of all, kept the pauses that their failures had added up to, 8 s at most. Until then it followed one of another data centre.

Once one answers after all had failed, the failures are forgotten. The new test failed before.

--- a/internal/control/follow/follow.go
+++ b/internal/control/follow/follow.go
@@ -61,6 +61,8 @@
 	view fleet.View
 	// failed holds the control instances that failed lately, by address.
 	failed map[string]failure
+	// outage is true from when all of them have failed until one answers.
+	outage bool
 	// source is the address that answered last, or empty.
 	source string
 	seeds  []string
@@ -101,6 +103,7 @@
 	for ctx.Err() == nil {
 		address := f.pick(time.Now())
 		if address == "" {
+			f.outage = true
 			f.seeds = f.Seeds()
 			timer.Sleep(ctx, idlePause)
 			address = f.oldest()
@@ -135,10 +138,20 @@
 		f.Logger.Info("following control instance", "address", address, "index", f.view.Index, "was", f.source)
 		f.source = address
 	}
-	delete(f.failed, address)
+	f.recovered(address)
 	return nil
 }
 
+// recovered notes that address answered well. What failed in an outage of all control
+// instances is no reason to avoid one after it.
+func (f *Follower) recovered(address string) {
+	delete(f.failed, address)
+	if f.outage {
+		f.outage = false
+		clear(f.failed)
+	}
+}
+
 // begin returns the registration to send.
 func (f *Follower) begin(interrupt context.CancelFunc) fleet.Instance {
 	f.mu.Lock()
--- a/internal/control/follow/follow_test.go
+++ b/internal/control/follow/follow_test.go
@@ -91,6 +91,27 @@
 	}
 }
 
+// TestFollowsItsOwnDataCentreSoonAfterAnOutageOfAll shows that the failures of an
+// outage of all control instances don't keep an instance from the one of its own
+// data centre once that is over.
+func TestFollowsItsOwnDataCentreSoonAfterAnOutageOfAll(t *testing.T) {
+	const outage = 20 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		near := fleet.Instance{Control: true, Index: 1}
+		near.Name, near.PeerAddress, near.DataCentre = "c3", "c3", "dc1"
+		whole := fleet.Delta{Index: 1, Whole: true, Instances: []fleet.Instance{near}}
+		_, c := run(t, outage+2*time.Second, func(_ string, since time.Duration) (peers.News, error) {
+			if since > time.Second && since < outage {
+				return peers.News{}, errors.New("refused")
+			}
+			return peers.News{Current: true, Delta: whole}, nil
+		})
+		if last := c.asked[len(c.asked)-1]; last != "c3" {
+			t.Errorf("2s after the outage %s is followed, want c3", last)
+		}
+	})
+}
+
 // TestLeavesAControlInstanceOutOfTouch shows that an instance follows another
 // control instance than the one of its own data centre, while that is out of touch,
 // and rarely asks it.
