control/keeper: propose a registration once

At the start each edge asks control instances in turn, and each ask put its registration into the queue of the one asked, also without a leader.

Registrations that wait are now held by instance, the latest only; none waits without a leader; one that was committed is not proposed again for a second.

--- a/internal/control/keeper/expire.go
+++ b/internal/control/keeper/expire.go
@@ -19,9 +19,9 @@
 	// serverTimeout is the silence after which a backend server is taken out. It is
 	// long, since one that is cut off from here only may still serve.
 	serverTimeout = 20 * time.Second
-	// joinQueue bounds the registrations that wait to be proposed. An instance whose
-	// own finds no room registers at its next Watch.
-	joinQueue = 64
+	// applyTimeout is the time after which a committed registration that State does
+	// not have is proposed again.
+	applyTimeout = time.Second
 )
 
 // Run proposes registrations and removals until ctx ends.
@@ -33,8 +33,10 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case n := <-k.joins:
-			k.join(ctx, n)
+		case <-k.joining:
+			for _, n := range k.takeJoins() {
+				k.join(ctx, n)
+			}
 		case now := <-scans.C:
 			k.scan(ctx, now)
 		}
@@ -43,7 +45,9 @@
 
 func (k *Keeper) init() {
 	k.once.Do(func() {
-		k.joins = make(chan fleet.Instance, joinQueue)
+		k.joining = make(chan struct{}, 1)
+		k.joins = map[string]fleet.Instance{}
+		k.proposed = map[string]proposal{}
 		k.servers = map[string]heard{}
 		k.instances = map[string]time.Time{}
 		k.orphans = map[string]time.Time{}
@@ -64,23 +68,40 @@
 	return true
 }
 
-// seen notes that an instance watches, and registers it where that is news.
+// seen notes that an instance watches, and registers it where that is news. Without
+// a leader it does not: the instance goes on to another control instance.
 func (k *Keeper) seen(n fleet.Instance) {
 	k.init()
+	known := k.knows(n)
 	k.mu.Lock()
+	defer k.mu.Unlock()
 	k.instances[n.Name] = time.Now()
-	k.mu.Unlock()
-	old, ok := k.State.Instance(n.Name)
-	n.Index = old.Index
-	if ok && old == n {
+	if known || !k.current() {
 		return
 	}
+	k.joins[n.Name] = n
 	select {
-	case k.joins <- n:
+	case k.joining <- struct{}{}:
 	default:
 	}
 }
 
+// knows returns whether State has n as it is.
+func (k *Keeper) knows(n fleet.Instance) bool {
+	old, ok := k.State.Instance(n.Name)
+	n.Index = old.Index
+	return ok && old == n
+}
+
+// takeJoins returns the registrations that are to be proposed.
+func (k *Keeper) takeJoins() map[string]fleet.Instance {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	joins := k.joins
+	k.joins = map[string]fleet.Instance{}
+	return joins
+}
+
 // dropped notes that the connection of a watching instance broke.
 func (k *Keeper) dropped(n fleet.Instance) {
 	k.mu.Lock()
@@ -89,16 +110,30 @@
 }
 
 func (k *Keeper) join(ctx context.Context, n fleet.Instance) {
-	old, ok := k.State.Instance(n.Name)
-	n.Index = old.Index
-	if ok && old == n {
+	if k.knows(n) || k.isProposed(n) {
 		return
 	}
-	if r, err := k.propose(ctx, fleet.Command{Join: &n}); err == nil && r.Changed {
+	r, err := k.propose(ctx, fleet.Command{Join: &n})
+	if err != nil {
+		return // logged there, and tried again at the next Watch
+	}
+	k.mu.Lock()
+	k.proposed[n.Name] = proposal{instance: n, at: time.Now()}
+	k.mu.Unlock()
+	if r.Changed {
 		k.Logger.Info("instance registered", "name", n.Name, "dataCentre", n.DataCentre, "ready", n.Ready, "incarnation", n.Incarnation)
 	}
 }
 
+// isProposed returns whether n was committed lately, so that State is about to have
+// it.
+func (k *Keeper) isProposed(n fleet.Instance) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	p, ok := k.proposed[n.Name]
+	return ok && p.instance == n && time.Since(p.at) < applyTimeout
+}
+
 func (k *Keeper) scan(ctx context.Context, now time.Time) {
 	if k.Log.Leadership().Leader == "" {
 		return
@@ -186,6 +221,11 @@
 			delete(k.servers, n)
 		}
 	}
+	for n, p := range k.proposed {
+		if time.Since(p.at) > applyTimeout {
+			delete(k.proposed, n)
+		}
+	}
 	for n, at := range k.instances {
 		if _, ok := v.Instances[n]; !ok && time.Since(at) > serverTimeout {
 			delete(k.instances, n)
--- a/internal/control/keeper/keeper.go
+++ b/internal/control/keeper/keeper.go
@@ -64,17 +64,27 @@
 	Logger  *slog.Logger
 
 	once sync.Once
-	// joins holds the instances whose registration is to be proposed.
-	joins chan fleet.Instance
+	// joining is signalled when joins has an entry.
+	joining chan struct{}
 
-	mu      sync.Mutex
-	servers map[string]heard
+	mu sync.Mutex
+	// joins holds the registrations that are to be proposed, by instance.
+	joins map[string]fleet.Instance
+	// proposed holds those that were, for as long as State may not have them.
+	proposed map[string]proposal
+	servers  map[string]heard
 	// instances holds when each instance last watched.
 	instances map[string]time.Time
 	// orphans holds since when the keeper of an entry has been silent.
 	orphans map[string]time.Time
 }
 
+// proposal is a registration that was committed.
+type proposal struct {
+	instance fleet.Instance
+	at       time.Time
+}
+
 // heard is the last heartbeat of a backend server.
 type heard struct {
 	at          time.Time
--- a/internal/control/keeper/keeper_test.go
+++ b/internal/control/keeper/keeper_test.go
@@ -17,9 +17,12 @@
 	"github.com/snipefront/snipefront/internal/rpc/peers"
 )
 
-// log applies commands at once, and may have no leader or silent members.
+// log applies commands at once, or the own state some time after the leader's, and
+// may have no leader or silent members.
 type log struct {
 	state  *fleet.State
+	leader fleet.State
+	lag    time.Duration
 	index  atomic.Uint64
 	lost   atomic.Bool
 	silent []string
@@ -29,7 +32,12 @@
 
 // Submit implements keeper.Submitter.
 func (l *log) Submit(_ context.Context, command []byte) ([]byte, error) {
-	return l.state.Apply(l.index.Add(1), command), nil
+	i := l.index.Add(1)
+	if l.lag == 0 {
+		return l.state.Apply(i, command), nil
+	}
+	time.AfterFunc(l.lag, func() { l.state.Apply(i, command) })
+	return l.leader.Apply(i, command), nil
 }
 
 // Leadership implements keeper.Log.
@@ -198,6 +206,35 @@
 	}
 }
 
+// TestInstanceIsRegisteredOnce shows that an instance which watches again and again,
+// while there is no leader and while the own state lags behind, is one entry of the
+// log.
+func TestInstanceIsRegisteredOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		k, l := newKeeper()
+		l.lag = 200 * time.Millisecond
+		l.lost.Store(true)
+		time.AfterFunc(time.Second, func() { l.lost.Store(false) })
+		run(t, k)
+		var w peers.Watch
+		w.Instance.Name, w.Instance.CallerAddress, w.Instance.DataCentre = "e", "e:1", "dc1"
+		w.Wait = 10 * time.Millisecond
+		for range 100 {
+			if _, err := k.Watch(t.Context(), w); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		if _, ok := l.state.Instance("e"); !ok {
+			t.Error("the instance is not registered")
+		}
+		// One entry is the control instance's own.
+		if n := l.index.Load(); n != 2 {
+			t.Errorf("the log has %d entries, want 2", n)
+		}
+	})
+}
+
 // TestLeaderActsForALostKeeper shows that an instance whose keeper is lost with it
 // is taken out, too, and that one whose keeper is there is not.
 func TestLeaderActsForALostKeeper(t *testing.T) {
