dispatch/direct: don't blame a backend server for a short time

An answer 504 at the deadline, or none, now counts as a fault only where it was overdue by the estimate. The other way round, a backend server that stayed silent until the deadline was never blamed; now it is. The new test failed on both.

--- a/internal/dispatch/direct/direct_test.go
+++ b/internal/dispatch/direct/direct_test.go
@@ -252,6 +252,42 @@
 	}
 }
 
+// TestShortTimeIsNoFault shows that a backend server is not blamed for a request
+// whose caller gave it too little time, and that it is for one that it leaves
+// without an answer for long.
+func TestShortTimeIsNoFault(t *testing.T) {
+	expired := direct.Attempt{
+		Verdict: snipefront.Ran, Outcome: look.Faulty, Response: &snipefront.Response{Status: http.StatusGatewayTimeout},
+	}
+	for name, c := range map[string]struct {
+		left   time.Duration
+		end    direct.Attempt
+		faulty bool
+	}{
+		"told to stop early":  {left: 200 * time.Millisecond, end: expired},
+		"cut off early":       {left: 200 * time.Millisecond, end: broken},
+		"told to stop late":   {left: 2 * time.Second, end: expired, faulty: true},
+		"silent for too long": {left: 2 * time.Second, end: broken, faulty: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &script{send: func(ctx context.Context, _ string) direct.Attempt {
+					<-ctx.Done()
+					return c.end
+				}}
+				d := newDispatcher(1, s)
+				call := newCall(false)
+				call.Deadline = time.Now().Add(c.left)
+				_, _ = d.Serve(t.Context(), call)
+				faults := d.Targets.Candidates(service)[0].Sight(time.Now()).Faults
+				if (faults > 0) != c.faulty {
+					t.Errorf("the share of faults is %.2f", faults)
+				}
+			})
+		})
+	}
+}
+
 // TestUsualTimeIsRobust shows that a few slow answers don't make later requests seem
 // late everywhere. It is the pattern "noisy neighbour": an answer in five takes eight
 // times as long as its backend server's report promised.
--- a/internal/dispatch/direct/run.go
+++ b/internal/dispatch/direct/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/snipefront/snipefront"
@@ -13,6 +14,9 @@
 	// overdue, and overdueFloor the least such time.
 	overdueFactor = 2.5
 	overdueFloor  = 150 * time.Millisecond
+	// expirySlack is how long before the deadline a backend server may say that the
+	// time it was given is over.
+	expirySlack = 20 * time.Millisecond
 )
 
 // ended is an attempt that has ended.
@@ -30,7 +34,7 @@
 	results := make(chan ended, 2)
 	d.start(ctx, c, t, results)
 	running := 1
-	overdue := time.NewTimer(max(overdueFloor, time.Duration(overdueFactor*float64(t.takes))))
+	overdue := time.NewTimer(t.overdueAfter())
 	defer overdue.Stop()
 	var last Attempt
 	for running > 0 {
@@ -57,6 +61,19 @@
 	return last
 }
 
+// overdueAfter returns the time after which an answer is overdue.
+func (c choice) overdueAfter() time.Duration {
+	return max(overdueFloor, time.Duration(overdueFactor*float64(c.takes)))
+}
+
+// expired returns whether a ended because the time for c was over.
+func expired(ctx context.Context, c *Call, a Attempt) bool {
+	if a.Response == nil {
+		return ctx.Err() != nil
+	}
+	return a.Response.Status == http.StatusGatewayTimeout && time.Until(c.Deadline) <= expirySlack
+}
+
 // start sends c to t and reports the end on results.
 func (d *Dispatcher) start(ctx context.Context, c *Call, t choice, results chan<- ended) {
 	go func() { results <- ended{choice: t, Attempt: d.send(ctx, c, t)} }()
@@ -90,10 +107,11 @@
 func (d *Dispatcher) send(ctx context.Context, c *Call, t choice) Attempt {
 	begun := time.Now()
 	a := d.Link.Send(ctx, c, t.target)
+	taken := time.Since(begun)
 	if a.Outcome == look.Answered {
-		d.times.learn(c, time.Since(begun), t.takes)
+		d.times.learn(c, taken, t.takes)
 	}
-	if ctx.Err() != nil && a.Response == nil {
+	if expired(ctx, c, a) && taken < t.overdueAfter() {
 		a.Outcome = look.Neutral
 	}
 	t.target.Done(time.Now(), a.Outcome)
