dispatch/look: forget faults with time

The share of faults of a target went down with each good answer only. It now halves in 5 s besides. The new test failed before.

--- a/internal/dispatch/look/look_test.go
+++ b/internal/dispatch/look/look_test.go
@@ -214,3 +214,18 @@
 		}
 	})
 }
+
+// TestFaultsAreForgotten shows that a target which failed a request is not avoided
+// for long where it gets no other one to prove itself with.
+func TestFaultsAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, target := newSet("e1", func(*fleet.Server) {})
+		target.Reserve(time.Now(), 0)
+		target.Done(time.Now(), look.Faulty)
+		first := target.Sight(time.Now()).Faults
+		time.Sleep(15 * time.Second)
+		if last := target.Sight(time.Now()).Faults; first == 0 || last > first/4 {
+			t.Errorf("the share of faults is %.2f after a fault and %.2f 15s later", first, last)
+		}
+	})
+}
--- a/internal/dispatch/look/target.go
+++ b/internal/dispatch/look/target.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"math"
 	"sync"
 	"time"
 
@@ -24,6 +25,9 @@
 	maxPause   = 2 * time.Second
 	// faultWeight is the weight of one outcome in the share of faults.
 	faultWeight = 0.25
+	// faultHalfLife is the time in which half of the share of faults is forgotten,
+	// since a target that is avoided for it gets no requests to prove itself with.
+	faultHalfLife = 5 * time.Second
 )
 
 // ErrSlow means that a look was not answered in time, over a connection that could
@@ -55,8 +59,9 @@
 	// those that have not ended.
 	sent    int
 	running int
-	// faults is the moving share of requests that failed.
+	// faults is the moving share of requests that failed, as of faded.
 	faults float64
+	faded  time.Time
 	pause  time.Duration
 	until  time.Time
 	cold   bucket
@@ -89,6 +94,7 @@
 func (t *Target) Sight(now time.Time) Sight {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.fade(now)
 	return Sight{
 		Report: t.report, Sent: t.sent, Running: t.running, Faults: t.faults,
 		Cold: t.isCold(now), Near: t.Near, Slots: t.Server.Slots,
@@ -142,6 +148,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.running--
+	t.fade(now)
 	switch o {
 	case Answered:
 		t.faults *= 1 - faultWeight
@@ -154,6 +161,14 @@
 	}
 }
 
+// fade forgets faults by their age. The lock is held.
+func (t *Target) fade(now time.Time) {
+	if t.faults > 0 {
+		t.faults *= math.Exp2(-float64(now.Sub(t.faded)) / float64(faultHalfLife))
+	}
+	t.faded = now
+}
+
 // miss leaves t alone for a while. The lock is held.
 func (t *Target) miss(now time.Time) {
 	t.pause = min(max(firstPause, 2*t.pause), maxPause)
