--- a/internal/dispatch/direct/direct.go
+++ b/internal/dispatch/direct/direct.go
@@ -31,6 +31,9 @@
 	// retryAfter is the time after which a caller may ask again where nothing is
 	// known of the wait.
 	retryAfter = 200 * time.Millisecond
+	// shedRetryAfter is the same after a refusal by a target that has room, which
+	// need not be the answer the next time.
+	shedRetryAfter = 20 * time.Millisecond
 )
 
 // Counter counts retries by their reason.
@@ -101,6 +104,8 @@
 	// last is the last attempt, kept the best answer that is a failure.
 	last Attempt
 	kept *snipefront.Response
+	// hadRoom is true where the target of the last attempt had a slot free.
+	hadRoom bool
 }
 
 // Serve sends c and returns an answer of a backend server or a *snipefront.Error.
@@ -148,6 +153,7 @@
 // note takes in what became of an attempt at t.
 func (d *Dispatcher) note(c *Call, p *progress, t choice, a Attempt) {
 	p.last = a
+	p.hadRoom = hasSlot(t.sight)
 	p.avoid[t.target.Server.Name] = true
 	if a.Response != nil {
 		p.kept = a.Response
@@ -228,7 +234,15 @@
 		detail = p.last.Err.Error()
 	}
 	if p.verdict == snipefront.NotRun {
-		return snipefront.Refused(p.last.Reason, retryAfter, detail)
+		return snipefront.Refused(p.last.Reason, p.retryAfter(), detail)
 	}
 	return &snipefront.Error{Verdict: p.verdict, Reason: p.last.Reason, Status: http.StatusBadGateway, Detail: detail}
 }
+
+// retryAfter returns when a caller may ask again after the last attempt.
+func (p *progress) retryAfter() time.Duration {
+	if p.last.Reason == snipefront.ReasonShed && p.hadRoom {
+		return shedRetryAfter
+	}
+	return retryAfter
+}
--- a/internal/dispatch/direct/estimate.go
+++ b/internal/dispatch/direct/estimate.go
@@ -79,6 +79,12 @@
 	return s.Running, max(s.Slots, 1)
 }
 
+// hasSlot returns whether a target has a slot free by its last report.
+func hasSlot(s look.Sight) bool {
+	requests, slots := ahead(s)
+	return !s.Report.At.IsZero() && requests < slots
+}
+
 // hasFree returns whether a target has a slot free that no one else needs.
 func hasFree(s look.Sight) bool {
 	requests, slots := ahead(s)
--- a/internal/dispatch/direct/load_test.go
+++ b/internal/dispatch/direct/load_test.go
@@ -151,10 +151,16 @@
 
 // playStatus plays the same phases with a few seeds and adds up the results.
 func playStatus(t *testing.T, phases ...phase) (sum result, looks int) {
+	t.Helper()
+	return playKind(t, statusKind, phases...)
+}
+
+// playKind is playStatus with servers of another kind.
+func playKind(t *testing.T, k shift.Kind, phases ...phase) (sum result, looks int) {
 	t.Helper()
 	for seed := range uint64(3) {
 		synctest.Test(t, func(t *testing.T) {
-			s := newSite(seed, 14, 11, statusKind, statusCallers)
+			s := newSite(seed, 14, 11, k, statusCallers)
 			r := s.play(t, seed, phases...)
 			sum.asked += r.asked
 			sum.inGoal += r.inGoal
@@ -198,3 +204,16 @@
 		t.Errorf("%.2f of the requests are answered within the goal, want 0.45", share)
 	}
 }
+
+// TestSheddingWithRoom is the pattern "shedding with room": backend servers refuse 45
+// requests in 100, though hardly any are under way. Since the refusals say nothing
+// of the load, callers that are refused in the end can come back at once.
+func TestSheddingWithRoom(t *testing.T) {
+	k := statusKind
+	k.ShedShare = 0.45
+	r, _ := playKind(t, k, phase{10 * time.Second, 20})
+	t.Logf("%+v", r)
+	if share := float64(r.inGoal) / float64(r.asked); share < 0.8 {
+		t.Errorf("%.2f of the requests are answered within the goal, want 0.8", share)
+	}
+}
--- a/internal/stand/shift/shift.go
+++ b/internal/stand/shift/shift.go
@@ -13,6 +13,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/snipefront/snipefront"
 	"github.com/snipefront/snipefront/internal/clock/timer"
 	"github.com/snipefront/snipefront/internal/dispatch/direct"
@@ -36,10 +38,14 @@
 	// as long.
 	FullShare  float64
 	FullFactor float64
+	// ShedShare is the share of requests that are refused unrun, whatever the load.
+	ShedShare float64
 	// Delay is the time that a look or a request takes on its way and back.
 	Delay time.Duration
 }
 
+var errShed = errors.New("refused by the backend server")
+
 // Servers implements direct.Link over servers of one kind.
 type Servers struct {
 	Kind Kind
@@ -120,6 +126,9 @@
 // Send implements direct.Link.
 func (s *Servers) Send(ctx context.Context, _ *direct.Call, t *look.Target) direct.Attempt {
 	time.Sleep(s.Kind.Delay)
+	if s.sheds() {
+		return direct.Attempt{Verdict: snipefront.NotRun, Reason: snipefront.ReasonShed, Err: errShed, Outcome: look.Neutral}
+	}
 	v, ok := s.enter(ctx, t)
 	if !ok {
 		return direct.Attempt{Verdict: snipefront.MayHaveRun, Reason: snipefront.ReasonBrokenAnswer, Err: ctx.Err(), Outcome: look.Faulty}
@@ -135,6 +144,13 @@
 	}
 }
 
+// sheds returns whether a request is refused unrun.
+func (s *Servers) sheds() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Random.Float64() < s.Kind.ShedShare
+}
+
 // Up implements direct.Link.
 func (s *Servers) Up(context.Context, *look.Target) bool { return true }
 
