dispatch/direct: serve late requests a share of what is in time

A request that could not meet its goal any more got a target only where the load looked at was under 0.4, or a target would stay under 0.8 of its slots, which with two slots means idle.

Where a slot is free, one late request may now start for every four that are in time, per route and service, three at once. Under overload few are in time, so that late ones take little from them.

--- a/internal/dispatch/direct/choose.go
+++ b/internal/dispatch/direct/choose.go
@@ -53,8 +53,9 @@
 		now := time.Now()
 		inTime := ok && !now.Add(best.takes).After(c.Goal)
 		hopeful := now.Add(unit).Before(c.Goal)
-		spare := ok && !hopeful && (best.load <= calmLoad || hasFree(best.sight))
-		if (inTime || spare) && d.reserve(now, best.target) {
+		late := ok && !hopeful && d.maySpare(c, best)
+		if (inTime || late) && d.reserve(now, best.target) {
+			d.times.noteStart(c, inTime)
 			return best, true
 		}
 		if !hopeful || !timer.Sleep(ctx, holdStep) {
@@ -66,6 +67,13 @@
 	return choice{}, false
 }
 
+// maySpare returns whether c, which will be late, may have the chosen target: the
+// load is low, or a slot is free, and no one else needs it or late requests have not
+// had their share.
+func (d *Dispatcher) maySpare(c *Call, t choice) bool {
+	return t.load <= calmLoad || hasFree(t.sight) || hasSlot(t.sight) && d.times.mayStartLate(c)
+}
+
 // name returns the name of the chosen target, or nothing.
 func (c choice) name() string {
 	if c.target == nil {
--- a/internal/dispatch/direct/estimate.go
+++ b/internal/dispatch/direct/estimate.go
@@ -34,6 +34,10 @@
 	// than estimated moves the safety factor. They even out where one in seven is later.
 	safetyUp   = 1.08
 	safetyDown = 1.013
+	// lateShare is how many late requests may be started for each that is in time
+	// where slots are short, and lateBurst how many at once.
+	lateShare = 0.25
+	lateBurst = 3
 	// firstSafety is the safety factor where nothing is known, maxSafety its bound.
 	firstSafety = 1.2
 	maxSafety   = 2.5
@@ -107,6 +111,8 @@
 	usual time.Duration
 	// safety is the factor on estimates that few answers exceed.
 	safety float64
+	// late is how many late requests may be started.
+	late float64
 }
 
 func (c *Call) work() work { return work{route: c.Route, service: c.Service} }
@@ -133,6 +139,25 @@
 	return w
 }
 
+// mayStartLate returns whether late requests have not had their share.
+func (t *times) mayStartLate(c *Call) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.at(c).late >= 1
+}
+
+// noteStart counts a request that was sent, in time for its goal or late.
+func (t *times) noteStart(c *Call, inTime bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	w := t.at(c)
+	if inTime {
+		w.late = min(lateBurst, w.late+lateShare)
+		return
+	}
+	w.late = max(0, w.late-1)
+}
+
 // learn takes in that c was answered after the given time where takes was
 // estimated. Both parts go up or down by fixed factors, so that no single answer
 // moves them far.
--- a/internal/dispatch/direct/load_test.go
+++ b/internal/dispatch/direct/load_test.go
@@ -217,3 +217,17 @@
 		t.Errorf("%.2f of the requests are answered within the goal, want 0.8", share)
 	}
 }
+
+// TestBusy is the pattern "busy": steadily about what the servers bear while a third
+// of them are slow. A request that can't be in time any more gets a slot that is
+// free, rather than a refusal after which it comes back still later.
+func TestBusy(t *testing.T) {
+	r, _ := playStatus(t, phase{10 * time.Second, 60})
+	t.Logf("%+v", r)
+	if share := float64(r.refused) / float64(r.asked); share > 0.03 {
+		t.Errorf("%.2f of the requests are refused, want 0.03 at most", share)
+	}
+	if share := float64(r.inGoal) / float64(r.asked); share < 0.8 {
+		t.Errorf("%.2f of the requests are answered within the goal, want 0.8", share)
+	}
+}
