dispatch/direct: take a likely target after a hold

A request that no target was sure to serve in time was held until it was late anyway. After the first look it now goes to a target that is in time more likely than not (the estimate without the safety factor), within the share of those that are not sure to meet their goal. The share is full at the start. The new test was refused before.

--- a/internal/dispatch/direct/choose.go
+++ b/internal/dispatch/direct/choose.go
@@ -44,18 +44,19 @@
 
 // choose reserves a request at the target where it takes the least time. A request
 // that would be late everywhere is held while a target may still become free in
-// time for its goal. One that can't meet its goal any more is given only what
-// others leave free. It returns false where no target has room.
+// time for its goal. One that can't meet its goal any more, or only with luck, is
+// given what others leave free. It returns false where no target has room.
 func (d *Dispatcher) choose(ctx context.Context, c *Call, avoid map[string]bool) (choice, bool) {
 	unit := d.times.unit(c)
-	for len(d.Targets.Candidates(c.Service)) > 0 {
+	for held := false; len(d.Targets.Candidates(c.Service)) > 0; held = true {
 		best, ok := d.best(ctx, c, unit, avoid)
 		now := time.Now()
-		inTime := ok && !now.Add(best.takes).After(c.Goal)
+		sure := ok && !now.Add(best.takes).After(c.Goal)
+		likely := ok && held && !now.Add(d.times.median(c, best.takes)).After(c.Goal)
 		hopeful := now.Add(unit).Before(c.Goal)
-		late := ok && !hopeful && d.maySpare(c, best)
-		if (inTime || late) && d.reserve(now, best.target) {
-			d.times.noteStart(c, inTime)
+		spare := ok && (likely || !hopeful) && d.maySpare(c, best)
+		if (sure || spare) && d.reserve(now, best.target) {
+			d.times.noteStart(c, sure)
 			return best, true
 		}
 		if !hopeful || !timer.Sleep(ctx, holdStep) {
@@ -67,9 +68,9 @@
 	return choice{}, false
 }
 
-// maySpare returns whether c, which will be late, may have the chosen target: the
-// load is low, or a slot is free, and no one else needs it or late requests have not
-// had their share.
+// maySpare returns whether c, which is not sure to meet its goal, may have the
+// chosen target: the load is low, or a slot is free, and no one else needs it or
+// such requests have not had their share.
 func (d *Dispatcher) maySpare(c *Call, t choice) bool {
 	return t.load <= calmLoad || hasFree(t.sight) || hasSlot(t.sight) && d.times.mayStartLate(c)
 }
--- a/internal/dispatch/direct/direct_test.go
+++ b/internal/dispatch/direct/direct_test.go
@@ -288,6 +288,34 @@
 	}
 }
 
+// TestHeldRequestTakesALikelyTarget shows that a request that had to wait for a
+// target goes to one that is likely in time, rather than on waiting for one that is
+// surely so until it is late.
+func TestHeldRequestTakesALikelyTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		begun := time.Now()
+		var sent time.Duration
+		s := &script{busy: 3, send: func(context.Context, string) direct.Attempt {
+			sent = time.Since(begun)
+			return answered
+		}}
+		d := newDispatcher(3, s)
+		time.AfterFunc(110*time.Millisecond, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.busy = 1
+		})
+		c := newCall(true)
+		c.Goal = begun.Add(320 * time.Millisecond)
+		if _, err := d.Serve(t.Context(), c); err != nil {
+			t.Fatal(err)
+		}
+		if sent < 110*time.Millisecond || sent > 150*time.Millisecond {
+			t.Errorf("sent after %v, want soon after 110ms", sent)
+		}
+	})
+}
+
 // TestUsualTimeIsRobust shows that a few slow answers don't make later requests seem
 // late everywhere. It is the pattern "noisy neighbour": an answer in five takes eight
 // times as long as its backend server's report promised.
--- a/internal/dispatch/direct/estimate.go
+++ b/internal/dispatch/direct/estimate.go
@@ -34,8 +34,8 @@
 	// than estimated moves the safety factor. They even out where one in seven is later.
 	safetyUp   = 1.08
 	safetyDown = 1.013
-	// lateShare is how many late requests may be started for each that is in time
-	// where slots are short, and lateBurst how many at once.
+	// lateShare is how many requests that are not sure to meet their goal may be
+	// started for each that is, where slots are short, and lateBurst how many at once.
 	lateShare = 0.25
 	lateBurst = 3
 	// firstSafety is the safety factor where nothing is known, maxSafety its bound.
@@ -111,7 +111,7 @@
 	usual time.Duration
 	// safety is the factor on estimates that few answers exceed.
 	safety float64
-	// late is how many late requests may be started.
+	// late is how many requests may be started that are not sure to meet their goal.
 	late float64
 }
 
@@ -129,7 +129,7 @@
 func (t *times) at(c *Call) *timing {
 	w := t.known[c.work()]
 	if w == nil {
-		w = &timing{usual: time.Duration(usualShare * float64(time.Until(c.Goal))), safety: firstSafety}
+		w = &timing{usual: time.Duration(usualShare * float64(time.Until(c.Goal))), safety: firstSafety, late: lateBurst}
 		w.usual = max(time.Millisecond, w.usual)
 		if t.known == nil {
 			t.known = map[work]*timing{}
@@ -139,19 +139,28 @@
 	return w
 }
 
-// mayStartLate returns whether late requests have not had their share.
+// median returns the time that half of the requests take, for an estimate that few
+// exceed.
+func (t *times) median(c *Call, takes time.Duration) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return time.Duration(float64(takes) / t.at(c).safety)
+}
+
+// mayStartLate returns whether requests that are not sure to meet their goal have
+// not had their share.
 func (t *times) mayStartLate(c *Call) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.at(c).late >= 1
 }
 
-// noteStart counts a request that was sent, in time for its goal or late.
-func (t *times) noteStart(c *Call, inTime bool) {
+// noteStart counts a request that was sent, sure to meet its goal or not.
+func (t *times) noteStart(c *Call, sure bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	w := t.at(c)
-	if inTime {
+	if sure {
 		w.late = min(lateBurst, w.late+lateShare)
 		return
 	}
