dispatch/sender: tell left-over answers by an attempt's id

Each attempt now bears X-Attempt-Id; where a backend server echoes it, an answer with another id is a broken one, and its connection ends. The stand-in echoes it. Backend servers that echo nothing are as before.

--- a/internal/dispatch/sender/sender.go
+++ b/internal/dispatch/sender/sender.go
@@ -18,6 +18,7 @@
 	"context"
 	"io"
 	"maps"
+	"math/rand/v2"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -32,8 +33,13 @@
 	"github.com/snipefront/snipefront/internal/rpc/watch"
 )
 
-// TimeoutHeader carries the time left for an answer, in milliseconds.
-const TimeoutHeader = "X-Request-Timeout"
+const (
+	// TimeoutHeader carries the time left for an answer, in milliseconds.
+	TimeoutHeader = "X-Request-Timeout"
+	// AttemptHeader carries the id of an attempt. A backend server that echoes it in
+	// its answers lets one that belongs to another attempt be told.
+	AttemptHeader = "X-Attempt-Id"
+)
 
 const (
 	headerLimit = 64 << 10
@@ -118,7 +124,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	probe := watch.Probe{MaxIdle: s.maxIdle(c)}
-	req, err := build(probe.With(ctx), c.server, c.request)
+	req, err := build(probe.With(ctx), c.server, c.request, newAttemptID())
 	if err != nil {
 		return Attempt{Verdict: snipefront.NotRun, Reason: snipefront.ReasonBadRequest, Err: err}, false
 	}
@@ -146,7 +152,7 @@
 	if err == nil {
 		defer resp.Body.Close()
 	}
-	if p.Crossed() {
+	if p.Crossed() || err == nil && isOther(req, resp) {
 		c.upstream.Distrust()
 		err = errCrossed
 	}
@@ -156,6 +162,13 @@
 	return s.read(c.server, resp, c.service.RefusalStatuses)
 }
 
+// isOther returns whether resp says that it answers another attempt than req.
+func isOther(req *http.Request, resp *http.Response) bool {
+	id := resp.Header.Get(AttemptHeader)
+	resp.Header.Del(AttemptHeader)
+	return id != "" && id != req.Header.Get(AttemptHeader)
+}
+
 // Forget closes the idle connections to b.
 func (s *Sender) Forget(b snipefront.BackendServer) {
 	if u, ok := s.upstreams.LoadAndDelete(b.Address); ok {
@@ -265,7 +278,7 @@
 // without one and without a length.
 var identity = []string{"identity"}
 
-func build(ctx context.Context, b snipefront.BackendServer, r *snipefront.Request) (*http.Request, error) {
+func build(ctx context.Context, b snipefront.BackendServer, r *snipefront.Request, id string) (*http.Request, error) {
 	if !strings.HasPrefix(r.Target, "/") || strings.HasPrefix(r.Target, "//") {
 		return nil, errors.Errorf("target %q is not a path", r.Target)
 	}
@@ -274,7 +287,7 @@
 		// An opaque URL is written as it is.
 		URL:        &url.URL{Scheme: "http", Host: b.Address, Opaque: r.Target},
 		Host:       b.Address,
-		Header:     headerOf(r),
+		Header:     headerOf(r, id),
 		Proto:      "HTTP/1.1",
 		ProtoMajor: 1,
 		ProtoMinor: 1,
@@ -290,15 +303,21 @@
 	return req.WithContext(ctx), nil
 }
 
-// headerOf returns the header of r with the time left. It shares the values,
-// which are never changed in place.
-func headerOf(r *snipefront.Request) http.Header {
-	h := make(http.Header, len(r.Header)+1)
+// headerOf returns the header of r with the time left and the id of the attempt. It
+// shares the values, which are never changed in place.
+func headerOf(r *snipefront.Request, id string) http.Header {
+	h := make(http.Header, len(r.Header)+2)
 	maps.Copy(h, r.Header)
+	h[AttemptHeader] = []string{id}
 	h[TimeoutHeader] = []string{strconv.FormatInt(max(1, time.Until(r.Deadline).Milliseconds()), 10)}
 	return h
 }
 
+// newAttemptID returns an id that no other attempt has.
+func newAttemptID() string {
+	return strconv.FormatUint(rand.Uint64(), 36)
+}
+
 // lacksBody returns whether a request with the method usually has no body. A
 // backend server may ask others for a length.
 func lacksBody(method string) bool {
--- a/internal/stand/server/handle.go
+++ b/internal/stand/server/handle.go
@@ -23,6 +23,9 @@
 		return
 	}
 	defer cancel()
+	if id := r.Header.Get(headerAttempt); id != "" {
+		w.Header().Set(headerAttempt, id)
+	}
 	s.awaitThaw(r.Context().Done())
 	if s.stopping.Load() {
 		w.Header().Set("Connection", "close")
