observe/status, tool/oper: show what the instances of a deployment believe

Each instance serves a report beside its metrics: configuration and change held, the control instance followed or the leader, and each backend server with what it gets and why. One handler now serves both roles, where each had its own.

The sight of a target keeps the instant it was taken at, so that a later log line tells the age of the report at the choice.

--- a/internal/control/follow/follow.go
+++ b/internal/control/follow/follow.go
@@ -53,6 +53,8 @@
 	Logger  *slog.Logger
 
 	mu sync.Mutex
+	// heard is the last good answer.
+	heard heard
 	// self is Self as it is now.
 	self *fleet.Instance
 	// interrupt ends the wait for a change.
@@ -68,6 +70,12 @@
 	seeds  []string
 }
 
+// heard is a good answer of a control instance.
+type heard struct {
+	address string
+	at      time.Time
+}
+
 // failure is what is known of a control instance that did not answer.
 type failure struct {
 	at    time.Time
@@ -88,6 +96,14 @@
 	}
 }
 
+// Heard returns the control instance that last answered well, and when it did.
+// Without one it returns an empty address.
+func (f *Follower) Heard() (address string, at time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.heard.address, f.heard.at
+}
+
 // current returns the registration. The lock is held.
 func (f *Follower) current() *fleet.Instance {
 	if f.self == nil {
@@ -145,6 +161,9 @@
 // recovered notes that address answered well. What failed in an outage of all control
 // instances is no reason to avoid one after it.
 func (f *Follower) recovered(address string) {
+	f.mu.Lock()
+	f.heard = heard{address: address, at: time.Now()}
+	f.mu.Unlock()
 	delete(f.failed, address)
 	if f.outage {
 		f.outage = false
--- a/internal/daemon/core/core.go
+++ b/internal/daemon/core/core.go
@@ -12,7 +12,6 @@
 
 	"github.com/gorilla/mux"
 	"github.com/pkg/errors"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.uber.org/fx"
 
 	"github.com/snipefront/snipefront"
@@ -21,6 +20,7 @@
 	"github.com/snipefront/snipefront/internal/control/keeper"
 	"github.com/snipefront/snipefront/internal/daemon/serve"
 	"github.com/snipefront/snipefront/internal/observe/stats"
+	"github.com/snipefront/snipefront/internal/observe/status"
 	"github.com/snipefront/snipefront/internal/quorum/disk"
 	"github.com/snipefront/snipefront/internal/quorum/driver"
 	"github.com/snipefront/snipefront/internal/rpc/peers"
@@ -126,7 +126,7 @@
 					return err
 				}
 			}
-			metrics := promhttp.HandlerFor(st.Gatherer(), promhttp.HandlerOpts{})
+			metrics := status.Handler(st.Gatherer(), func() status.Report { return report(s, l, k.State) }, logger)
 			if err := g.HTTP(ctx, "metrics", s.MetricsAddress, metrics); err != nil {
 				return err
 			}
@@ -146,6 +146,36 @@
 	})
 }
 
+// report returns what the control instance believes.
+func report(s Settings, l *driver.Log, st *fleet.State) status.Report {
+	lead := l.Leadership()
+	v := st.View()
+	r := status.Report{
+		Instance: s.Self.Name, Role: "core", DataCentre: s.Self.DataCentre, Version: v.Document.Version, Index: v.Index,
+		Source: lead.Leader, Term: lead.Term, Members: l.Members(),
+	}
+	for _, n := range v.Servers {
+		r.Servers = append(r.Servers, status.Server{
+			Name: n.Name, Service: n.Service, DataCentre: n.DataCentre, Address: n.Address, Incarnation: n.Incarnation,
+			State: registered(n, v.Out),
+		})
+	}
+	return r
+}
+
+// registered returns the state of n by its registration.
+func registered(n fleet.Server, out map[string]bool) status.State {
+	switch {
+	case n.Draining:
+		return status.Draining
+	case out[n.DataCentre]:
+		return status.Out
+	case n.ColdMillis > 0:
+		return status.Cold
+	}
+	return status.Ready
+}
+
 // caller calls control instances, this one without the network.
 type caller struct {
 	self   string
--- a/internal/daemon/edge/edge.go
+++ b/internal/daemon/edge/edge.go
@@ -9,8 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/gorilla/mux"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.uber.org/fx"
 
 	"github.com/snipefront/snipefront"
@@ -27,6 +25,7 @@
 	"github.com/snipefront/snipefront/internal/entry/gate"
 	"github.com/snipefront/snipefront/internal/entry/pipe"
 	"github.com/snipefront/snipefront/internal/observe/stats"
+	"github.com/snipefront/snipefront/internal/observe/status"
 	"github.com/snipefront/snipefront/internal/request/inform"
 	"github.com/snipefront/snipefront/internal/request/paths"
 	"github.com/snipefront/snipefront/internal/request/poison"
@@ -83,6 +82,8 @@
 	poison  *poison.Register
 	// control holds the control instances.
 	control atomic.Pointer[[]snipefront.Instance]
+	// index is that of the last view.
+	index atomic.Uint64
 	// suspects is the index of the view whose suspects were taken in.
 	suspects uint64
 	// begun is true once requests are taken.
@@ -159,8 +160,7 @@
 			return err
 		}
 	}
-	metrics := mux.NewRouter()
-	metrics.Handle("/metrics", promhttp.HandlerFor(e.stats.Gatherer(), promhttp.HandlerOpts{}))
+	metrics := status.Handler(e.stats.Gatherer(), e.report, e.logger)
 	if err := e.group.HTTP(ctx, "metrics", e.settings.MetricsAddress, metrics); err != nil {
 		return err
 	}
@@ -183,6 +183,7 @@
 		return
 	}
 	e.targets.Update(time.Now(), v, t.Routing)
+	e.index.Store(v.Index)
 	e.logger.Info("view taken", "index", v.Index, "version", v.Document.Version, "servers", len(v.Servers), "instances", len(v.Instances), "out", len(v.Out))
 	e.shareSuspects(v)
 	if !e.begun {
@@ -191,6 +192,19 @@
 	}
 }
 
+// report returns what the instance believes.
+func (e *Edge) report() status.Report {
+	r := status.Report{
+		Instance: e.settings.Self.Name, Role: "edge", DataCentre: e.settings.Self.DataCentre,
+		Index: e.index.Load(), Servers: e.targets.States(time.Now()),
+	}
+	r.Source, r.Heard = e.follower.Heard()
+	if t := e.gate.Table(); t != nil {
+		r.Version = t.Routing.Version
+	}
+	return r
+}
+
 // shareSuspects takes in the requests under which backend servers fell elsewhere,
 // and learns of starts that ended.
 func (e *Edge) shareSuspects(v fleet.View) {
--- a/internal/dispatch/look/set.go
+++ b/internal/dispatch/look/set.go
@@ -7,6 +7,7 @@
 	"github.com/snipefront/snipefront"
 	"github.com/snipefront/snipefront/internal/control/fleet"
 	"github.com/snipefront/snipefront/internal/control/owner"
+	"github.com/snipefront/snipefront/internal/observe/status"
 )
 
 // Asker asks a target for its load.
@@ -29,12 +30,14 @@
 	byService map[string][]*Target
 	// entries has the instances that take requests.
 	entries snipefront.Epoch
+	// out holds the data centres out of service.
+	out map[string]bool
 }
 
 // Update makes the set that of v and r. A target that is still there keeps what is
 // known of it.
 func (s *Set) Update(now time.Time, v fleet.View, r *snipefront.Routing) {
-	next := &targets{byName: map[string]*Target{}, byService: map[string][]*Target{}}
+	next := &targets{byName: map[string]*Target{}, byService: map[string][]*Target{}, out: v.Out}
 	old := s.current.Load()
 	for _, n := range v.Servers {
 		p, ok := r.Services[n.Service]
@@ -107,6 +110,30 @@
 	return t, false
 }
 
+// States returns all targets with what they get.
+func (s *Set) States(now time.Time) []status.Server {
+	c := s.current.Load()
+	if c == nil {
+		return nil
+	}
+	var list []status.Server
+	for _, t := range c.byName {
+		n := t.Server
+		v := status.Server{
+			Name: n.Name, Service: n.Service, DataCentre: n.DataCentre, Address: n.Address, Incarnation: n.Incarnation,
+			State: t.condition(now),
+		}
+		switch {
+		case n.Draining:
+			v.State = status.Draining
+		case c.out[n.DataCentre]:
+			v.State = status.Out
+		}
+		list = append(list, v)
+	}
+	return list
+}
+
 // WarmsUp returns whether this instance is the one that sends requests to t while
 // it is cold. Instances with the same view agree on one in its data centre, or in
 // the fleet where there is none.
--- a/internal/dispatch/look/target.go
+++ b/internal/dispatch/look/target.go
@@ -12,6 +12,7 @@
 
 	"github.com/snipefront/snipefront"
 	"github.com/snipefront/snipefront/internal/control/fleet"
+	"github.com/snipefront/snipefront/internal/observe/status"
 )
 
 const (
@@ -69,6 +70,8 @@
 
 // Sight is what is known of a target at one instant.
 type Sight struct {
+	// At is that instant.
+	At     time.Time
 	Report Report
 	// Sent counts the requests that this instance sent since the report.
 	Sent int
@@ -87,7 +90,7 @@
 func (s Sight) LogValue() slog.Value {
 	r := s.Report
 	return slog.StringValue(fmt.Sprintf("age=%v running=%d waiting=%d slots=%d pace=%.2f sent=%d own=%d faults=%.2f cold=%v healthy=%v near=%v",
-		time.Since(r.At).Round(time.Millisecond), r.Running, r.Waiting, r.Slots, r.Pace, s.Sent, s.Running, s.Faults, s.Cold, r.Healthy, s.Near))
+		s.At.Sub(r.At).Round(time.Millisecond), r.Running, r.Waiting, r.Slots, r.Pace, s.Sent, s.Running, s.Faults, s.Cold, r.Healthy, s.Near))
 }
 
 // Sight returns what is known of t.
@@ -96,7 +99,7 @@
 	defer t.mu.Unlock()
 	t.fade(now)
 	return Sight{
-		Report: t.report, Sent: t.sent, Running: t.running, Faults: t.faults,
+		At: now, Report: t.report, Sent: t.sent, Running: t.running, Faults: t.faults,
 		Cold: t.isCold(now), Near: t.Near, Slots: t.Server.Slots,
 	}
 }
@@ -108,6 +111,26 @@
 	return !now.Before(t.until)
 }
 
+// faultyShare is the share of faults from which a target counts as faulty in its
+// state. A single fault is less.
+const faultyShare = 0.3
+
+// condition returns the state of t but for what is registered of it.
+func (t *Target) condition(now time.Time) status.State {
+	s := t.Sight(now)
+	switch {
+	case !t.Available(now):
+		return status.Unreachable
+	case s.Cold:
+		return status.Cold
+	case s.Faults >= faultyShare:
+		return status.Faulty
+	case !s.Report.At.IsZero() && !s.Report.Healthy:
+		return status.Ill
+	}
+	return status.Ready
+}
+
 // MayWarm returns whether Reserve would take a request at a cold target.
 func (t *Target) MayWarm(now time.Time, rate float64) bool {
 	t.mu.Lock()
--- /dev/null
+++ b/internal/tool/oper/fleet.go
@@ -0,0 +1,175 @@
+package oper
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/snipefront/snipefront/internal/observe/status"
+)
+
+// reportBytes bounds the report of one instance.
+const reportBytes = 16 << 20
+
+// errIncomplete means that some instances did not answer.
+var errIncomplete = errors.New("not all instances answered")
+
+// reports is what the instances of a deployment answered.
+type reports struct {
+	list []status.Report
+	// lost holds why an instance did not answer, by address.
+	lost map[string]error
+}
+
+// showFleet shows a deployment from the metrics addresses of its instances.
+func showFleet(ctx context.Context, t *terminal, args []string) error {
+	f := newFlags(t, "fleet", "", "fleet -addr 10.1.0.4:9464,10.1.0.5:9464")
+	var addresses addressList
+	f.Var(&addresses, "addr", "metrics addresses of all instances, `host:port,...`")
+	wait := f.Duration("wait", defaultWait, "the longest time to wait")
+	if err := f.parse(args, 0); err != nil {
+		return err
+	}
+	if len(addresses) == 0 {
+		fmt.Fprintln(t.Errors, "no addresses")
+		f.Usage()
+		return errUsage
+	}
+	ctx, cancel := context.WithTimeout(ctx, *wait)
+	defer cancel()
+	r := ask(ctx, addresses)
+	if err := printFleet(t.Output, r, time.Now()); err != nil {
+		return err
+	}
+	if len(r.lost) > 0 {
+		return errIncomplete
+	}
+	return nil
+}
+
+// ask asks all addresses side by side.
+func ask(ctx context.Context, addresses []string) reports {
+	type answer struct {
+		address string
+		report  status.Report
+		err     error
+	}
+	answers := make(chan answer)
+	for _, address := range addresses {
+		go func() {
+			r, err := askOne(ctx, address)
+			answers <- answer{address: address, report: r, err: err}
+		}()
+	}
+	all := reports{lost: map[string]error{}}
+	for range addresses {
+		a := <-answers
+		if a.err != nil {
+			all.lost[a.address] = a.err
+			continue
+		}
+		all.list = append(all.list, a.report)
+	}
+	slices.SortFunc(all.list, func(a, b status.Report) int {
+		return strings.Compare(a.Role+" "+a.Instance, b.Role+" "+b.Instance)
+	})
+	return all
+}
+
+// askOne asks one instance for its report.
+func askOne(ctx context.Context, address string) (status.Report, error) {
+	var r status.Report
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+status.Path, nil)
+	if err != nil {
+		return r, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return r, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return r, errors.Errorf("status %s", resp.Status)
+	}
+	return r, errors.Wrap(json.NewDecoder(io.LimitReader(resp.Body, reportBytes)).Decode(&r), "decode report")
+}
+
+func printFleet(output io.Writer, all reports, now time.Time) error {
+	w := newTable(output)
+	row(w, "INSTANCE", "ROLE", "DATA CENTRE", "VERSION", "INDEX", "FOLLOWS", "HEARD", "TERM", "MEMBERS")
+	for _, r := range all.list {
+		row(w, r.Instance, r.Role, orDash(r.DataCentre), r.Version, r.Index, orDash(r.Source), age(now, r.Heard), orDash(term(r)), len(r.Members))
+	}
+	for _, address := range sortedKeys(all.lost) {
+		row(w, address, "no answer: "+all.lost[address].Error())
+	}
+	fmt.Fprintln(w)
+	row(w, "BACKEND SERVER", "SERVICE", "DATA CENTRE", "ADDRESS", "INSTANCES THAT SEE IT AS")
+	servers := seen(all.list)
+	for _, name := range sortedKeys(servers) {
+		s := servers[name]
+		row(w, s.Name, s.Service, s.DataCentre, s.Address, s.states())
+	}
+	return w.Flush()
+}
+
+func age(now, at time.Time) string {
+	if at.IsZero() {
+		return "-"
+	}
+	return now.Sub(at).Round(time.Millisecond).String() + " ago"
+}
+
+func term(r status.Report) string {
+	if r.Term == 0 {
+		return ""
+	}
+	return fmt.Sprint(r.Term)
+}
+
+// sight is a backend server as all instances see it.
+type sight struct {
+	status.Server
+	counts map[status.State]int
+}
+
+// seen returns the backend servers by name.
+func seen(list []status.Report) map[string]*sight {
+	servers := map[string]*sight{}
+	for _, r := range list {
+		for _, s := range r.Servers {
+			v := servers[s.Name]
+			if v == nil {
+				v = &sight{Server: s, counts: map[status.State]int{}}
+				servers[s.Name] = v
+			}
+			v.counts[s.State]++
+		}
+	}
+	return servers
+}
+
+// states returns in which state how many instances see the backend server.
+func (s *sight) states() string {
+	var parts []string
+	for _, v := range sortedKeys(s.counts) {
+		parts = append(parts, fmt.Sprintf("%s %d", v, s.counts[v]))
+	}
+	return strings.Join(parts, ", ")
+}
+
+func sortedKeys[K ~string, V any](m map[K]V) []K {
+	var keys []K
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- a/internal/tool/oper/oper.go
+++ b/internal/tool/oper/oper.go
@@ -63,7 +63,8 @@
 		{"apply", "replace the accepted intents by a folder", apply},
 		{"show", "print the accepted intents", show},
 		{"history", "print the accepted changes", history},
-		{"status", "print members, owners and backend servers", status},
+		{"status", "print members, owners and backend servers", showStatus},
+		{"fleet", "print the instances of a deployment and what they believe", showFleet},
 		{"version", "print the version", version},
 	}
 }
--- a/internal/tool/oper/script_test.go
+++ b/internal/tool/oper/script_test.go
@@ -15,6 +15,7 @@
 	"github.com/gorilla/mux"
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"github.com/snipefront/snipefront/internal/observe/status"
 	"github.com/snipefront/snipefront/internal/tool/oper"
 )
 
@@ -33,6 +34,11 @@
 			server := httptest.NewServer(f.router())
 			e.Defer(server.Close)
 			e.Vars = append(e.Vars, "ADDR="+server.Listener.Addr().String())
+			for i, r := range nodeReports {
+				node := httptest.NewServer(reportHandler(r))
+				e.Defer(node.Close)
+				e.Vars = append(e.Vars, fmt.Sprintf("NODE%d=%s", i+1, node.Listener.Addr()))
+			}
 			e.Values["fleet"] = f
 			return nil
 		},
@@ -40,6 +46,30 @@
 	})
 }
 
+// nodeReports are what instances of a deployment answer at the addresses NODE1, ...
+var nodeReports = []status.Report{
+	{
+		Instance: "e1", Role: "edge", DataCentre: "dc1", Version: 7, Index: 12, Source: "c1",
+		Servers: []status.Server{
+			{Name: "b1", Service: "balance", DataCentre: "dc1", Address: "10.0.0.1:80", State: status.Ready},
+			{Name: "b2", Service: "balance", DataCentre: "dc2", Address: "10.0.0.2:80", State: status.Unreachable},
+		},
+	},
+	{
+		Instance: "c1", Role: "core", DataCentre: "dc2", Version: 8, Index: 13, Source: "c1", Term: 3, Members: []string{"c1", "c2"},
+		Servers: []status.Server{
+			{Name: "b1", Service: "balance", DataCentre: "dc1", Address: "10.0.0.1:80", State: status.Ready},
+			{Name: "b2", Service: "balance", DataCentre: "dc2", Address: "10.0.0.2:80", State: status.Ready},
+		},
+	},
+}
+
+func reportHandler(r status.Report) http.Handler {
+	m := mux.NewRouter()
+	m.HandleFunc(status.Path, func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(r) })
+	return m
+}
+
 // fakeFleet answers as one instance with a quorum behind it.
 type fakeFleet struct {
 	mutex    sync.Mutex
--- a/internal/tool/oper/show.go
+++ b/internal/tool/oper/show.go
@@ -55,7 +55,7 @@
 	return w.Flush()
 }
 
-func status(ctx context.Context, t *terminal, args []string) error {
+func showStatus(ctx context.Context, t *terminal, args []string) error {
 	f := newFlags(t, "status", "", "status -addr 10.1.0.4:8082")
 	r := f.remote()
 	if err := f.parse(args, 0); err != nil {
