dispatch/direct: write a line for each attempt

Only attempts that failed had a line, without what the target had said of itself, so that a late answer could not be explained. Each now has one, with the sight of the choice, the estimate, the time taken and the outcome.

--- a/internal/control/keeper/expire.go
+++ b/internal/control/keeper/expire.go
@@ -121,7 +121,7 @@
 	k.proposed[n.Name] = proposal{instance: n, at: time.Now()}
 	k.mu.Unlock()
 	if r.Changed {
-		k.Logger.Info("instance registered", "name", n.Name, "dataCentre", n.DataCentre, "ready", n.Ready, "incarnation", n.Incarnation)
+		k.Logger.Info("instance registered", "instance", n.Name, "dataCentre", n.DataCentre, "ready", n.Ready, "incarnation", n.Incarnation)
 	}
 }
 
@@ -144,7 +144,7 @@
 	for _, n := range v.Instances {
 		if k.silentInstance(now, n, lost) {
 			r, err := k.propose(ctx, fleet.Command{Part: &n})
-			k.Logger.Info("instance fell silent", "name", n.Name, "keeper", n.Keeper, "removed", err == nil && r.Changed)
+			k.Logger.Info("instance fell silent", "instance", n.Name, "keeper", n.Keeper, "removed", err == nil && r.Changed)
 		}
 	}
 	for _, n := range v.Servers {
--- a/internal/dispatch/direct/choose.go
+++ b/internal/dispatch/direct/choose.go
@@ -60,7 +60,7 @@
 			return best, true
 		}
 		if !hopeful || !timer.Sleep(ctx, holdStep) {
-			d.Logger.Info("no target in time", "request", c.ID, "service", c.Service, "goalIn", time.Until(c.Goal), "usual", unit,
+			d.Logger.Info("no target in time", "request", c.ID, "route", c.Route, "service", c.Service, "goalIn", time.Until(c.Goal), "usual", unit,
 				"best", best.name(), "estimated", best.takes, "sight", best.sight)
 			return choice{}, false
 		}
--- a/internal/dispatch/direct/direct.go
+++ b/internal/dispatch/direct/direct.go
@@ -150,27 +150,37 @@
 	return &snipefront.Error{Verdict: v, Reason: e.Reason, Status: http.StatusBadGateway, Detail: e.Detail}
 }
 
-// note takes in what became of an attempt at t.
-func (d *Dispatcher) note(c *Call, p *progress, t choice, a Attempt) {
-	p.last = a
-	p.hadRoom = hasSlot(t.sight)
-	p.avoid[t.target.Server.Name] = true
-	if a.Response != nil {
-		p.kept = a.Response
+// note takes in what became of an attempt.
+func (d *Dispatcher) note(c *Call, p *progress, e ended) {
+	p.last = e.Attempt
+	p.hadRoom = hasSlot(e.sight)
+	p.avoid[e.target.Server.Name] = true
+	if e.Response != nil {
+		p.kept = e.Response
 	}
-	if a.Verdict != snipefront.NotRun {
+	if e.Verdict != snipefront.NotRun {
 		p.verdict = snipefront.MayHaveRun
 	}
-	if a.Outcome == look.Unreachable {
+	if e.Outcome == look.Unreachable {
 		p.dials++
 	} else {
 		p.sent++
 	}
-	if a.Response != nil && !isFailure(a.Response) {
-		return
+	d.log(c, p, e)
+}
+
+// log writes one line for an attempt, with what decided on it.
+func (d *Dispatcher) log(c *Call, p *progress, e ended) {
+	message, status := "attempt failed", 0
+	if e.Response != nil {
+		status = e.Response.Status
+		if !isFailure(e.Response) {
+			message = "attempt answered"
+		}
 	}
-	d.Logger.Info("attempt failed", "request", c.ID, "service", c.Service, "server", t.target.Server.Name,
-		"attempt", p.sent, "estimated", t.takes, "verdict", a.Verdict, "reason", a.Reason, "error", a.Err, "left", time.Until(c.Deadline))
+	d.Logger.Info(message, "request", c.ID, "route", c.Route, "service", c.Service, "server", e.target.Server.Name,
+		"attempt", p.sent, "estimated", e.takes, "sight", e.sight, "taken", e.taken, "status", status,
+		"verdict", e.Verdict, "reason", e.Reason, "error", e.Err, "left", time.Until(c.Deadline))
 }
 
 // isFailure returns whether another target may do better.
@@ -194,7 +204,7 @@
 	if p.kept != nil {
 		return p.kept, nil
 	}
-	d.Logger.Info("request given up", "request", c.ID, "service", c.Service, "verdict", e.Verdict, "reason", e.Reason,
+	d.Logger.Info("request given up", "request", c.ID, "route", c.Route, "service", c.Service, "verdict", e.Verdict, "reason", e.Reason,
 		"status", e.Status, "attempts", p.sent, "dials", p.dials, "retryAfter", e.RetryAfter, "targets", len(d.Targets.Candidates(c.Service)), "goalIn", time.Until(c.Goal), "detail", e.Detail)
 	return nil, e
 }
--- a/internal/dispatch/direct/run.go
+++ b/internal/dispatch/direct/run.go
@@ -23,6 +23,7 @@
 type ended struct {
 	choice
 	Attempt
+	taken time.Duration
 }
 
 // run sends c to t. Where the answer of an idempotent call is overdue, it is sent to
@@ -42,14 +43,13 @@
 		case r := <-results:
 			running--
 			last = r.Attempt
-			d.note(c, p, r.choice, r.Attempt)
+			d.note(c, p, r)
 			if last.Response == nil || isFailure(last.Response) {
 				continue
 			}
 			cancel()
 			for ; running > 0; running-- {
-				r := <-results
-				d.note(c, p, r.choice, r.Attempt)
+				d.note(c, p, <-results)
 			}
 			return last
 		case <-overdue.C:
@@ -76,7 +76,11 @@
 
 // start sends c to t and reports the end on results.
 func (d *Dispatcher) start(ctx context.Context, c *Call, t choice, results chan<- ended) {
-	go func() { results <- ended{choice: t, Attempt: d.send(ctx, c, t)} }()
+	begun := time.Now()
+	go func() {
+		a := d.send(ctx, c, t)
+		results <- ended{choice: t, Attempt: a, taken: time.Since(begun)}
+	}()
 }
 
 // hedge sends c to a second target where that may bring an answer sooner, and
