tool/inst: choose addresses while no process is being started

Sessions run side by side and choose free addresses by listening on them; a process that another session starts holds the closed listeners from its fork to its exec, which takes long on a busy machine.

--- a/internal/tool/inst/session_test.go
+++ b/internal/tool/inst/session_test.go
@@ -86,26 +86,34 @@
 // for addresses: i1 for callers, p1 for peers, o1 for operators, b1 and c1 for
 // backend servers, seeds for the first four instances.
 func prepare(e *testscript.Env, network int) error {
-	var held []net.Listener
+	if err := chooseAddresses(e, network); err != nil {
+		return err
+	}
+	e.Setenv("seeds", strings.Join([]string{e.Getenv("i1"), e.Getenv("i2"), e.Getenv("i3"), e.Getenv("i4")}, ","))
+	for _, d := range []int{1, 2, 3, 4, 6, 8} {
+		if err := os.WriteFile(fmt.Sprintf("%s/i%d.json", e.WorkDir, d), settings(e, d), 0o600); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// chooseAddresses sets the variables to addresses that are free.
+func chooseAddresses(e *testscript.Env, network int) error {
+	// A process that another session starts meanwhile would hold the listeners from
+	// its fork to its exec, and with them the addresses.
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
 	for d := 1; d <= 2*dataCentres; d++ {
 		for _, kind := range []string{"i", "p", "o", "b", "c"} {
 			l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.1:0", network, d))
 			if err != nil {
 				return err
 			}
-			held = append(held, l)
+			defer l.Close()
 			e.Setenv(fmt.Sprintf("%s%d", kind, d), l.Addr().String())
 		}
 	}
-	for _, l := range held {
-		l.Close()
-	}
-	e.Setenv("seeds", strings.Join([]string{e.Getenv("i1"), e.Getenv("i2"), e.Getenv("i3"), e.Getenv("i4")}, ","))
-	for _, d := range []int{1, 2, 3, 4, 6, 8} {
-		if err := os.WriteFile(fmt.Sprintf("%s/i%d.json", e.WorkDir, d), settings(e, d), 0o600); err != nil {
-			return err
-		}
-	}
 	return nil
 }
 
