stand/shift, dispatch/direct: play more patterns of load in the model

A data centre lost under load, all servers cold after an outage, a third slow or grey, false health, hasty callers, long beside short work. The harness is in a file of its own; a pattern says its kind of servers, its callers, its phases and what happens meanwhile. Bounds on the whole: within the goal 0.9 where capacity is left, 0.7 to 0.85 where a third of it or a time of warm-up is missing.

--- a/internal/dispatch/direct/direct_test.go
+++ b/internal/dispatch/direct/direct_test.go
@@ -78,6 +78,11 @@
 	}
 )
 
+type uncounted struct{}
+
+// Retried implements direct.Counter.
+func (uncounted) Retried(string, snipefront.Reason) {}
+
 // newDispatcher returns a dispatcher before servers in its own data centre.
 func newDispatcher(servers int, s *script) *direct.Dispatcher {
 	s.down = map[string]bool{}
--- a/internal/dispatch/direct/load_test.go
+++ b/internal/dispatch/direct/load_test.go
@@ -1,233 +1,173 @@
 package direct_test
 
 import (
-	"context"
-	"fmt"
-	"io"
-	"log/slog"
-	"math/rand/v2"
-	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
-	"github.com/pkg/errors"
-
-	"github.com/snipefront/snipefront"
-	"github.com/snipefront/snipefront/internal/control/fleet"
-	"github.com/snipefront/snipefront/internal/dispatch/budget"
-	"github.com/snipefront/snipefront/internal/dispatch/direct"
-	"github.com/snipefront/snipefront/internal/dispatch/look"
 	"github.com/snipefront/snipefront/internal/stand/shift"
 )
 
-// site is a fleet of dispatchers before shifting backend servers, with callers that
-// come back once after a refusal.
-type site struct {
-	servers     *shift.Servers
-	dispatchers []*direct.Dispatcher
-	callers     callers
-
-	mu     sync.Mutex
-	result result
-}
-
-// callers is how the callers of one kind behave.
-type callers struct {
-	goal, timeout, deadline time.Duration
-	retries                 int
-	idempotent              bool
-}
-
-// result counts what became of requests.
-type result struct {
-	asked, inGoal, late, refused, failed int
-}
-
-type uncounted struct{}
-
-func (uncounted) Retried(string, snipefront.Reason) {}
-
-const (
-	dataCentres = 4
-	service     = "status"
-)
-
-// newSite returns a site of instances and servers spread over the data centres.
-func newSite(seed uint64, instances, servers int, k shift.Kind, c callers) *site {
-	s := &site{servers: &shift.Servers{Kind: k, Random: rand.New(rand.NewPCG(seed, 1))}, callers: c}
-	v := fleet.View{Servers: map[string]fleet.Server{}, Instances: map[string]fleet.Instance{}}
-	for i := range servers {
-		var n fleet.Server
-		n.Name, n.Service, n.DataCentre, n.Slots = fmt.Sprint("s", i), service, fmt.Sprint("dc", i%dataCentres), k.Slots
-		v.Servers[n.Name] = n
-	}
-	r := &snipefront.Routing{Services: map[string]snipefront.Profile{service: {Name: service}}}
-	for i := range instances {
-		set := &look.Set{Self: snipefront.Instance{Name: fmt.Sprint("e", i), DataCentre: fmt.Sprint("dc", i%dataCentres)}}
-		set.Update(time.Now(), v, r)
-		s.dispatchers = append(s.dispatchers, &direct.Dispatcher{
-			Targets: set, Link: s.servers, Counter: uncounted{}, Budget: &budget.Share{Burst: 3}, RetryShare: 0.15,
-			Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
-		})
-	}
-	return s
-}
-
-// phase is a time with a steady rate of requests.
-type phase struct {
-	length time.Duration
-	rate   float64
-}
-
-// play sends requests in all phases and returns what became of them.
-func (s *site) play(t *testing.T, seed uint64, phases ...phase) result {
-	t.Helper()
-	ctx, cancel := context.WithCancel(t.Context())
-	defer cancel()
-	go s.servers.Run(ctx)
-	random := rand.New(rand.NewPCG(seed, 2))
-	var all sync.WaitGroup
-	for _, p := range phases {
-		for end := time.Now().Add(p.length); time.Now().Before(end); {
-			time.Sleep(time.Duration(random.ExpFloat64() / p.rate * float64(time.Second)))
-			d := s.dispatchers[random.IntN(len(s.dispatchers))]
-			other := s.dispatchers[random.IntN(len(s.dispatchers))]
-			all.Go(func() { s.ask(d, other) })
-		}
-	}
-	all.Wait()
-	cancel()
-	synctest.Wait()
-	return s.result
-}
-
-// ask is one caller: it asks d, and other after a refusal.
-func (s *site) ask(d, other *direct.Dispatcher) {
-	begun := time.Now()
-	end := begun.Add(s.callers.deadline)
-	var err error
-	for try := 0; ; try++ {
-		left := time.Until(end)
-		now := time.Now()
-		c := &direct.Call{ID: "r", Attempts: 2, Goal: begun.Add(s.callers.goal), Request: &snipefront.Request{
-			Service: service, Idempotent: s.callers.idempotent, Deadline: now.Add(min(left, s.callers.timeout)),
-		}}
-		_, err = d.Serve(context.Background(), c)
-		var e *snipefront.Error
-		if err == nil || try >= s.callers.retries || !errors.As(err, &e) || !s.callers.idempotent && e.Verdict != snipefront.NotRun {
-			break
-		}
-		time.Sleep(min(e.RetryAfter, time.Until(end)/3))
-		d = other
-	}
-	s.note(time.Since(begun), err)
-}
-
-func (s *site) note(taken time.Duration, err error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.result.asked++
-	var e *snipefront.Error
-	switch {
-	case err == nil && taken <= s.callers.goal:
-		s.result.inGoal++
-	case err == nil:
-		s.result.late++
-	case errors.As(err, &e) && e.Verdict == snipefront.NotRun:
-		s.result.refused++
-	default:
-		s.result.failed++
-	}
-}
-
 var (
 	statusKind = shift.Kind{
 		Slots: 2, Queue: 4, Work: 120 * time.Millisecond, Spread: 0.3, SlowShare: 0.35, SlowFactor: 4,
-		Period: 300 * time.Millisecond, FullShare: 0.8, FullFactor: 1.7, Delay: 4 * time.Millisecond,
+		Period: 300 * time.Millisecond, FullShare: 0.8, FullFactor: 1.7, Delay: 4 * time.Millisecond, ColdRate: 4,
+	}
+	statusCallers = callers{
+		route: "status", goal: 300 * time.Millisecond, timeout: 800 * time.Millisecond, deadline: 1500 * time.Millisecond, retries: 1, idempotent: true,
 	}
-	statusCallers = callers{goal: 300 * time.Millisecond, timeout: 800 * time.Millisecond, deadline: 1500 * time.Millisecond, retries: 1, idempotent: true}
 )
 
-// playStatus plays the same phases with a few seeds and adds up the results.
-func playStatus(t *testing.T, phases ...phase) (sum result, looks int) {
+// status is a pattern of status lookups.
+func status(phases ...phase) pattern {
+	return pattern{kind: statusKind, callers: []callers{statusCallers}, phases: phases}
+}
+
+// atLeast and atMost check a share of the requests.
+func atLeast(t *testing.T, share, want float64, what string) {
 	t.Helper()
-	return playKind(t, statusKind, phases...)
+	if share < want {
+		t.Errorf("%.2f of the requests are %s, want %.2f at least", share, what, want)
+	}
 }
 
-// playKind is playStatus with servers of another kind.
-func playKind(t *testing.T, k shift.Kind, phases ...phase) (sum result, looks int) {
+func atMost(t *testing.T, share, want float64, what string) {
 	t.Helper()
-	for seed := range uint64(3) {
-		synctest.Test(t, func(t *testing.T) {
-			s := newSite(seed, 14, 11, k, statusCallers)
-			r := s.play(t, seed, phases...)
-			sum.asked += r.asked
-			sum.inGoal += r.inGoal
-			sum.late += r.late
-			sum.refused += r.refused
-			sum.failed += r.failed
-			looks += s.servers.Looks
-		})
+	if share > want {
+		t.Errorf("%.2f of the requests are %s, want %.2f at most", share, what, want)
 	}
-	return sum, looks
 }
 
 // TestCalmLoad is the pattern "calm": a third of what the servers bear.
 func TestCalmLoad(t *testing.T) {
-	r, looks := playStatus(t, phase{10 * time.Second, 33})
-	t.Logf("%+v, %.1f looks a request", r, float64(looks)/float64(r.asked))
-	if share := float64(r.inGoal) / float64(r.asked); share < 0.95 {
-		t.Errorf("%.2f of the requests are answered within the goal, want 0.95", share)
-	}
+	r := status(phase{10 * time.Second, 33}).play(t)
+	atLeast(t, r.in(r.inGoal), 0.95, "answered within the goal")
 }
 
 // TestOverload is the pattern "overload": steadily about twice what the servers bear.
 // Those requests that are answered have to be in time, rather than all late.
 func TestOverload(t *testing.T) {
-	r, looks := playStatus(t, phase{6 * time.Second, 150})
-	t.Logf("%+v, %.1f looks a request", r, float64(looks)/float64(r.asked))
+	r := status(phase{6 * time.Second, 150}).play(t)
 	if share := float64(r.inGoal) / float64(r.inGoal+r.late); share < 0.5 {
 		t.Errorf("%.2f of the answers are within the goal, want half", share)
 	}
-	if share := float64(r.failed) / float64(r.asked); share > 0.02 {
-		t.Errorf("%.2f of the requests failed without an answer, want 0.02 at most", share)
-	}
+	atMost(t, r.in(r.failed), 0.02, "failed without an answer")
 }
 
 // TestBurst is the pattern "burst": for some seconds about one and a half times what
 // the servers bear, between times of calm.
 func TestBurst(t *testing.T) {
-	r, looks := playStatus(t, phase{2 * time.Second, 33}, phase{4 * time.Second, 110}, phase{2 * time.Second, 33})
-	t.Logf("%+v, %.1f looks a request", r, float64(looks)/float64(r.asked))
-	if share := float64(r.inGoal) / float64(r.asked); share < 0.45 {
-		t.Errorf("%.2f of the requests are answered within the goal, want 0.45", share)
-	}
+	r := status(phase{2 * time.Second, 33}, phase{4 * time.Second, 110}, phase{2 * time.Second, 33}).play(t)
+	atLeast(t, r.in(r.inGoal), 0.45, "answered within the goal")
 }
 
 // TestSheddingWithRoom is the pattern "shedding with room": backend servers refuse 45
 // requests in 100, though hardly any are under way. Since the refusals say nothing
 // of the load, callers that are refused in the end can come back at once.
 func TestSheddingWithRoom(t *testing.T) {
-	k := statusKind
-	k.ShedShare = 0.45
-	r, _ := playKind(t, k, phase{10 * time.Second, 20})
-	t.Logf("%+v", r)
-	if share := float64(r.inGoal) / float64(r.asked); share < 0.8 {
-		t.Errorf("%.2f of the requests are answered within the goal, want 0.8", share)
-	}
+	p := status(phase{10 * time.Second, 20})
+	p.kind.ShedShare = 0.45
+	r := p.play(t)
+	atLeast(t, r.in(r.inGoal), 0.8, "answered within the goal")
 }
 
 // TestBusy is the pattern "busy": steadily about what the servers bear while a third
 // of them are slow. A request that can't be in time any more gets a slot that is
 // free, rather than a refusal after which it comes back still later.
 func TestBusy(t *testing.T) {
-	r, _ := playStatus(t, phase{10 * time.Second, 60})
-	t.Logf("%+v", r)
-	if share := float64(r.refused) / float64(r.asked); share > 0.03 {
-		t.Errorf("%.2f of the requests are refused, want 0.03 at most", share)
+	r := status(phase{10 * time.Second, 60}).play(t)
+	atMost(t, r.in(r.refused), 0.03, "refused")
+	atLeast(t, r.in(r.inGoal), 0.8, "answered within the goal")
+}
+
+// TestDataCentreLost is the pattern "data centre lost": its servers and instances
+// fall silent at once, under a load that the others bear.
+func TestDataCentreLost(t *testing.T) {
+	p := status(phase{10 * time.Second, 33})
+	p.happen = func(s *site) {
+		s.at(3*time.Second, func() {
+			s.lose("dc0")
+			s.set(shift.Condition{Dead: true}, func(i int) bool { return i%dataCentres == 0 })
+		})
+	}
+	r := p.play(t)
+	atLeast(t, r.in(r.inGoal), 0.9, "answered within the goal")
+	atMost(t, r.in(r.failed), 0.02, "failed without an answer")
+}
+
+// TestColdAfterAnOutage is the pattern "cold after an outage": all servers start anew
+// at once and bear few requests for three seconds. None gets more than it bears, and
+// the load is served again once they are warm.
+func TestColdAfterAnOutage(t *testing.T) {
+	p := status(phase{10 * time.Second, 33})
+	p.happen = func(s *site) {
+		s.at(2*time.Second, func() {
+			s.set(shift.Condition{ColdUntil: time.Now().Add(3 * time.Second)}, func(int) bool { return true })
+		})
 	}
-	if share := float64(r.inGoal) / float64(r.asked); share < 0.8 {
-		t.Errorf("%.2f of the requests are answered within the goal, want 0.8", share)
+	r := p.play(t)
+	if r.coldMost > 5 {
+		t.Errorf("a cold server got %d requests within a second, and bears 4", r.coldMost)
+	}
+	atLeast(t, r.in(r.inGoal), 0.7, "answered within the goal")
+}
+
+// TestThirdSlow is the pattern "a third slow": servers take six times as long as their
+// reports say.
+func TestThirdSlow(t *testing.T) {
+	p := status(phase{10 * time.Second, 25})
+	p.happen = func(s *site) {
+		s.at(2*time.Second, func() { s.set(shift.Condition{Drag: 6}, func(i int) bool { return i%3 == 0 }) })
+	}
+	r := p.play(t)
+	atLeast(t, r.in(r.inGoal), 0.8, "answered within the goal")
+}
+
+// TestThirdGrey is the pattern "a third grey": servers fail half of their requests
+// while all that they say of themselves is good.
+func TestThirdGrey(t *testing.T) {
+	p := status(phase{10 * time.Second, 25})
+	p.happen = func(s *site) {
+		s.at(2*time.Second, func() { s.set(shift.Condition{FaultShare: 0.5}, func(i int) bool { return i%3 == 0 }) })
+	}
+	r := p.play(t)
+	atMost(t, r.in(r.failed), 0.02, "failed")
+	atLeast(t, r.in(r.inGoal), 0.85, "answered within the goal")
+}
+
+// TestFalseHealth is the pattern "false health": a third of the servers say that they
+// are ill and are not, which leaves the load to be served by all the same.
+func TestFalseHealth(t *testing.T) {
+	p := status(phase{10 * time.Second, 33})
+	p.happen = func(s *site) {
+		s.at(2*time.Second, func() { s.set(shift.Condition{Ill: true}, func(i int) bool { return i%3 == 0 }) })
+	}
+	r := p.play(t)
+	atLeast(t, r.in(r.inGoal), 0.9, "answered within the goal")
+}
+
+// TestHastyCallers is the pattern "hasty callers": at one and a half times what the
+// servers bear, a third of the callers come back at once and up to four times. The
+// others are served as without them.
+func TestHastyCallers(t *testing.T) {
+	p := status(phase{6 * time.Second, 60})
+	hasty := statusCallers
+	hasty.hasty, hasty.retries = true, 4
+	p.callers[0].share = 2
+	p.callers = append(p.callers, hasty)
+	r := p.play(t)
+	atLeast(t, r.in(r.inGoal), 0.75, "answered within the goal")
+	atMost(t, r.in(r.repeats), 0.2, "repeated by the instances")
+}
+
+// TestLongAndShort is the pattern "long and short": work of 300 ms beside work of
+// 60 ms at the same servers, each with a goal of its own.
+func TestLongAndShort(t *testing.T) {
+	p := status(phase{10 * time.Second, 25})
+	p.kind.RouteWork = map[string]time.Duration{"long": 300 * time.Millisecond, "short": 60 * time.Millisecond}
+	p.callers = []callers{
+		{route: "short", share: 3, goal: 200 * time.Millisecond, timeout: 500 * time.Millisecond, deadline: time.Second, retries: 1, idempotent: true},
+		{route: "long", share: 1, goal: 800 * time.Millisecond, timeout: 1500 * time.Millisecond, deadline: 3 * time.Second, retries: 1, idempotent: true},
 	}
+	r := p.play(t)
+	atLeast(t, r.in(r.inGoal), 0.9, "answered within the goal")
 }
--- a/internal/stand/shift/shift.go
+++ b/internal/stand/shift/shift.go
@@ -30,6 +30,8 @@
 	// spread.
 	Work   time.Duration
 	Spread float64
+	// RouteWork is the mean time for routes that have another one.
+	RouteWork map[string]time.Duration
 	// SlowShare is the share of periods in which work takes SlowFactor times as long.
 	SlowShare  float64
 	SlowFactor float64
@@ -40,11 +42,30 @@
 	FullFactor float64
 	// ShedShare is the share of requests that are refused unrun, whatever the load.
 	ShedShare float64
+	// ColdRate is the number of requests a second that a cold server bears.
+	ColdRate float64
 	// Delay is the time that a look or a request takes on its way and back.
 	Delay time.Duration
 }
 
-var errShed = errors.New("refused by the backend server")
+var (
+	errShed = errors.New("refused by the backend server")
+	errDead = errors.New("no answer")
+)
+
+// Condition is what is wrong with one server. Its zero value is nothing.
+type Condition struct {
+	// Dead is true where neither looks nor requests are answered.
+	Dead bool
+	// FaultShare is the share of requests that fail after their work.
+	FaultShare float64
+	// Drag is how many times longer work takes than the report says. Zero is one.
+	Drag float64
+	// Ill is true where the report says so.
+	Ill bool
+	// ColdUntil is when the server is warm. Until then it bears Kind.ColdRate.
+	ColdUntil time.Time
+}
 
 // Servers implements direct.Link over servers of one kind.
 type Servers struct {
@@ -58,12 +79,17 @@
 	Lost int
 	// Looks counts the looks.
 	Looks int
+	// ColdMost is the most requests that a cold server got within a second.
+	ColdMost int
 }
 
 // server is one backend server.
 type server struct {
 	running, waiting int
 	pace             float64
+	condition        Condition
+	// arrived holds when requests came to the cold server.
+	arrived []time.Time
 	// free is signalled when a slot becomes free.
 	free chan struct{}
 }
@@ -98,15 +124,22 @@
 	return 1
 }
 
-// at returns the server of t. The lock is held.
-func (s *Servers) at(t *look.Target) *server {
+// Set puts the named server into condition c.
+func (s *Servers) Set(name string, c Condition) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.named(name).condition = c
+}
+
+// named returns a server by its name. The lock is held.
+func (s *Servers) named(name string) *server {
 	if s.servers == nil {
 		s.servers = map[string]*server{}
 	}
-	v := s.servers[t.Server.Name]
+	v := s.servers[name]
 	if v == nil {
 		v = &server{pace: s.draw(), free: make(chan struct{}, s.Kind.Queue)}
-		s.servers[t.Server.Name] = v
+		s.servers[name] = v
 	}
 	return v
 }
@@ -117,38 +150,86 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.Looks++
-	v := s.at(t)
+	v := s.named(t.Server.Name)
+	if v.condition.Dead {
+		return look.Report{}, errDead
+	}
+	now := time.Now()
 	return look.Report{
-		At: time.Now(), Known: true, Healthy: true, Running: v.running, Waiting: v.waiting, Slots: s.Kind.Slots, Pace: v.pace,
+		At: now, Known: true, Healthy: !v.condition.Ill, Running: v.running, Waiting: v.waiting, Slots: s.Kind.Slots, Pace: v.pace,
+		Cold: max(0, v.condition.ColdUntil.Sub(now)),
 	}, nil
 }
 
 // Send implements direct.Link.
-func (s *Servers) Send(ctx context.Context, _ *direct.Call, t *look.Target) direct.Attempt {
+func (s *Servers) Send(ctx context.Context, c *direct.Call, t *look.Target) direct.Attempt {
 	time.Sleep(s.Kind.Delay)
-	if s.sheds() {
+	w := s.workOf(c)
+	condition, shed := s.arrive(t)
+	switch {
+	case condition.Dead:
+		<-ctx.Done()
+		return unanswered(ctx.Err())
+	case shed:
 		return direct.Attempt{Verdict: snipefront.NotRun, Reason: snipefront.ReasonShed, Err: errShed, Outcome: look.Neutral}
 	}
 	v, ok := s.enter(ctx, t)
 	if !ok {
-		return direct.Attempt{Verdict: snipefront.MayHaveRun, Reason: snipefront.ReasonBrokenAnswer, Err: ctx.Err(), Outcome: look.Faulty}
+		return unanswered(ctx.Err())
 	}
-	done := s.work(ctx, v)
+	done := s.work(ctx, v, w)
 	s.leave(v)
 	if !done {
-		return direct.Attempt{Verdict: snipefront.MayHaveRun, Reason: snipefront.ReasonBrokenAnswer, Err: ctx.Err(), Outcome: look.Faulty}
+		return unanswered(ctx.Err())
 	}
-	return direct.Attempt{
+	a := direct.Attempt{
 		Verdict: snipefront.Ran, Outcome: look.Answered,
 		Response: &snipefront.Response{Status: http.StatusOK, BackendServer: t.Server.Name},
 	}
+	if s.chance(condition.FaultShare) {
+		a.Outcome, a.Response.Status = look.Faulty, http.StatusInternalServerError
+	}
+	return a
+}
+
+// unanswered is an attempt that ended with err.
+func unanswered(err error) direct.Attempt {
+	return direct.Attempt{Verdict: snipefront.MayHaveRun, Reason: snipefront.ReasonBrokenAnswer, Err: err, Outcome: look.Faulty}
+}
+
+// workOf returns the mean work of c.
+func (s *Servers) workOf(c *direct.Call) time.Duration {
+	if w, ok := s.Kind.RouteWork[c.Route]; ok {
+		return w
+	}
+	return s.Kind.Work
 }
 
-// sheds returns whether a request is refused unrun.
-func (s *Servers) sheds() bool {
+// arrive counts a request at t. It returns the server's condition, and whether the
+// request is refused unrun.
+func (s *Servers) arrive(t *look.Target) (Condition, bool) {
+	s.mu.Lock()
+	v := s.named(t.Server.Name)
+	if now := time.Now(); now.Before(v.condition.ColdUntil) {
+		v.arrived = append(v.arrived, now)
+		n := 0
+		for _, at := range v.arrived {
+			if now.Sub(at) < time.Second {
+				n++
+			}
+		}
+		s.ColdMost = max(s.ColdMost, n)
+	}
+	c := v.condition
+	s.mu.Unlock()
+	return c, s.chance(s.Kind.ShedShare)
+}
+
+// chance draws whether something with this probability happens.
+func (s *Servers) chance(p float64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.Random.Float64() < s.Kind.ShedShare
+	return s.Random.Float64() < p
 }
 
 // Up implements direct.Link.
@@ -157,7 +238,7 @@
 // enter takes a slot of the server of t, or waits for one until ctx ends.
 func (s *Servers) enter(ctx context.Context, t *look.Target) (*server, bool) {
 	s.mu.Lock()
-	v := s.at(t)
+	v := s.named(t.Server.Name)
 	if v.running < s.Kind.Slots {
 		v.running++
 		s.mu.Unlock()
@@ -214,9 +295,12 @@
 }
 
 // work does a request's work at the present pace of v, and returns whether ctx let it end.
-func (s *Servers) work(ctx context.Context, v *server) bool {
+func (s *Servers) work(ctx context.Context, v *server, mean time.Duration) bool {
 	s.mu.Lock()
-	takes := float64(s.Kind.Work) * max(0.2, 1+s.Kind.Spread*s.Random.NormFloat64()) * s.paceOf(v)
+	takes := float64(mean) * max(0.2, 1+s.Kind.Spread*s.Random.NormFloat64()) * s.paceOf(v)
+	if v.condition.Drag > 0 {
+		takes *= v.condition.Drag
+	}
 	s.mu.Unlock()
 	return timer.Sleep(ctx, time.Duration(takes))
 }
