dispatch/direct: believe a server's word that it is ill less

A server that says it is ill counted four times as slow, so that none of its answers could be in time for a goal of two or three times the work, and a third of the servers that said so falsely were lost to the load. It counts twice as slow now: it is used after the idle and healthy, and before those that are slow or full. One that fails requests is known by its faults.

--- a/internal/dispatch/direct/estimate.go
+++ b/internal/dispatch/direct/estimate.go
@@ -18,7 +18,7 @@
 	// fails all.
 	faultFactor = 8
 	// illFactor is the same for a target that says it is ill. It may be wrong.
-	illFactor = 4
+	illFactor = 2
 	// unknownFactor is the same for a target without a fresh report.
 	unknownFactor = 3
 	// farCost is the time that leaving the data centre must gain.
