--- a/internal/control/fleet/fleet.go
+++ b/internal/control/fleet/fleet.go
@@ -12,6 +12,8 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"slices"
 	"sync"
 
 	"github.com/pkg/errors"
@@ -148,6 +150,13 @@
 	return v, ok
 }
 
+// Instances returns all instances, in no order.
+func (s *State) Instances() []Instance {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return slices.Collect(maps.Values(s.data.Instances))
+}
+
 func (s *State) init() {
 	if s.data.Servers == nil {
 		s.data.Servers = map[string]Server{}
--- a/internal/control/keeper/keeper.go
+++ b/internal/control/keeper/keeper.go
@@ -201,7 +201,7 @@
 // are fewer than two again those of all regions.
 func (k *Keeper) Entries(region, dataCentre string) []string {
 	var near, within, all []string
-	for _, n := range k.State.View().Instances {
+	for _, n := range k.State.Instances() {
 		if !n.Ready || n.Control {
 			continue
 		}
@@ -229,7 +229,7 @@
 	if k.Self.DataCentre == dataCentre {
 		return k.Self.CallerAddress
 	}
-	for _, n := range k.State.View().Instances {
+	for _, n := range k.State.Instances() {
 		if n.Control && n.DataCentre == dataCentre {
 			return n.CallerAddress
 		}
--- a/internal/control/keeper/keeper_test.go
+++ b/internal/control/keeper/keeper_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"sync/atomic"
@@ -282,3 +283,30 @@
 func (unreachable) Submit(context.Context, []byte) ([]byte, error) {
 	return nil, errors.New("no quorum")
 }
+
+// BenchmarkEntries reports the time of a look-up beside very many backend servers.
+func BenchmarkEntries(b *testing.B) {
+	k, l := newKeeper()
+	put := func(c fleet.Command) {
+		text, err := c.Encode()
+		if err != nil {
+			b.Fatal(err)
+		}
+		l.state.Apply(l.index.Add(1), text)
+	}
+	for i := range 3_300 {
+		n := server(1)
+		n.Name, n.Address = fmt.Sprint("s", i), fmt.Sprint("a:", i)
+		put(fleet.Command{Register: &n})
+	}
+	for i := range 500 {
+		var n fleet.Instance
+		n.Name, n.CallerAddress, n.DataCentre, n.Ready = fmt.Sprint("e", i), fmt.Sprint("e:", i), fmt.Sprint("dc", i%15), true
+		put(fleet.Command{Join: &n})
+	}
+	for b.Loop() {
+		if len(k.Entries("r", "dc1")) == 0 {
+			b.Fatal("no entries")
+		}
+	}
+}
