control/fleet: let a late registration of an instance change nothing

A registration has a sequence, which grows with each change of what is said; one with a lower sequence of the same start changes nothing. One that was committed is proposed again after 0.3 s now. The new tests failed before.

--- a/internal/control/fleet/command.go
+++ b/internal/control/fleet/command.go
@@ -72,7 +72,10 @@
 	Ready bool `json:",omitempty"`
 	// Keeper names the control instance that it watches.
 	Keeper string
-	Index  uint64
+	// Sequence grows with each change of Ready and of the control instance watched,
+	// so that a late registration can be told.
+	Sequence uint64 `json:",omitempty"`
+	Index    uint64
 }
 
 // Suspect is a request under which backend servers fell.
@@ -206,9 +209,10 @@
 	s.noteRemoval(r)
 }
 
+// join takes n in where nothing newer is known of it.
 func (s *State) join(index uint64, n Instance) bool {
 	old, ok := s.data.Instances[n.Name]
-	if ok && n.Incarnation < old.Incarnation {
+	if ok && (n.Incarnation < old.Incarnation || n.Incarnation == old.Incarnation && n.Sequence < old.Sequence) {
 		return false
 	}
 	n.Index = old.Index
--- a/internal/control/fleet/fleet_test.go
+++ b/internal/control/fleet/fleet_test.go
@@ -99,6 +99,30 @@
 	}
 }
 
+// TestLateRegistrationChangesNothing shows that what an instance said of itself to a
+// control instance that it has left does not replace what it said to the next one.
+func TestLateRegistrationChangesNothing(t *testing.T) {
+	l := newLog()
+	join := func(n fleet.Instance) bool { return l.do(t, fleet.Command{Join: &n}).Changed }
+	var n fleet.Instance
+	n.Name, n.Incarnation, n.Keeper, n.Sequence, n.Ready = "e", 7, "c2", 2, true
+	if !join(n) {
+		t.Error("the first registration is not taken")
+	}
+	old := n
+	old.Keeper, old.Sequence, old.Ready = "c1", 1, false
+	if join(old) {
+		t.Error("a late registration is taken")
+	}
+	if now, _ := l.Instance("e"); !now.Ready || now.Keeper != "c2" {
+		t.Errorf("the instance is %+v", now)
+	}
+	old.Incarnation = 8
+	if !join(old) {
+		t.Error("a new start is not taken")
+	}
+}
+
 // TestHighestVersionHolds shows that a configuration never goes back, and that a
 // Read shows it.
 func TestHighestVersionHolds(t *testing.T) {
--- a/internal/control/follow/follow.go
+++ b/internal/control/follow/follow.go
@@ -57,6 +57,8 @@
 	heard heard
 	// self is Self as it is now.
 	self *fleet.Instance
+	// watched is the control instance that the last call went to.
+	watched string
 	// interrupt ends the wait for a change.
 	interrupt context.CancelFunc
 
@@ -90,7 +92,12 @@
 func (f *Follower) SetReady(ready bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.current().Ready = ready
+	n := f.current()
+	if n.Ready == ready {
+		return
+	}
+	n.Ready = ready
+	n.Sequence++
 	if f.interrupt != nil {
 		f.interrupt()
 	}
@@ -138,7 +145,7 @@
 func (f *Follower) watch(ctx context.Context, address string) error {
 	limited, cancel := context.WithTimeout(ctx, watchTime+answerTimeout)
 	defer cancel()
-	n := f.begin(cancel)
+	n := f.begin(address, cancel)
 	news, err := f.Caller.Watch(limited, address, peers.Watch{Instance: n, Held: f.view.Index, Wait: watchTime})
 	if f.end(n) && err != nil {
 		return nil
@@ -171,11 +178,15 @@
 	}
 }
 
-// begin returns the registration to send.
-func (f *Follower) begin(interrupt context.CancelFunc) fleet.Instance {
+// begin returns the registration to send to address.
+func (f *Follower) begin(address string, interrupt context.CancelFunc) fleet.Instance {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.interrupt = interrupt
+	if f.watched != address {
+		f.watched = address
+		f.current().Sequence++
+	}
 	return *f.current()
 }
 
--- a/internal/control/follow/follow_test.go
+++ b/internal/control/follow/follow_test.go
@@ -28,12 +28,15 @@
 
 	mu    sync.Mutex
 	asked []string
+	// sent holds the registrations of all calls.
+	sent []fleet.Instance
 }
 
 // Watch implements follow.Caller. Only a watch without news takes its time.
 func (c *caller) Watch(ctx context.Context, address string, w peers.Watch) (peers.News, error) {
 	c.mu.Lock()
 	c.asked = append(c.asked, address)
+	c.sent = append(c.sent, w.Instance)
 	c.mu.Unlock()
 	n, err := c.answer(address, time.Since(c.begun))
 	if err == nil && n.Current && n.Delta.Index <= w.Held {
@@ -112,6 +115,32 @@
 	})
 }
 
+// TestSequenceGrowsWithWhatIsSaid shows that a registration has a higher sequence
+// than one that says something else, and the same as one that says the same.
+func TestSequenceGrowsWithWhatIsSaid(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, c := run(t, 30*time.Second, func(address string, since time.Duration) (peers.News, error) {
+			if (address == "c1") == (since/(5*time.Second)%2 == 0) {
+				return peers.News{}, errors.New("refused")
+			}
+			return peers.News{Current: true, Delta: fleet.Delta{Index: 7, Whole: true}}, nil
+		})
+		changes := 0
+		for i := range c.asked[1:] {
+			moved := c.asked[i] != c.asked[i+1]
+			if grown := c.sent[i+1].Sequence > c.sent[i].Sequence; grown != moved {
+				t.Errorf("call %d goes from %s to %s, the sequence from %d to %d", i+1, c.asked[i], c.asked[i+1], c.sent[i].Sequence, c.sent[i+1].Sequence)
+			}
+			if moved {
+				changes++
+			}
+		}
+		if changes < 5 {
+			t.Errorf("%d changes of the control instance, want some", changes)
+		}
+	})
+}
+
 // TestLeavesAControlInstanceOutOfTouch shows that an instance follows another
 // control instance than the one of its own data centre, while that is out of touch,
 // and rarely asks it.
--- a/internal/control/keeper/expire.go
+++ b/internal/control/keeper/expire.go
@@ -21,7 +21,7 @@
 	serverTimeout = 20 * time.Second
 	// applyTimeout is the time after which a committed registration that State does
 	// not have is proposed again.
-	applyTimeout = time.Second
+	applyTimeout = 300 * time.Millisecond
 )
 
 // Run proposes registrations and removals until ctx ends.
--- a/internal/rpc/peers/watch.go
+++ b/internal/rpc/peers/watch.go
@@ -45,6 +45,7 @@
 			Instance:   instanceMessage(w.Instance.Instance),
 			Region:     w.Instance.Region,
 			Ready:      w.Instance.Ready,
+			Sequence:   w.Instance.Sequence,
 			Held:       w.Held,
 			WaitMillis: w.Wait.Milliseconds(),
 		})
@@ -63,7 +64,7 @@
 		return nil, twirp.NewError(twirp.Unimplemented, "this control quorum knows no fleet")
 	}
 	n, err := s.Watcher.Watch(ctx, Watch{
-		Instance: fleet.Instance{Instance: instanceOf(r.Instance), Region: r.Region, Ready: r.Ready},
+		Instance: fleet.Instance{Instance: instanceOf(r.Instance), Region: r.Region, Ready: r.Ready, Sequence: r.Sequence},
 		Held:     r.Held,
 		Wait:     time.Duration(r.WaitMillis) * time.Millisecond,
 	})
