platform, rpc/peers, config/client: one copy of what stood twice

A configuration is decoded into the table of its routes, which an edge made a second time; two waits beside clock/timer's go.

--- a/internal/config/client/client.go
+++ b/internal/config/client/client.go
@@ -23,6 +23,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/snipefront/snipefront/internal/clock/timer"
 )
 
 // Limits of a call.
@@ -100,7 +102,7 @@
 		case ctx.Err() == nil:
 			return err
 		}
-		if !pause(ctx, pollPause) {
+		if !timer.Sleep(ctx, pollPause) {
 			return last
 		}
 	}
@@ -124,7 +126,7 @@
 			wait = max(wait, min(u.retryAfter, maxRetryPause))
 			last = errors.Wrap(err, a)
 		}
-		if !pause(ctx, wait) {
+		if !timer.Sleep(ctx, wait) {
 			return errors.Wrap(last, "no final answer in time")
 		}
 	}
@@ -199,15 +201,3 @@
 	}
 	return time.Duration(min(seconds, int(maxRetryPause/time.Second))) * time.Second
 }
-
-// pause waits for d and reports false where ctx ended first.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/daemon/edge/edge.go
+++ b/internal/daemon/edge/edge.go
@@ -59,8 +59,8 @@
 	// Interfaces are the servers for everyone but callers, by address.
 	Interfaces map[string]func(ready func() bool) http.Handler
 	Fields     snipefront.Fields
-	// Decode reads the operator's configuration.
-	Decode func(text []byte) (*snipefront.Routing, error)
+	// Decode reads the operator's configuration and checks it.
+	Decode func(text []byte) (*paths.Table, error)
 	// Grace is the time from the signal to stop to the end of the process.
 	Grace time.Duration
 }
@@ -253,11 +253,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r, err := e.settings.Decode(text)
-	if err != nil {
-		return nil, err
-	}
-	return paths.NewTable(r)
+	return e.settings.Decode(text)
 }
 
 // drain is a planned stop: callers are sent elsewhere, and what is in flight ends.
--- a/internal/rpc/peers/link.go
+++ b/internal/rpc/peers/link.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/snipefront/snipefront/internal/clock/timer"
 	"github.com/snipefront/snipefront/internal/rpc/conns"
 	"github.com/snipefront/snipefront/internal/rpc/watch"
 	"github.com/snipefront/snipefront/internal/rpc/wire"
@@ -215,7 +216,7 @@
 	for ctx.Err() == nil {
 		switch l.find(ctx, k.id) {
 		case absent:
-			if pause(ctx, checkGrace) {
+			if timer.Sleep(ctx, checkGrace) {
 				return conns.ErrSilent
 			}
 		case unreachable:
@@ -223,7 +224,7 @@
 				return errUnreachable
 			}
 		}
-		pause(ctx, l.conns.Overdue(k.floor))
+		timer.Sleep(ctx, l.conns.Overdue(k.floor))
 	}
 	return nil
 }
@@ -252,15 +253,3 @@
 		return absent
 	}
 }
-
-// pause waits and returns whether ctx is still going on.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
