--- a/internal/dispatch/direct/estimate.go
+++ b/internal/dispatch/direct/estimate.go
@@ -36,7 +36,7 @@
 	safetyDown = 1.013
 	// lateShare is how many requests that are not sure to meet their goal may be
 	// started for each that is, where slots are short, and lateBurst how many at once.
-	lateShare = 0.25
+	lateShare = 0.6
 	lateBurst = 3
 	// firstSafety is the safety factor where nothing is known, maxSafety its bound.
 	firstSafety = 1.2
