--- a/internal/dispatch/direct/choose.go
+++ b/internal/dispatch/direct/choose.go
@@ -68,9 +68,9 @@
 	return choice{}, false
 }
 
-// maySpare returns whether c, which is not sure to meet its goal, may have the
-// chosen target: the load is low, or a slot is free, and no one else needs it or
-// such requests have not had their share.
+// maySpare returns whether c, which is not sure to meet its goal, may have the chosen
+// target. It may where the load is low or the target stays under fullShare, and
+// otherwise where a slot is free and such requests have not had their share.
 func (d *Dispatcher) maySpare(c *Call, t choice) bool {
 	return t.load <= calmLoad || hasFree(t.sight) || hasSlot(t.sight) && d.times.mayStartLate(c)
 }
--- a/internal/dispatch/direct/run.go
+++ b/internal/dispatch/direct/run.go
@@ -66,7 +66,8 @@
 	return max(overdueFloor, time.Duration(overdueFactor*float64(c.takes)))
 }
 
-// expired returns whether a ended because the time for c was over.
+// expired returns whether a ended because the time for c was over, or because its
+// caller had left or another attempt had brought the answer.
 func expired(ctx context.Context, c *Call, a Attempt) bool {
 	if a.Response == nil {
 		return ctx.Err() != nil
--- a/internal/dispatch/look/target.go
+++ b/internal/dispatch/look/target.go
@@ -29,6 +29,9 @@
 	// faultHalfLife is the time in which half of the share of faults is forgotten,
 	// since a target that is avoided for it gets no requests to prove itself with.
 	faultHalfLife = 5 * time.Second
+	// faultyShare is the share of faults from which a target is shown as faulty. A
+	// single fault is less.
+	faultyShare = 0.3
 )
 
 // ErrSlow means that a look was not answered in time, over a connection that could
@@ -111,11 +114,7 @@
 	return !now.Before(t.until)
 }
 
-// faultyShare is the share of faults from which a target counts as faulty in its
-// state. A single fault is less.
-const faultyShare = 0.3
-
-// condition returns the state of t but for what is registered of it.
+// condition returns the state of t by what was seen of it, whatever is registered.
 func (t *Target) condition(now time.Time) status.State {
 	s := t.Sight(now)
 	switch {
--- a/internal/observe/status/status.go
+++ b/internal/observe/status/status.go
@@ -11,10 +11,9 @@
 	"net/http"
 	"time"
 
+	"github.com/gorilla/mux"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
-
-	"github.com/gorilla/mux"
 )
 
 // The paths that Handler serves.
