--- a/internal/dispatch/direct/site_test.go
+++ b/internal/dispatch/direct/site_test.go
@@ -104,7 +104,7 @@
 // at has f called some time after play began.
 func (s *site) at(after time.Duration, f func()) { time.AfterFunc(after, f) }
 
-// set puts the servers that are chosen by their number into condition c.
+// set puts the servers whose number is picked into condition c.
 func (s *site) set(c shift.Condition, chosen func(i int) bool) {
 	for i := range 100 {
 		if chosen(i) {
--- a/internal/dispatch/sender/sender.go
+++ b/internal/dispatch/sender/sender.go
@@ -38,7 +38,7 @@
 	TimeoutHeader = "X-Request-Timeout"
 	// AttemptHeader carries the id of an attempt. A backend server that echoes it in
 	// its answers lets one that belongs to another attempt be told.
-	AttemptHeader = "X-Attempt-Id"
+	AttemptHeader = "X-Request-Attempt"
 )
 
 const (
--- a/internal/stand/server/server.go
+++ b/internal/stand/server/server.go
@@ -37,7 +37,7 @@
 	retryAfterSeconds   = "1"
 	headerRequestID     = "X-Request-Id"
 	headerTimeout       = "X-Request-Timeout"
-	headerAttempt       = "X-Attempt-Id"
+	headerAttempt       = "X-Request-Attempt"
 	headerKey           = "Idempotency-Key"
 	headerCrash         = "X-Stand-Crash"
 	headerName          = "X-Stand-Name"
