dispatch/pool: send the extra answer of a test in one piece

The stand-in wrote the answer too many in a second write; on a busy machine it came when the next request had the connection already, which the pool can't know and the id of the answer then tells.

Both answers are one write now, as the test means. The other case has a test of its own: an extra answer that comes later is passed over and not taken for the next one's.

--- a/internal/dispatch/pool/pool_test.go
+++ b/internal/dispatch/pool/pool_test.go
@@ -51,10 +51,13 @@
 	}
 }
 
-func whole(c net.Conn, id string) {
-	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 2\r\n\r\nok", id)
+// text is the whole answer to a request.
+func text(id string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 2\r\n\r\nok", id)
 }
 
+func whole(c net.Conn, id string) { _, _ = io.WriteString(c, text(id)) }
+
 // do makes one exchange on a connection of p.
 func do(t *testing.T, p *pool.Pool, address, id string) (*pool.Exchange, bool, error) {
 	t.Helper()
@@ -118,9 +121,9 @@
 }
 
 // TestConnectionWithMoreBytesIsNotUsedAgain shows that an answer too many ends a
-// connection.
+// connection. It comes in one piece with the first.
 func TestConnectionWithMoreBytesIsNotUsedAgain(t *testing.T) {
-	address := serve(t, answer(func(c net.Conn, id string) { whole(c, id); whole(c, id) }))
+	address := serve(t, answer(func(c net.Conn, id string) { _, _ = io.WriteString(c, text(id)+text(id)) }))
 	p := &pool.Pool{}
 	for i := range 3 {
 		if _, reused, err := do(t, p, address, fmt.Sprint(i)); err != nil || reused {
@@ -129,6 +132,27 @@
 	}
 }
 
+// TestLateExtraAnswerIsPassedOver shows that an answer too many that comes when the
+// connection is in use again is not taken for the next one's.
+func TestLateExtraAnswerIsPassedOver(t *testing.T) {
+	last := ""
+	address := serve(t, answer(func(c net.Conn, id string) {
+		if last != "" {
+			whole(c, last)
+		}
+		last = id
+		whole(c, id)
+	}))
+	p := &pool.Pool{}
+	for i := range 3 {
+		id := fmt.Sprint(i)
+		e, reused, err := do(t, p, address, id)
+		if err != nil || e.Response.Header.Get("Id") != id || reused != (i > 0) {
+			t.Errorf("request %d: reused %v, %v", i, reused, err)
+		}
+	}
+}
+
 // TestClosedConnectionIsNotUsedAgain shows that a connection that the backend server
 // closed while it was unused carries no request.
 func TestClosedConnectionIsNotUsedAgain(t *testing.T) {
