clock/bucket, dispatch/look, oper: one copy of what the change wrote twice

Found on reading the whole change again; behaviour stays. - The bound on the lines of a message and that on requests to a cold target were two token buckets; clock/bucket is both. - Whether a backend server takes requests by its registration was decided in three places (look.Set twice, daemon/core); look.Registered is the one. Current, which each send asks, looked for the target in the list of its service and now asks that. - The sequence of a registration was raised in two places; now where one is sent. - direct.least reckons with ahead, keeper.scan with current, oper with slices.Sorted, and three more waits go through clock/timer.

--- a/internal/control/follow/follow.go
+++ b/internal/control/follow/follow.go
@@ -57,8 +57,8 @@
 	heard heard
 	// self is Self as it is now.
 	self *fleet.Instance
-	// watched is the control instance that the last call went to.
-	watched string
+	// told is what the last call said, and to whom.
+	told told
 	// interrupt ends the wait for a change.
 	interrupt context.CancelFunc
 
@@ -72,6 +72,12 @@
 	seeds  []string
 }
 
+// told is what a registration says that may change.
+type told struct {
+	address string
+	ready   bool
+}
+
 // heard is a good answer of a control instance.
 type heard struct {
 	address string
@@ -92,12 +98,7 @@
 func (f *Follower) SetReady(ready bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	n := f.current()
-	if n.Ready == ready {
-		return
-	}
-	n.Ready = ready
-	n.Sequence++
+	f.current().Ready = ready
 	if f.interrupt != nil {
 		f.interrupt()
 	}
@@ -183,11 +184,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.interrupt = interrupt
-	if f.watched != address {
-		f.watched = address
-		f.current().Sequence++
+	n := f.current()
+	if t := (told{address: address, ready: n.Ready}); t != f.told {
+		f.told = t
+		n.Sequence++
 	}
-	return *f.current()
+	return *n
 }
 
 // end returns whether the registration is no longer what was sent.
--- a/internal/control/keeper/expire.go
+++ b/internal/control/keeper/expire.go
@@ -139,7 +139,7 @@
 }
 
 func (k *Keeper) scan(ctx context.Context, now time.Time) {
-	if k.Log.Leadership().Leader == "" {
+	if !k.current() {
 		return
 	}
 	k.join(ctx, k.Self)
--- a/internal/daemon/core/core.go
+++ b/internal/daemon/core/core.go
@@ -19,6 +19,7 @@
 	"github.com/snipefront/snipefront/internal/control/fleet"
 	"github.com/snipefront/snipefront/internal/control/keeper"
 	"github.com/snipefront/snipefront/internal/daemon/serve"
+	"github.com/snipefront/snipefront/internal/dispatch/look"
 	"github.com/snipefront/snipefront/internal/observe/stats"
 	"github.com/snipefront/snipefront/internal/observe/status"
 	"github.com/snipefront/snipefront/internal/quorum/disk"
@@ -157,25 +158,12 @@
 	for _, n := range v.Servers {
 		r.Servers = append(r.Servers, status.Server{
 			Name: n.Name, Service: n.Service, DataCentre: n.DataCentre, Address: n.Address, Incarnation: n.Incarnation,
-			State: registered(n, v.Out),
+			State: look.Registered(n, v.Out),
 		})
 	}
 	return r
 }
 
-// registered returns the state of n by its registration.
-func registered(n fleet.Server, out map[string]bool) status.State {
-	switch {
-	case n.Draining:
-		return status.Draining
-	case out[n.DataCentre]:
-		return status.Out
-	case n.ColdMillis > 0:
-		return status.Cold
-	}
-	return status.Ready
-}
-
 // caller calls control instances, this one without the network.
 type caller struct {
 	self   string
--- a/internal/dispatch/direct/choose.go
+++ b/internal/dispatch/direct/choose.go
@@ -136,8 +136,9 @@
 	for _, t := range list {
 		s := t.Sight(now)
 		if s.Report.Known {
-			used += s.Report.Running + s.Report.Waiting + s.Sent
-			slots += s.Report.Slots
+			requests, n := ahead(s)
+			used += requests
+			slots += n
 		}
 		e, ok := Estimate(s, unit, now)
 		if !ok || b.target != nil && e >= b.takes || !t.Available(now) {
--- a/internal/dispatch/look/set.go
+++ b/internal/dispatch/look/set.go
@@ -46,7 +46,7 @@
 		}
 		t := s.target(now, old, n, p)
 		next.byName[n.Name] = t
-		if !n.Draining && !v.Out[n.DataCentre] {
+		if next.takes(n) {
 			next.byService[n.Service] = append(next.byService[n.Service], t)
 		}
 	}
@@ -99,15 +99,27 @@
 		return nil, false
 	}
 	t = c.byName[name]
-	if t == nil {
-		return nil, false
-	}
-	for _, v := range c.byService[t.Server.Service] {
-		if v == t {
-			return t, true
-		}
+	return t, t != nil && c.takes(t.Server)
+}
+
+// takes returns whether n takes requests by its registration.
+func (c *targets) takes(n fleet.Server) bool {
+	s := Registered(n, c.out)
+	return s != status.Draining && s != status.Out
+}
+
+// Registered returns what n gets by its registration, where out has the data centres
+// out of service.
+func Registered(n fleet.Server, out map[string]bool) status.State {
+	switch {
+	case n.Draining:
+		return status.Draining
+	case out[n.DataCentre]:
+		return status.Out
+	case n.ColdMillis > 0:
+		return status.Cold
 	}
-	return t, false
+	return status.Ready
 }
 
 // States returns all targets with what they get.
@@ -121,13 +133,10 @@
 		n := t.Server
 		v := status.Server{
 			Name: n.Name, Service: n.Service, DataCentre: n.DataCentre, Address: n.Address, Incarnation: n.Incarnation,
-			State: t.condition(now),
+			State: Registered(n, c.out),
 		}
-		switch {
-		case n.Draining:
-			v.State = status.Draining
-		case c.out[n.DataCentre]:
-			v.State = status.Out
+		if c.takes(n) {
+			v.State = t.condition(now)
 		}
 		list = append(list, v)
 	}
--- a/internal/dispatch/look/target.go
+++ b/internal/dispatch/look/target.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/clock/bucket"
 	"github.com/snipefront/snipefront/internal/control/fleet"
 	"github.com/snipefront/snipefront/internal/observe/status"
 )
@@ -32,6 +33,8 @@
 	// faultyShare is the share of faults from which a target is shown as faulty. A
 	// single fault is less.
 	faultyShare = 0.3
+	// coldBurst is the most requests that a cold target gets at once.
+	coldBurst = 1
 )
 
 // ErrSlow means that a look was not answered in time, over a connection that could
@@ -68,7 +71,7 @@
 	faded  time.Time
 	pause  time.Duration
 	until  time.Time
-	cold   bucket
+	cold   bucket.Bucket
 }
 
 // Sight is what is known of a target at one instant.
@@ -134,7 +137,7 @@
 func (t *Target) MayWarm(now time.Time, rate float64) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.cold.has(now, rate)
+	return t.cold.Has(now, rate, coldBurst)
 }
 
 // Reserve counts a request as sent, and returns false where t is cold and has had
@@ -142,7 +145,7 @@
 func (t *Target) Reserve(now time.Time, rate float64) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.isCold(now) && !t.cold.take(now, rate) {
+	if t.isCold(now) && !t.cold.Take(now, rate, coldBurst) {
 		return false
 	}
 	t.sent++
@@ -248,30 +251,3 @@
 	t.pause = 0
 	t.until = time.Time{}
 }
-
-// bucket spreads requests over time.
-type bucket struct {
-	tokens float64
-	at     time.Time
-}
-
-// take returns whether a request fits in, where rate a second do and one may come
-// at any time.
-func (b *bucket) take(now time.Time, rate float64) bool {
-	if !b.has(now, rate) {
-		return false
-	}
-	b.tokens--
-	return true
-}
-
-// has returns whether take would.
-func (b *bucket) has(now time.Time, rate float64) bool {
-	if b.at.IsZero() {
-		b.tokens = 1
-	} else {
-		b.tokens = min(1, b.tokens+now.Sub(b.at).Seconds()*rate)
-	}
-	b.at = now
-	return b.tokens >= 1
-}
--- a/internal/observe/lines/bounded.go
+++ b/internal/observe/lines/bounded.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/snipefront/snipefront/internal/clock/bucket"
 )
 
 const (
@@ -34,8 +36,7 @@
 }
 
 type bound struct {
-	tokens  float64
-	at      time.Time
+	bucket  bucket.Bucket
 	leftOut int
 }
 
@@ -76,16 +77,13 @@
 		m = s.messages[message]
 	}
 	if m == nil {
-		m = &bound{tokens: burst, at: now}
+		m = &bound{}
 		s.messages[message] = m
 	}
-	m.tokens = min(burst, m.tokens+now.Sub(m.at).Seconds()*perSecond)
-	m.at = now
-	if m.tokens < 1 {
+	if !m.bucket.Take(now, perSecond, burst) {
 		m.leftOut++
 		return 0, false
 	}
-	m.tokens--
 	leftOut = m.leftOut
 	m.leftOut = 0
 	return leftOut, true
--- a/internal/stand/server/announce.go
+++ b/internal/stand/server/announce.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/snipefront/snipefront/internal/clock/timer"
 )
 
 const (
@@ -85,7 +87,7 @@
 			return 0
 		}
 		a.server.Log.Warn("announcement failed", "name", a.server.Name, "instance", i, "error", err.Error())
-		pause(ctx, announceBackoff)
+		timer.Sleep(ctx, announceBackoff)
 	}
 	return announceRetry
 }
@@ -146,13 +148,3 @@
 		Draining                           bool
 	}{s.Name, s.Service, s.DataCentre, a.address, s.Incarnation, s.Slots, s.currentMode().Draining || s.stopping.Load()}
 }
-
-// pause waits for d or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/stand/server/handle.go
+++ b/internal/stand/server/handle.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/snipefront/snipefront/internal/clock/timer"
 	"github.com/snipefront/snipefront/internal/stand/answer"
 )
 
@@ -130,12 +131,7 @@
 	if failed%2 == 0 {
 		panic(http.ErrAbortHandler)
 	}
-	t := time.NewTimer(slowFailureDuration)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
+	timer.Sleep(ctx, slowFailureDuration)
 	http.Error(w, "fallen over", http.StatusInternalServerError)
 }
 
--- a/internal/tool/demo/demo.go
+++ b/internal/tool/demo/demo.go
@@ -21,6 +21,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/snipefront/snipefront/internal/clock/timer"
 	"github.com/snipefront/snipefront/internal/config/client"
 	"github.com/snipefront/snipefront/internal/stand/caller"
 	"github.com/snipefront/snipefront/internal/stand/fleet"
@@ -192,8 +193,8 @@
 func (d *Demo) runPhase(ctx context.Context, name string, change time.Duration) error {
 	start := time.Now()
 	inside, elsewhere := d.runs()
-	if err := sleep(ctx, d.Phase); err != nil {
-		return err
+	if !timer.Sleep(ctx, d.Phase) {
+		return ctx.Err()
 	}
 	p := phase{name: name, change: change, seconds: time.Since(start).Seconds()}
 	p.inside, p.elsewhere = d.runs()
@@ -267,14 +268,3 @@
 	}
 	return all
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
-		return nil
-	}
-}
--- a/internal/tool/oper/fleet.go
+++ b/internal/tool/oper/fleet.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -107,13 +108,13 @@
 	for _, r := range all.list {
 		row(w, r.Instance, r.Role, orDash(r.DataCentre), r.Version, r.Index, orDash(r.Source), age(now, r.Heard), orDash(term(r)), len(r.Members))
 	}
-	for _, address := range sortedKeys(all.lost) {
+	for _, address := range slices.Sorted(maps.Keys(all.lost)) {
 		row(w, address, "no answer: "+all.lost[address].Error())
 	}
 	fmt.Fprintln(w)
 	row(w, "BACKEND SERVER", "SERVICE", "DATA CENTRE", "ADDRESS", "INSTANCES THAT SEE IT AS")
 	servers := seen(all.list)
-	for _, name := range sortedKeys(servers) {
+	for _, name := range slices.Sorted(maps.Keys(servers)) {
 		s := servers[name]
 		row(w, s.Name, s.Service, s.DataCentre, s.Address, s.states())
 	}
@@ -159,17 +160,8 @@
 // states returns in which state how many instances see the backend server.
 func (s *sight) states() string {
 	var parts []string
-	for _, v := range sortedKeys(s.counts) {
+	for _, v := range slices.Sorted(maps.Keys(s.counts)) {
 		parts = append(parts, fmt.Sprintf("%s %d", v, s.counts[v]))
 	}
 	return strings.Join(parts, ", ")
 }
-
-func sortedKeys[K ~string, V any](m map[K]V) []K {
-	var keys []K
-	for k := range m {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
-	return keys
-}
--- a/internal/tool/report/table.go
+++ b/internal/tool/report/table.go
@@ -1,6 +1,7 @@
 package report
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"slices"
@@ -50,15 +51,7 @@
 // dearest names the causes that the worth lost most to.
 func (r Run) dearest() string {
 	losses := slices.Clone(r.Losses)
-	slices.SortStableFunc(losses, func(a, b Loss) int {
-		switch {
-		case a.Worth > b.Worth:
-			return -1
-		case a.Worth < b.Worth:
-			return 1
-		}
-		return 0
-	})
+	slices.SortStableFunc(losses, func(a, b Loss) int { return cmp.Compare(b.Worth, a.Worth) })
 	var parts []string
 	for _, l := range losses[:min(len(losses), mostLosses)] {
 		parts = append(parts, fmt.Sprintf("%s %.3f", l.Cause, l.Worth))
