--- a/internal/dispatch/link/link_test.go
+++ b/internal/dispatch/link/link_test.go
@@ -1,7 +1,6 @@
 package link_test
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"log/slog"
@@ -18,6 +17,7 @@
 	"github.com/snipefront/snipefront/internal/dispatch/link"
 	"github.com/snipefront/snipefront/internal/dispatch/look"
 	"github.com/snipefront/snipefront/internal/dispatch/pool"
+	"github.com/snipefront/snipefront/internal/stand/accept"
 )
 
 var fields = snipefront.Fields{
@@ -37,24 +37,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				for b := bufio.NewReader(c); ; {
-					r, err := http.ReadRequest(b)
-					if err != nil {
-						return
-					}
-					f(c, r)
-				}
-			}()
-		}
-	}()
+	go accept.Each(l, accept.Requests(f))
 	var n fleet.Server
 	n.Name, n.Service, n.DataCentre, n.Slots, n.Incarnation, n.Address = "s", "a", "dc1", 2, 1, l.Addr().String()
 	set := &look.Set{Self: snipefront.Instance{Name: "e", DataCentre: "dc1"}}
--- a/internal/dispatch/pool/pool_test.go
+++ b/internal/dispatch/pool/pool_test.go
@@ -12,43 +12,24 @@
 	"time"
 
 	"github.com/snipefront/snipefront/internal/dispatch/pool"
+	"github.com/snipefront/snipefront/internal/stand/accept"
 )
 
 // serve accepts connections and hands each to f.
-func serve(t *testing.T, f func(c net.Conn, b *bufio.Reader)) string {
+func serve(t *testing.T, f func(c net.Conn)) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				f(c, bufio.NewReader(c))
-			}()
-		}
-	}()
+	go accept.Each(l, f)
 	return l.Addr().String()
 }
 
 // answer reads requests and answers each with what f writes.
-func answer(f func(c net.Conn, id string)) func(net.Conn, *bufio.Reader) {
-	return func(c net.Conn, b *bufio.Reader) {
-		for {
-			r, err := http.ReadRequest(b)
-			if err != nil {
-				return
-			}
-			_, _ = io.Copy(io.Discard, r.Body)
-			f(c, r.Header.Get("Id"))
-		}
-	}
+func answer(f func(c net.Conn, id string)) func(net.Conn) {
+	return accept.Requests(func(c net.Conn, r *http.Request) { f(c, r.Header.Get("Id")) })
 }
 
 // text is the whole answer to a request.
@@ -174,8 +155,8 @@
 // TestEarlyAnswerLeavesNoBodyBehind shows that the rest of a body that was answered
 // before it was read is not taken for another request's.
 func TestEarlyAnswerLeavesNoBodyBehind(t *testing.T) {
-	address := serve(t, func(c net.Conn, b *bufio.Reader) {
-		if _, err := http.ReadRequest(b); err != nil {
+	address := serve(t, func(c net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
 			return
 		}
 		whole(c, "mine")
@@ -201,7 +182,8 @@
 // request was given up.
 func TestEndOfTheRequestClosesTheConnection(t *testing.T) {
 	begun, ended := make(chan struct{}), make(chan struct{})
-	address := serve(t, func(_ net.Conn, b *bufio.Reader) {
+	address := serve(t, func(c net.Conn) {
+		b := bufio.NewReader(c)
 		if _, err := http.ReadRequest(b); err != nil {
 			return
 		}
