tally, stats, status: tell whose arrivals are those beyond the first

The record couldn't say whose they were: the log lines of an edge tell of single attempts and are limited in rate, so that of 2005 only some hundred are in the record, and the monitoring keeps the first 4,000 bytes of a metrics page, which the Go runtime's metrics filled.

An edge now counts requests (and whether their caller had sent them before), attempts by cause (first, retry, misdirected, hedge) and retries that the budget denied, all by service, in metrics and in one log line a second for each service with further attempts. The page starts with the program's own counters. An answer with status 421 counts as an arrival, since it is one.

No decision changes. The counts are a few integers for each service; nothing blocks, and the log lines are limited like all others.

--- a/internal/daemon/edge/edge.go
+++ b/internal/daemon/edge/edge.go
@@ -27,6 +27,7 @@
 	"github.com/snipefront/snipefront/internal/entry/proxy"
 	"github.com/snipefront/snipefront/internal/observe/stats"
 	"github.com/snipefront/snipefront/internal/observe/status"
+	"github.com/snipefront/snipefront/internal/observe/tally"
 	"github.com/snipefront/snipefront/internal/request/paths"
 	"github.com/snipefront/snipefront/internal/request/poison"
 	"github.com/snipefront/snipefront/internal/request/submit"
@@ -80,6 +81,7 @@
 	proxy      *proxy.Proxy
 	server     *pipe.Server
 	stats      *stats.Stats
+	tally      *tally.Tally
 	group      serve.Group
 	// triedVersion is the version of the last configuration that was decoded, valid or
 	// not.
@@ -101,11 +103,15 @@
 	return fx.Options(
 		fx.NopLogger,
 		fx.Supply(s, logger),
-		fx.Provide(stats.New, newTargets, newPool, newSuspects, newLink, newDispatcher, newProxy, newServer, newEdge),
+		fx.Provide(stats.New, newTally, newTargets, newPool, newSuspects, newLink, newDispatcher, newProxy, newServer, newEdge),
 		fx.Invoke(registerHooks),
 	)
 }
 
+func newTally(counters *stats.Stats, logger *slog.Logger) *tally.Tally {
+	return &tally.Tally{Next: counters, Logger: logger}
+}
+
 func newTargets(s Settings) *health.Set { return &health.Set{Self: s.Self.Instance} }
 
 func newSuspects() *poison.Register { return &poison.Register{} }
@@ -116,9 +122,9 @@
 	return &link.Link{Pool: connections, Targets: targets, Fields: s.Fields, Counter: counters, Logger: logger}
 }
 
-func newDispatcher(targets *health.Set, l *link.Link, suspects *poison.Register, counters *stats.Stats, logger *slog.Logger) *direct.Dispatcher {
+func newDispatcher(targets *health.Set, l *link.Link, suspects *poison.Register, counters *stats.Stats, attempts *tally.Tally, logger *slog.Logger) *direct.Dispatcher {
 	return &direct.Dispatcher{
-		Targets: targets, Link: l, Poison: suspects, Counter: counters, Logger: logger,
+		Targets: targets, Link: l, Poison: suspects, Counter: counters, Attempts: attempts, Logger: logger,
 		Budget: &budget.Share{Burst: retryBurst}, RetryShare: retryShare,
 	}
 }
@@ -131,8 +137,8 @@
 	return &pipe.Server{Handler: px, Limits: px.Limits, Logger: logger}
 }
 
-func newEdge(s Settings, targets *health.Set, connections *pool.Pool, suspects *poison.Register, px *proxy.Proxy, server *pipe.Server, counters *stats.Stats, logger *slog.Logger) *Edge {
-	e := &Edge{settings: s, logger: logger, targets: targets, pool: connections, suspects: suspects, proxy: px, server: server, stats: counters}
+func newEdge(s Settings, targets *health.Set, connections *pool.Pool, suspects *poison.Register, px *proxy.Proxy, server *pipe.Server, counters *stats.Stats, attempts *tally.Tally, logger *slog.Logger) *Edge {
+	e := &Edge{settings: s, logger: logger, targets: targets, pool: connections, suspects: suspects, proxy: px, server: server, stats: counters, tally: attempts}
 	e.group.Logger = logger
 	client := &peers.Client{}
 	e.replicator = &submit.Replicator{Submitter: &access.Client{Control: e.controlInstances, Caller: client}, Logger: logger}
@@ -174,6 +180,7 @@
 	e.group.Go(ctx, "callers", func(ctx context.Context) error { return e.server.Serve(ctx, l) })
 	e.group.Go(ctx, "follower", e.follower.Run)
 	e.group.Go(ctx, "replicator", e.replicator.Run)
+	e.group.Go(ctx, "tally", e.tally.Run)
 	e.group.Go(ctx, "pool", func(ctx context.Context) error { return timer.Every(ctx, expireInterval, e.pool.Expire) })
 	e.logger.Info("started", "instance", e.settings.Self.Name, "dataCentre", e.settings.Self.DataCentre, "seeds", e.settings.Seeds())
 	return nil
--- a/internal/dispatch/direct/direct.go
+++ b/internal/dispatch/direct/direct.go
@@ -53,9 +53,10 @@
 	RetryShare float64
 	// Poison records the requests that were in flight on a backend server when it
 	// crashed. Nil records none.
-	Poison  *poison.Register
-	Counter Counter
-	Logger  *slog.Logger
+	Poison   *poison.Register
+	Counter  Counter
+	Attempts snipefront.AttemptCounter
+	Logger   *slog.Logger
 
 	estimator estimator
 }
@@ -71,6 +72,8 @@
 	Goal time.Time
 	// Attempts is the maximum number of attempts that reach a target.
 	Attempts int
+	// Resent is true if the caller has sent the request before.
+	Resent bool
 }
 
 // Attempt is the result of sending a call to one target.
@@ -83,6 +86,9 @@
 	Err error
 	// Outcome is what the attempt shows about the target.
 	Outcome health.Outcome
+	// Misdirected is true if the request reached a backend server that was not the
+	// target, and that refused it.
+	Misdirected bool
 }
 
 // Link carries calls and load probes to backend servers.
@@ -103,6 +109,8 @@
 	// target was unreachable, accepted no requests any more, or another backend server
 	// had its address.
 	sent, undelivered int
+	// cause is that of the next attempt, unless it is a hedge.
+	cause snipefront.Cause
 	// avoid names the targets that were tried.
 	avoid map[string]bool
 	// last is the last attempt, response the last answer that was a server error.
@@ -119,7 +127,8 @@
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
 	defer cancel()
 	d.Budget.Earn(d.RetryShare)
-	p := progress{verdict: snipefront.NotRun, avoid: map[string]bool{}}
+	d.Attempts.Received(c.Service, c.Resent)
+	p := progress{verdict: snipefront.NotRun, cause: snipefront.CauseFirst, avoid: map[string]bool{}}
 	for {
 		if time.Until(c.Deadline) < minAttemptTime || ctx.Err() != nil {
 			return d.finish(c, &p, timeoutError(ctx, &p))
@@ -173,6 +182,12 @@
 	} else {
 		p.sent++
 	}
+	switch {
+	case r.Misdirected:
+		p.cause = snipefront.CauseMisdirected
+	case p.sent > 0:
+		p.cause = snipefront.CauseRetry
+	}
 	d.logAttempt(c, p, r)
 }
 
@@ -205,7 +220,17 @@
 	case p.last.Outcome == health.Unreachable:
 		return true
 	}
-	return d.Budget.Spend()
+	return d.spend(c)
+}
+
+// spend takes one attempt at the service of c from the retry budget, or returns false
+// if none is left.
+func (d *Dispatcher) spend(c *Call) bool {
+	if !d.Budget.Spend() {
+		d.Attempts.Denied(c.Service)
+		return false
+	}
+	return true
 }
 
 // finish returns the result of a call that is not retried: the last answer that was a
--- a/internal/dispatch/direct/direct_test.go
+++ b/internal/dispatch/direct/direct_test.go
@@ -81,7 +81,10 @@
 type noCounter struct{}
 
 // Retried implements direct.Counter.
-func (noCounter) Retried(string, snipefront.Reason) {}
+func (noCounter) Retried(string, snipefront.Reason)  {}
+func (noCounter) Received(string, bool)              {}
+func (noCounter) Attempted(string, snipefront.Cause) {}
+func (noCounter) Denied(string)                      {}
 
 // newDispatcher returns a dispatcher with the given number of local backend servers,
 // which have two slots each.
@@ -96,7 +99,7 @@
 	set := &health.Set{Self: snipefront.Instance{Name: "e", DataCentre: "dc1"}}
 	set.Update(time.Now(), v, &snipefront.Routing{Services: map[string]snipefront.ServiceProfile{service: {Name: service}}})
 	return &direct.Dispatcher{
-		Targets: set, Link: s, Counter: noCounter{}, Budget: &budget.Share{Burst: 3}, RetryShare: 0.15, Poison: &poison.Register{},
+		Targets: set, Link: s, Counter: noCounter{}, Attempts: noCounter{}, Budget: &budget.Share{Burst: 3}, RetryShare: 0.15, Poison: &poison.Register{},
 		Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 	}
 }
--- a/internal/dispatch/direct/run.go
+++ b/internal/dispatch/direct/run.go
@@ -33,7 +33,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	results := make(chan attemptResult, 2)
-	d.startAttempt(ctx, c, chosen, results)
+	d.startAttempt(ctx, c, p.cause, chosen, results)
 	running := 1
 	overdue := time.NewTimer(chosen.overdueAfter())
 	defer overdue.Stop()
@@ -76,7 +76,8 @@
 }
 
 // startAttempt sends c to the chosen target and delivers the result on results.
-func (d *Dispatcher) startAttempt(ctx context.Context, c *Call, chosen choice, results chan<- attemptResult) {
+func (d *Dispatcher) startAttempt(ctx context.Context, c *Call, cause snipefront.Cause, chosen choice, results chan<- attemptResult) {
+	d.Attempts.Attempted(c.Service, cause)
 	begun := time.Now()
 	go func() {
 		a := d.send(ctx, c, chosen)
@@ -98,13 +99,13 @@
 	if !ok || !staysBelowBusy(second.snapshot) || time.Now().Add(second.estimate).After(c.Deadline) {
 		return false
 	}
-	if !d.Budget.Spend() || !d.reserve(time.Now(), second.target) {
+	if !d.spend(c) || !d.reserve(time.Now(), second.target) {
 		return false
 	}
 	d.Counter.Retried(c.Service, snipefront.ReasonHedge)
 	d.Logger.Info("answer overdue; request also sent to a second target", "request", c.ID, "service", c.Service, "server", first.target.Server.Name,
 		"estimated", first.estimate, "second", second.target.Server.Name, "secondEstimated", second.estimate)
-	d.startAttempt(ctx, c, second, results)
+	d.startAttempt(ctx, c, snipefront.CauseHedge, second, results)
 	return true
 }
 
--- a/internal/dispatch/direct/site_test.go
+++ b/internal/dispatch/direct/site_test.go
@@ -97,7 +97,7 @@
 		set := &health.Set{Self: v.Instances[fmt.Sprint("e", i)].Instance}
 		set.Update(time.Now(), v, r)
 		s.dispatchers = append(s.dispatchers, &direct.Dispatcher{
-			Targets: set, Link: s.servers, Counter: s, Budget: &budget.Share{Burst: 3}, RetryShare: 0.15,
+			Targets: set, Link: s.servers, Counter: s, Attempts: noCounter{}, Budget: &budget.Share{Burst: 3}, RetryShare: 0.15,
 			Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		})
 	}
--- a/internal/dispatch/link/link.go
+++ b/internal/dispatch/link/link.go
@@ -79,7 +79,7 @@
 	signed := h.Get(l.Fields.Signature) != ""
 	switch {
 	case status == http.StatusMisdirectedRequest:
-		return direct.Attempt{Verdict: snipefront.NotRun, Reason: snipefront.ReasonNoBackendServer, Err: errors.New("another backend server has the address"), Outcome: health.Unreachable}
+		return direct.Attempt{Verdict: snipefront.NotRun, Reason: snipefront.ReasonNoBackendServer, Err: errors.New("another backend server has the address"), Outcome: health.Unreachable, Misdirected: true}
 	case h.Get(l.Fields.NotRun) != "":
 		return direct.Attempt{Verdict: snipefront.NotRun, Reason: snipefront.ReasonShed, Err: errors.Errorf("backend server refused with status %d", status), Outcome: health.Neutral}
 	case !signed && status < http.StatusMultipleChoices:
--- a/internal/observe/stats/stats.go
+++ b/internal/observe/stats/stats.go
@@ -17,6 +17,9 @@
 	answers  *prometheus.CounterVec
 	refusals *prometheus.CounterVec
 	retries  *prometheus.CounterVec
+	requests *prometheus.CounterVec
+	attempts *prometheus.CounterVec
+	denied   *prometheus.CounterVec
 	probes   *prometheus.CounterVec
 	latency  *prometheus.HistogramVec
 	unshared prometheus.Counter
@@ -41,6 +44,18 @@
 			Name: "snipefront_retries_total",
 			Help: "Attempts that were repeated at another backend server or cell, by service and reason.",
 		}, []string{"service", "reason"}),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "snipefront_requests_total",
+			Help: "Requests of callers, by service and whether the caller had sent the request before.",
+		}, []string{"service", "resent"}),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "snipefront_attempts_total",
+			Help: "Attempts at backend servers, by service and cause.",
+		}, []string{"service", "cause"}),
+		denied: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "snipefront_retries_denied_total",
+			Help: "Retries and hedges that the retry budget did not allow, by service.",
+		}, []string{"service"}),
 		probes: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "snipefront_probes_total",
 			Help: "Probes of backend servers, by service and whether they were answered.",
@@ -65,7 +80,7 @@
 		Buckets: prometheus.ExponentialBuckets(0.001, 2, 12),
 	}, []string{"kind", "committed"})
 	s.registry.MustRegister(s.changes)
-	s.registry.MustRegister(s.answers, s.refusals, s.retries, s.probes, s.latency, s.unshared, s.control)
+	s.registry.MustRegister(s.answers, s.refusals, s.retries, s.requests, s.attempts, s.denied, s.probes, s.latency, s.unshared, s.control)
 	s.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return s
 }
@@ -110,6 +125,21 @@
 	s.retries.WithLabelValues(service, string(reason)).Inc()
 }
 
+// Received implements snipefront.AttemptCounter.
+func (s *Stats) Received(service string, resent bool) {
+	s.requests.WithLabelValues(service, strconv.FormatBool(resent)).Inc()
+}
+
+// Attempted implements snipefront.AttemptCounter.
+func (s *Stats) Attempted(service string, c snipefront.Cause) {
+	s.attempts.WithLabelValues(service, string(c)).Inc()
+}
+
+// Denied implements snipefront.AttemptCounter.
+func (s *Stats) Denied(service string) {
+	s.denied.WithLabelValues(service).Inc()
+}
+
 // SuspectsUnshared counts suspects that were dropped before all instances received
 // them.
 func (s *Stats) SuspectsUnshared(records int) {
--- a/internal/observe/status/status.go
+++ b/internal/observe/status/status.go
@@ -9,11 +9,14 @@
 	"encoding/json"
 	"log/slog"
 	"net/http"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/gorilla/mux"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+	dto "github.com/prometheus/client_model/go"
 )
 
 // The paths that Handler serves.
@@ -86,7 +89,7 @@
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(&collector{report: report})
 	r := mux.NewRouter()
-	r.Handle(MetricsPath, promhttp.HandlerFor(prometheus.Gatherers{g, registry}, promhttp.HandlerOpts{}))
+	r.Handle(MetricsPath, promhttp.HandlerFor(inOrder(prometheus.Gatherers{g, registry}), promhttp.HandlerOpts{}))
 	r.HandleFunc(Path, func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		if err := json.NewEncoder(w).Encode(report()); err != nil {
@@ -96,6 +99,29 @@
 	return r
 }
 
+// inOrder returns a gatherer of the metrics of g that starts with those of this
+// program and ends with those of the runtime and the process: a reader that cuts long
+// pages off keeps the former.
+func inOrder(g prometheus.Gatherer) prometheus.Gatherer {
+	return prometheus.GathererFunc(func() ([]*dto.MetricFamily, error) {
+		families, err := g.Gather()
+		slices.SortStableFunc(families, func(a, b *dto.MetricFamily) int { return order(a) - order(b) })
+		return families, err
+	})
+}
+
+// order returns the rank of f on the page: first the counters and gauges of this
+// program, then its histograms, which are long, then all others.
+func order(f *dto.MetricFamily) int {
+	switch {
+	case !strings.HasPrefix(f.GetName(), "snipefront_"):
+		return 2
+	case f.GetType() == dto.MetricType_HISTOGRAM:
+		return 1
+	}
+	return 0
+}
+
 // collector implements prometheus.Collector.
 type collector struct{ report func() Report }
 
--- a/internal/observe/status/status_test.go
+++ b/internal/observe/status/status_test.go
@@ -13,6 +13,8 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/observe/stats"
 	"github.com/snipefront/snipefront/internal/observe/status"
 )
 
@@ -52,6 +54,25 @@
 	}
 }
 
+// TestOwnMetricsComeFirst guards against a page whose first part, which is all that some
+// monitoring keeps, has only metrics of the runtime.
+func TestOwnMetricsComeFirst(t *testing.T) {
+	counters := stats.New()
+	counters.Attempted("balance", snipefront.CauseRetry)
+	counters.Answered("balance", http.StatusOK, time.Second)
+	s := httptest.NewServer(status.Handler(counters.Gatherer(), func() status.Report { return status.Report{} }, slog.New(slog.NewTextHandler(io.Discard, nil))))
+	defer s.Close()
+	text := get(t, s.URL+status.MetricsPath)
+	last := -1
+	for _, name := range []string{"snipefront_attempts_total{", "snipefront_fleet_index ", "snipefront_request_seconds_bucket{", "\ngo_info{"} {
+		at := strings.Index(text, name)
+		if at <= last {
+			t.Errorf("%q stands at %d of the page, want it after %d", name, at, last)
+		}
+		last = at
+	}
+}
+
 func get(t *testing.T, url string) string {
 	t.Helper()
 	r, err := http.Get(url)
