budget, direct, edge: keep retries within the limit of all instances

Cause: the users count arrivals beyond the first of their request for each service and over all instances. Each instance kept one budget for all services, with three retries saved up and 0.15 of all requests. So healthy services paid for the retries of the one in trouble (0.23 of its requests), 132 instances could save up 396 where the slack is 204, each new process brought three more, and a retry after an answer 421, which is an arrival too, cost nothing.

Now each instance counts in the window of the limit what it received for each service, may spend the limit's ratio of it, plus an equal share of the slack by the number of instances in its view, and has no share until a window after its start. So the sum keeps the limit whatever each of them sees, and the limit's values come from the platform's settings. Attempts are spent when they are sent; one that reaches no backend server is not spent. Instances that left count for another window. A refusal for a backend server that is gone tells the caller to come back in 20 ms.

Tried first and dropped: a token bucket that saves up the share of the slack.

TestFurtherAttemptsOfAllInstances failed in its five cases before and passes.

--- a/internal/control/fleet/delta.go
+++ b/internal/control/fleet/delta.go
@@ -130,6 +130,18 @@
 	Suspects map[uint64]Suspect
 }
 
+// Edges returns the number of instances that accept requests or are about to start or
+// stop doing so.
+func (v View) Edges() int {
+	n := 0
+	for _, i := range v.Instances {
+		if !i.Control {
+			n++
+		}
+	}
+	return n
+}
+
 // View returns the whole state. Its maps are copies.
 func (s *State) View() View {
 	return View{}.Apply(s.DeltaSince(0))
--- a/internal/daemon/edge/edge.go
+++ b/internal/daemon/edge/edge.go
@@ -35,12 +35,6 @@
 )
 
 const (
-	// retryBurst is the most retries that this instance can save up. Each
-	// instance has a budget of its own, while the users' limit counts the retries of
-	// all instances together, so the burst is small. Hedges spend it, too.
-	retryBurst = 3
-	// retryShare is the number of retries or hedges that each request adds to the budget.
-	retryShare = 0.15
 	// expireInterval is how often the pool is checked for unused connections.
 	expireInterval = time.Second
 	// closeListenerShare and drainShare are shares of the grace period. After the first,
@@ -68,6 +62,8 @@
 	Decode func(text []byte) (*paths.Table, error)
 	// Grace is the time between the stop signal and the end of the process.
 	Grace time.Duration
+	// Retries bounds the retries and hedges of all edge instances together.
+	Retries snipefront.RetryLimit
 }
 
 // Edge is a running edge instance.
@@ -79,6 +75,7 @@
 	targets    *health.Set
 	pool       *pool.Pool
 	proxy      *proxy.Proxy
+	retries    *budget.Retries
 	server     *pipe.Server
 	stats      *stats.Stats
 	tally      *tally.Tally
@@ -103,7 +100,7 @@
 	return fx.Options(
 		fx.NopLogger,
 		fx.Supply(s, logger),
-		fx.Provide(stats.New, newTally, newTargets, newPool, newSuspects, newLink, newDispatcher, newProxy, newServer, newEdge),
+		fx.Provide(stats.New, newTally, newRetries, newTargets, newPool, newSuspects, newLink, newDispatcher, newProxy, newServer, newEdge),
 		fx.Invoke(registerHooks),
 	)
 }
@@ -112,6 +109,8 @@
 	return &tally.Tally{Next: counters, Logger: logger}
 }
 
+func newRetries(s Settings) *budget.Retries { return &budget.Retries{Limit: s.Retries} }
+
 func newTargets(s Settings) *health.Set { return &health.Set{Self: s.Self.Instance} }
 
 func newSuspects() *poison.Register { return &poison.Register{} }
@@ -122,10 +121,10 @@
 	return &link.Link{Pool: connections, Targets: targets, Fields: s.Fields, Counter: counters, Logger: logger}
 }
 
-func newDispatcher(targets *health.Set, l *link.Link, suspects *poison.Register, counters *stats.Stats, attempts *tally.Tally, logger *slog.Logger) *direct.Dispatcher {
+func newDispatcher(targets *health.Set, l *link.Link, retries *budget.Retries, suspects *poison.Register, counters *stats.Stats, attempts *tally.Tally, logger *slog.Logger) *direct.Dispatcher {
 	return &direct.Dispatcher{
 		Targets: targets, Link: l, Poison: suspects, Counter: counters, Attempts: attempts, Logger: logger,
-		Budget: &budget.Share{Burst: retryBurst}, RetryShare: retryShare,
+		Budget: retries,
 	}
 }
 
@@ -137,8 +136,8 @@
 	return &pipe.Server{Handler: px, Limits: px.Limits, Logger: logger}
 }
 
-func newEdge(s Settings, targets *health.Set, connections *pool.Pool, suspects *poison.Register, px *proxy.Proxy, server *pipe.Server, counters *stats.Stats, attempts *tally.Tally, logger *slog.Logger) *Edge {
-	e := &Edge{settings: s, logger: logger, targets: targets, pool: connections, suspects: suspects, proxy: px, server: server, stats: counters, tally: attempts}
+func newEdge(s Settings, targets *health.Set, connections *pool.Pool, suspects *poison.Register, px *proxy.Proxy, retries *budget.Retries, server *pipe.Server, counters *stats.Stats, attempts *tally.Tally, logger *slog.Logger) *Edge {
+	e := &Edge{settings: s, logger: logger, targets: targets, pool: connections, suspects: suspects, proxy: px, retries: retries, server: server, stats: counters, tally: attempts}
 	e.group.Logger = logger
 	client := &peers.Client{}
 	e.replicator = &submit.Replicator{Submitter: &access.Client{Control: e.controlInstances, Caller: client}, Logger: logger}
@@ -197,7 +196,9 @@
 	if t == nil {
 		return
 	}
-	e.targets.Update(time.Now(), v, t.Routing)
+	now := time.Now()
+	e.targets.Update(now, v, t.Routing)
+	e.retries.SetInstances(now, v.Edges())
 	e.index.Store(v.Index)
 	e.logger.Info("applied a new fleet view", "index", v.Index, "version", v.Document.Version, "servers", len(v.Servers), "instances", len(v.Instances), "out", len(v.Out))
 	e.mergeSuspects(v)
@@ -262,6 +263,7 @@
 		return
 	}
 	e.proxy.SetTable(t)
+	e.retries.Keep(t.Routing.Services)
 	e.logger.Info("applied a new configuration", "version", d.Version, "routes", len(t.Routing.Routes))
 }
 
--- a/internal/dispatch/budget/share.go
+++ b/internal/dispatch/budget/share.go
@@ -1,5 +1,9 @@
 // Package budget bounds the requests that an instance sends beyond those of its
-// callers: retries and hedges to a share of the requests, probes to a rate.
+// callers: probes to a rate, retries and hedges to a share of the requests.
+//
+// The owner of a cell is alone with its backend servers, so a Share counts the requests
+// of one instance. Where all instances send to the same backend servers, Retries keeps
+// the part of one instance in a limit that holds for all together.
 package budget
 
 import "sync/atomic"
--- a/internal/dispatch/direct/direct.go
+++ b/internal/dispatch/direct/direct.go
@@ -34,7 +34,8 @@
 	// the wait for a free slot is unknown.
 	retryAfter = 200 * time.Millisecond
 	// shedRetryAfter replaces retryAfter if the target that refused the request had a
-	// free slot: its refusal did not depend on the load, so a resend may soon succeed.
+	// free slot, or was gone: its refusal did not depend on the load, so a resend may soon
+	// succeed.
 	shedRetryAfter = 20 * time.Millisecond
 )
 
@@ -47,10 +48,8 @@
 type Dispatcher struct {
 	Targets *health.Set
 	Link    Link
-	// Budget bounds the retries of all services together.
-	Budget *budget.Share
-	// RetryShare is the number of retries, 0 to 1, that each request adds to Budget.
-	RetryShare float64
+	// Budget bounds the attempts beyond the first of a request.
+	Budget *budget.Retries
 	// Poison records the requests that were in flight on a backend server when it
 	// crashed. Nil records none.
 	Poison   *poison.Register
@@ -109,8 +108,11 @@
 	// target was unreachable, accepted no requests any more, or another backend server
 	// had its address.
 	sent, undelivered int
-	// cause is that of the next attempt, unless it is a hedge.
-	cause snipefront.Cause
+	// reached is true once an attempt has reached a backend server, whether it was the
+	// target or not. Each further attempt spends the retry budget.
+	reached bool
+	// paid is true while an attempt is spent for which none has reached a backend server.
+	paid bool
 	// avoid names the targets that were tried.
 	avoid map[string]bool
 	// last is the last attempt, response the last answer that was a server error.
@@ -126,9 +128,9 @@
 func (d *Dispatcher) Serve(ctx context.Context, c *Call) (*snipefront.Response, error) {
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
 	defer cancel()
-	d.Budget.Earn(d.RetryShare)
+	d.Budget.Earn(time.Now(), c.Service)
 	d.Attempts.Received(c.Service, c.Resent)
-	p := progress{verdict: snipefront.NotRun, cause: snipefront.CauseFirst, avoid: map[string]bool{}}
+	p := progress{verdict: snipefront.NotRun, avoid: map[string]bool{}}
 	for {
 		if time.Until(c.Deadline) < minAttemptTime || ctx.Err() != nil {
 			return d.finish(c, &p, timeoutError(ctx, &p))
@@ -140,6 +142,10 @@
 		if !ok {
 			return d.finish(c, &p, d.noTargetError(ctx, c, &p))
 		}
+		if !d.pay(c, &p) {
+			chosen.target.Done(time.Now(), health.Neutral)
+			return d.finish(c, &p, attemptError(ctx, &p))
+		}
 		a := d.run(ctx, c, &p, chosen)
 		if a.Response != nil && !isServerError(a.Response) {
 			return a.Response, nil
@@ -182,11 +188,8 @@
 	} else {
 		p.sent++
 	}
-	switch {
-	case r.Misdirected:
-		p.cause = snipefront.CauseMisdirected
-	case p.sent > 0:
-		p.cause = snipefront.CauseRetry
+	if r.Outcome != health.Unreachable || r.Misdirected {
+		p.reached, p.paid = true, false
 	}
 	d.logAttempt(c, p, r)
 }
@@ -217,16 +220,38 @@
 		return false
 	case p.verdict != snipefront.NotRun && !c.Idempotent:
 		return false
-	case p.last.Outcome == health.Unreachable:
-		return true
+	case p.reached && !p.paid && !d.Budget.Left(time.Now(), c.Service):
+		d.Attempts.Denied(c.Service)
+		return false
+	}
+	return true
+}
+
+// cause returns why the next attempt is made, unless it is a hedge.
+func (p *progress) cause() snipefront.Cause {
+	switch {
+	case !p.reached:
+		return snipefront.CauseFirst
+	case p.last.Misdirected:
+		return snipefront.CauseMisdirected
 	}
-	return d.spend(c)
+	return snipefront.CauseRetry
+}
+
+// pay spends the retry budget for the next attempt, unless that costs nothing, and
+// reports whether the attempt may be made.
+func (d *Dispatcher) pay(c *Call, p *progress) bool {
+	if p.reached && !p.paid {
+		p.paid = d.spend(c)
+		return p.paid
+	}
+	return true
 }
 
 // spend takes one attempt at the service of c from the retry budget, or returns false
 // if none is left.
 func (d *Dispatcher) spend(c *Call) bool {
-	if !d.Budget.Spend() {
+	if !d.Budget.Spend(time.Now(), c.Service) {
 		d.Attempts.Denied(c.Service)
 		return false
 	}
@@ -287,7 +312,7 @@
 
 // retryAfter returns the time after which the caller may resend the call.
 func (p *progress) retryAfter() time.Duration {
-	if p.last.Reason == snipefront.ReasonShed && p.hadFreeSlot {
+	if p.last.Misdirected || p.last.Reason == snipefront.ReasonShed && p.hadFreeSlot {
 		return shedRetryAfter
 	}
 	return retryAfter
--- a/internal/dispatch/direct/direct_test.go
+++ b/internal/dispatch/direct/direct_test.go
@@ -16,7 +16,6 @@
 
 	"github.com/snipefront/snipefront"
 	"github.com/snipefront/snipefront/internal/control/fleet"
-	"github.com/snipefront/snipefront/internal/dispatch/budget"
 	"github.com/snipefront/snipefront/internal/dispatch/direct"
 	"github.com/snipefront/snipefront/internal/dispatch/health"
 	"github.com/snipefront/snipefront/internal/request/poison"
@@ -99,7 +98,7 @@
 	set := &health.Set{Self: snipefront.Instance{Name: "e", DataCentre: "dc1"}}
 	set.Update(time.Now(), v, &snipefront.Routing{Services: map[string]snipefront.ServiceProfile{service: {Name: service}}})
 	return &direct.Dispatcher{
-		Targets: set, Link: s, Counter: noCounter{}, Attempts: noCounter{}, Budget: &budget.Share{Burst: 3}, RetryShare: 0.15, Poison: &poison.Register{},
+		Targets: set, Link: s, Counter: noCounter{}, Attempts: noCounter{}, Budget: newRetries(1, 50), Poison: &poison.Register{},
 		Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 	}
 }
--- a/internal/dispatch/direct/limit_test.go
+++ b/internal/dispatch/direct/limit_test.go
@@ -22,13 +22,19 @@
 	"github.com/snipefront/snipefront/internal/dispatch/health"
 )
 
-// The limit on further attempts, over all instances and for each service: in each time
-// of length limitWindow, at most limitRatio of the requests plus limitSlack.
-const (
-	limitRatio  = 0.2
-	limitWindow = 10 * time.Second
-	limitSlack  = 60
-)
+// limit is the limit on further attempts in these tests.
+var limit = snipefront.RetryLimit{Ratio: 0.2, Slack: 60, Window: 10 * time.Second}
+
+// newRetries returns the retry budget of one of n instances, which has just received
+// the given number of requests for service.
+func newRetries(n, requests int) *budget.Retries {
+	r := &budget.Retries{Limit: limit}
+	r.SetInstances(time.Now(), n)
+	for range requests {
+		r.Earn(time.Now(), service)
+	}
+	return r
+}
 
 // edges has many instances send to the backend servers of several services. It runs in
 // virtual time and records the arrivals at the backend servers.
@@ -88,7 +94,7 @@
 	set.Update(time.Now(), e.view, e.routing)
 	return &direct.Dispatcher{
 		Targets: set, Link: e, Counter: noCounter{}, Attempts: noCounter{},
-		Budget: &budget.Share{Burst: 3}, RetryShare: 0.15,
+		Budget: newRetries(len(e.view.Instances), 0),
 		Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 	}
 }
@@ -184,7 +190,7 @@
 // Up implements direct.Link.
 func (e *edges) Up(context.Context, *health.Target) bool { return true }
 
-// checkLimit checks the limit for a service in each time of length limitWindow. The
+// checkLimit checks the limit for a service in each time of length limit.Window. The
 // requests are those of the window, of the one before it or of the one half a window
 // before it, whichever are most.
 func (e *edges) checkLimit(t *testing.T, service string) {
@@ -194,10 +200,10 @@
 	excess, worst := 0.0, ""
 	for _, from := range further {
 		n := countWithin(further, from)
-		q := max(countWithin(requests, from), countWithin(requests, from-limitWindow), countWithin(requests, from-limitWindow/2))
-		if over := float64(n) - limitRatio*float64(q) - limitSlack; over > excess {
+		q := max(countWithin(requests, from), countWithin(requests, from-limit.Window), countWithin(requests, from-limit.Window/2))
+		if over := float64(n) - limit.Ratio*float64(q) - limit.Slack; over > excess {
 			excess = over
-			worst = fmt.Sprintf("%d further attempts from %v on for %d requests, want %.0f at most", n, from, q, limitRatio*float64(q)+limitSlack)
+			worst = fmt.Sprintf("%d further attempts from %v on for %d requests, want %.0f at most", n, from, q, limit.Ratio*float64(q)+limit.Slack)
 		}
 	}
 	t.Logf("%d requests, %d further attempts, %d callers answered, %d not", len(requests), len(further), e.answered, e.failed)
@@ -206,11 +212,11 @@
 	}
 }
 
-// countWithin returns how many times of the sorted list are within limitWindow from the
+// countWithin returns how many times of the sorted list are within limit.Window from the
 // given one on.
 func countWithin(list []time.Duration, from time.Duration) int {
 	begin, _ := slices.BinarySearch(list, from)
-	end, _ := slices.BinarySearch(list, from+limitWindow)
+	end, _ := slices.BinarySearch(list, from+limit.Window)
 	return end - begin
 }
 
@@ -279,3 +285,23 @@
 		}
 	}
 }
+
+// TestUndeliveredRetryIsNotSpent guards against a retry that reaches no backend server
+// and yet costs the retry that would have.
+func TestUndeliveredRetryIsNotSpent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeLink{}
+		s.send = func(context.Context, string) direct.Attempt {
+			return []direct.Attempt{shed, {Verdict: snipefront.NotRun, Outcome: health.Unreachable}, answered}[len(s.sent)-1]
+		}
+		d := newDispatcher(4, s)
+		d.Budget = newRetries(1, 4)
+		if _, err := d.Serve(t.Context(), newCall(false)); err != nil {
+			t.Errorf("not answered after %d attempts: %v", len(s.sent), err)
+		}
+		s.sent = nil
+		if _, err := d.Serve(t.Context(), newCall(false)); err == nil {
+			t.Errorf("answered after %d attempts, though the one retry for five requests was spent", len(s.sent))
+		}
+	})
+}
--- a/internal/dispatch/direct/run.go
+++ b/internal/dispatch/direct/run.go
@@ -33,7 +33,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	results := make(chan attemptResult, 2)
-	d.startAttempt(ctx, c, p.cause, chosen, results)
+	d.startAttempt(ctx, c, p.cause(), chosen, results)
 	running := 1
 	overdue := time.NewTimer(chosen.overdueAfter())
 	defer overdue.Stop()
--- a/internal/dispatch/direct/site_test.go
+++ b/internal/dispatch/direct/site_test.go
@@ -15,7 +15,6 @@
 
 	"github.com/snipefront/snipefront"
 	"github.com/snipefront/snipefront/internal/control/fleet"
-	"github.com/snipefront/snipefront/internal/dispatch/budget"
 	"github.com/snipefront/snipefront/internal/dispatch/direct"
 	"github.com/snipefront/snipefront/internal/dispatch/health"
 	"github.com/snipefront/snipefront/internal/stand/model"
@@ -97,7 +96,7 @@
 		set := &health.Set{Self: v.Instances[fmt.Sprint("e", i)].Instance}
 		set.Update(time.Now(), v, r)
 		s.dispatchers = append(s.dispatchers, &direct.Dispatcher{
-			Targets: set, Link: s.servers, Counter: s, Attempts: noCounter{}, Budget: &budget.Share{Burst: 3}, RetryShare: 0.15,
+			Targets: set, Link: s.servers, Counter: s, Attempts: noCounter{}, Budget: newRetries(instances, 0),
 			Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		})
 	}
--- a/routing.go
+++ b/routing.go
@@ -63,6 +63,21 @@
 	WarmUpRate float64
 }
 
+// RetryLimit bounds the further attempts at the backend servers of one service, which
+// are those beyond the first of their request: in each time of length Window, the
+// attempts of all instances together are at most Ratio of the requests plus Slack.
+type RetryLimit struct {
+	// Ratio is the number of further attempts for each request, 0 or more.
+	Ratio float64
+	// Slack is the number of further attempts whatever the number of requests.
+	Slack float64
+	// Window is positive.
+	Window time.Duration
+}
+
+// DefaultRetryLimit applies if the settings state no limit.
+var DefaultRetryLimit = RetryLimit{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}
+
 // CallerLimits bounds the size of a caller's requests and the time to send them.
 type CallerLimits struct {
 	HeaderBytes   int
