tally, direct: tell resends of callers by the fingerprint of the request

The count of resent requests was wrong: it took a request whose caller has less time left than most on its route for a resend.

So the lines of attempts and of failed requests carry the fingerprint, and the count is dropped.

--- a/cause.go
+++ b/cause.go
@@ -20,9 +20,8 @@
 
 // AttemptCounter counts requests of callers and the attempts that are made for them.
 type AttemptCounter interface {
-	// Received counts a request. The argument resent reports whether its caller has
-	// sent it before.
-	Received(service string, resent bool)
+	// Received counts a request. One that its caller sends again counts again.
+	Received(service string)
 	// Attempted counts an attempt.
 	Attempted(service string, c Cause)
 	// Denied counts a retry or hedge that the retry budget did not allow.
--- a/internal/dispatch/direct/direct.go
+++ b/internal/dispatch/direct/direct.go
@@ -71,8 +71,6 @@
 	Goal time.Time
 	// Attempts is the maximum number of attempts that reach a target.
 	Attempts int
-	// Resent is true if the caller has sent the request before.
-	Resent bool
 }
 
 // Attempt is the result of sending a call to one target.
@@ -129,7 +127,7 @@
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
 	defer cancel()
 	d.Budget.Earn(time.Now(), c.Service)
-	d.Attempts.Received(c.Service, c.Resent)
+	d.Attempts.Received(c.Service)
 	p := progress{verdict: snipefront.NotRun, avoid: map[string]bool{}}
 	for {
 		if time.Until(c.Deadline) < minAttemptTime || ctx.Err() != nil {
@@ -204,7 +202,7 @@
 			message = "attempt answered"
 		}
 	}
-	d.Logger.Info(message, "request", c.ID, "route", c.Route, "service", c.Service, "server", r.target.Server.Name,
+	d.Logger.Info(message, "request", c.ID, "fingerprint", c.Fingerprint, "route", c.Route, "service", c.Service, "server", r.target.Server.Name,
 		"attempt", p.sent, "estimated", r.estimate, "load", r.snapshot, "taken", r.taken, "status", status,
 		"verdict", r.Verdict, "reason", r.Reason, "error", r.Err, "left", time.Until(c.Deadline))
 }
@@ -264,7 +262,7 @@
 	if p.response != nil {
 		return p.response, nil
 	}
-	d.Logger.Info("request failed", "request", c.ID, "route", c.Route, "service", c.Service, "verdict", e.Verdict, "reason", e.Reason,
+	d.Logger.Info("request failed", "request", c.ID, "fingerprint", c.Fingerprint, "route", c.Route, "service", c.Service, "verdict", e.Verdict, "reason", e.Reason,
 		"status", e.Status, "attempts", p.sent, "undelivered", p.undelivered, "retryAfter", e.RetryAfter, "targets", len(d.Targets.Candidates(c.Service)), "goalIn", time.Until(c.Goal), "detail", e.Detail)
 	return nil, e
 }
--- a/internal/entry/proxy/proxy.go
+++ b/internal/entry/proxy/proxy.go
@@ -134,7 +134,6 @@
 		ID:       id,
 		Route:    rt.Name,
 		Attempts: rt.Attempts,
-		Resent:   waited >= waitPrecision,
 		Goal:     r.Read.Add(rt.Goal - waited),
 		Request: &snipefront.Request{
 			Service:    p.split.Next(rt),
--- a/internal/observe/stats/stats.go
+++ b/internal/observe/stats/stats.go
@@ -46,8 +46,8 @@
 		}, []string{"service", "reason"}),
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "snipefront_requests_total",
-			Help: "Requests of callers, by service and whether the caller had sent the request before.",
-		}, []string{"service", "resent"}),
+			Help: "Requests of callers, by service.",
+		}, []string{"service"}),
 		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "snipefront_attempts_total",
 			Help: "Attempts at backend servers, by service and cause.",
@@ -126,8 +126,8 @@
 }
 
 // Received implements snipefront.AttemptCounter.
-func (s *Stats) Received(service string, resent bool) {
-	s.requests.WithLabelValues(service, strconv.FormatBool(resent)).Inc()
+func (s *Stats) Received(service string) {
+	s.requests.WithLabelValues(service).Inc()
 }
 
 // Attempted implements snipefront.AttemptCounter.
--- a/internal/observe/tally/tally.go
+++ b/internal/observe/tally/tally.go
@@ -2,8 +2,8 @@
 // counts of each service that had further attempts, which are those beyond the first of
 // a request, or retries that the budget did not allow.
 //
-// One line tells where the further arrivals at backend servers come from: retries and
-// hedges of this instance, and resends of callers, which are requests of their own.
+// One line tells where the further arrivals at backend servers come from. Resends of
+// callers are not among them, since each is a request of its own.
 package tally
 
 import (
@@ -34,8 +34,8 @@
 
 // counts holds the counts of one service.
 type counts struct {
-	requests, resent, denied int
-	attempts                 map[snipefront.Cause]int
+	requests, denied int
+	attempts         map[snipefront.Cause]int
 }
 
 // Run logs the counts until ctx ends. It returns nil.
@@ -44,14 +44,9 @@
 }
 
 // Received implements snipefront.AttemptCounter.
-func (t *Tally) Received(service string, resent bool) {
-	t.Next.Received(service, resent)
-	t.update(service, func(c *counts) {
-		c.requests++
-		if resent {
-			c.resent++
-		}
-	})
+func (t *Tally) Received(service string) {
+	t.Next.Received(service)
+	t.update(service, func(c *counts) { c.requests++ })
 }
 
 // Attempted implements snipefront.AttemptCounter.
@@ -94,7 +89,7 @@
 		if retries+hedges+misdirected+c.denied == 0 {
 			continue
 		}
-		t.Logger.Info("further attempts", "service", service, "requests", c.requests, "resent", c.resent,
+		t.Logger.Info("further attempts", "service", service, "requests", c.requests,
 			"first", c.attempts[snipefront.CauseFirst], "retries", retries, "hedges", hedges, "misdirected", misdirected, "denied", c.denied)
 	}
 }
