budget, health, direct: keep load probes within the limit of all instances

Cause: an instance probes a backend server once in 30 ms if its choices need that, whatever the others do, so that the number grows with that of the instances. Requests that wait choose again each 25 ms, so that an overload that lasts makes all instances probe that often.

Now each instance has an equal part of the limit, which comes from the platform's settings. Where none is left, a choice uses the load reports that it has.

--- a/internal/daemon/edge/edge.go
+++ b/internal/daemon/edge/edge.go
@@ -64,6 +64,9 @@
 	Grace time.Duration
 	// Retries bounds the retries and hedges of all edge instances together.
 	Retries snipefront.RetryLimit
+	// ProbeRate is the mean number of load probes per second that one backend server may
+	// receive from all edge instances together.
+	ProbeRate float64
 }
 
 // Edge is a running edge instance.
@@ -76,6 +79,7 @@
 	pool       *pool.Pool
 	proxy      *proxy.Proxy
 	retries    *budget.Retries
+	probes     *budget.Probes
 	server     *pipe.Server
 	stats      *stats.Stats
 	tally      *tally.Tally
@@ -100,7 +104,7 @@
 	return fx.Options(
 		fx.NopLogger,
 		fx.Supply(s, logger),
-		fx.Provide(stats.New, newTally, newRetries, newTargets, newPool, newSuspects, newLink, newDispatcher, newProxy, newServer, newEdge),
+		fx.Provide(stats.New, newTally, newRetries, newProbes, newTargets, newPool, newSuspects, newLink, newDispatcher, newProxy, newServer, newEdge),
 		fx.Invoke(registerHooks),
 	)
 }
@@ -111,6 +115,8 @@
 
 func newRetries(s Settings) *budget.Retries { return &budget.Retries{Limit: s.Retries} }
 
+func newProbes(s Settings) *budget.Probes { return &budget.Probes{PerSecond: s.ProbeRate} }
+
 func newTargets(s Settings) *health.Set { return &health.Set{Self: s.Self.Instance} }
 
 func newSuspects() *poison.Register { return &poison.Register{} }
@@ -121,10 +127,10 @@
 	return &link.Link{Pool: connections, Targets: targets, Fields: s.Fields, Counter: counters, Logger: logger}
 }
 
-func newDispatcher(targets *health.Set, l *link.Link, retries *budget.Retries, suspects *poison.Register, counters *stats.Stats, attempts *tally.Tally, logger *slog.Logger) *direct.Dispatcher {
+func newDispatcher(targets *health.Set, l *link.Link, retries *budget.Retries, probes *budget.Probes, suspects *poison.Register, counters *stats.Stats, attempts *tally.Tally, logger *slog.Logger) *direct.Dispatcher {
 	return &direct.Dispatcher{
 		Targets: targets, Link: l, Poison: suspects, Counter: counters, Attempts: attempts, Logger: logger,
-		Budget: retries,
+		Budget: retries, Probes: probes,
 	}
 }
 
@@ -136,8 +142,8 @@
 	return &pipe.Server{Handler: px, Limits: px.Limits, Logger: logger}
 }
 
-func newEdge(s Settings, targets *health.Set, connections *pool.Pool, suspects *poison.Register, px *proxy.Proxy, retries *budget.Retries, server *pipe.Server, counters *stats.Stats, attempts *tally.Tally, logger *slog.Logger) *Edge {
-	e := &Edge{settings: s, logger: logger, targets: targets, pool: connections, suspects: suspects, proxy: px, retries: retries, server: server, stats: counters, tally: attempts}
+func newEdge(s Settings, targets *health.Set, connections *pool.Pool, suspects *poison.Register, px *proxy.Proxy, retries *budget.Retries, probes *budget.Probes, server *pipe.Server, counters *stats.Stats, attempts *tally.Tally, logger *slog.Logger) *Edge {
+	e := &Edge{settings: s, logger: logger, targets: targets, pool: connections, suspects: suspects, proxy: px, retries: retries, probes: probes, server: server, stats: counters, tally: attempts}
 	e.group.Logger = logger
 	client := &peers.Client{}
 	e.replicator = &submit.Replicator{Submitter: &access.Client{Control: e.controlInstances, Caller: client}, Logger: logger}
@@ -199,6 +205,7 @@
 	now := time.Now()
 	e.targets.Update(now, v, t.Routing)
 	e.retries.SetInstances(now, v.Edges())
+	e.probes.SetFleet(now, len(v.Servers), v.Edges())
 	e.index.Store(v.Index)
 	e.logger.Info("applied a new fleet view", "index", v.Index, "version", v.Document.Version, "servers", len(v.Servers), "instances", len(v.Instances), "out", len(v.Out))
 	e.mergeSuspects(v)
--- a/internal/dispatch/budget/share.go
+++ b/internal/dispatch/budget/share.go
@@ -2,8 +2,8 @@
 // callers: probes to a rate, retries and hedges to a share of the requests.
 //
 // The owner of a cell is alone with its backend servers, so a Share counts the requests
-// of one instance. Where all instances send to the same backend servers, Retries keeps
-// the part of one instance in a limit that holds for all together.
+// of one instance. Where all instances send to the same backend servers, Retries and
+// Probes keep the part of one instance in limits that hold for all together.
 package budget
 
 import "sync/atomic"
--- a/internal/dispatch/direct/choose.go
+++ b/internal/dispatch/direct/choose.go
@@ -125,18 +125,21 @@
 	return local, remote
 }
 
-// probeAll refreshes the load reports of all targets of list concurrently. It waits
-// for at most probeWait.
+// probeAll refreshes the load reports of all targets of list concurrently, as far as the
+// limit on probes allows. It waits for at most probeWait.
 func (d *Dispatcher) probeAll(ctx context.Context, list []*health.Target) {
 	ctx, cancel := context.WithTimeout(ctx, probeWait)
 	defer cancel()
 	var all sync.WaitGroup
 	for _, t := range list {
-		all.Go(func() { t.Refresh(ctx, d.Link) })
+		all.Go(func() { t.Refresh(ctx, d.Link, d.mayProbe) })
 	}
 	all.Wait()
 }
 
+// mayProbe takes one load probe from the limit of all instances.
+func (d *Dispatcher) mayProbe() bool { return d.Probes.Take(time.Now()) }
+
 // fastest returns the target of list with the lowest expected latency. It skips a cold
 // target unless this instance warms it up and the warm-up rate allows a request now.
 func (d *Dispatcher) fastest(list []*health.Target, base time.Duration) choice {
--- a/internal/dispatch/direct/direct.go
+++ b/internal/dispatch/direct/direct.go
@@ -50,6 +50,8 @@
 	Link    Link
 	// Budget bounds the attempts beyond the first of a request.
 	Budget *budget.Retries
+	// Probes bounds the load probes. Nil sets no bound.
+	Probes *budget.Probes
 	// Poison records the requests that were in flight on a backend server when it
 	// crashed. Nil records none.
 	Poison   *poison.Register
--- a/internal/dispatch/direct/load_test.go
+++ b/internal/dispatch/direct/load_test.go
@@ -171,6 +171,21 @@
 	checkAtMost(t, r.share(r.retries), 0.2, "retried by the instances")
 }
 
+// TestProbesOfAllInstancesInOverload runs steadily at about three times the capacity, so
+// that requests wait and choose again and again. It guards against load probes that each
+// instance sends without regard to the others, more of them the more instances there are.
+func TestProbesOfAllInstancesInOverload(t *testing.T) {
+	const length = 8 * time.Second
+	r := statusPattern(phase{length, 250}).run(t)
+	most := probeRate * runs * serverCount * length.Seconds()
+	if float64(r.probes) > most {
+		t.Errorf("%d load probes, want %.0f at most", r.probes, most)
+	}
+	if share := float64(r.inGoal) / float64(r.inGoal+r.late); share < 0.5 {
+		t.Errorf("%.2f of the answers are within the goal, want half", share)
+	}
+}
+
 // TestLongAndShortRequestsMeetTheirGoals mixes work of 300 ms with work of 60 ms at
 // the same backend servers, each with a latency goal of its own. It guards against
 // estimates of one that depend on the other.
--- a/internal/dispatch/direct/site_test.go
+++ b/internal/dispatch/direct/site_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/snipefront/snipefront"
 	"github.com/snipefront/snipefront/internal/control/fleet"
+	"github.com/snipefront/snipefront/internal/dispatch/budget"
 	"github.com/snipefront/snipefront/internal/dispatch/direct"
 	"github.com/snipefront/snipefront/internal/dispatch/health"
 	"github.com/snipefront/snipefront/internal/stand/model"
@@ -96,13 +97,23 @@
 		set := &health.Set{Self: v.Instances[fmt.Sprint("e", i)].Instance}
 		set.Update(time.Now(), v, r)
 		s.dispatchers = append(s.dispatchers, &direct.Dispatcher{
-			Targets: set, Link: s.servers, Counter: s, Attempts: noCounter{}, Budget: newRetries(instances, 0),
+			Targets: set, Link: s.servers, Counter: s, Attempts: noCounter{}, Budget: newRetries(instances, 0), Probes: newProbes(servers, instances),
 			Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		})
 	}
 	return s
 }
 
+// probeRate is the limit on load probes, per second and backend server.
+const probeRate = 60
+
+// newProbes returns the part of one instance in the limit on load probes.
+func newProbes(servers, instances int) *budget.Probes {
+	p := &budget.Probes{PerSecond: probeRate}
+	p.SetFleet(time.Now(), servers, instances)
+	return p
+}
+
 // after calls f after the given delay.
 func (s *simulation) after(delay time.Duration, f func()) { time.AfterFunc(delay, f) }
 
@@ -235,15 +246,20 @@
 	phases []phase
 }
 
-// runs is the number of runs of a pattern, each with another seed.
-const runs = 6
+const (
+	// runs is the number of runs of a pattern, each with another seed.
+	runs = 6
+	// instanceCount and serverCount are the numbers of instances and backend servers.
+	instanceCount = 14
+	serverCount   = 11
+)
 
 // run runs p with several seeds and returns the sum of the results.
 func (p pattern) run(t *testing.T) (sum result) {
 	t.Helper()
 	for seed := range uint64(runs) {
 		synctest.Test(t, func(t *testing.T) {
-			s := newSimulation(seed, 14, 11, p.behaviour, p.callers...)
+			s := newSimulation(seed, instanceCount, serverCount, p.behaviour, p.callers...)
 			if p.events != nil {
 				p.events(s)
 			}
--- a/internal/dispatch/health/health_test.go
+++ b/internal/dispatch/health/health_test.go
@@ -79,6 +79,9 @@
 	return s, t
 }
 
+// always allows every probe.
+func always() bool { return true }
+
 // TestConcurrentRefreshesShareOneProbe guards against a probe per choice: choices at
 // the same time, or within the lifetime of a load report, share one probe, and a
 // later choice causes another.
@@ -87,15 +90,15 @@
 		_, target := newSet("e1", func(*fleet.Server) {})
 		p := &countingProber{report: health.Report{Known: true, Slots: 2, Server: "s"}}
 		for range 10 {
-			go target.Refresh(t.Context(), p)
+			go target.Refresh(t.Context(), p, always)
 		}
 		time.Sleep(20 * time.Millisecond)
-		target.Refresh(t.Context(), p)
+		target.Refresh(t.Context(), p, always)
 		if n := p.probes.Load(); n != 1 {
 			t.Errorf("%d probes for concurrent choices, want 1", n)
 		}
 		time.Sleep(50 * time.Millisecond)
-		target.Refresh(t.Context(), p)
+		target.Refresh(t.Context(), p, always)
 		if n := p.probes.Load(); n != 2 {
 			t.Errorf("%d probes after the first report expired, want 2", n)
 		}
@@ -113,7 +116,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				_, target := newSet("e1", func(*fleet.Server) {})
-				target.Refresh(t.Context(), p)
+				target.Refresh(t.Context(), p, always)
 				if target.Available(time.Now()) {
 					t.Error("target is available immediately after a failed probe")
 				}
@@ -152,7 +155,7 @@
 		if target.Snapshot(time.Now()).Cold {
 			t.Error("a warm target counts as cold")
 		}
-		target.Refresh(t.Context(), &countingProber{report: health.Report{Known: true, Slots: 2, Cold: 2 * time.Second}})
+		target.Refresh(t.Context(), &countingProber{report: health.Report{Known: true, Slots: 2, Cold: 2 * time.Second}}, always)
 		if !target.Snapshot(time.Now()).Cold {
 			t.Error("a target that reports itself cold again counts as warm")
 		}
@@ -214,9 +217,9 @@
 func TestProbeTimeoutIsIgnoredForTargetWithoutLoadReports(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		_, target := newSet("e1", func(*fleet.Server) {})
-		target.Refresh(t.Context(), &countingProber{report: health.Report{Healthy: true}})
+		target.Refresh(t.Context(), &countingProber{report: health.Report{Healthy: true}}, always)
 		time.Sleep(2 * time.Second)
-		target.Refresh(t.Context(), &countingProber{err: errors.WithMessage(health.ErrProbeTimeout, "no answer")})
+		target.Refresh(t.Context(), &countingProber{err: errors.WithMessage(health.ErrProbeTimeout, "no answer")}, always)
 		if !target.Available(time.Now()) {
 			t.Error("target is unavailable after a probe timeout")
 		}
--- a/internal/dispatch/health/target.go
+++ b/internal/dispatch/health/target.go
@@ -226,16 +226,16 @@
 	return now.Before(t.coldUntil) || t.report.Cold > now.Sub(t.report.At)
 }
 
-// Refresh probes t unless its load report is fresh. Concurrent calls share one
-// probe. Refresh returns when the probe has ended or ctx is done; ctx does not end the
-// probe.
-func (t *Target) Refresh(ctx context.Context, prober Prober) {
+// Refresh probes t unless its load report is fresh or mayProbe, which is called just
+// before a probe, returns false. Concurrent calls share one probe. Refresh returns when
+// the probe has ended or ctx is done; ctx does not end the probe.
+func (t *Target) Refresh(ctx context.Context, prober Prober, mayProbe func() bool) {
 	t.mu.Lock()
-	if t.isFresh() {
+	done := t.probing
+	if t.isFresh() || done == nil && !mayProbe() {
 		t.mu.Unlock()
 		return
 	}
-	done := t.probing
 	if done == nil {
 		done = make(chan struct{})
 		t.probing = done
--- a/routing.go
+++ b/routing.go
@@ -78,6 +78,10 @@
 // DefaultRetryLimit applies if the settings state no limit.
 var DefaultRetryLimit = RetryLimit{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}
 
+// DefaultProbeRate is the limit on load probes if the settings state none: the mean number
+// per second that one backend server receives from all instances together.
+const DefaultProbeRate = 60.0
+
 // CallerLimits bounds the size of a caller's requests and the time to send them.
 type CallerLimits struct {
 	HeaderBytes   int
