link, pool: keep idle connections within the share of one instance

A backend server accepts a number of connections from all instances together and resets those beyond, with the requests on them.

Cause: the configured number was read and never used; each instance kept up to eight idle connections to each backend server.

TestIdleConnectionsStayWithinShare fails without the bound (6 idle of 3) and passes.

--- a/internal/dispatch/health/set.go
+++ b/internal/dispatch/health/set.go
@@ -159,3 +159,13 @@
 	n, ok := owner.Of(c.edges, snipefront.Cell{Service: t.Server.Name, DataCentre: t.Server.DataCentre})
 	return ok && n.Name == s.Self.Name
 }
+
+// ConnectionShare returns this instance's equal share of the connections that t accepts
+// from all instances together, and false if that number is unlimited.
+func (s *Set) ConnectionShare(t *Target) (share int, limited bool) {
+	c := s.current.Load()
+	if c == nil || t.Profile.Connections <= 0 {
+		return 0, false
+	}
+	return t.Profile.Connections / max(1, len(c.edges.Instances)), true
+}
--- a/internal/dispatch/link/link.go
+++ b/internal/dispatch/link/link.go
@@ -26,6 +26,8 @@
 	maxReportBytes = 64 << 10
 	// maxAnswerBytes bounds the body of the answer to a request.
 	maxAnswerBytes = 16 << 20
+	// maxIdle is the maximum number of idle connections to one backend server.
+	maxIdle = 8
 )
 
 // errUnsigned means that a successful answer lacks the header field by which the
@@ -54,7 +56,7 @@
 		return direct.Attempt{Verdict: snipefront.NotRun, Reason: snipefront.ReasonConnect, Err: err, Outcome: health.Unreachable}
 	}
 	if current, accepts := l.Targets.Current(t.Server.Name); !accepts || current.Server.Incarnation != t.Server.Incarnation {
-		l.Pool.Put(conn)
+		l.putBack(conn, t)
 		return direct.Attempt{Verdict: snipefront.NotRun, Reason: snipefront.ReasonNoBackendServer, Err: errors.New("backend server left"), Outcome: health.Unreachable}
 	}
 	e := pool.Exchange{
@@ -63,7 +65,7 @@
 	}
 	reusable, err := e.Do(ctx, conn)
 	if reusable {
-		l.Pool.Put(conn)
+		l.putBack(conn, t)
 	}
 	if err != nil {
 		return direct.Attempt{Verdict: snipefront.MayHaveRun, Reason: snipefront.ReasonBrokenAnswer, Err: err, Outcome: health.Faulty}
@@ -71,6 +73,17 @@
 	return l.attemptOf(&e, t)
 }
 
+// putBack keeps conn, a connection to t, for further requests. At most half of this
+// instance's share of the connections that t accepts is kept idle: the other half is for
+// connections in use.
+func (l *Link) putBack(conn *pool.Conn, t *health.Target) {
+	most := maxIdle
+	if share, limited := l.Targets.ConnectionShare(t); limited {
+		most = min(maxIdle, max(1, share/2))
+	}
+	l.Pool.Put(conn, most)
+}
+
 // attemptOf derives the verdict and the outcome of an attempt from the answer of t
 // in e.
 func (l *Link) attemptOf(e *pool.Exchange, t *health.Target) direct.Attempt {
@@ -178,7 +191,7 @@
 		return health.Report{}, err
 	}
 	if reusable {
-		l.Pool.Put(c)
+		l.putBack(c, t)
 	}
 	return health.ParseReport(l.Fields, e.Response.StatusCode, e.Response.Header, at), nil
 }
--- a/internal/dispatch/link/link_test.go
+++ b/internal/dispatch/link/link_test.go
@@ -6,7 +6,9 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -71,12 +73,58 @@
 		t.Fatalf("no pooled connection: %v", err)
 	}
 	halfOpen.Store(c.LocalAddr().String())
-	l.Pool.Put(c)
+	l.Pool.Put(c, 1)
 	if r, err := l.Probe(target); err != nil || !r.Known {
 		t.Errorf("the probe returned %+v, %v, want a load report", r, err)
 	}
 }
 
+// TestIdleConnectionsStayWithinShare guards against instances that together keep more idle
+// connections open than a backend server accepts, which resets those beyond.
+func TestIdleConnectionsStayWithinShare(t *testing.T) {
+	const instances, connections, requests = 10, 60, 6
+	var arriving sync.WaitGroup
+	arriving.Add(requests)
+	l, target := startServer(t, func(c net.Conn, _ *http.Request) {
+		arriving.Done()
+		arriving.Wait()
+		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nId: 7\r\nSignature: x\r\nContent-Length: 0\r\n\r\n")
+	})
+	v := fleet.View{Servers: map[string]fleet.Server{"s": target.Server}, Instances: map[string]fleet.Instance{}}
+	for i := range instances {
+		v.Instances[strconv.Itoa(i)] = fleet.Instance{Instance: snipefront.Instance{Name: strconv.Itoa(i)}, Ready: true}
+	}
+	l.Targets.Update(time.Now(), v, &snipefront.Routing{
+		Services: map[string]snipefront.ServiceProfile{"a": {Name: "a", HealthPath: "/health", Connections: connections}},
+	})
+	target, _ = l.Targets.Current("s")
+	var all sync.WaitGroup
+	for range requests {
+		all.Go(func() {
+			c := &direct.Call{ID: "7", Request: &snipefront.Request{Method: http.MethodGet, Target: "/", Idempotent: true, Deadline: time.Now().Add(time.Minute)}}
+			if a := l.Send(t.Context(), c, target); a.Err != nil {
+				t.Error(a.Err)
+			}
+		})
+	}
+	all.Wait()
+	idle := 0
+	for {
+		c, err := l.Pool.Get(t.Context(), target.Server.Address, false)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !c.Reused {
+			c.Close()
+			break
+		}
+		idle++
+	}
+	if most := connections / instances / 2; idle > most {
+		t.Errorf("%d idle connections at one of %d instances, want %d at most for a limit of %d", idle, instances, most, connections)
+	}
+}
+
 // TestVerdictIsProvenByAnswer guards against a verdict that the answer does not prove:
 // a caller may resend after a wrong NotRun and so run a request twice, or receive the
 // answer to another request. It also checks what the request carries.
--- a/internal/dispatch/pool/pool.go
+++ b/internal/dispatch/pool/pool.go
@@ -31,8 +31,6 @@
 	// provenFor is the time after its last answer for which an idle connection is
 	// proven, that is, assumed to work.
 	provenFor = time.Second
-	// maxIdle is the maximum number of idle connections to one address.
-	maxIdle = 8
 )
 
 // Pool holds the idle connections by address. Its zero value is ready to use.
@@ -71,7 +69,7 @@
 }
 
 // Put adds c to the idle connections, or closes it if there are maxIdle to its address.
-func (p *Pool) Put(c *Conn) {
+func (p *Pool) Put(c *Conn, maxIdle int) {
 	c.Reused = true
 	c.lastUsed = time.Now()
 	p.mu.Lock()
--- a/internal/dispatch/pool/pool_test.go
+++ b/internal/dispatch/pool/pool_test.go
@@ -53,7 +53,7 @@
 	}
 	reusable, err := e.Do(t.Context(), c)
 	if reusable {
-		p.Put(c)
+		p.Put(c, 8)
 	}
 	return e, reused, err
 }
