local: make a retry in another cell spend the retry budget

Cause: a request that had failed three times in a cell was handed to the next cell for nothing, so that a service with four cells got one attempt for each two that were paid.

Now the cell in which the attempts failed spends its budget for the next one, wherever that is made; if none is left, the answer says retry_budget and no other cell is tried. Failures to connect still cost nothing. TestRetryInAnotherCellSpendsRetryBudget failed before (reason shed, by which the next cell is tried) and passes. What remains: a request that visits two cells adds its share to the budgets of both, and a cell that gets another owner begins with three saved retries.

--- a/internal/dispatch/local/local.go
+++ b/internal/dispatch/local/local.go
@@ -130,8 +130,9 @@
 	}
 }
 
-// retry reports whether r may be retried after the attempt a, and returns the error
-// for the caller if it is not.
+// retry reports whether r may be retried in this cell after the attempt a, and returns
+// the error for the caller if it is not. The budget is also spent for a retry in another
+// cell, which the error allows unless its reason is that the budget is used up.
 func (d *Dispatcher) retry(ctx context.Context, r *snipefront.Request, a sender.Attempt, p *progress) (ok bool, final error) {
 	e := &snipefront.Error{
 		Verdict:    p.verdict,
@@ -146,13 +147,13 @@
 		return false, e
 	case p.verdict != snipefront.NotRun && !r.Idempotent:
 		return false, e
-	case isPermanent(a), p.attempts >= maxAttempts, p.broken >= snipefront.MaxBrokenAttempts:
+	case isPermanent(a), p.broken >= snipefront.MaxBrokenAttempts:
 		return false, e
 	case a.Reason != snipefront.ReasonConnect && !d.Budget.Spend():
 		e.Reason = snipefront.ReasonRetryBudget
 		return false, e
 	}
-	return true, e
+	return p.attempts < maxAttempts, e
 }
 
 // firstError returns a, or b if a is nil.
--- a/internal/dispatch/local/local_test.go
+++ b/internal/dispatch/local/local_test.go
@@ -374,3 +374,22 @@
 		t.Errorf("answer %+v after %d further runs, want none after the second broken attempt", err, runs.Load())
 	}
 }
+
+// TestRetryInAnotherCellSpendsRetryBudget guards against a service whose requests are
+// retried in each of its cells though the budget of the first cell is used up.
+func TestRetryInAnotherCellSpendsRetryBudget(t *testing.T) {
+	none := snipefront.Service{RefusalStatuses: service.RefusalStatuses}
+	for _, c := range []struct {
+		spent int
+		want  snipefront.Reason
+	}{{0, snipefront.ReasonShed}, {1, snipefront.ReasonRetryBudget}} {
+		d, _ := newDispatcher(t, refuse, refuse, refuse, refuse)
+		for range c.spent {
+			d.Budget.Spend()
+		}
+		_, err := d.Run(t.Context(), request(http.MethodGet, "/1", 1), none, true)
+		if e := snipefront.AsError(err); e.Reason != c.want {
+			t.Errorf("after three attempts with %d of three retries spent before: reason %s, want %s", c.spent, e.Reason, c.want)
+		}
+	}
+}
