--- a/internal/dispatch/budget/retries_test.go
+++ b/internal/dispatch/budget/retries_test.go
@@ -36,6 +36,9 @@
 	if n := spendAll(r, now, "balance"); n != 2 {
 		t.Errorf("%d attempts for 20 requests that have just come, want 2 whatever other services get", n)
 	}
+	if n := spendAll(r, now, "charge"); n != 10 {
+		t.Errorf("%d attempts for 100 requests that have just come, want 10 whatever other services spend", n)
+	}
 }
 
 // TestProcessStartsWithoutShareOfSlack guards against instances that spend their share
