--- a/internal/config/intent/diff.go
+++ b/internal/config/intent/diff.go
@@ -33,10 +33,8 @@
 // by file name. It ignores whitespace and the order of fields.
 func Diff(before, after []File) []Change {
 	from, to := contentsByName(before), contentsByName(after)
-	names := maps.Clone(from)
-	maps.Copy(names, to)
 	var changes []Change
-	for _, name := range slices.Sorted(maps.Keys(names)) {
+	for _, name := range namesOfBoth(from, to) {
 		c := Change{Name: name, Old: compact(from[name]), New: compact(to[name])}
 		if c.Old != "" && c.New != "" {
 			c.Fields = diffFields(from[name], to[name])
@@ -56,12 +54,17 @@
 	return contents
 }
 
+// namesOfBoth returns the names that a or b has, sorted.
+func namesOfBoth[V any](a, b map[string]V) []string {
+	names := maps.Clone(a)
+	maps.Copy(names, b)
+	return slices.Sorted(maps.Keys(names))
+}
+
 func diffFields(before, after []byte) []FieldChange {
 	from, to := fieldValues(before), fieldValues(after)
-	names := maps.Clone(from)
-	maps.Copy(names, to)
 	var changes []FieldChange
-	for _, name := range slices.Sorted(maps.Keys(names)) {
+	for _, name := range namesOfBoth(from, to) {
 		if from[name] != to[name] {
 			changes = append(changes, FieldChange{Name: name, Old: from[name], New: to[name]})
 		}
