direct, edge, model: split by concept, and name things by the glossary

The field for the retry budget is named Retries, beside Probes. newEdge took eleven arguments; fx now fills a struct, in build.go, and edge.go keeps what runs: start, apply, drain. The simulated backend servers count Probes (Looks before) and MaxColdRate (ColdMost), are Unhealthy (Ill) and have a Behaviour (Kind).

--- /dev/null
+++ b/internal/daemon/edge/build.go
@@ -0,0 +1,111 @@
+package edge
+
+import (
+	"context"
+	"log/slog"
+
+	"go.uber.org/fx"
+
+	"github.com/snipefront/snipefront/internal/control/access"
+	"github.com/snipefront/snipefront/internal/control/follow"
+	"github.com/snipefront/snipefront/internal/dispatch/budget"
+	"github.com/snipefront/snipefront/internal/dispatch/direct"
+	"github.com/snipefront/snipefront/internal/dispatch/health"
+	"github.com/snipefront/snipefront/internal/dispatch/link"
+	"github.com/snipefront/snipefront/internal/dispatch/pool"
+	"github.com/snipefront/snipefront/internal/entry/pipe"
+	"github.com/snipefront/snipefront/internal/entry/proxy"
+	"github.com/snipefront/snipefront/internal/observe/stats"
+	"github.com/snipefront/snipefront/internal/observe/tally"
+	"github.com/snipefront/snipefront/internal/request/poison"
+	"github.com/snipefront/snipefront/internal/request/submit"
+	"github.com/snipefront/snipefront/internal/rpc/peers"
+)
+
+// Options returns the fx options that build and run an edge instance.
+func Options(s Settings, logger *slog.Logger) fx.Option {
+	return fx.Options(
+		fx.NopLogger,
+		fx.Supply(s, logger),
+		fx.Provide(stats.New, newTally, newRetries, newProbes, newTargets, newPool, newSuspects, newLink, newDispatcher, newProxy, newServer, newEdge),
+		fx.Invoke(registerHooks),
+	)
+}
+
+func newTally(counters *stats.Stats, logger *slog.Logger) *tally.Tally {
+	return &tally.Tally{Next: counters, Logger: logger}
+}
+
+func newRetries(s Settings) *budget.Retries { return &budget.Retries{Limit: s.Retries} }
+
+func newProbes(s Settings) *budget.Probes { return &budget.Probes{PerSecond: s.ProbeRate} }
+
+func newTargets(s Settings) *health.Set { return &health.Set{Self: s.Self.Instance} }
+
+func newSuspects() *poison.Register { return &poison.Register{} }
+
+func newPool() *pool.Pool { return &pool.Pool{} }
+
+func newLink(s Settings, targets *health.Set, connections *pool.Pool, counters *stats.Stats, logger *slog.Logger) *link.Link {
+	return &link.Link{Pool: connections, Targets: targets, Fields: s.Fields, Counter: counters, Logger: logger}
+}
+
+func newDispatcher(targets *health.Set, l *link.Link, retries *budget.Retries, probes *budget.Probes, suspects *poison.Register, counters *stats.Stats, attempts *tally.Tally, logger *slog.Logger) *direct.Dispatcher {
+	return &direct.Dispatcher{
+		Targets: targets, Link: l, Poison: suspects, Counter: counters, Attempts: attempts, Logger: logger,
+		Retries: retries, Probes: probes,
+	}
+}
+
+func newProxy(s Settings, d *direct.Dispatcher, counters *stats.Stats, logger *slog.Logger) *proxy.Proxy {
+	return &proxy.Proxy{Sender: d, Fields: s.Fields, Counter: counters, Logger: logger}
+}
+
+func newServer(px *proxy.Proxy, logger *slog.Logger) *pipe.Server {
+	return &pipe.Server{Handler: px, Limits: px.Limits, Logger: logger}
+}
+
+// parts are the components of an Edge that fx builds.
+type parts struct {
+	fx.In
+
+	Settings Settings
+	Logger   *slog.Logger
+	Targets  *health.Set
+	Pool     *pool.Pool
+	Suspects *poison.Register
+	Proxy    *proxy.Proxy
+	Server   *pipe.Server
+	Retries  *budget.Retries
+	Probes   *budget.Probes
+	Stats    *stats.Stats
+	Tally    *tally.Tally
+}
+
+func newEdge(p parts) *Edge {
+	e := &Edge{
+		settings: p.Settings, logger: p.Logger, targets: p.Targets, pool: p.Pool, suspects: p.Suspects,
+		proxy: p.Proxy, server: p.Server, retries: p.Retries, probes: p.Probes, stats: p.Stats, tally: p.Tally,
+	}
+	e.group.Logger = p.Logger
+	client := &peers.Client{}
+	e.replicator = &submit.Replicator{Submitter: &access.Client{Control: e.controlInstances, Caller: client}, Logger: p.Logger}
+	p.Suspects.Spread = e.replicator
+	e.follower = &follow.Follower{Self: p.Settings.Self, Seeds: p.Settings.Seeds, Caller: client, Publish: e.apply, Logger: p.Logger}
+	return e
+}
+
+// registerHooks starts and stops the instance with the fx application.
+func registerHooks(f fx.Lifecycle, e *Edge) {
+	ctx, cancel := context.WithCancel(context.Background())
+	f.Append(fx.Hook{
+		OnStart: func(context.Context) error { return e.start(ctx) },
+		OnStop: func(context.Context) error {
+			e.drain()
+			cancel()
+			err := e.group.Wait()
+			e.logger.Info("stopped", "instance", e.settings.Self.Name)
+			return err
+		},
+	})
+}
--- a/internal/dispatch/direct/direct_test.go
+++ b/internal/dispatch/direct/direct_test.go
@@ -98,7 +98,7 @@
 	set := &health.Set{Self: snipefront.Instance{Name: "e", DataCentre: "dc1"}}
 	set.Update(time.Now(), v, &snipefront.Routing{Services: map[string]snipefront.ServiceProfile{service: {Name: service}}})
 	return &direct.Dispatcher{
-		Targets: set, Link: s, Counter: noCounter{}, Attempts: noCounter{}, Budget: newRetries(1, 50), Poison: &poison.Register{},
+		Targets: set, Link: s, Counter: noCounter{}, Attempts: noCounter{}, Retries: newRetries(1, 50), Poison: &poison.Register{},
 		Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 	}
 }
--- a/internal/dispatch/direct/load_test.go
+++ b/internal/dispatch/direct/load_test.go
@@ -154,7 +154,7 @@
 func TestFalselyUnhealthy(t *testing.T) {
 	p := statusPattern(phase{10 * time.Second, 33})
 	p.events = func(s *simulation) {
-		s.after(2*time.Second, func() { s.setCondition(model.Condition{Ill: true}, func(i int) bool { return i%3 == 0 }) })
+		s.after(2*time.Second, func() { s.setCondition(model.Condition{Unhealthy: true}, func(i int) bool { return i%3 == 0 }) })
 	}
 	r := p.run(t)
 	checkInGoal(t, r, 0.9)
--- a/internal/dispatch/direct/site_test.go
+++ b/internal/dispatch/direct/site_test.go
@@ -79,7 +79,7 @@
 // spread evenly over the data centres.
 func newSimulation(seed uint64, instances, servers int, b model.Behaviour, c ...callerKind) *simulation {
 	s := &simulation{
-		servers: &model.Servers{Kind: b, Random: rand.New(rand.NewPCG(seed, 1))},
+		servers: &model.Servers{Behaviour: b, Random: rand.New(rand.NewPCG(seed, 1))},
 		callers: c, begun: time.Now(), lost: map[string]bool{},
 	}
 	v := fleet.View{Servers: map[string]fleet.Server{}, Instances: map[string]fleet.Instance{}}
@@ -98,7 +98,7 @@
 		set := &health.Set{Self: v.Instances[fmt.Sprint("e", i)].Instance}
 		set.Update(time.Now(), v, r)
 		s.dispatchers = append(s.dispatchers, &direct.Dispatcher{
-			Targets: set, Link: s.servers, Counter: s, Attempts: noCounter{}, Budget: newRetries(instances, 0), Probes: newProbes(servers, instances),
+			Targets: set, Link: s.servers, Counter: s, Attempts: noCounter{}, Retries: newRetries(instances, 0), Probes: newProbes(servers, instances),
 			Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		})
 	}
@@ -162,7 +162,7 @@
 	all.Wait()
 	cancel()
 	time.Sleep(settleTime)
-	s.result.probes, s.result.maxColdRate = s.servers.Looks, s.servers.ColdMost
+	s.result.probes, s.result.maxColdRate = s.servers.Probes, s.servers.MaxColdRate
 	return s.result
 }
 
--- a/internal/stand/model/model.go
+++ b/internal/stand/model/model.go
@@ -47,7 +47,7 @@
 	ShedShare float64
 	// ColdRate is the capacity of a cold server in requests per second. The simulation
 	// does not enforce it: tests set it as the warm-up rate of the service and check
-	// Servers.ColdMost.
+	// Servers.MaxColdRate.
 	ColdRate float64
 	// Delay is the network round-trip time of a probe or a request. All of it passes
 	// before the server receives the probe or request.
@@ -69,16 +69,16 @@
 	// Drag multiplies the service times. The slowdown factor in the load report does not
 	// include it. Zero means 1.
 	Drag float64
-	// Ill makes the server report that it is unhealthy.
-	Ill bool
+	// Unhealthy makes the server report that it is unhealthy.
+	Unhealthy bool
 	// ColdUntil is the end of the warm-up. Until then the server is cold.
 	ColdUntil time.Time
 }
 
 // Servers implements direct.Link with simulated servers of one service.
 type Servers struct {
-	// Kind is the behaviour of all servers.
-	Kind Behaviour
+	// Behaviour is that of all servers.
+	Behaviour Behaviour
 	// Random is the source of random numbers. Servers serializes its use.
 	Random *rand.Rand
 
@@ -86,11 +86,11 @@
 	servers map[string]*server
 	// Lost counts the requests that arrived when the queue was full.
 	Lost int
-	// Looks counts the load probes.
-	Looks int
-	// ColdMost is the highest number of requests that a cold server received within
+	// Probes counts the load probes.
+	Probes int
+	// MaxColdRate is the highest number of requests that a cold server received within
 	// one second.
-	ColdMost int
+	MaxColdRate int
 }
 
 // server is one simulated backend server.
@@ -104,10 +104,10 @@
 	freeSlot chan struct{}
 }
 
-// Run gives each server a new random slowdown factor after each Kind.Period, until ctx
+// Run gives each server a new random slowdown factor after each Behaviour.Period, until ctx
 // ends.
 func (s *Servers) Run(ctx context.Context) {
-	t := time.NewTicker(s.Kind.Period)
+	t := time.NewTicker(s.Behaviour.Period)
 	defer t.Stop()
 	for {
 		select {
@@ -129,8 +129,8 @@
 
 // randomSlowdown returns a random slowdown factor. The lock is held.
 func (s *Servers) randomSlowdown() float64 {
-	if s.Random.Float64() < s.Kind.SlowShare {
-		return s.Kind.SlowFactor
+	if s.Random.Float64() < s.Behaviour.SlowShare {
+		return s.Behaviour.SlowFactor
 	}
 	return 1
 }
@@ -149,7 +149,7 @@
 	}
 	srv := s.servers[name]
 	if srv == nil {
-		srv = &server{slowdown: s.randomSlowdown(), freeSlot: make(chan struct{}, s.Kind.Queue)}
+		srv = &server{slowdown: s.randomSlowdown(), freeSlot: make(chan struct{}, s.Behaviour.Queue)}
 		s.servers[name] = srv
 	}
 	return srv
@@ -157,24 +157,24 @@
 
 // Probe implements health.Prober.
 func (s *Servers) Probe(t *health.Target) (health.Report, error) {
-	time.Sleep(s.Kind.Delay)
+	time.Sleep(s.Behaviour.Delay)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.Looks++
+	s.Probes++
 	srv := s.byName(t.Server.Name)
 	if srv.condition.Dead {
 		return health.Report{}, errNoAnswer
 	}
 	now := time.Now()
 	return health.Report{
-		At: now, Known: true, Healthy: !srv.condition.Ill, Running: srv.running, Waiting: srv.waiting, Slots: s.Kind.Slots, Pace: srv.slowdown,
+		At: now, Known: true, Healthy: !srv.condition.Unhealthy, Running: srv.running, Waiting: srv.waiting, Slots: s.Behaviour.Slots, Pace: srv.slowdown,
 		Cold: max(0, srv.condition.ColdUntil.Sub(now)),
 	}, nil
 }
 
 // Send implements direct.Link.
 func (s *Servers) Send(ctx context.Context, c *direct.Call, t *health.Target) direct.Attempt {
-	time.Sleep(s.Kind.Delay)
+	time.Sleep(s.Behaviour.Delay)
 	mean := s.meanServiceTime(c)
 	condition, shed := s.receive(t)
 	switch {
@@ -210,10 +210,10 @@
 
 // meanServiceTime returns the mean service time of the route of c at usual speed.
 func (s *Servers) meanServiceTime(c *direct.Call) time.Duration {
-	if w, ok := s.Kind.RouteWork[c.Route]; ok {
+	if w, ok := s.Behaviour.RouteWork[c.Route]; ok {
 		return w
 	}
-	return s.Kind.Work
+	return s.Behaviour.Work
 }
 
 // receive records that a request arrives at t. It returns the condition of the server
@@ -229,11 +229,11 @@
 				n++
 			}
 		}
-		s.ColdMost = max(s.ColdMost, n)
+		s.MaxColdRate = max(s.MaxColdRate, n)
 	}
 	c := srv.condition
 	s.mu.Unlock()
-	return c, s.withProbability(s.Kind.ShedShare)
+	return c, s.withProbability(s.Behaviour.ShedShare)
 }
 
 // withProbability returns true with probability p.
@@ -251,12 +251,12 @@
 func (s *Servers) acquireSlot(ctx context.Context, t *health.Target) (*server, bool) {
 	s.mu.Lock()
 	srv := s.byName(t.Server.Name)
-	if srv.running < s.Kind.Slots {
+	if srv.running < s.Behaviour.Slots {
 		srv.running++
 		s.mu.Unlock()
 		return srv, true
 	}
-	if srv.waiting >= s.Kind.Queue {
+	if srv.waiting >= s.Behaviour.Queue {
 		s.Lost++
 		s.mu.Unlock()
 		<-ctx.Done()
@@ -302,8 +302,8 @@
 // loadedSlowdown returns the slowdown factor of srv, times FullFactor if the share of
 // slots in use is above FullShare. The lock is held.
 func (s *Servers) loadedSlowdown(srv *server) float64 {
-	if float64(srv.running) > s.Kind.FullShare*float64(s.Kind.Slots) {
-		return srv.slowdown * s.Kind.FullFactor
+	if float64(srv.running) > s.Behaviour.FullShare*float64(s.Behaviour.Slots) {
+		return srv.slowdown * s.Behaviour.FullFactor
 	}
 	return srv.slowdown
 }
@@ -313,7 +313,7 @@
 // time passed before ctx ended.
 func (s *Servers) awaitServiceTime(ctx context.Context, srv *server, mean time.Duration) bool {
 	s.mu.Lock()
-	serviceTime := float64(mean) * max(0.2, 1+s.Kind.Spread*s.Random.NormFloat64()) * s.loadedSlowdown(srv)
+	serviceTime := float64(mean) * max(0.2, 1+s.Behaviour.Spread*s.Random.NormFloat64()) * s.loadedSlowdown(srv)
 	if srv.condition.Drag > 0 {
 		serviceTime *= srv.condition.Drag
 	}
