submit: share a suspect also after the control quorum was lost for some seconds

A request that crashes backend servers is to be kept from the third one by all instances together.

Cause: an instance gave up after 2 s on telling the control quorum of a suspect. While the quorum is lost for longer, which a core that is cut or killed brings about, the record was dropped, and each other instance would have had to lose two backend servers of its own before it refused the request.

--- a/internal/request/submit/submit.go
+++ b/internal/request/submit/submit.go
@@ -7,22 +7,17 @@
 	"context"
 	"log/slog"
 	"sync"
-	"time"
 
 	"github.com/snipefront/snipefront/internal/control/fleet"
 	"github.com/snipefront/snipefront/internal/request/poison"
 )
 
-const (
-	// maxQueue bounds the records that wait to be submitted. Further ones are dropped.
-	// The request is then a suspect at another instance only if that instance records
-	// a crash for it, too.
-	maxQueue = 64
-	// submitTimeout bounds the time to submit one record, retries included.
-	submitTimeout = 2 * time.Second
-)
+// maxQueue bounds the records that wait to be submitted. Further ones are dropped. The
+// request is then a suspect at another instance only if that instance records a crash for
+// it, too.
+const maxQueue = 64
 
-// Submitter appends a command to the log of the control quorum.
+// Submitter appends a command to the log of the control quorum. It retries until ctx ends.
 type Submitter interface {
 	Submit(ctx context.Context, command []byte) ([]byte, error)
 }
@@ -64,13 +59,15 @@
 	}
 }
 
+// submit submits a record for as long as it is valid: the control quorum may be lost for
+// some seconds, and the other instances send the request on until they know of it.
 func (r *Replicator) submit(ctx context.Context, record poison.Record) {
 	b, err := fleet.Command{Suspect: &fleet.Suspect{Fingerprint: record.Fingerprint, Crashed: record.Fallen}}.Encode()
 	if err != nil {
 		r.Logger.Error("cannot encode a suspect; other instances do not receive it", "error", err)
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+	ctx, cancel := context.WithTimeout(ctx, poison.RecordLifetime(len(record.Fallen)))
 	defer cancel()
 	if _, err := r.Submitter.Submit(ctx, b); err != nil {
 		r.Logger.Warn("could not submit a suspect; other instances may not receive it", "fingerprint", record.Fingerprint, "error", err)
--- a/internal/request/submit/submit_test.go
+++ b/internal/request/submit/submit_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"log/slog"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/snipefront/snipefront/internal/control/fleet"
 	"github.com/snipefront/snipefront/internal/request/poison"
@@ -50,6 +52,45 @@
 	}
 }
 
+// lostQuorum is a Submitter that accepts commands only from a time on.
+type lostQuorum struct {
+	submitter
+	back time.Time
+}
+
+// Submit implements submit.Submitter.
+func (q lostQuorum) Submit(ctx context.Context, command []byte) ([]byte, error) {
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-time.After(time.Until(q.back)):
+	}
+	return q.submitter.Submit(ctx, command)
+}
+
+// TestSuspectOutlivesLossOfQuorum guards against a suspect that is dropped while the
+// control quorum is lost for some seconds: each instance would then send the request to
+// backend servers of its own until two have crashed.
+func TestSuspectOutlivesLossOfQuorum(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := lostQuorum{submitter: make(submitter, 2), back: time.Now().Add(6 * time.Second)}
+		r := &submit.Replicator{Submitter: q, Logger: slog.New(slog.NewTextHandler(io.Discard, nil))}
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- r.Run(ctx) }()
+		r.Share(poison.Record{Fingerprint: 7, Fallen: []poison.Server{{Service: "a", Name: "x", Incarnation: 1}}})
+		r.Share(poison.Record{Fingerprint: 8, Fallen: []poison.Server{{Service: "a", Name: "x", Incarnation: 1}}})
+		time.Sleep(10 * time.Second)
+		if n := len(q.submitter); n != 2 {
+			t.Errorf("%d of 2 suspects submitted 4 s after the control quorum is back", n)
+		}
+		cancel()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+}
+
 // TestShareNeverBlocks guards against requests that wait for a control quorum that does
 // not answer.
 func TestShareNeverBlocks(_ *testing.T) {
