direct, fleet: name cases of a test plainly, and test the number of edges

The number of edges decides which part of a limit an instance takes; control instances must not count, and instances that start or stop must.

--- a/internal/control/fleet/fleet_test.go
+++ b/internal/control/fleet/fleet_test.go
@@ -215,3 +215,13 @@
 		return fleet.Command{Configure: &fleet.Document{Version: number, Source: []byte(name)}}
 	}
 }
+
+// TestEdgesCountsInstancesOfCallers guards against control instances among those that
+// share a limit, and against instances missing there that have just started or are about
+// to stop.
+func TestEdgesCountsInstancesOfCallers(t *testing.T) {
+	v := fleet.View{Instances: map[string]fleet.Instance{"e1": {Ready: true}, "e2": {}, "c1": {Control: true, Ready: true}}}
+	if n := v.Edges(); n != 2 {
+		t.Errorf("%d edges, want 2", n)
+	}
+}
--- a/internal/dispatch/direct/limit_test.go
+++ b/internal/dispatch/direct/limit_test.go
@@ -86,8 +86,8 @@
 		"one of three services fails":   {rates: map[string]float64{"balance": 250, "charge": 120, "ledger": 120}},
 		"a burst of callers ends":       {rates: map[string]float64{"balance": 300}, begin: 13 * time.Second, burstEnd: 13 * time.Second},
 		"saved retries of all":          {rates: map[string]float64{"balance": 30}},
-		"instances restart by and by":   {rates: map[string]float64{"balance": 150}, event: restartAll(instances, 60*time.Millisecond)},
-		"instances restart by the half": {rates: map[string]float64{"balance": 45}, event: restartAll(instances/2, 0)},
+		"instances restart one by one":  {rates: map[string]float64{"balance": 150}, event: restartAll(instances, 60*time.Millisecond)},
+		"half of the instances restart": {rates: map[string]float64{"balance": 45}, event: restartAll(instances/2, 0)},
 		"other backend servers have taken over addresses": {rates: map[string]float64{"balance": 250}, event: func(e *edges) {
 			e.refusal = direct.Attempt{Verdict: snipefront.NotRun, Reason: snipefront.ReasonNoBackendServer, Err: errors.New("misdirected"), Outcome: health.Unreachable, Misdirected: true}
 		}},
