direct, budget: name the retry budget's use by one word

The dispatcher "paid" where the budget "spends", and the number of instances within the last window was called before and sharers. No decision changes.

--- a/internal/dispatch/budget/retries.go
+++ b/internal/dispatch/budget/retries.go
@@ -25,11 +25,11 @@
 	mu sync.Mutex
 	// begun is the time of the first call.
 	begun time.Time
-	// instances is the number of instances. Until leftUntil, before counts instead: those
-	// that have just left may have spent their share.
-	instances, before int
-	leftUntil         time.Time
-	services          map[string]*usage
+	// instances is the number of instances. Until recentUntil, there were recentInstances
+	// within the last window: those that have left since may have spent their share.
+	instances, recentInstances int
+	recentUntil                time.Time
+	services                   map[string]*usage
 }
 
 // SetInstances sets the number of instances that share the slack. Without it, this
@@ -38,8 +38,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.slot(now)
-	if most := r.sharers(now); n < most {
-		r.before, r.leftUntil = most, now.Add(r.Limit.Window)
+	if most := r.mostInstances(now); n < most {
+		r.recentInstances, r.recentUntil = most, now.Add(r.Limit.Window)
 	}
 	r.instances = n
 }
@@ -84,18 +84,18 @@
 
 // share returns this instance's share of the slack. The caller must hold the lock.
 func (r *Retries) share(now time.Time) float64 {
-	n := r.sharers(now)
+	n := r.mostInstances(now)
 	if n == 0 || now.Sub(r.begun) < r.Limit.Window {
 		return 0
 	}
 	return r.Limit.Slack / float64(n)
 }
 
-// sharers returns the number of instances that share the slack: the largest within the
-// last window. The caller must hold the lock.
-func (r *Retries) sharers(now time.Time) int {
-	if now.Before(r.leftUntil) {
-		return max(r.before, r.instances)
+// mostInstances returns the largest number of instances within the last window, which
+// share the slack. The caller must hold the lock.
+func (r *Retries) mostInstances(now time.Time) int {
+	if now.Before(r.recentUntil) {
+		return max(r.recentInstances, r.instances)
 	}
 	return r.instances
 }
--- a/internal/dispatch/direct/direct.go
+++ b/internal/dispatch/direct/direct.go
@@ -105,7 +105,7 @@
 		if !ok {
 			return d.finish(c, &p, d.noTargetError(ctx, c, &p))
 		}
-		if !d.pay(c, &p) {
+		if !d.spendForNext(c, &p) {
 			chosen.target.Done(time.Now(), health.Neutral)
 			return d.finish(c, &p, attemptError(ctx, &p))
 		}
--- a/internal/dispatch/direct/limit_test.go
+++ b/internal/dispatch/direct/limit_test.go
@@ -21,7 +21,8 @@
 var limit = snipefront.RetryLimit{Ratio: 0.2, Slack: 60, Window: 10 * time.Second}
 
 // newRetries returns the retry budget of one of n instances, which has just received
-// the given number of requests for service.
+// the given number of requests for service. A process that has received none retries
+// nothing.
 func newRetries(n, requests int) *budget.Retries {
 	r := &budget.Retries{Limit: limit}
 	r.SetInstances(time.Now(), n)
--- a/internal/dispatch/direct/progress.go
+++ b/internal/dispatch/direct/progress.go
@@ -24,8 +24,9 @@
 	// reached is true once an attempt has reached a backend server, whether it was the
 	// target or not. Each further attempt spends the retry budget.
 	reached bool
-	// paid is true while an attempt is spent for which none has reached a backend server.
-	paid bool
+	// spentUnused is true if the retry budget was spent for an attempt that has reached no
+	// backend server. The next attempt then costs nothing.
+	spentUnused bool
 	// avoid names the targets that were tried.
 	avoid map[string]bool
 	// last is the last attempt, response the last answer that was a server error.
@@ -53,7 +54,7 @@
 		p.sent++
 	}
 	if r.Outcome != health.Unreachable || r.Misdirected {
-		p.reached, p.paid = true, false
+		p.reached, p.spentUnused = true, false
 	}
 	d.logAttempt(c, p, r)
 }
@@ -84,7 +85,7 @@
 		return false
 	case p.verdict != snipefront.NotRun && !c.Idempotent:
 		return false
-	case p.reached && !p.paid && !d.Retries.Left(time.Now(), c.Service):
+	case p.mustSpend() && !d.Retries.Left(time.Now(), c.Service):
 		d.Attempts.Denied(c.Service)
 		return false
 	}
@@ -102,14 +103,17 @@
 	return snipefront.CauseRetry
 }
 
-// pay spends the retry budget for the next attempt, unless that costs nothing, and
-// reports whether the attempt may be made.
-func (d *Dispatcher) pay(c *Call, p *progress) bool {
-	if p.reached && !p.paid {
-		p.paid = d.spend(c)
-		return p.paid
+// mustSpend reports whether the next attempt costs a part of the retry budget.
+func (p *progress) mustSpend() bool { return p.reached && !p.spentUnused }
+
+// spendForNext spends the retry budget for the next attempt if it must, and reports
+// whether the attempt may be made.
+func (d *Dispatcher) spendForNext(c *Call, p *progress) bool {
+	if !p.mustSpend() {
+		return true
 	}
-	return true
+	p.spentUnused = d.spend(c)
+	return p.spentUnused
 }
 
 // spend takes one attempt at the service of c from the retry budget, or returns false
