quota, health, link: tell which backend server names which rate limit

Each answer (of a request, a refusal, a load probe) is read for the field now. An edge logs each change of a limit that it learns with the kind of the answer and how long after the request it came, and once a second what it has sent to each limited backend server; /status and the metrics have the limits. All lines go through the rate limiter and the queue of the log, so they are bounded and never block.

TestReadsLimitInEachAnswer: answers, refusals, probes, unreadable values.

--- a/internal/daemon/edge/build.go
+++ b/internal/daemon/edge/build.go
@@ -40,7 +40,9 @@
 
 func newProbes(s Settings) *budget.Probes { return &budget.Probes{PerSecond: s.ProbeRate} }
 
-func newTargets(s Settings) *health.Set { return &health.Set{Self: s.Self.Instance} }
+func newTargets(s Settings, logger *slog.Logger) *health.Set {
+	return &health.Set{Self: s.Self.Instance, Logger: logger}
+}
 
 func newSuspects() *poison.Register { return &poison.Register{} }
 
--- a/internal/daemon/edge/edge.go
+++ b/internal/daemon/edge/edge.go
@@ -33,6 +33,9 @@
 const (
 	// expireInterval is how often the pool is checked for unused connections.
 	expireInterval = time.Second
+	// logLimitsInterval is the time between two log lines of one backend server that names
+	// a rate limit.
+	logLimitsInterval = time.Second
 	// closeListenerShare and drainShare are shares of the grace period. After the first,
 	// the listener is closed; after the second, the instance stops even if requests are
 	// in flight.
@@ -114,6 +117,9 @@
 	e.group.Go(ctx, "follower", e.follower.Run)
 	e.group.Go(ctx, "replicator", e.replicator.Run)
 	e.group.Go(ctx, "tally", e.tally.Run)
+	e.group.Go(ctx, "limits", func(ctx context.Context) error {
+		return timer.Every(ctx, logLimitsInterval, func(time.Time) { e.targets.LogLimits() })
+	})
 	e.group.Go(ctx, "pool", func(ctx context.Context) error { return timer.Every(ctx, expireInterval, e.pool.Expire) })
 	e.logger.Info("started", "instance", e.settings.Self.Name, "dataCentre", e.settings.Self.DataCentre, "seeds", e.settings.Seeds())
 	return nil
--- a/internal/dispatch/direct/direct.go
+++ b/internal/dispatch/direct/direct.go
@@ -17,6 +17,7 @@
 	"github.com/snipefront/snipefront/internal/control/fleet"
 	"github.com/snipefront/snipefront/internal/dispatch/budget"
 	"github.com/snipefront/snipefront/internal/dispatch/health"
+	"github.com/snipefront/snipefront/internal/dispatch/quota"
 	"github.com/snipefront/snipefront/internal/request/poison"
 )
 
@@ -74,6 +75,8 @@
 	// Misdirected is true if the request reached a backend server that was not the
 	// target, and that refused it.
 	Misdirected bool
+	// Limit is what the answer of the target says of its rate limit.
+	Limit quota.Statement
 }
 
 // Link carries calls and load probes to backend servers.
--- a/internal/dispatch/direct/run.go
+++ b/internal/dispatch/direct/run.go
@@ -7,6 +7,7 @@
 
 	"github.com/snipefront/snipefront"
 	"github.com/snipefront/snipefront/internal/dispatch/health"
+	"github.com/snipefront/snipefront/internal/dispatch/quota"
 )
 
 const (
@@ -114,6 +115,7 @@
 	begun := time.Now()
 	a := d.Link.Send(ctx, c, chosen.target)
 	taken := time.Since(begun)
+	chosen.target.HearLimit(begun, a.Limit, limitSource(a))
 	if a.Outcome == health.Answered {
 		d.estimator.recordLatency(c, taken, chosen.estimate)
 	}
@@ -130,6 +132,14 @@
 	return a
 }
 
+// limitSource returns the kind of answer that a has.
+func limitSource(a Attempt) quota.Source {
+	if a.Verdict == snipefront.NotRun {
+		return quota.Refusal
+	}
+	return quota.Answer
+}
+
 // checkCrash records that a connection to t broke while c was in flight. If t accepts
 // no new connection either, it has crashed, and c is a suspect.
 func (d *Dispatcher) checkCrash(ctx context.Context, c *Call, t *health.Target) {
--- a/internal/dispatch/health/report.go
+++ b/internal/dispatch/health/report.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/dispatch/quota"
 )
 
 // Report is the load report of a backend server: its answer to a load probe.
@@ -35,6 +36,8 @@
 	Healthy bool
 	// Server is the name that the backend server gave, or empty if it gave none.
 	Server string
+	// Limit is what the answer says of the rate limit.
+	Limit quota.Statement
 }
 
 // ParseReport parses a load report from the status and the header of the answer to
--- a/internal/dispatch/health/set.go
+++ b/internal/dispatch/health/set.go
@@ -1,6 +1,7 @@
 package health
 
 import (
+	"log/slog"
 	"sync/atomic"
 	"time"
 
@@ -20,6 +21,8 @@
 type Set struct {
 	// Self is this instance.
 	Self snipefront.Instance
+	// Logger logs changes of rate limits. It may be nil.
+	Logger *slog.Logger
 
 	current atomic.Pointer[targets]
 }
@@ -61,7 +64,7 @@
 // target returns the target of n, with the state from old if that has the same
 // incarnation at the same address.
 func (s *Set) target(now time.Time, old *targets, n fleet.Server, profile snipefront.ServiceProfile) *Target {
-	t := &Target{Server: n, Profile: profile, Near: n.DataCentre == s.Self.DataCentre}
+	t := &Target{Server: n, Profile: profile, Near: n.DataCentre == s.Self.DataCentre, logger: s.Logger}
 	var previous *Target
 	if old != nil {
 		previous = old.byName[n.Name]
@@ -138,6 +141,9 @@
 			Name: n.Name, Service: n.Service, DataCentre: n.DataCentre, Address: n.Address, Incarnation: n.Incarnation,
 			State: RegisteredState(n, c.outOfService),
 		}
+		if q := t.quota.State(); q.Named {
+			entry.Limit = &status.Limit{PerSecond: q.PerSecond, Source: string(q.Source), Learned: q.Learned}
+		}
 		if c.accepts(n) {
 			entry.State = t.observedState(now)
 		}
--- a/internal/dispatch/health/target.go
+++ b/internal/dispatch/health/target.go
@@ -13,6 +13,7 @@
 	"github.com/snipefront/snipefront"
 	"github.com/snipefront/snipefront/internal/clock/bucket"
 	"github.com/snipefront/snipefront/internal/control/fleet"
+	"github.com/snipefront/snipefront/internal/dispatch/quota"
 	"github.com/snipefront/snipefront/internal/observe/status"
 )
 
@@ -55,6 +56,8 @@
 	// Near reports whether the target is local, that is, in the data centre of this
 	// instance.
 	Near bool
+	// logger is that of the Set.
+	logger *slog.Logger
 	*state
 }
 
@@ -82,6 +85,8 @@
 	retryAt time.Time
 	// coldTokens limits the requests to a cold target.
 	coldTokens bucket.Bucket
+	// quota holds the rate limit that the backend server names.
+	quota quota.Quota
 }
 
 // Snapshot is the last load report of a target and the counts of this instance, all at
@@ -169,6 +174,7 @@
 	}
 	t.sentSinceReport++
 	t.inFlight++
+	t.quota.CountRequest()
 	return true
 }
 
@@ -239,6 +245,7 @@
 	if done == nil {
 		done = make(chan struct{})
 		t.probing = done
+		t.quota.CountProbe()
 		go t.probe(prober, done)
 	}
 	t.mu.Unlock()
@@ -275,4 +282,5 @@
 	t.sentSinceReport = 0
 	t.backoff = 0
 	t.retryAt = time.Time{}
+	t.HearLimit(r.At, r.Limit, quota.Probe)
 }
--- a/internal/dispatch/link/link.go
+++ b/internal/dispatch/link/link.go
@@ -15,6 +15,7 @@
 	"github.com/snipefront/snipefront/internal/dispatch/direct"
 	"github.com/snipefront/snipefront/internal/dispatch/health"
 	"github.com/snipefront/snipefront/internal/dispatch/pool"
+	"github.com/snipefront/snipefront/internal/dispatch/quota"
 )
 
 const (
@@ -70,7 +71,20 @@
 	if err != nil {
 		return direct.Attempt{Verdict: snipefront.MayHaveRun, Reason: snipefront.ReasonBrokenAnswer, Err: err, Outcome: health.Faulty}
 	}
-	return l.attemptOf(&e, t)
+	a := l.attemptOf(&e, t)
+	if !a.Misdirected {
+		a.Limit = l.statementOf(t, e.Response.Header)
+	}
+	return a
+}
+
+// statementOf returns what an answer of t with the header h says of its rate limit.
+func (l *Link) statementOf(t *health.Target, h http.Header) quota.Statement {
+	s, err := quota.Parse(h.Values(l.Fields.RateLimit))
+	if err != nil {
+		l.Logger.Warn("backend server names a rate limit that can't be read; keeping what is known", "server", t.Server.Name, "service", t.Server.Service, "error", err)
+	}
+	return s
 }
 
 // putBack keeps conn, a connection to t, for further requests. At most half of this
@@ -193,5 +207,7 @@
 	if reusable {
 		l.putBack(c, t)
 	}
-	return health.ParseReport(l.Fields, e.Response.StatusCode, e.Response.Header, at), nil
+	r := health.ParseReport(l.Fields, e.Response.StatusCode, e.Response.Header, at)
+	r.Limit = l.statementOf(t, e.Response.Header)
+	return r, nil
 }
--- a/internal/dispatch/link/link_test.go
+++ b/internal/dispatch/link/link_test.go
@@ -19,11 +19,12 @@
 	"github.com/snipefront/snipefront/internal/dispatch/health"
 	"github.com/snipefront/snipefront/internal/dispatch/link"
 	"github.com/snipefront/snipefront/internal/dispatch/pool"
+	"github.com/snipefront/snipefront/internal/dispatch/quota"
 	"github.com/snipefront/snipefront/internal/stand/rawtcp"
 )
 
 var fields = snipefront.HeaderFields{
-	RequestID: "Id", Remaining: "Remaining", Expected: "Expected", Signature: "Signature", NotRun: "Not-Run", Server: "Server", Load: "Load", Cold: "Cold",
+	RequestID: "Id", Remaining: "Remaining", Expected: "Expected", Signature: "Signature", NotRun: "Not-Run", Server: "Server", Load: "Load", Cold: "Cold", RateLimit: "Limit",
 }
 
 type noCounter struct{}
@@ -189,6 +190,54 @@
 	}
 }
 
+// TestReadsLimitInEachAnswer guards against a rate limit that is named in a refusal or in
+// the answer to a load probe and goes unnoticed, against one that another backend server
+// at the same address names, and against an unreadable one that is taken as none.
+func TestReadsLimitInEachAnswer(t *testing.T) {
+	const (
+		signed = "HTTP/1.1 200 OK\r\nId: 7\r\nSignature: x\r\nContent-Length: 0\r\n"
+		probed = "HTTP/1.1 200 OK\r\nServer: s\r\nContent-Length: 0\r\n"
+	)
+	named := func(perSecond float64) quota.Statement {
+		return quota.Statement{RateLimit: snipefront.RateLimit{Named: true, PerSecond: perSecond}, Readable: true}
+	}
+	for name, c := range map[string]struct {
+		answer string
+		probe  bool
+		want   quota.Statement
+	}{
+		"answer":            {signed + "Limit: 1.25\r\n", false, named(1.25)},
+		"refusal":           {"HTTP/1.1 503 Full\r\nId: 7\r\nNot-Run: 1\r\nLimit: 0.5\r\nContent-Length: 0\r\n", false, named(0.5)},
+		"load probe":        {probed + "Limit: 2\r\n", true, named(2)},
+		"another server":    {"HTTP/1.1 421 Other\r\nId: 7\r\nLimit: 2\r\nContent-Length: 0\r\n", false, quota.Statement{}},
+		"two limits":        {signed + "Limit: 4\r\nLimit: 2\r\n", false, named(2)},
+		"no requests":       {signed + "Limit: 0\r\n", false, named(0)},
+		"no limit":          {signed, false, quota.Statement{Readable: true}},
+		"no limit at probe": {probed, true, quota.Statement{Readable: true}},
+		"no number":         {signed + "Limit: soon\r\n", false, quota.Statement{}},
+		"empty":             {signed + "Limit:\r\n", false, quota.Statement{}},
+		"negative":          {signed + "Limit: -1\r\n", false, quota.Statement{}},
+		"not finite":        {signed + "Limit: NaN\r\n", false, quota.Statement{}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, target := startServer(t, func(n net.Conn, _ *http.Request) { fmt.Fprint(n, c.answer+"\r\n") })
+			var got quota.Statement
+			if c.probe {
+				r, err := l.Probe(target)
+				if err != nil {
+					t.Fatal(err)
+				}
+				got = r.Limit
+			} else {
+				got = l.Send(t.Context(), call(), target).Limit
+			}
+			if got != c.want {
+				t.Errorf("the answer says %+v, want %+v", got, c.want)
+			}
+		})
+	}
+}
+
 func call() *direct.Call {
 	return &direct.Call{ID: "7", Request: &snipefront.Request{
 		Service: "a", Method: http.MethodGet, Target: "/p/1?q=2", Header: http.Header{"Host": {"x.example"}, "Id": {"7"}},
--- a/internal/observe/status/status.go
+++ b/internal/observe/status/status.go
@@ -6,6 +6,7 @@
 package status
 
 import (
+	"cmp"
 	"encoding/json"
 	"log/slog"
 	"net/http"
@@ -81,6 +82,17 @@
 	Address     string
 	Incarnation uint64
 	State       State
+	// Limit is the rate limit that it names, or nil if it names none.
+	Limit *Limit `json:",omitempty"`
+}
+
+// Limit is the rate limit that a backend server names for all instances together.
+type Limit struct {
+	// PerSecond is in requests per second.
+	PerSecond float64
+	// Source is the kind of message from which the instance learned it, at Learned.
+	Source  string
+	Learned time.Time
 }
 
 // Handler serves the report at Path, and at MetricsPath the metrics of g together with
@@ -131,12 +143,13 @@
 	termMetric    = prometheus.NewDesc("snipefront_leader_term", "The term of the leader, at a control instance.", nil, nil)
 	sourceMetric  = prometheus.NewDesc("snipefront_source_known", "1 where a control instance is followed, or a leader known.", nil, nil)
 	ageMetric     = prometheus.NewDesc("snipefront_source_age_seconds", "Time since the control instance that is followed last answered.", nil, nil)
+	limitMetric   = prometheus.NewDesc("snipefront_rate_limit", "Requests per second that a backend server takes from all instances, where it names a limit. The lowest 20 only.", []string{"service", "server"}, nil)
 	serversMetric = prometheus.NewDesc("snipefront_backend_servers", "Backend servers by service and state.", []string{"service", "state"}, nil)
 )
 
 // Describe implements prometheus.Collector.
 func (c *collector) Describe(out chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{versionMetric, indexMetric, termMetric, sourceMetric, ageMetric, serversMetric} {
+	for _, d := range []*prometheus.Desc{versionMetric, indexMetric, termMetric, sourceMetric, ageMetric, serversMetric, limitMetric} {
 		out <- d
 	}
 }
@@ -169,4 +182,26 @@
 	for k, n := range counts {
 		gauge(serversMetric, float64(n), k.service, string(k.state))
 	}
+	for _, s := range lowestLimits(r.Servers) {
+		gauge(limitMetric, s.Limit.PerSecond, s.Service, s.Name)
+	}
+}
+
+// maxLimitMetrics bounds the backend servers whose limits are exported as metrics, so
+// that the page stays short. The report has all.
+const maxLimitMetrics = 20
+
+// lowestLimits returns the backend servers of list with the lowest limits,
+// maxLimitMetrics at most.
+func lowestLimits(list []Server) []Server {
+	var limited []Server
+	for _, s := range list {
+		if s.Limit != nil {
+			limited = append(limited, s)
+		}
+	}
+	slices.SortFunc(limited, func(a, b Server) int {
+		return cmp.Or(cmp.Compare(a.Limit.PerSecond, b.Limit.PerSecond), cmp.Compare(a.Name, b.Name))
+	})
+	return limited[:min(len(limited), maxLimitMetrics)]
 }
--- a/internal/observe/status/status_test.go
+++ b/internal/observe/status/status_test.go
@@ -27,6 +27,7 @@
 			{Name: "a", Service: "balance", State: status.Ready},
 			{Name: "b", Service: "balance", State: status.Ready},
 			{Name: "c", Service: "balance", State: status.Draining},
+			{Name: "d", Service: "charge", State: status.Ready, Limit: &status.Limit{PerSecond: 1.2, Source: "answer", Learned: time.Now().UTC()}},
 		},
 	}
 	logger := slog.New(slog.NewTextHandler(io.Discard, nil))
@@ -47,6 +48,7 @@
 		`snipefront_backend_servers{service="balance",state="ready"} 2`,
 		`snipefront_backend_servers{service="balance",state="draining"} 1`,
 		"snipefront_source_age_seconds ",
+		`snipefront_rate_limit{server="d",service="charge"} 1.2`,
 	} {
 		if !strings.Contains(text, line) {
 			t.Errorf("no %q in the metrics:\n%s", line, text)
--- a/routing.go
+++ b/routing.go
@@ -112,4 +112,15 @@
 	Load string
 	// Cold holds the time until the warm-up ends, in milliseconds.
 	Cold string
+	// RateLimit holds a RateLimit, in requests per second.
+	RateLimit string
+}
+
+// RateLimit is the limit that a backend server names for the requests that it receives
+// from all instances together.
+type RateLimit struct {
+	// Named is false if it names none.
+	Named bool
+	// PerSecond is at least zero.
+	PerSecond float64
 }
