direct, model: show in a test that requests of all instances overrun a rate limit

The simulated backend servers name limits in answers, refusals and probes: lowered, raised, fractional, zero, unreadable, and anew after a restart under the same name.

--- a/internal/stand/model/model.go
+++ b/internal/stand/model/model.go
@@ -10,6 +10,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,6 +20,7 @@
 	"github.com/snipefront/snipefront/internal/clock/timer"
 	"github.com/snipefront/snipefront/internal/dispatch/direct"
 	"github.com/snipefront/snipefront/internal/dispatch/health"
+	"github.com/snipefront/snipefront/internal/dispatch/quota"
 )
 
 // Behaviour describes how the servers of one service behave.
@@ -73,6 +75,21 @@
 	Unhealthy bool
 	// ColdUntil is the end of the warm-up. Until then the server is cold.
 	ColdUntil time.Time
+	// ShedAll makes the server refuse each request before it runs.
+	ShedAll bool
+	// Limit is what the answers of the server say of its rate limit. The simulation
+	// does not enforce it: tests check Servers.Arrivals.
+	Limit quota.Statement
+	// NoLimitIn is a kind of answer that leaves Limit out.
+	NoLimitIn quota.Source
+}
+
+// limitIn returns what an answer of the given kind says of the rate limit.
+func (c Condition) limitIn(source quota.Source) quota.Statement {
+	if source == c.NoLimitIn {
+		return quota.Statement{Readable: true}
+	}
+	return c.Limit
 }
 
 // Servers implements direct.Link with simulated servers of one service.
@@ -81,6 +98,8 @@
 	Behaviour Behaviour
 	// Random is the source of random numbers. Servers serializes its use.
 	Random *rand.Rand
+	// RecordArrivals makes Arrivals available.
+	RecordArrivals bool
 
 	mu      sync.Mutex
 	servers map[string]*server
@@ -98,6 +117,9 @@
 	running, waiting int
 	slowdown         float64
 	condition        Condition
+	// arrivals holds the arrival times of requests and probes, if Servers.RecordArrivals
+	// is set.
+	arrivals []time.Time
 	// coldArrivals holds the arrival times of requests while the server was cold.
 	coldArrivals []time.Time
 	// freeSlot receives a value for each slot that is handed to a waiting request.
@@ -162,16 +184,39 @@
 	defer s.mu.Unlock()
 	s.Probes++
 	srv := s.byName(t.Server.Name)
+	s.arrive(srv)
 	if srv.condition.Dead {
 		return health.Report{}, errNoAnswer
 	}
 	now := time.Now()
 	return health.Report{
 		At: now, Known: true, Healthy: !srv.condition.Unhealthy, Running: srv.running, Waiting: srv.waiting, Slots: s.Behaviour.Slots, Pace: srv.slowdown,
-		Cold: max(0, srv.condition.ColdUntil.Sub(now)),
+		Cold: max(0, srv.condition.ColdUntil.Sub(now)), Limit: srv.condition.limitIn(quota.Probe),
 	}, nil
 }
 
+// arrive records the arrival of a request or probe. The lock is held.
+func (s *Servers) arrive(srv *server) {
+	if s.RecordArrivals {
+		srv.arrivals = append(srv.arrivals, time.Now())
+	}
+}
+
+// Arrivals returns the times at which requests and probes arrived at the named server,
+// in ascending order.
+func (s *Servers) Arrivals(name string) []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.byName(name).arrivals)
+}
+
+// condition returns the present condition of t.
+func (s *Servers) condition(t *health.Target) Condition {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.byName(t.Server.Name).condition
+}
+
 // Send implements direct.Link.
 func (s *Servers) Send(ctx context.Context, c *direct.Call, t *health.Target) direct.Attempt {
 	time.Sleep(s.Behaviour.Delay)
@@ -182,7 +227,9 @@
 		<-ctx.Done()
 		return noAnswer(ctx.Err())
 	case shed:
-		return direct.Attempt{Verdict: snipefront.NotRun, Reason: snipefront.ReasonShed, Err: errShed, Outcome: health.Neutral}
+		return direct.Attempt{
+			Verdict: snipefront.NotRun, Reason: snipefront.ReasonShed, Err: errShed, Outcome: health.Neutral, Limit: condition.limitIn(quota.Refusal),
+		}
 	}
 	srv, ok := s.acquireSlot(ctx, t)
 	if !ok {
@@ -196,6 +243,7 @@
 	a := direct.Attempt{
 		Verdict: snipefront.Ran, Outcome: health.Answered,
 		Response: &snipefront.Response{Status: http.StatusOK, BackendServer: t.Server.Name},
+		Limit:    s.condition(t).limitIn(quota.Answer),
 	}
 	if s.withProbability(condition.FaultShare) {
 		a.Outcome, a.Response.Status = health.Faulty, http.StatusInternalServerError
@@ -221,6 +269,7 @@
 func (s *Servers) receive(t *health.Target) (Condition, bool) {
 	s.mu.Lock()
 	srv := s.byName(t.Server.Name)
+	s.arrive(srv)
 	if now := time.Now(); now.Before(srv.condition.ColdUntil) {
 		srv.coldArrivals = append(srv.coldArrivals, now)
 		n := 0
@@ -233,7 +282,7 @@
 	}
 	c := srv.condition
 	s.mu.Unlock()
-	return c, s.withProbability(s.Behaviour.ShedShare)
+	return c, c.ShedAll || s.withProbability(s.Behaviour.ShedShare)
 }
 
 // withProbability returns true with probability p.
