quota, health, direct, fleet: keep the rate limits of backend servers over all instances

The cause: nobody read the limit. The class: a limit of all instances that no instance keeps.

Whoever hears of a limit, in an answer, a refusal or the answer to a load probe, keeps to it at once and shares it through the control quorum, so that the others learn of it with their view, within some 50 ms, whether they ever sent there or not. A few senders, 1 plus the limit, follow from the view by a rendezvous hash. They have equal parts, kept by token buckets that begin empty; all others send nothing. First attempts, retries, hedges, cold backend servers and load probes take from the part. It ends when an answer of a kind that named it names it no more; answers sent before it was learned only lower it; a new incarnation starts without.

Requests kept away go to other backend servers. Where all are limited and none has room before the goal, they are refused at once, with the time until the next free request; half a token is kept for the most urgent routes.

Why it holds: k senders with at most 1.5 saved requests add 1.5 k to the limit's 4 s, which stays below half of the limit more and 5 for k up to 1 + limit.

--- a/internal/control/fleet/command.go
+++ b/internal/control/fleet/command.go
@@ -26,6 +26,8 @@
 	Serve *Serve `json:",omitempty"`
 	// Suspect records a request that was in flight on a crashed backend server.
 	Suspect *Suspect `json:",omitempty"`
+	// Limit records the rate limit that a backend server names.
+	Limit *Limit `json:",omitempty"`
 	// Read changes nothing. Its Result reflects every command committed before it.
 	Read bool `json:",omitempty"`
 }
@@ -62,10 +64,25 @@
 	// Expired is true in a Deregister if heartbeats are missing, and false if the
 	// backend server deregistered itself.
 	Expired bool `json:",omitempty"`
+	// Limit is the rate limit that the backend server names, as an instance shared it, and
+	// LimitSource the kind of answer that said so. They come with no registration.
+	Limit       snipefront.RateLimit `json:",omitzero"`
+	LimitSource string               `json:",omitempty"`
+	// LimitIndex is the index of the log entry that last changed Limit.
+	LimitIndex uint64 `json:",omitempty"`
 	// Index is the index of the log entry that last changed the registration.
 	Index uint64
 }
 
+// Limit is the rate limit that an incarnation of a backend server names.
+type Limit struct {
+	Server      string
+	Incarnation uint64
+	snipefront.RateLimit
+	// Source is the kind of answer that named or withdrew it.
+	Source string
+}
+
 // Instance is a registered instance.
 type Instance struct {
 	snipefront.Instance
@@ -115,6 +132,8 @@
 		return "serve"
 	case c.Suspect != nil:
 		return "suspect"
+	case c.Limit != nil:
+		return "limit"
 	}
 	return "read"
 }
@@ -139,6 +158,8 @@
 		changed = s.serve(index, *c.Serve)
 	case c.Suspect != nil:
 		changed = s.suspect(index, *c.Suspect)
+	case c.Limit != nil:
+		changed = s.limit(index, *c.Limit)
 	default:
 		return Result{Failure: "empty command"}
 	}
@@ -170,6 +191,7 @@
 	}
 	if ok && old.Incarnation == n.Incarnation {
 		n.Draining = n.Draining || old.Draining
+		n.Limit, n.LimitSource, n.LimitIndex = old.Limit, old.LimitSource, old.LimitIndex
 	}
 	for name, other := range s.data.Servers {
 		if name == n.Name || other.Address != n.Address {
@@ -185,6 +207,18 @@
 	return true
 }
 
+// limit records the rate limit of a registered incarnation. It reports whether that
+// changed.
+func (s *State) limit(index uint64, c Limit) bool {
+	n, ok := s.data.Servers[c.Server]
+	if !ok || n.Incarnation != c.Incarnation || n.Limit == c.RateLimit {
+		return false
+	}
+	n.Limit, n.LimitSource, n.LimitIndex, n.Index = c.RateLimit, c.Source, index, index
+	s.data.Servers[c.Server] = n
+	return true
+}
+
 // isNewerThan reports whether n is of a later incarnation than old, or of the same
 // one with a higher sequence.
 func (n Server) isNewerThan(old Server) bool {
--- a/internal/control/fleet/fleet_test.go
+++ b/internal/control/fleet/fleet_test.go
@@ -225,3 +225,33 @@
 		t.Errorf("%d edges, want 2", n)
 	}
 }
+
+// TestLimitBelongsToIncarnation guards against a rate limit that a heartbeat drops, that
+// outlives the incarnation that named it, or that a late command brings back.
+func TestLimitBelongsToIncarnation(t *testing.T) {
+	r := newReplica()
+	limit := func(incarnation uint64, perSecond float64) bool {
+		l := fleet.Limit{Server: "s", Incarnation: incarnation, Source: "answer"}
+		l.Named, l.PerSecond = true, perSecond
+		return r.apply(t, fleet.Command{Limit: &l}).Changed
+	}
+	r.register(t, server("s", "a:1", 5, 1))
+	before := r.Index()
+	if !limit(5, 2) || limit(5, 2) {
+		t.Error("a limit changes the state not at all, or each time it is shared")
+	}
+	if d := r.DeltaSince(before); len(d.Servers) != 1 || d.Servers[0].Limit.PerSecond != 2 || d.Servers[0].LimitIndex <= before {
+		t.Errorf("the change is %+v, want the backend server with its limit", d.Servers)
+	}
+	r.register(t, server("s", "a:1", 5, 2))
+	if n, _ := r.Server("s"); !n.Limit.Named {
+		t.Error("a heartbeat ended the limit")
+	}
+	r.register(t, server("s", "a:1", 6, 1))
+	if n, _ := r.Server("s"); n.Limit.Named {
+		t.Error("the next incarnation has the limit of the one before it")
+	}
+	if limit(5, 3) {
+		t.Error("a late limit of the incarnation before changed the state")
+	}
+}
--- a/internal/dispatch/direct/choose.go
+++ b/internal/dispatch/direct/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -33,6 +34,11 @@
 	// warmUpShare is the part of its warm-up rate at which a cold target is sent
 	// requests.
 	warmUpShare = 0.9
+	// lightShare is the share of slots in use up to which a target is lightly used.
+	lightShare = 0.5
+	// maxQuotaWait bounds the time after which a request that was refused for rate limits
+	// may come back.
+	maxQuotaWait = 2 * time.Second
 )
 
 // choice is the target with the lowest expected latency for a request. Its target is
@@ -45,6 +51,9 @@
 	// load is the number of running and waiting requests divided by that of slots,
 	// over all targets that were compared and report their load.
 	load float64
+	// quotaWait is the time after which the call may come back if it was refused for the
+	// rate limits of all targets, and zero otherwise.
+	quotaWait time.Duration
 }
 
 // choose chooses the target with the lowest expected latency and reserves c there. As
@@ -62,10 +71,14 @@
 		likelyMeetsGoal := ok && waited && !now.Add(d.estimator.medianLatency(c, best.estimate)).After(c.Goal)
 		goalReachable := now.Add(base).Before(c.Goal)
 		lateAllowed := ok && (likelyMeetsGoal || !goalReachable) && d.mayMissGoal(c, best)
-		if (meetsGoal || lateAllowed) && d.reserve(now, best.target) {
+		if (meetsGoal || lateAllowed) && d.reserve(now, c, best.target) {
 			d.estimator.recordStart(c, meetsGoal)
 			return best, true
 		}
+		if wait, limited := d.quotaWait(now, c, avoid); limited && now.Add(wait).Add(base).After(c.Goal) {
+			d.Logger.Info("rate limits of all targets are used up", "request", c.ID, "route", c.Route, "service", c.Service, "rank", c.Rank, "goalIn", time.Until(c.Goal), "wait", wait)
+			return choice{quotaWait: wait}, false
+		}
 		if !goalReachable || !timer.Sleep(ctx, choiceInterval) {
 			d.Logger.Info("no target available in time", "request", c.ID, "route", c.Route, "service", c.Service, "goalIn", time.Until(c.Goal), "baseLatency", base,
 				"best", best.targetName(), "estimated", best.estimate, "load", best.snapshot)
@@ -97,18 +110,67 @@
 // the request.
 func (d *Dispatcher) bestTarget(ctx context.Context, c *Call, base time.Duration, avoid map[string]bool) (choice, bool) {
 	local, remote := d.eligible(c.Service, avoid)
+	if best := d.fastest(c, d.lightlyLimited(c, local, base), base); best.isGoodEnough(base) {
+		return best, true
+	}
 	local = sample(local, maxLocalProbes)
 	d.probeAll(ctx, local)
-	best := d.fastest(local, base)
-	if best.target != nil && float64(best.estimate) <= goodEnoughFactor*float64(base) {
+	best := d.fastest(c, local, base)
+	if best.isGoodEnough(base) {
 		return best, true
 	}
 	remote = sample(remote, maxRemoteProbes)
 	d.probeAll(ctx, remote)
-	best = d.fastest(append(local, remote...), base)
+	best = d.fastest(c, append(local, remote...), base)
 	return best, best.target != nil
 }
 
+// isGoodEnough reports whether the expected latency is so low that no other targets need
+// to be compared.
+func (c choice) isGoodEnough(base time.Duration) bool {
+	return c.target != nil && float64(c.estimate) <= goodEnoughFactor*float64(base)
+}
+
+// lightlyLimited returns the targets of list whose rate limit has a request left for c and
+// keeps them lightly used. They come first, since few instances may send there, each
+// seldom.
+func (d *Dispatcher) lightlyLimited(c *Call, list []*health.Target, base time.Duration) []*health.Target {
+	var light []*health.Target
+	now := time.Now()
+	for _, t := range list {
+		l := t.RateLimit()
+		if l.Named && l.PerSecond*base.Seconds() <= lightShare*float64(t.Server.Slots) && t.HasQuota(now, c.Rank) {
+			light = append(light, t)
+		}
+	}
+	return light
+}
+
+// quotaWait returns the time until a rate limit has a request left for c, or until c may
+// come back if this instance has no part of any, and whether c has to wait for rate limits
+// alone.
+func (d *Dispatcher) quotaWait(now time.Time, c *Call, avoid map[string]bool) (wait time.Duration, limited bool) {
+	sum, soonest, hasPart := 0.0, time.Duration(math.MaxInt64), false
+	local, remote := d.eligible(c.Service, avoid)
+	for _, t := range append(local, remote...) {
+		l := t.RateLimit()
+		if !l.Named || t.HasQuota(now, c.Rank) {
+			return 0, false
+		}
+		sum += l.PerSecond
+		if wait, ok := t.QuotaWait(now, c.Rank); ok {
+			soonest, hasPart = min(soonest, wait), true
+		}
+	}
+	if len(local)+len(remote) == 0 {
+		return 0, false
+	}
+	if !hasPart {
+		soonest = time.Duration(float64(time.Second) / max(sum, 1/maxQuotaWait.Seconds()))
+	}
+	return min(soonest, maxQuotaWait), true
+}
+
 // eligible returns the local and the remote targets of a service, without those in
 // avoid and those in a backoff after a failed contact.
 func (d *Dispatcher) eligible(service string, avoid map[string]bool) (local, remote []*health.Target) {
@@ -140,9 +202,10 @@
 // mayProbe takes one load probe from the limit of all instances.
 func (d *Dispatcher) mayProbe() bool { return d.Probes.Take(time.Now()) }
 
-// fastest returns the target of list with the lowest expected latency. It skips a cold
-// target unless this instance warms it up and the warm-up rate allows a request now.
-func (d *Dispatcher) fastest(list []*health.Target, base time.Duration) choice {
+// fastest returns the target of list with the lowest expected latency. It skips a target
+// whose rate limit leaves no request for c, and a cold target unless this instance warms
+// it up and the warm-up rate allows a request now.
+func (d *Dispatcher) fastest(c *Call, list []*health.Target, base time.Duration) choice {
 	var best choice
 	now := time.Now()
 	occupied, slots := 0, 0
@@ -157,6 +220,10 @@
 		if !ok || best.target != nil && estimate >= best.estimate || !t.Available(now) {
 			continue
 		}
+		if !t.HasQuota(now, c.Rank) {
+			t.SkipForQuota()
+			continue
+		}
 		if s.Cold && !(d.Targets.WarmsUp(t) && t.CanWarmUp(now, t.Profile.WarmUpRate*warmUpShare)) {
 			continue
 		}
@@ -166,9 +233,9 @@
 	return best
 }
 
-// reserve reserves a request at t and reports whether t may receive it.
-func (d *Dispatcher) reserve(now time.Time, t *health.Target) bool {
-	return t.Reserve(now, t.Profile.WarmUpRate*warmUpShare)
+// reserve reserves c at t and reports whether t may receive it.
+func (d *Dispatcher) reserve(now time.Time, c *Call, t *health.Target) bool {
+	return t.Reserve(now, t.Profile.WarmUpRate*warmUpShare, c.Rank)
 }
 
 // sample returns at most n targets of list, chosen uniformly at random. It reorders
--- a/internal/dispatch/direct/direct.go
+++ b/internal/dispatch/direct/direct.go
@@ -60,6 +60,8 @@
 	Goal time.Time
 	// Attempts is the maximum number of attempts that reach a target.
 	Attempts int
+	// Rank is the place in the order of importance. 0 is the most important.
+	Rank int
 }
 
 // Attempt is the result of sending a call to one target.
@@ -106,7 +108,7 @@
 		}
 		chosen, ok := d.choose(ctx, c, p.avoid)
 		if !ok {
-			return d.finish(c, &p, d.noTargetError(ctx, c, &p))
+			return d.finish(c, &p, d.noTargetError(ctx, c, &p, chosen.quotaWait))
 		}
 		if !d.spendForNext(c, &p) {
 			chosen.target.Done(time.Now(), health.Neutral)
--- a/internal/dispatch/direct/errors.go
+++ b/internal/dispatch/direct/errors.go
@@ -44,8 +44,9 @@
 	return &snipefront.Error{Verdict: p.verdict, Reason: reason, Status: http.StatusGatewayTimeout, Detail: "no answer in time"}
 }
 
-// noTargetError returns the error of a call that no target can accept in time.
-func (d *Dispatcher) noTargetError(ctx context.Context, c *Call, p *progress) *snipefront.Error {
+// noTargetError returns the error of a call that no target can accept in time. The
+// quotaWait is that of the choice.
+func (d *Dispatcher) noTargetError(ctx context.Context, c *Call, p *progress, quotaWait time.Duration) *snipefront.Error {
 	switch {
 	case ctx.Err() != nil:
 		return timeoutError(ctx, p)
@@ -54,6 +55,9 @@
 	case len(d.Targets.Candidates(c.Service)) == 0:
 		return snipefront.Refused(snipefront.ReasonNoBackendServer, retryAfter, "no backend server takes requests")
 	}
+	if quotaWait > 0 {
+		return snipefront.Refused(snipefront.ReasonOverload, max(retryAfter, quotaWait), "the rate limits of all backend servers are used up")
+	}
 	return snipefront.Refused(snipefront.ReasonOverload, retryAfter, "no backend server has room")
 }
 
--- a/internal/dispatch/direct/limited_test.go
+++ b/internal/dispatch/direct/limited_test.go
@@ -104,7 +104,7 @@
 
 // start returns the dispatcher of a process of instance i that has just started.
 func (f *limitedFleet) start(i int) *direct.Dispatcher {
-	set := &health.Set{Self: f.view.Instances[fmt.Sprint("e", i)].Instance}
+	set := &health.Set{Self: f.view.Instances[fmt.Sprint("e", i)].Instance, Sharer: sharer{f, i}}
 	set.Update(time.Now(), f.view, f.routing)
 	return &direct.Dispatcher{
 		Targets: set, Link: f.servers, Counter: noCounter{}, Attempts: noCounter{},
@@ -113,6 +113,39 @@
 	}
 }
 
+// shareDelay is the time in which a shared limit reaches the other instances.
+const shareDelay = 50 * time.Millisecond
+
+// sharer shares the rate limits that an instance hears of, unless it is cut off.
+type sharer struct {
+	fleet    *limitedFleet
+	instance int
+}
+
+// ShareLimit implements health.LimitSharer.
+func (s sharer) ShareLimit(n fleet.Server, said snipefront.RateLimit, source quota.Source) {
+	time.AfterFunc(shareDelay, func() { s.fleet.shareLimit(s.instance, n, said, source) })
+}
+
+// shareLimit records a limit in the view of the fleet.
+func (f *limitedFleet) shareLimit(instance int, n fleet.Server, said snipefront.RateLimit, source quota.Source) {
+	f.mu.Lock()
+	cutOff := f.isCutOff[instance]
+	f.mu.Unlock()
+	if cutOff {
+		return
+	}
+	f.update(func(v *fleet.View) {
+		current := v.Servers[n.Name]
+		if current.Incarnation != n.Incarnation || current.Limit == said {
+			return
+		}
+		current.Limit, current.LimitSource = said, string(source)
+		current.LimitIndex++
+		v.Servers[n.Name] = current
+	})
+}
+
 // restart replaces the process of instance i.
 func (f *limitedFleet) restart(i int) {
 	f.mu.Lock()
@@ -187,7 +220,7 @@
 	for range 2 {
 		sent := time.Now()
 		_, err := f.receive(rank).Serve(context.Background(), &direct.Call{
-			ID: "r", Route: f.routing.Routes[rank].Name, Attempts: 2, Goal: begun.Add(400 * time.Millisecond),
+			ID: "r", Route: f.routing.Routes[rank].Name, Attempts: 2, Rank: rank, Goal: begun.Add(400 * time.Millisecond),
 			Request: &snipefront.Request{Service: service, Idempotent: true, Deadline: end},
 		})
 		if err == nil {
@@ -221,11 +254,12 @@
 	for server, named := range f.named {
 		arrivals := f.servers.Arrivals(server)
 		excess, worst := 0.0, ""
-		for i, from := range arrivals {
+		for i, arrival := range arrivals {
+			from := arrival.At
 			if from.Before(named[0].from.Add(limitDelay)) {
 				continue
 			}
-			end, _ := slices.BinarySearchFunc(arrivals, from.Add(limitWindow), time.Time.Compare)
+			end, _ := slices.BinarySearchFunc(arrivals, from.Add(limitWindow), func(a model.Arrival, at time.Time) int { return a.At.Compare(at) })
 			allowed, limited := allowedIn(named, from)
 			if over := float64(end-i) - allowed; limited && over > excess {
 				excess, worst = over, fmt.Sprintf("%s received %d requests in the 4 s from %v on, want %.1f at most", server, end-i, from.Sub(f.begun), allowed)
@@ -259,14 +293,17 @@
 	return limitFactor*sum + limitSlack, true
 }
 
-// used returns the requests and load probes that a backend server received from one time
-// since the start to another, as a share of what the limit named.
-func (f *limitedFleet) used(server string, perSecond float64, from, to time.Duration) float64 {
-	n := 0
-	for _, at := range f.servers.Arrivals(server) {
-		if since := at.Sub(f.begun); since >= from && since < to {
-			n++
+// received returns how many requests and load probes per second a backend server received
+// from one time since the start to another.
+func (f *limitedFleet) received(server string, from, to time.Duration) (requests, probes float64) {
+	for _, a := range f.servers.Arrivals(server) {
+		switch since := a.At.Sub(f.begun); {
+		case since < from || since >= to:
+		case a.Probe:
+			probes++
+		default:
+			requests++
 		}
 	}
-	return float64(n) / (perSecond * (to - from).Seconds())
+	return requests / (to - from).Seconds(), probes / (to - from).Seconds()
 }
--- a/internal/dispatch/direct/run.go
+++ b/internal/dispatch/direct/run.go
@@ -100,7 +100,7 @@
 	if !ok || !staysBelowBusy(second.snapshot) || time.Now().Add(second.estimate).After(c.Deadline) {
 		return false
 	}
-	if !d.spend(c) || !d.reserve(time.Now(), second.target) {
+	if !d.spend(c) || !d.reserve(time.Now(), c, second.target) {
 		return false
 	}
 	d.Counter.Retried(c.Service, snipefront.ReasonHedge)
@@ -147,6 +147,7 @@
 		return
 	}
 	s := PoisonServer(t.Server)
+	t.ChargeProbe(time.Now())
 	d.Poison.ConnectionBroke(time.Now(), c.Fingerprint, s)
 	if d.Link.Up(ctx, t) || ctx.Err() != nil {
 		return
--- a/internal/dispatch/health/set.go
+++ b/internal/dispatch/health/set.go
@@ -2,6 +2,8 @@
 
 import (
 	"log/slog"
+	"slices"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -21,6 +23,8 @@
 type Set struct {
 	// Self is this instance.
 	Self snipefront.Instance
+	// Sharer shares the rate limits that this instance hears of. It may be nil.
+	Sharer LimitSharer
 	// Logger logs changes of rate limits. It may be nil.
 	Logger *slog.Logger
 
@@ -42,12 +46,14 @@
 func (s *Set) Update(now time.Time, v fleet.View, r *snipefront.Routing) {
 	next := &targets{byName: map[string]*Target{}, byService: map[string][]*Target{}, outOfService: v.Out}
 	old := s.current.Load()
+	ranks := ranksByService(r)
 	for _, n := range v.Servers {
 		profile, ok := r.Services[n.Service]
 		if !ok {
 			continue
 		}
 		t := s.target(now, old, n, profile)
+		t.ranks = ranks[n.Service]
 		next.byName[n.Name] = t
 		if next.accepts(n) {
 			next.byService[n.Service] = append(next.byService[n.Service], t)
@@ -58,13 +64,49 @@
 			next.edges.Instances = append(next.edges.Instances, i.Instance)
 		}
 	}
+	slices.SortFunc(next.edges.Instances, func(a, b snipefront.Instance) int { return strings.Compare(a.Name, b.Name) })
 	s.current.Store(next)
+	s.updateLimits(now, old, next)
+}
+
+// updateLimits takes over the rate limits that other instances have shared since old, and
+// divides all limits anew if the instances have changed.
+func (s *Set) updateLimits(now time.Time, old, next *targets) {
+	sameEdges := old != nil && slices.Equal(old.edges.Instances, next.edges.Instances)
+	for name, t := range next.byName {
+		known := uint64(0)
+		if old != nil && old.byName[name] != nil && old.byName[name].state == t.state {
+			known = old.byName[name].Server.LimitIndex
+		}
+		if t.Server.LimitIndex > known {
+			t.learnLimit(now)
+		}
+		if !sameEdges {
+			s.updatePart(now, t)
+		}
+	}
+}
+
+// ranksByService returns the ranks of the routes to each service, each once and in
+// ascending order.
+func ranksByService(r *snipefront.Routing) map[string][]int {
+	ranks := map[string][]int{}
+	for _, route := range r.Routes {
+		for _, to := range route.Split {
+			ranks[to.Service] = append(ranks[to.Service], route.Rank)
+		}
+	}
+	for service, list := range ranks {
+		slices.Sort(list)
+		ranks[service] = slices.Compact(list)
+	}
+	return ranks
 }
 
 // target returns the target of n, with the state from old if that has the same
 // incarnation at the same address.
 func (s *Set) target(now time.Time, old *targets, n fleet.Server, profile snipefront.ServiceProfile) *Target {
-	t := &Target{Server: n, Profile: profile, Near: n.DataCentre == s.Self.DataCentre, logger: s.Logger}
+	t := &Target{Server: n, Profile: profile, Near: n.DataCentre == s.Self.DataCentre, set: s}
 	var previous *Target
 	if old != nil {
 		previous = old.byName[n.Name]
@@ -142,7 +184,7 @@
 			State: RegisteredState(n, c.outOfService),
 		}
 		if q := t.quota.State(); q.Named {
-			entry.Limit = &status.Limit{PerSecond: q.PerSecond, Source: string(q.Source), Learned: q.Learned}
+			entry.Limit = &status.Limit{PerSecond: q.PerSecond, Source: string(q.Source), Shared: q.Shared, Learned: q.Learned, Part: q.Part}
 		}
 		if c.accepts(n) {
 			entry.State = t.observedState(now)
--- a/internal/dispatch/health/target.go
+++ b/internal/dispatch/health/target.go
@@ -23,6 +23,9 @@
 	// for noLoadLifetime.
 	reportLifetime = 30 * time.Millisecond
 	noLoadLifetime = time.Second
+	// limitedReportLifetime is the age from which the load report of a target with a rate
+	// limit is ignored.
+	limitedReportLifetime = 200 * time.Millisecond
 	// minBackoff and maxBackoff bound the time for which an unreachable backend server
 	// receives no requests. It doubles with each consecutive failure.
 	minBackoff = 200 * time.Millisecond
@@ -56,8 +59,10 @@
 	// Near reports whether the target is local, that is, in the data centre of this
 	// instance.
 	Near bool
-	// logger is that of the Set.
-	logger *slog.Logger
+	// set is the Set that made the Target.
+	set *Set
+	// ranks holds the ranks of the routes to the service, in ascending order.
+	ranks []int
 	*state
 }
 
@@ -111,6 +116,8 @@
 	Near bool
 	// Slots is the number of slots that the backend server announced.
 	Slots int
+	// Limit is the rate limit that the backend server names.
+	Limit snipefront.RateLimit
 }
 
 // LogValue implements slog.LogValuer.
@@ -125,10 +132,16 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.decayFaults(now)
-	return Snapshot{
+	s := Snapshot{
 		At: now, Report: t.report, Sent: t.sentSinceReport, Running: t.inFlight, Faults: t.faultShare,
-		Cold: t.isCold(now), Near: t.Near, Slots: t.Server.Slots,
+		Cold: t.isCold(now), Near: t.Near, Slots: t.Server.Slots, Limit: t.quota.State().RateLimit,
 	}
+	if s.Limit.Named && now.Sub(t.report.At) > limitedReportLifetime {
+		// The limit leaves no requests for load probes. It also bounds what others send, so
+		// only the requests of this instance count.
+		s.Report = Report{At: now, Healthy: true}
+	}
+	return s
 }
 
 // Available reports whether t may be chosen: no backoff after a failed attempt or probe
@@ -164,17 +177,21 @@
 	return t.coldTokens.HasToken(now, rate, coldBurst)
 }
 
-// Reserve counts a request as sent and reports whether t may receive it. It admits at
-// most rate requests per second to a cold target.
-func (t *Target) Reserve(now time.Time, rate float64) bool {
+// Reserve counts a request of the given rank as sent and reports whether t may receive
+// it. It admits at most rate requests per second to a cold target, and no more than this
+// instance's part of a rate limit.
+func (t *Target) Reserve(now time.Time, rate float64, rank int) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.isCold(now) && !t.coldTokens.Take(now, rate, coldBurst) {
+	cold := t.isCold(now)
+	if cold && !t.coldTokens.HasToken(now, rate, coldBurst) || !t.quota.Take(now, t.urgency(rank)) {
 		return false
 	}
+	if cold {
+		t.coldTokens.Take(now, rate, coldBurst)
+	}
 	t.sentSinceReport++
 	t.inFlight++
-	t.quota.CountRequest()
 	return true
 }
 
@@ -232,20 +249,20 @@
 	return now.Before(t.coldUntil) || t.report.Cold > now.Sub(t.report.At)
 }
 
-// Refresh probes t unless its load report is fresh or mayProbe, which is called just
-// before a probe, returns false. Concurrent calls share one probe. Refresh returns when
+// Refresh probes t unless its load report is fresh, its rate limit leaves no request for
+// a probe, or mayProbe, which is called just before a probe, returns false. Concurrent calls share one probe. Refresh returns when
 // the probe has ended or ctx is done; ctx does not end the probe.
 func (t *Target) Refresh(ctx context.Context, prober Prober, mayProbe func() bool) {
 	t.mu.Lock()
 	done := t.probing
-	if t.isFresh() || done == nil && !mayProbe() {
+	if t.isFresh() || done == nil && (!t.quota.AllowsProbe(time.Now()) || !mayProbe()) {
 		t.mu.Unlock()
 		return
 	}
 	if done == nil {
 		done = make(chan struct{})
 		t.probing = done
-		t.quota.CountProbe()
+		t.quota.ChargeProbe(time.Now())
 		go t.probe(prober, done)
 	}
 	t.mu.Unlock()
--- a/internal/dispatch/link/link.go
+++ b/internal/dispatch/link/link.go
@@ -186,6 +186,7 @@
 		return r, err
 	}
 	l.Pool.CloseIdle(t.Server.Address)
+	t.ChargeProbe(time.Now())
 	if c, err = l.Pool.Get(ctx, t.Server.Address, false); err != nil {
 		return health.Report{}, err
 	}
--- a/internal/entry/proxy/proxy.go
+++ b/internal/entry/proxy/proxy.go
@@ -134,6 +134,7 @@
 		ID:       id,
 		Route:    rt.Name,
 		Attempts: rt.Attempts,
+		Rank:     rt.Rank,
 		Goal:     r.Read.Add(rt.Goal - waited),
 		Request: &snipefront.Request{
 			Service:    p.split.Next(rt),
--- a/internal/observe/status/status.go
+++ b/internal/observe/status/status.go
@@ -90,9 +90,14 @@
 type Limit struct {
 	// PerSecond is in requests per second.
 	PerSecond float64
-	// Source is the kind of message from which the instance learned it, at Learned.
-	Source  string
+	// Source is the kind of answer from which it is known, and Shared is true if another
+	// instance received that answer.
+	Source string
+	Shared bool `json:",omitempty"`
+	// Learned is when the instance learned it.
 	Learned time.Time
+	// Part is what the instance may send there, in requests per second.
+	Part float64
 }
 
 // Handler serves the report at Path, and at MetricsPath the metrics of g together with
--- /dev/null
+++ b/internal/request/submit/limits_test.go
@@ -0,0 +1,90 @@
+package submit_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/control/fleet"
+	"github.com/snipefront/snipefront/internal/dispatch/quota"
+	"github.com/snipefront/snipefront/internal/request/submit"
+)
+
+// startLimits starts a Limits and returns it with a function that stops it.
+func startLimits(t *testing.T, s submit.Submitter) (*submit.Limits, func()) {
+	t.Helper()
+	l := &submit.Limits{Submitter: s, Logger: slog.New(slog.NewTextHandler(io.Discard, nil))}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- l.Run(ctx) }()
+	return l, func() {
+		cancel()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+func serverNamed(name string) fleet.Server {
+	var n fleet.Server
+	n.Name, n.Incarnation = name, 3
+	return n
+}
+
+func limitOf(perSecond float64) snipefront.RateLimit {
+	return snipefront.RateLimit{Named: true, PerSecond: perSecond}
+}
+
+// TestChangingLimitIsSubmittedSeldom guards against a log that is flooded by a backend
+// server whose limit changes with each answer, and against a last change that is lost.
+func TestChangingLimitIsSubmittedSeldom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := make(submitter, 1000)
+		l, stop := startLimits(t, s)
+		const changes = 500
+		for i := range changes {
+			l.ShareLimit(serverNamed("s"), limitOf(float64(i)), quota.Answer)
+			time.Sleep(2 * time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		stop()
+		if n := len(s); n > 7 {
+			t.Errorf("%d commands in a second, want 7 at most", n)
+		}
+		var last fleet.Command
+		for len(s) > 0 {
+			last = <-s
+		}
+		if last.Limit == nil || last.Limit.PerSecond != changes-1 || last.Limit.Incarnation != 3 {
+			t.Errorf("the last command is %+v, want the last limit of the incarnation", last.Limit)
+		}
+	})
+}
+
+// failing is a Submitter that has lost the control quorum.
+type failing struct{}
+
+// Submit implements submit.Submitter.
+func (failing) Submit(ctx context.Context, _ []byte) ([]byte, error) {
+	<-ctx.Done()
+	return nil, errors.New("no quorum")
+}
+
+// TestSharingLimitsNeverBlocks guards against requests that wait for a control quorum that
+// does not answer, and against limits that pile up meanwhile.
+func TestSharingLimitsNeverBlocks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, stop := startLimits(t, failing{})
+		for i := range 5000 {
+			l.ShareLimit(serverNamed(fmt.Sprint("s", i)), limitOf(1), quota.Answer)
+		}
+		time.Sleep(time.Second)
+		stop()
+	})
+}
--- a/internal/stand/model/model.go
+++ b/internal/stand/model/model.go
@@ -112,14 +112,20 @@
 	MaxColdRate int
 }
 
+// Arrival is the arrival of a request or a probe at a server.
+type Arrival struct {
+	At    time.Time
+	Probe bool
+}
+
 // server is one simulated backend server.
 type server struct {
 	running, waiting int
 	slowdown         float64
 	condition        Condition
-	// arrivals holds the arrival times of requests and probes, if Servers.RecordArrivals
-	// is set.
-	arrivals []time.Time
+	// arrivals holds the arrivals of requests and probes, if Servers.RecordArrivals is
+	// set.
+	arrivals []Arrival
 	// coldArrivals holds the arrival times of requests while the server was cold.
 	coldArrivals []time.Time
 	// freeSlot receives a value for each slot that is handed to a waiting request.
@@ -184,7 +190,7 @@
 	defer s.mu.Unlock()
 	s.Probes++
 	srv := s.byName(t.Server.Name)
-	s.arrive(srv)
+	s.arrive(srv, true)
 	if srv.condition.Dead {
 		return health.Report{}, errNoAnswer
 	}
@@ -196,15 +202,14 @@
 }
 
 // arrive records the arrival of a request or probe. The lock is held.
-func (s *Servers) arrive(srv *server) {
+func (s *Servers) arrive(srv *server, probe bool) {
 	if s.RecordArrivals {
-		srv.arrivals = append(srv.arrivals, time.Now())
+		srv.arrivals = append(srv.arrivals, Arrival{At: time.Now(), Probe: probe})
 	}
 }
 
-// Arrivals returns the times at which requests and probes arrived at the named server,
-// in ascending order.
-func (s *Servers) Arrivals(name string) []time.Time {
+// Arrivals returns the arrivals at the named server, in the order of time.
+func (s *Servers) Arrivals(name string) []Arrival {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return slices.Clone(s.byName(name).arrivals)
@@ -269,7 +274,7 @@
 func (s *Servers) receive(t *health.Target) (Condition, bool) {
 	s.mu.Lock()
 	srv := s.byName(t.Server.Name)
-	s.arrive(srv)
+	s.arrive(srv, false)
 	if now := time.Now(); now.Before(srv.condition.ColdUntil) {
 		srv.coldArrivals = append(srv.coldArrivals, now)
 		n := 0
