health, submit, fleet: share a warm-up that one instance hears of before the heartbeat

A backend server that becomes cold again at some moment says so in the answers to load probes, and to the control instances only with its next heartbeat, up to 1.5 s later.

The first instance whose probe shows the warm-up now shares it like a rate limit; the one that warms the backend server up is then alone with it. Limits and warm-ups go the same way (submit.Reports).

--- a/internal/control/fleet/command.go
+++ b/internal/control/fleet/command.go
@@ -28,6 +28,8 @@
 	Suspect *Suspect `json:",omitempty"`
 	// Limit records the rate limit that a backend server names.
 	Limit *Limit `json:",omitempty"`
+	// Cold records that a backend server is warming up again.
+	Cold *Cold `json:",omitempty"`
 	// Read changes nothing. Its Result reflects every command committed before it.
 	Read bool `json:",omitempty"`
 }
@@ -83,6 +85,15 @@
 	Source string
 }
 
+// Cold is the warm-up of an incarnation of a backend server, of which an instance has
+// heard before the next heartbeat.
+type Cold struct {
+	Server      string
+	Incarnation uint64
+	// Millis is the remaining warm-up in milliseconds.
+	Millis int64
+}
+
 // Instance is a registered instance.
 type Instance struct {
 	snipefront.Instance
@@ -134,6 +145,8 @@
 		return "suspect"
 	case c.Limit != nil:
 		return "limit"
+	case c.Cold != nil:
+		return "cold"
 	}
 	return "read"
 }
@@ -160,6 +173,8 @@
 		changed = s.suspect(index, *c.Suspect)
 	case c.Limit != nil:
 		changed = s.limit(index, *c.Limit)
+	case c.Cold != nil:
+		changed = s.cold(index, *c.Cold)
 	default:
 		return Result{Failure: "empty command"}
 	}
@@ -219,6 +234,18 @@
 	return true
 }
 
+// cold records the warm-up of a registered incarnation that is warm by its registration.
+// It reports whether it did. The next heartbeats say when the warm-up is over.
+func (s *State) cold(index uint64, c Cold) bool {
+	n, ok := s.data.Servers[c.Server]
+	if !ok || n.Incarnation != c.Incarnation || n.ColdMillis > 0 || c.Millis <= 0 {
+		return false
+	}
+	n.ColdMillis, n.Index = c.Millis, index
+	s.data.Servers[c.Server] = n
+	return true
+}
+
 // isNewerThan reports whether n is of a later incarnation than old, or of the same
 // one with a higher sequence.
 func (n Server) isNewerThan(old Server) bool {
--- a/internal/control/fleet/fleet_test.go
+++ b/internal/control/fleet/fleet_test.go
@@ -255,3 +255,26 @@
 		t.Error("a late limit of the incarnation before changed the state")
 	}
 }
+
+// TestColdAgainUntilNextHeartbeat guards against a warm-up that instances hear of before the
+// heartbeat and that a late command begins anew, or for another incarnation.
+func TestColdAgainUntilNextHeartbeat(t *testing.T) {
+	r := newReplica()
+	cold := func(incarnation uint64) bool {
+		return r.apply(t, fleet.Command{Cold: &fleet.Cold{Server: "s", Incarnation: incarnation, Millis: 2500}}).Changed
+	}
+	r.register(t, server("s", "a:1", 5, 1))
+	if cold(4) {
+		t.Error("a warm-up of an earlier incarnation changed the state")
+	}
+	if !cold(5) || cold(5) {
+		t.Error("a warm-up changes the state not at all, or each time it is shared")
+	}
+	if n, _ := r.Server("s"); n.ColdMillis != 2500 {
+		t.Errorf("the warm-up is %d ms, want 2500", n.ColdMillis)
+	}
+	r.register(t, server("s", "a:1", 5, 2))
+	if n, _ := r.Server("s"); n.ColdMillis != 0 {
+		t.Error("the heartbeat of a warm backend server did not end its warm-up")
+	}
+}
--- a/internal/daemon/edge/build.go
+++ b/internal/daemon/edge/build.go
@@ -93,8 +93,8 @@
 	client := &peers.Client{}
 	e.replicator = &submit.Replicator{Submitter: &access.Client{Control: e.controlInstances, Caller: client}, Logger: p.Logger}
 	p.Suspects.Spread = e.replicator
-	e.limits = &submit.Limits{Submitter: e.replicator.Submitter, Logger: p.Logger}
-	p.Targets.Sharer = e.limits
+	e.reports = &submit.Reports{Submitter: e.replicator.Submitter, Logger: p.Logger}
+	p.Targets.Sharer = e.reports
 	e.follower = &follow.Follower{Self: p.Settings.Self, Seeds: p.Settings.Seeds, Caller: client, Publish: e.apply, Logger: p.Logger}
 	return e
 }
--- a/internal/daemon/edge/edge.go
+++ b/internal/daemon/edge/edge.go
@@ -74,7 +74,7 @@
 	logger     *slog.Logger
 	follower   *follow.Follower
 	replicator *submit.Replicator
-	limits     *submit.Limits
+	reports    *submit.Reports
 	targets    *health.Set
 	pool       *pool.Pool
 	proxy      *proxy.Proxy
@@ -118,8 +118,8 @@
 	e.group.Go(ctx, "follower", e.follower.Run)
 	e.group.Go(ctx, "replicator", e.replicator.Run)
 	e.group.Go(ctx, "tally", e.tally.Run)
-	e.group.Go(ctx, "limits", e.limits.Run)
-	e.group.Go(ctx, "limitsLog", func(ctx context.Context) error {
+	e.group.Go(ctx, "reports", e.reports.Run)
+	e.group.Go(ctx, "limits", func(ctx context.Context) error {
 		return timer.Every(ctx, logLimitsInterval, func(time.Time) { e.targets.LogLimits() })
 	})
 	e.group.Go(ctx, "pool", func(ctx context.Context) error { return timer.Every(ctx, expireInterval, e.pool.Expire) })
--- a/internal/dispatch/direct/limited_test.go
+++ b/internal/dispatch/direct/limited_test.go
@@ -116,17 +116,28 @@
 // shareDelay is the time in which a shared limit reaches the other instances.
 const shareDelay = 50 * time.Millisecond
 
-// sharer shares the rate limits that an instance hears of, unless it is cut off.
+// sharer shares what an instance hears from backend servers, unless it is cut off.
 type sharer struct {
 	fleet    *limitedFleet
 	instance int
 }
 
-// ShareLimit implements health.LimitSharer.
+// ShareLimit implements health.Sharer.
 func (s sharer) ShareLimit(n fleet.Server, said snipefront.RateLimit, source quota.Source) {
 	time.AfterFunc(shareDelay, func() { s.fleet.shareLimit(s.instance, n, said, source) })
 }
 
+// ShareCold implements health.Sharer.
+func (s sharer) ShareCold(n fleet.Server, left time.Duration) {
+	time.AfterFunc(shareDelay, func() {
+		s.fleet.update(func(v *fleet.View) {
+			current := v.Servers[n.Name]
+			current.ColdMillis = left.Milliseconds()
+			v.Servers[n.Name] = current
+		})
+	})
+}
+
 // shareLimit records a limit in the view of the fleet.
 func (f *limitedFleet) shareLimit(instance int, n fleet.Server, said snipefront.RateLimit, source quota.Source) {
 	f.mu.Lock()
--- a/internal/dispatch/health/limits.go
+++ b/internal/dispatch/health/limits.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/snipefront/snipefront"
-	"github.com/snipefront/snipefront/internal/control/fleet"
 	"github.com/snipefront/snipefront/internal/dispatch/quota"
 )
 
@@ -12,12 +11,6 @@
 // last without being shared anew.
 const sameLimitShare = 0.05
 
-// LimitSharer shares a rate limit with all other instances.
-type LimitSharer interface {
-	// ShareLimit shares what an answer of the given kind from n says. It doesn't block.
-	ShareLimit(n fleet.Server, said snipefront.RateLimit, source quota.Source)
-}
-
 // HearLimit records what an answer of t says of its rate limit, and shares it unless the
 // registration of t says the same. The request or load probe was sent at the given time.
 func (t *Target) HearLimit(sent time.Time, said quota.Statement, source quota.Source) {
--- a/internal/dispatch/health/set.go
+++ b/internal/dispatch/health/set.go
@@ -10,6 +10,7 @@
 	"github.com/snipefront/snipefront"
 	"github.com/snipefront/snipefront/internal/control/fleet"
 	"github.com/snipefront/snipefront/internal/control/owner"
+	"github.com/snipefront/snipefront/internal/dispatch/quota"
 	"github.com/snipefront/snipefront/internal/observe/status"
 )
 
@@ -18,13 +19,23 @@
 	Probe(t *Target) (Report, error)
 }
 
+// Sharer shares what this instance hears from backend servers with all others. Its methods
+// don't block.
+type Sharer interface {
+	// ShareLimit shares what an answer of the given kind from n says of its rate limit.
+	ShareLimit(n fleet.Server, said snipefront.RateLimit, source quota.Source)
+	// ShareCold shares that n is cold for the time left, though its registration says
+	// that it is warm.
+	ShareCold(n fleet.Server, left time.Duration)
+}
+
 // Set holds the targets of all services. Its zero value is empty. Update must be
 // called from one goroutine at a time; the other methods are safe for concurrent use.
 type Set struct {
 	// Self is this instance.
 	Self snipefront.Instance
-	// Sharer shares the rate limits that this instance hears of. It may be nil.
-	Sharer LimitSharer
+	// Sharer shares what this instance hears from backend servers. It may be nil.
+	Sharer Sharer
 	// Logger logs changes of rate limits. It may be nil.
 	Logger *slog.Logger
 
--- a/internal/dispatch/health/target.go
+++ b/internal/dispatch/health/target.go
@@ -300,4 +300,7 @@
 	t.backoff = 0
 	t.retryAt = time.Time{}
 	t.HearLimit(r.At, r.Limit, quota.Probe)
+	if r.Cold > 0 && t.Server.ColdMillis == 0 && t.set.Sharer != nil {
+		t.set.Sharer.ShareCold(t.Server, r.Cold)
+	}
 }
--- a/internal/request/submit/limits_test.go
+++ b/internal/request/submit/reports_test.go
@@ -16,14 +16,14 @@
 	"github.com/snipefront/snipefront/internal/request/submit"
 )
 
-// startLimits starts a Limits and returns it with a function that stops it.
-func startLimits(t *testing.T, s submit.Submitter) (*submit.Limits, func()) {
+// startReports starts a Reports and returns it with a function that stops it.
+func startReports(t *testing.T, s submit.Submitter) (*submit.Reports, func()) {
 	t.Helper()
-	l := &submit.Limits{Submitter: s, Logger: slog.New(slog.NewTextHandler(io.Discard, nil))}
+	r := &submit.Reports{Submitter: s, Logger: slog.New(slog.NewTextHandler(io.Discard, nil))}
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
-	go func() { ended <- l.Run(ctx) }()
-	return l, func() {
+	go func() { ended <- r.Run(ctx) }()
+	return r, func() {
 		cancel()
 		if err := <-ended; err != nil {
 			t.Error(err)
@@ -46,10 +46,10 @@
 func TestChangingLimitIsSubmittedSeldom(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := make(submitter, 1000)
-		l, stop := startLimits(t, s)
+		r, stop := startReports(t, s)
 		const changes = 500
 		for i := range changes {
-			l.ShareLimit(serverNamed("s"), limitOf(float64(i)), quota.Answer)
+			r.ShareLimit(serverNamed("s"), limitOf(float64(i)), quota.Answer)
 			time.Sleep(2 * time.Millisecond)
 		}
 		time.Sleep(time.Second)
@@ -76,13 +76,13 @@
 	return nil, errors.New("no quorum")
 }
 
-// TestSharingLimitsNeverBlocks guards against requests that wait for a control quorum that
-// does not answer, and against limits that pile up meanwhile.
-func TestSharingLimitsNeverBlocks(t *testing.T) {
+// TestSharingReportsNeverBlocks guards against requests that wait for a control quorum that
+// does not answer, and against reports that pile up meanwhile.
+func TestSharingReportsNeverBlocks(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		l, stop := startLimits(t, failing{})
+		r, stop := startReports(t, failing{})
 		for i := range 5000 {
-			l.ShareLimit(serverNamed(fmt.Sprint("s", i)), limitOf(1), quota.Answer)
+			r.ShareLimit(serverNamed(fmt.Sprint("s", i)), limitOf(1), quota.Answer)
 		}
 		time.Sleep(time.Second)
 		stop()
--- a/internal/request/submit/submit.go
+++ b/internal/request/submit/submit.go
@@ -1,6 +1,6 @@
 // Package submit shares what one instance learns with all others, through the replicated
 // state of the fleet: suspects, which are the requests in flight on crashed backend
-// servers, and the rate limits that backend servers name. An instance submits its own
+// servers, and reports of backend servers, their rate limits and warm-ups. An instance submits its own
 // records to the control quorum, and receives those of others with its view.
 package submit
 
