link: tell a late second answer from the answer to a load probe

Where a backend server repeats an answer late, on a connection that a load probe uses by then, the probe took that answer as its own: a repeated 500 made the backend server unhealthy, with the load and the rate limit of then. Callers were never given such an answer, since their requests have ids, but requests went to others for it.

A probe has no id, so an answer with one belongs to an earlier request. The connection is closed then, and the probe is sent again over a new one.

TestLateAnswerIsNoLoadReport fails before: running 9, unhealthy, limit 0.5.

--- a/internal/dispatch/link/link.go
+++ b/internal/dispatch/link/link.go
@@ -35,6 +35,10 @@
 // backend server signs its answers.
 var errUnsigned = errors.New("answer without the backend server's signature")
 
+// errLateAnswer means that the answer to a load probe, which has no id, has the id of a
+// request: it is a further answer to an earlier request on the connection.
+var errLateAnswer = errors.New("answer to an earlier request")
+
 // Counter counts load probes.
 type Counter interface {
 	Probed(service string, answered bool)
@@ -205,6 +209,10 @@
 	if err != nil {
 		return health.Report{}, err
 	}
+	if e.Response.Header.Get(l.Fields.RequestID) != "" {
+		c.Close()
+		return health.Report{}, errLateAnswer
+	}
 	if reusable {
 		l.putBack(c, t)
 	}
--- a/internal/dispatch/link/link_test.go
+++ b/internal/dispatch/link/link_test.go
@@ -80,6 +80,32 @@
 	}
 }
 
+// TestLateAnswerIsNoLoadReport guards against a second copy of an answer that arrives late,
+// on a connection over which a load probe has been sent since: it would count as the load,
+// the health and the rate limit of the backend server at that moment.
+func TestLateAnswerIsNoLoadReport(t *testing.T) {
+	const answer = "HTTP/1.1 500 Oops\r\nId: 7\r\nSignature: x\r\nLoad: 9,9,2,900\r\nLimit: 0.5\r\nContent-Length: 0\r\n\r\n"
+	var repeated atomic.Bool
+	l, target := startServer(t, func(c net.Conn, r *http.Request) {
+		switch {
+		case r.URL.Path != "/health":
+			fmt.Fprint(c, answer)
+		case !repeated.Swap(true):
+			fmt.Fprint(c, answer)
+			writeReport(c)
+		default:
+			writeReport(c)
+		}
+	})
+	if a := l.Send(t.Context(), call(), target); a.Response == nil {
+		t.Fatal(a.Err)
+	}
+	r, err := l.Probe(target)
+	if err != nil || !r.Known || r.Running != 1 || !r.Healthy || r.Limit.Named {
+		t.Errorf("the load report is %+v, %v; want the one that the backend server sent last", r, err)
+	}
+}
+
 // TestIdleConnectionsStayWithinShare guards against instances that together keep more idle
 // connections open than a backend server accepts, which resets those beyond.
 func TestIdleConnectionsStayWithinShare(t *testing.T) {
