direct, health: set parts of rate limits by the newest view, in one place

A change of a limit that is heard while a new view of the fleet is applied could set the part by the old view, which then stayed until the next change: two instances, or none, would have the part of a sender. Found in review; the part is set under a lock now, and set again after each view. The random commands of TestDeltasReproduceState have limits and warm-ups, too.

--- a/internal/control/fleet/fleet_test.go
+++ b/internal/control/fleet/fleet_test.go
@@ -195,7 +195,7 @@
 func randomCommand(t *rapid.T) fleet.Command {
 	name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name")
 	number := rapid.Uint64Range(1, 5).Draw(t, "number")
-	switch rapid.IntRange(0, 6).Draw(t, "kind") {
+	switch rapid.IntRange(0, 8).Draw(t, "kind") {
 	case 0:
 		return fleet.Command{Register: server(name, "h:"+name, number, rapid.Uint64Range(1, 9).Draw(t, "sequence"))}
 	case 1:
@@ -211,6 +211,12 @@
 		return fleet.Command{Serve: &fleet.Serve{DataCentre: name, Out: rapid.Bool().Draw(t, "out")}}
 	case 5:
 		return fleet.Command{Suspect: &fleet.Suspect{Fingerprint: number, Crashed: []poison.Server{{Name: name}}}}
+	case 6:
+		l := fleet.Limit{Server: name, Incarnation: number, Source: "answer"}
+		l.Named, l.PerSecond = rapid.Bool().Draw(t, "named"), float64(number)
+		return fleet.Command{Limit: &l}
+	case 7:
+		return fleet.Command{Cold: &fleet.Cold{Server: name, Incarnation: number, Millis: int64(number)}}
 	default:
 		return fleet.Command{Configure: &fleet.Document{Version: number, Source: []byte(name)}}
 	}
--- a/internal/dispatch/direct/choose.go
+++ b/internal/dispatch/direct/choose.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -34,11 +33,6 @@
 	// warmUpShare is the part of its warm-up rate at which a cold target is sent
 	// requests.
 	warmUpShare = 0.9
-	// lightShare is the share of slots in use up to which a target is lightly used.
-	lightShare = 0.5
-	// maxQuotaWait bounds the time after which a request that was refused for rate limits
-	// may come back.
-	maxQuotaWait = 2 * time.Second
 )
 
 // choice is the target with the lowest expected latency for a request. Its target is
@@ -131,46 +125,6 @@
 	return c.target != nil && float64(c.estimate) <= goodEnoughFactor*float64(base)
 }
 
-// lightlyLimited returns the targets of list whose rate limit has a request left for c and
-// keeps them lightly used. They come first, since few instances may send there, each
-// seldom.
-func (d *Dispatcher) lightlyLimited(c *Call, list []*health.Target, base time.Duration) []*health.Target {
-	var light []*health.Target
-	now := time.Now()
-	for _, t := range list {
-		l := t.RateLimit()
-		if l.Named && l.PerSecond*base.Seconds() <= lightShare*float64(t.Server.Slots) && t.HasQuota(now, c.Rank) {
-			light = append(light, t)
-		}
-	}
-	return light
-}
-
-// quotaWait returns the time until a rate limit has a request left for c, or until c may
-// come back if this instance has no part of any, and whether c has to wait for rate limits
-// alone.
-func (d *Dispatcher) quotaWait(now time.Time, c *Call, avoid map[string]bool) (wait time.Duration, limited bool) {
-	sum, soonest, hasPart := 0.0, time.Duration(math.MaxInt64), false
-	local, remote := d.eligible(c.Service, avoid)
-	for _, t := range append(local, remote...) {
-		l := t.RateLimit()
-		if !l.Named || t.HasQuota(now, c.Rank) {
-			return 0, false
-		}
-		sum += l.PerSecond
-		if wait, ok := t.QuotaWait(now, c.Rank); ok {
-			soonest, hasPart = min(soonest, wait), true
-		}
-	}
-	if len(local)+len(remote) == 0 {
-		return 0, false
-	}
-	if !hasPart {
-		soonest = time.Duration(float64(time.Second) / max(sum, 1/maxQuotaWait.Seconds()))
-	}
-	return min(soonest, maxQuotaWait), true
-}
-
 // eligible returns the local and the remote targets of a service, without those in
 // avoid and those in a backoff after a failed contact.
 func (d *Dispatcher) eligible(service string, avoid map[string]bool) (local, remote []*health.Target) {
--- a/internal/dispatch/health/limits.go
+++ b/internal/dispatch/health/limits.go
@@ -56,6 +56,8 @@
 
 // updatePart sets the part of the rate limit of t that this instance may use.
 func (s *Set) updatePart(now time.Time, t *Target) {
+	s.parts.Lock()
+	defer s.parts.Unlock()
 	c := s.current.Load()
 	l := t.quota.State().RateLimit
 	if c == nil || !l.Named {
--- a/internal/dispatch/health/set.go
+++ b/internal/dispatch/health/set.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -40,6 +41,9 @@
 	Logger *slog.Logger
 
 	current atomic.Pointer[targets]
+	// parts is held while current is replaced, and while the part of a rate limit is set
+	// by it, so that no part is set by an older one afterwards.
+	parts sync.Mutex
 }
 
 // targets is the immutable content of a Set after an Update.
@@ -76,7 +80,9 @@
 		}
 	}
 	slices.SortFunc(next.edges.Instances, func(a, b snipefront.Instance) int { return strings.Compare(a.Name, b.Name) })
+	s.parts.Lock()
 	s.current.Store(next)
+	s.parts.Unlock()
 	s.updateLimits(now, old, next)
 }
 
