--- a/internal/dispatch/direct/errors.go
+++ b/internal/dispatch/direct/errors.go
@@ -56,7 +56,7 @@
 		return snipefront.Refused(snipefront.ReasonNoBackendServer, retryAfter, "no backend server takes requests")
 	}
 	if quotaWait > 0 {
-		return snipefront.Refused(snipefront.ReasonOverload, max(retryAfter, quotaWait), "the rate limits of all backend servers are used up")
+		return snipefront.Refused(snipefront.ReasonRateLimit, max(retryAfter, quotaWait), "the rate limits of all backend servers are used up")
 	}
 	return snipefront.Refused(snipefront.ReasonOverload, retryAfter, "no backend server has room")
 }
--- a/internal/dispatch/direct/limited_test.go
+++ b/internal/dispatch/direct/limited_test.go
@@ -63,7 +63,10 @@
 }
 
 // refusal is a request that was refused.
-type refusal struct{ taken, retryAfter time.Duration }
+type refusal struct {
+	taken, retryAfter time.Duration
+	reason            snipefront.Reason
+}
 
 // limitedSize is the size of a limitedFleet. Slots are those of each backend server.
 type limitedSize struct{ instances, servers, slots int }
@@ -245,7 +248,7 @@
 			return
 		}
 		f.mu.Lock()
-		f.refusals[rank] = append(f.refusals[rank], refusal{taken: time.Since(sent), retryAfter: e.RetryAfter})
+		f.refusals[rank] = append(f.refusals[rank], refusal{taken: time.Since(sent), retryAfter: e.RetryAfter, reason: e.Reason})
 		f.mu.Unlock()
 		time.Sleep(min(e.RetryAfter, time.Until(end)/3))
 	}
--- a/internal/dispatch/direct/quota_test.go
+++ b/internal/dispatch/direct/quota_test.go
@@ -236,8 +236,8 @@
 		held := 0
 		for _, list := range f.refusals {
 			for _, r := range list {
-				if r.retryAfter <= 0 {
-					t.Fatalf("a request was refused without a time to come back: %+v", r)
+				if r.retryAfter <= 0 || r.reason != snipefront.ReasonRateLimit && r.reason != snipefront.ReasonOverload {
+					t.Fatalf("a request was refused without a time to come back, or for another reason: %+v", r)
 				}
 				if r.taken > 100*time.Millisecond {
 					held++
--- a/internal/dispatch/health/target.go
+++ b/internal/dispatch/health/target.go
@@ -39,6 +39,9 @@
 	// faultyThreshold is the fault share from which the status shows a target as
 	// faulty. A single fault stays below it.
 	faultyThreshold = 0.3
+	// minSharedCold is the remaining warm-up up to which it isn't shared: it would be over
+	// when the others learn of it.
+	minSharedCold = 100 * time.Millisecond
 	// coldBurst is the most requests that a cold target receives at once.
 	coldBurst = 1
 )
@@ -300,7 +303,7 @@
 	t.backoff = 0
 	t.retryAt = time.Time{}
 	t.HearLimit(r.At, r.Limit, quota.Probe)
-	if r.Cold > 0 && t.Server.ColdMillis == 0 && t.set.Sharer != nil {
+	if r.Cold > minSharedCold && t.Server.ColdMillis == 0 && t.set.Sharer != nil {
 		t.set.Sharer.ShareCold(t.Server, r.Cold)
 	}
 }
--- a/internal/stand/model/model.go
+++ b/internal/stand/model/model.go
@@ -10,7 +10,6 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -84,14 +83,6 @@
 	NoLimitIn quota.Source
 }
 
-// limitIn returns what an answer of the given kind says of the rate limit.
-func (c Condition) limitIn(source quota.Source) quota.Statement {
-	if source == c.NoLimitIn {
-		return quota.Statement{Readable: true}
-	}
-	return c.Limit
-}
-
 // Servers implements direct.Link with simulated servers of one service.
 type Servers struct {
 	// Behaviour is that of all servers.
@@ -112,12 +103,6 @@
 	MaxColdRate int
 }
 
-// Arrival is the arrival of a request or a probe at a server.
-type Arrival struct {
-	At    time.Time
-	Probe bool
-}
-
 // server is one simulated backend server.
 type server struct {
 	running, waiting int
@@ -201,27 +186,6 @@
 	}, nil
 }
 
-// arrive records the arrival of a request or probe. The lock is held.
-func (s *Servers) arrive(srv *server, probe bool) {
-	if s.RecordArrivals {
-		srv.arrivals = append(srv.arrivals, Arrival{At: time.Now(), Probe: probe})
-	}
-}
-
-// Arrivals returns the arrivals at the named server, in the order of time.
-func (s *Servers) Arrivals(name string) []Arrival {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return slices.Clone(s.byName(name).arrivals)
-}
-
-// condition returns the present condition of t.
-func (s *Servers) condition(t *health.Target) Condition {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.byName(t.Server.Name).condition
-}
-
 // Send implements direct.Link.
 func (s *Servers) Send(ctx context.Context, c *direct.Call, t *health.Target) direct.Attempt {
 	time.Sleep(s.Behaviour.Delay)
--- a/reason.go
+++ b/reason.go
@@ -23,6 +23,7 @@
 	ReasonClaimFull        Reason = "claim_full"
 	ReasonClaimMismatch    Reason = "claim_mismatch"
 	ReasonRetryBudget      Reason = "retry_budget"
+	ReasonRateLimit        Reason = "rate_limit"
 )
 
 // Reasons for retrying an attempt at another backend server or instance, or for ending
