health, direct: let late requests come last at a rate limit

Where all backend servers of a service are limited, callers that come back after a refusal, too late for their latency goal, took requests of the limits that others could have used in time.

A late request is now among the least urgent: it needs the half token that is kept for others.

--- a/internal/dispatch/direct/choose.go
+++ b/internal/dispatch/direct/choose.go
@@ -65,11 +65,11 @@
 		likelyMeetsGoal := ok && waited && !now.Add(d.estimator.medianLatency(c, best.estimate)).After(c.Goal)
 		goalReachable := now.Add(base).Before(c.Goal)
 		lateAllowed := ok && (likelyMeetsGoal || !goalReachable) && d.mayMissGoal(c, best)
-		if (meetsGoal || lateAllowed) && d.reserve(now, c, best.target) {
+		if (meetsGoal || lateAllowed) && d.reserve(now, c, base, best.target) {
 			d.estimator.recordStart(c, meetsGoal)
 			return best, true
 		}
-		if wait, limited := d.quotaWait(now, c, avoid); limited && now.Add(wait).Add(base).After(c.Goal) {
+		if wait, limited := d.quotaWait(now, c, base, avoid); limited && now.Add(wait).Add(base).After(c.Goal) {
 			d.Logger.Info("rate limits of all targets are used up", "request", c.ID, "route", c.Route, "service", c.Service, "rank", c.Rank, "goalIn", time.Until(c.Goal), "wait", wait)
 			return choice{quotaWait: wait}, false
 		}
@@ -162,6 +162,7 @@
 func (d *Dispatcher) fastest(c *Call, list []*health.Target, base time.Duration) choice {
 	var best choice
 	now := time.Now()
+	priority := c.priority(now, base)
 	occupied, slots := 0, 0
 	for _, t := range list {
 		s := t.Snapshot(now)
@@ -174,7 +175,7 @@
 		if !ok || best.target != nil && estimate >= best.estimate || !t.Available(now) {
 			continue
 		}
-		if !t.HasQuota(now, c.Rank) {
+		if !t.HasQuota(now, priority) {
 			t.SkipForQuota()
 			continue
 		}
@@ -188,8 +189,8 @@
 }
 
 // reserve reserves c at t and reports whether t may receive it.
-func (d *Dispatcher) reserve(now time.Time, c *Call, t *health.Target) bool {
-	return t.Reserve(now, t.Profile.WarmUpRate*warmUpShare, c.Rank)
+func (d *Dispatcher) reserve(now time.Time, c *Call, base time.Duration, t *health.Target) bool {
+	return t.Reserve(now, t.Profile.WarmUpRate*warmUpShare, c.priority(now, base))
 }
 
 // sample returns at most n targets of list, chosen uniformly at random. It reorders
--- a/internal/dispatch/direct/limited_test.go
+++ b/internal/dispatch/direct/limited_test.go
@@ -50,8 +50,10 @@
 	isCutOff map[int]bool
 	// named holds the limits of each backend server, in the order of time.
 	named map[string][]namedLimit
-	// requests and answered count the requests and the answered ones, by rank.
+	// requests and answered count the requests and the answered ones, by rank, and inGoal
+	// those that were answered within the latency goal of their caller.
 	requests, answered [2]int
+	inGoal             int
 	// refusals holds the refusals, by rank.
 	refusals [2][]refusal
 }
@@ -234,13 +236,16 @@
 	for range 2 {
 		sent := time.Now()
 		_, err := f.receive(rank).Serve(context.Background(), &direct.Call{
-			ID: "r", Route: f.routing.Routes[rank].Name, Attempts: 2, Rank: rank, Goal: begun.Add(400 * time.Millisecond),
+			ID: "r", Route: f.routing.Routes[rank].Name, Attempts: 2, Rank: rank, Goal: begun.Add(callerGoal),
 			Request: &snipefront.Request{Service: service, Idempotent: true, Deadline: end},
 		})
 		if err == nil {
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			f.answered[rank]++
+			if time.Since(begun) <= callerGoal {
+				f.inGoal++
+			}
 			return
 		}
 		var e *snipefront.Error
@@ -254,6 +259,9 @@
 	}
 }
 
+// callerGoal is the latency goal of the callers, from their first attempt on.
+const callerGoal = 400 * time.Millisecond
+
 // receive counts a request and returns a random instance.
 func (f *limitedFleet) receive(rank int) *direct.Dispatcher {
 	f.mu.Lock()
--- a/internal/dispatch/direct/quota_test.go
+++ b/internal/dispatch/direct/quota_test.go
@@ -209,7 +209,7 @@
 // TestRequestsBeyondAllRateLimits has all backend servers name limits that allow less than
 // half of the requests. It guards against requests that are held though no limit has room
 // for them in time, against refusals that don't say when to come back, and against less
-// urgent requests that take the place of more urgent ones.
+// urgent requests, or late ones, that take the place of others.
 func TestRequestsBeyondAllRateLimits(t *testing.T) {
 	const perSecond = 2
 	servers := smallFleet.servers
@@ -233,6 +233,9 @@
 		if background > urgent/2 {
 			t.Errorf("%.2f of the urgent and %.2f of the background requests answered, want the urgent ones first", urgent, background)
 		}
+		if inTime := float64(f.inGoal) / float64(f.answered[0]+f.answered[1]); inTime < 0.9 {
+			t.Errorf("%.2f of the answers are in time, want 0.9: requests that can't be in time any more come last", inTime)
+		}
 		held := 0
 		for _, list := range f.refusals {
 			for _, r := range list {
--- a/internal/dispatch/direct/run.go
+++ b/internal/dispatch/direct/run.go
@@ -96,11 +96,12 @@
 	for n := range p.avoid {
 		avoid[n] = true
 	}
-	second, ok := d.bestTarget(ctx, c, d.estimator.baseLatency(c), avoid)
+	base := d.estimator.baseLatency(c)
+	second, ok := d.bestTarget(ctx, c, base, avoid)
 	if !ok || !staysBelowBusy(second.snapshot) || time.Now().Add(second.estimate).After(c.Deadline) {
 		return false
 	}
-	if !d.spend(c) || !d.reserve(time.Now(), c, second.target) {
+	if !d.spend(c) || !d.reserve(time.Now(), c, base, second.target) {
 		return false
 	}
 	d.Counter.Retried(c.Service, snipefront.ReasonHedge)
--- a/internal/dispatch/health/health_test.go
+++ b/internal/dispatch/health/health_test.go
@@ -142,7 +142,7 @@
 			}
 			warming++
 			for range 1000 {
-				if target.Reserve(time.Now(), target.Profile.WarmUpRate, 0) {
+				if target.Reserve(time.Now(), target.Profile.WarmUpRate, health.Priority{}) {
 					accepted++
 				}
 				time.Sleep(time.Millisecond)
@@ -193,7 +193,7 @@
 		return t
 	}
 	first := update(func(*fleet.Server) {})
-	first.Reserve(time.Now(), 0, 0)
+	first.Reserve(time.Now(), 0, health.Priority{})
 	if t2 := update(func(n *fleet.Server) { n.Sequence = 9 }); t2 == nil || t2.Snapshot(time.Now()).Running != 1 {
 		t.Error("counts were lost with a heartbeat")
 	}
@@ -232,7 +232,7 @@
 func TestFaultShareDecaysWithoutRequests(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		_, target := newSet("e1", func(*fleet.Server) {})
-		target.Reserve(time.Now(), 0, 0)
+		target.Reserve(time.Now(), 0, health.Priority{})
 		target.Done(time.Now(), health.Faulty)
 		first := target.Snapshot(time.Now()).Faults
 		time.Sleep(15 * time.Second)
--- a/internal/dispatch/health/limits.go
+++ b/internal/dispatch/health/limits.go
@@ -69,12 +69,20 @@
 // RateLimit returns the rate limit of t as this instance knows it.
 func (t *Target) RateLimit() snipefront.RateLimit { return t.quota.State().RateLimit }
 
-// HasQuota reports whether Reserve would admit a request of that rank by the rate limit.
-func (t *Target) HasQuota(now time.Time, rank int) bool { return t.quota.Allows(now, t.urgency(rank)) }
+// Priority is the place of a request among those that want the same target.
+type Priority struct {
+	// Rank is the rank of the route. 0 is the most important.
+	Rank int
+	// Late is true if the request can't meet its latency goal any more.
+	Late bool
+}
+
+// HasQuota reports whether Reserve would admit a request by the rate limit.
+func (t *Target) HasQuota(now time.Time, p Priority) bool { return t.quota.Allows(now, t.urgency(p)) }
 
 // QuotaWait returns the time until HasQuota is true, and false if that is never.
-func (t *Target) QuotaWait(now time.Time, rank int) (time.Duration, bool) {
-	return t.quota.Wait(now, t.urgency(rank))
+func (t *Target) QuotaWait(now time.Time, p Priority) (time.Duration, bool) {
+	return t.quota.Wait(now, t.urgency(p))
 }
 
 // SkipForQuota counts a choice that passed over t because of its rate limit.
@@ -83,11 +91,15 @@
 // ChargeProbe counts a probe of t that can't wait for the rate limit.
 func (t *Target) ChargeProbe(now time.Time) { t.quota.ChargeProbe(now) }
 
-// urgency returns the urgency of requests with that rank among those for the service.
-func (t *Target) urgency(rank int) quota.Urgency {
+// urgency returns the urgency of a request among those for the service. A late request is
+// among the least urgent, since its answer has lost most of its value.
+func (t *Target) urgency(p Priority) quota.Urgency {
+	if p.Late {
+		return 1
+	}
 	lower := 0
 	for _, r := range t.ranks {
-		if r < rank {
+		if r < p.Rank {
 			lower++
 		}
 	}
--- a/internal/dispatch/health/target.go
+++ b/internal/dispatch/health/target.go
@@ -180,14 +180,14 @@
 	return t.coldTokens.HasToken(now, rate, coldBurst)
 }
 
-// Reserve counts a request of the given rank as sent and reports whether t may receive
+// Reserve counts a request of the given priority as sent and reports whether t may receive
 // it. It admits at most rate requests per second to a cold target, and no more than this
 // instance's part of a rate limit.
-func (t *Target) Reserve(now time.Time, rate float64, rank int) bool {
+func (t *Target) Reserve(now time.Time, rate float64, p Priority) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	cold := t.isCold(now)
-	if cold && !t.coldTokens.HasToken(now, rate, coldBurst) || !t.quota.Take(now, t.urgency(rank)) {
+	if cold && !t.coldTokens.HasToken(now, rate, coldBurst) || !t.quota.Take(now, t.urgency(p)) {
 		return false
 	}
 	if cold {
