fleet: keep a backend server out whose deregistration overtakes its first heartbeat

A backend server that had left was in use again, until its heartbeats had been missing for 20 s: where its deregistration was committed before its first heartbeat, nothing recorded it, and the heartbeat, which may arrive seconds late, registered it. The same for a deregistration that arrives while the incarnation before it is still registered.

The deregistration is recorded with its incarnation now, whether that has registered or not; the record already keeps out late heartbeats.

TestDeregistrationOvertakesFirstHeartbeat fails before, in both cases.

--- a/internal/control/fleet/command.go
+++ b/internal/control/fleet/command.go
@@ -214,9 +214,12 @@
 }
 
 // deregister removes the incarnation that n names, or any if it names none. It
-// reports whether it removed one.
+// reports whether that changed the state.
 func (s *State) deregister(index uint64, n Server) bool {
 	old, ok := s.data.Servers[n.Name]
+	if n.Incarnation > old.Incarnation {
+		return s.deregisterEarly(index, n)
+	}
 	if !ok || n.Incarnation != 0 && n.Incarnation != old.Incarnation {
 		return false
 	}
@@ -228,6 +231,17 @@
 	return true
 }
 
+// deregisterEarly records the deregistration of an incarnation that has overtaken its first
+// heartbeat, so that the heartbeat doesn't register it any more. It reports whether that
+// is new.
+func (s *State) deregisterEarly(index uint64, n Server) bool {
+	if n.Expired || s.isDeregistered(n) {
+		return false
+	}
+	s.remove(Removal{Index: index, Server: n.Name, Incarnation: n.Incarnation})
+	return true
+}
+
 // isDeregistered reports whether this incarnation of n, or a later one, has
 // deregistered itself.
 func (s *State) isDeregistered(n Server) bool {
--- a/internal/control/fleet/fleet_test.go
+++ b/internal/control/fleet/fleet_test.go
@@ -105,6 +105,31 @@
 	}
 }
 
+// TestDeregistrationOvertakesFirstHeartbeat guards against a backend server that has left
+// and is in use again: its deregistration was acknowledged before its first heartbeat
+// arrived, or while the incarnation before it was registered.
+func TestDeregistrationOvertakesFirstHeartbeat(t *testing.T) {
+	for name, before := range map[string]*fleet.Server{"not registered": nil, "earlier incarnation registered": server("s", "a:1", 4, 9)} {
+		t.Run(name, func(t *testing.T) {
+			r := newReplica()
+			if before != nil {
+				r.register(t, before)
+			}
+			r.apply(t, fleet.Command{Deregister: server("s", "", 5, 0)})
+			r.register(t, server("s", "a:1", 5, 1))
+			if n, ok := r.Server("s"); ok {
+				t.Errorf("incarnation %d is registered after incarnation 5 has left", n.Incarnation)
+			}
+			if r.apply(t, fleet.Command{Deregister: server("s", "", 5, 0)}).Changed {
+				t.Error("the same deregistration changes the state again")
+			}
+			if !r.register(t, server("s", "a:1", 6, 1)) {
+				t.Error("the next incarnation can't register")
+			}
+		})
+	}
+}
+
 // TestLateRegistrationIsIgnored guards against a registration that an instance sent to
 // its previous control instance and that arrives late: it must not replace the one
 // sent to the current control instance.
