--- a/internal/dispatch/direct/limitsoak_test.go
+++ b/internal/dispatch/direct/limitsoak_test.go
@@ -109,7 +109,8 @@
 				const length = 40 * time.Second
 				for at := time.Duration(0); at < length; at += time.Duration(random.Int64N(int64(1200 * time.Millisecond))) {
 					event := soakEvents[random.IntN(len(soakEvents))]
-					time.AfterFunc(at, func() { event(f, random) })
+					details := rand.New(rand.NewPCG(seed, uint64(at)))
+					time.AfterFunc(at, func() { event(f, details) })
 				}
 				f.run(t, length, 150)
 				f.checkLimits(t)
