pipe: don't close a connection as idle while its answer is being written

Around a planned stop of an edge, a request that had run could be cut off without an answer: when the listener is closed, connections without a pending request are closed, and an answer counted as given just before it was written.

A request is pending until its answer is written now. A connection that lingers after its last answer is left to close by itself, so that the caller gets it.

TestAnswerBeingWrittenIsNotCutOff fails before: the connection counts as idle, and the answer ends after one byte.

--- a/internal/entry/pipe/conn.go
+++ b/internal/entry/pipe/conn.go
@@ -32,7 +32,7 @@
 	reader  *bufio.Reader
 
 	mu sync.Mutex
-	// pending is the number of requests without an answer.
+	// pending is the number of requests whose answer is not written completely.
 	pending int
 	// closing is true once the connection closes after the pending answers. No
 	// further request is admitted, so the caller can safely resend it elsewhere.
@@ -108,24 +108,30 @@
 	return true
 }
 
-// finish counts an answer and reports whether it is the last one of the connection.
-// closes is the Close field of the answer.
-func (c *conn) finish(closes bool) bool {
+// isLast reports whether the answer that is written next is the last one of the
+// connection. closes is the Close field of the answer.
+func (c *conn) isLast(closes bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.pending--
-	if c.pending == 0 && (closes || c.server.draining.Load()) {
+	if c.pending == 1 && (closes || c.server.draining.Load()) {
 		c.closing = true
 	}
-	return c.closing && c.pending == 0
+	return c.closing && c.pending == 1
+}
+
+// finish counts an answer that has been written, or can't be any more.
+func (c *conn) finish() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pending--
 }
 
 // closeIfIdle closes the connection if it has no pending request, and reports whether
-// it did.
+// it did. A connection that closes after its last answer does so by itself.
 func (c *conn) closeIfIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.pending > 0 {
+	if c.pending > 0 || c.closing {
 		return false
 	}
 	c.closing = true
@@ -243,7 +249,8 @@
 
 // writeAnswer writes one answer and reports whether another may follow.
 func (c *conn) writeAnswer(r *http.Request, a Answer) bool {
-	last := c.finish(a.Close)
+	defer c.finish()
+	last := c.isLast(a.Close)
 	_ = c.SetWriteDeadline(time.Now().Add(writeTimeout)) // fails only if the connection is closed
 	b := net.Buffers{formatHead(r, a, last)}
 	if len(a.Body) > 0 && r.Method != http.MethodHead {
--- a/internal/entry/pipe/pipe_test.go
+++ b/internal/entry/pipe/pipe_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -190,3 +191,49 @@
 	default:
 	}
 }
+
+// oneConn is a listener with one connection.
+type oneConn struct {
+	net.Listener
+	conns chan net.Conn
+}
+
+// Accept implements net.Listener.
+func (l oneConn) Accept() (net.Conn, error) {
+	if c, ok := <-l.conns; ok {
+		return c, nil
+	}
+	return nil, net.ErrClosed
+}
+
+// TestAnswerBeingWrittenIsNotCutOff guards against a planned stop that closes a connection
+// as idle while the last answer on it is being written: the request has run, and its
+// caller gets no answer.
+func TestAnswerBeingWrittenIsNotCutOff(t *testing.T) {
+	// A write to an end of net.Pipe waits until the other end is read.
+	near, far := net.Pipe()
+	l := oneConn{conns: make(chan net.Conn, 1)}
+	l.conns <- near
+	s := &pipe.Server{Handler: handler(echo), Limits: func() snipefront.CallerLimits { return limits }, Logger: slog.New(slog.NewTextHandler(io.Discard, nil))}
+	ended := make(chan error, 1)
+	go func() { ended <- s.Serve(context.Background(), l) }()
+	fmt.Fprint(far, "GET /1 HTTP/1.1\r\nHost: x\r\n\r\n")
+	b := bufio.NewReaderSize(far, 1)
+	first, err := b.ReadByte()
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Drain()
+	if n := s.CloseIdle(); n != 1 {
+		t.Errorf("%d connections are busy while an answer is being written, want 1", n)
+	}
+	whole := bufio.NewReader(io.MultiReader(strings.NewReader(string(first)), b))
+	if r, err := http.ReadResponse(whole, nil); err != nil || r.Header.Get("Path") != "/1" {
+		t.Errorf("the answer is %v, %v; want the whole one", r, err)
+	}
+	far.Close()
+	close(l.conns)
+	if err := <-ended; err != nil && !errors.Is(err, net.ErrClosed) {
+		t.Error(err)
+	}
+}
