poison, direct, submit: log and count what is known of each suspect

Where callers send a request again and again that crashes backend servers, the logs had one line for the instance that saw a crash, and none for what others had learned of it, when a quarantine began, whether a resend was let through on purpose, or why a suspicion ended. Nothing could tell the hypotheses apart: quarantines lifted by crashes elsewhere, crashes that nobody recognized, or news that came late.

Each change of a register is now a line and a count (snipefront_suspects_total), with the crashes that count and their age; each decision on a suspect is a line with the caller's id; a record that was shared says how long that took. No logic changes.

--- a/internal/daemon/edge/build.go
+++ b/internal/daemon/edge/build.go
@@ -44,7 +44,9 @@
 	return &health.Set{Self: s.Self.Instance, Logger: logger}
 }
 
-func newSuspects() *poison.Register { return &poison.Register{} }
+func newSuspects(counters *stats.Stats, logger *slog.Logger) *poison.Register {
+	return &poison.Register{Counter: counters, Logger: logger}
+}
 
 func newPool() *pool.Pool { return &pool.Pool{} }
 
--- a/internal/daemon/module/module.go
+++ b/internal/daemon/module/module.go
@@ -124,7 +124,9 @@
 	return &access.Client{Control: func() []snipefront.Instance { return members }, Caller: client}
 }
 
-func newSuspects() *poison.Register { return &poison.Register{} }
+func newSuspects(counters *stats.Stats, logger *slog.Logger) *poison.Register {
+	return &poison.Register{Counter: counters, Logger: logger}
+}
 
 func newBroadcaster(instance snipefront.Instance, m *member.Member, suspects *poison.Register, client *peers.Client, counters *stats.Stats, logger *slog.Logger) *fanout.Broadcaster {
 	b := &fanout.Broadcaster{
--- a/internal/dispatch/direct/direct.go
+++ b/internal/dispatch/direct/direct.go
@@ -103,8 +103,8 @@
 		if time.Until(c.Deadline) < minAttemptTime || ctx.Err() != nil {
 			return d.finish(c, &p, timeoutError(ctx, &p))
 		}
-		if admission, left := d.Poison.Admit(time.Now(), c.Fingerprint); admission == poison.Quarantined {
-			return d.finish(c, &p, withVerdict(poison.Refusal(left), p.verdict))
+		if e := d.admit(c); e != nil {
+			return d.finish(c, &p, withVerdict(e, p.verdict))
 		}
 		chosen, ok := d.choose(ctx, c, p.avoid)
 		if !ok {
@@ -127,6 +127,23 @@
 	}
 }
 
+// admit returns nil if c may run, or the refusal of c if it is quarantined. It logs each
+// decision on a suspect with what decided it.
+func (d *Dispatcher) admit(c *Call) *snipefront.Error {
+	now := time.Now()
+	admission, left := d.Poison.Admit(now, c.Fingerprint)
+	if admission == poison.Clear {
+		return nil
+	}
+	evidence, _ := d.Poison.Evidence(now, c.Fingerprint)
+	if admission == poison.Quarantined {
+		d.Logger.Info("quarantined request refused", "request", c.ID, "fingerprint", c.Fingerprint, "retryAfter", left, "evidence", evidence)
+		return poison.Refusal(left)
+	}
+	d.Logger.Info("suspect admitted", "request", c.ID, "fingerprint", c.Fingerprint, "evidence", evidence)
+	return nil
+}
+
 // PoisonServer returns the key by which package poison records the incarnation of n.
 func PoisonServer(n fleet.Server) poison.Server {
 	return poison.Server{Service: n.Service, DataCentre: n.DataCentre, Name: n.Name, Incarnation: n.Incarnation}
--- a/internal/observe/stats/stats.go
+++ b/internal/observe/stats/stats.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
 	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/request/poison"
 )
 
 // Stats holds the metrics of requests, probes, suspects and control calls.
@@ -23,6 +24,7 @@
 	probes   *prometheus.CounterVec
 	latency  *prometheus.HistogramVec
 	unshared prometheus.Counter
+	suspects *prometheus.CounterVec
 	control  *prometheus.CounterVec
 	changes  *prometheus.HistogramVec
 }
@@ -69,6 +71,10 @@
 			Name: "snipefront_suspects_unshared_total",
 			Help: "Requests under which a backend server fell that were not shared with an instance.",
 		}),
+		suspects: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "snipefront_suspects_total",
+			Help: "Changes of what is known of requests that were in flight on crashed backend servers, by event.",
+		}, []string{"event"}),
 		control: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "snipefront_control_bytes_total",
 			Help: "Bytes of the connections that carry the control service, by direction.",
@@ -80,7 +86,7 @@
 		Buckets: prometheus.ExponentialBuckets(0.001, 2, 12),
 	}, []string{"kind", "committed"})
 	s.registry.MustRegister(s.changes)
-	s.registry.MustRegister(s.answers, s.refusals, s.retries, s.requests, s.attempts, s.denied, s.probes, s.latency, s.unshared, s.control)
+	s.registry.MustRegister(s.answers, s.refusals, s.retries, s.requests, s.attempts, s.denied, s.probes, s.latency, s.unshared, s.suspects, s.control)
 	s.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return s
 }
@@ -140,6 +146,11 @@
 	s.denied.WithLabelValues(service).Inc()
 }
 
+// Suspect implements poison.Counter.
+func (s *Stats) Suspect(e poison.Event) {
+	s.suspects.WithLabelValues(string(e)).Inc()
+}
+
 // SuspectsUnshared counts suspects that were dropped before all instances received
 // them.
 func (s *Stats) SuspectsUnshared(records int) {
--- /dev/null
+++ b/internal/request/poison/events.go
@@ -0,0 +1,89 @@
+package poison
+
+import (
+	"fmt"
+	"log/slog"
+	"time"
+)
+
+// Event is a change of what an instance knows of suspects. Its value is a label of
+// metrics.
+type Event string
+
+// The events.
+const (
+	// EventCrash is a crash that this instance saw with a request in flight.
+	EventCrash Event = "crash"
+	// EventLearned is such a crash that another instance saw.
+	EventLearned Event = "learned"
+	// EventQuarantined is the begin of a quarantine.
+	EventQuarantined Event = "quarantined"
+	// EventReleased is the end of a suspicion or a quarantine before its time.
+	EventReleased Event = "released"
+	// EventExpired is the end of a suspicion or a quarantine by its time.
+	EventExpired Event = "expired"
+	// EventEvicted is a suspect that was dropped for lack of space.
+	EventEvicted Event = "evicted"
+)
+
+// Counter counts events.
+type Counter interface {
+	Suspect(e Event)
+}
+
+// Evidence is what an instance knows of a suspect.
+type Evidence struct {
+	// Crashed holds the backend servers that crashed with the request in flight.
+	Crashed []Server
+	// Age is the time since this instance learned of the last crash.
+	Age time.Duration
+	// Left is the time until the suspicion expires.
+	Left time.Duration
+}
+
+// LogValue implements slog.LogValuer.
+func (e Evidence) LogValue() slog.Value {
+	text := fmt.Sprintf("crashes=%d age=%v left=%v", len(e.Crashed), e.Age.Round(time.Millisecond), e.Left.Round(time.Millisecond))
+	for _, s := range e.Crashed {
+		text += fmt.Sprintf(" %s/%d", s.Name, s.Incarnation)
+	}
+	return slog.StringValue(text)
+}
+
+// Evidence returns what is known of the request f, and false if it is no suspect.
+func (g *Register) Evidence(now time.Time, f uint64) (Evidence, bool) {
+	if g == nil || !g.active.Load() {
+		return Evidence{}, false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	e := g.suspects[f]
+	if e == nil || !now.Before(e.expires) {
+		return Evidence{}, false
+	}
+	return e.evidence(now), true
+}
+
+// evidence returns what is known of the suspect.
+func (e *suspect) evidence(now time.Time) Evidence {
+	return Evidence{Crashed: append([]Server(nil), e.crashed...), Age: now.Sub(e.lastCrash), Left: e.expires.Sub(now)}
+}
+
+// report counts and logs an event of the suspect f. The lock is held.
+func (g *Register) report(now time.Time, event Event, why string, f uint64, e *suspect) {
+	if g.Counter != nil {
+		g.Counter.Suspect(event)
+	}
+	if g.Logger != nil {
+		g.Logger.Info("suspect "+string(event), "fingerprint", f, "why", why, "evidence", e.evidence(now))
+	}
+}
+
+// reportCrash reports that s crashed with the suspect f in flight and, if that begins a
+// quarantine, reports this, too. The lock is held.
+func (g *Register) reportCrash(now time.Time, event Event, f uint64, e *suspect, s Server) {
+	g.report(now, event, s.Name, f, e)
+	if len(e.crashed) == crashLimit {
+		g.report(now, EventQuarantined, "second crash", f, e)
+	}
+}
--- a/internal/request/poison/outage.go
+++ b/internal/request/poison/outage.go
@@ -33,8 +33,9 @@
 // outageWindow, since the outage is their cause. The requests stay suspects. The lock
 // is held.
 func (g *Register) releaseQuarantined(now time.Time) {
-	for _, e := range g.suspects {
+	for f, e := range g.suspects {
 		if len(e.crashed) >= crashLimit && now.Sub(e.quarantinedAt) < outageWindow {
+			g.report(now, EventReleased, "outage", f, e)
 			e.crashed = e.crashed[:crashLimit-1]
 			e.expires = now.Add(suspectTime)
 		}
--- a/internal/request/poison/poison.go
+++ b/internal/request/poison/poison.go
@@ -18,6 +18,7 @@
 package poison
 
 import (
+	"log/slog"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -52,6 +53,9 @@
 type Register struct {
 	// Spread shares new suspects with other instances. It may be nil.
 	Spread Sharer
+	// Counter counts events of suspects, and Logger logs them. Either may be nil.
+	Counter Counter
+	Logger  *slog.Logger
 
 	// active is false while there are no suspects and no broken connections.
 	active atomic.Bool
@@ -71,6 +75,8 @@
 	// crashed holds each incarnation once.
 	crashed []Server
 	expires time.Time
+	// lastCrash is when this instance learned of the last crash.
+	lastCrash time.Time
 	// quarantinedAt is the time of the last crash that began or confirmed a quarantine.
 	quarantinedAt time.Time
 }
@@ -114,6 +120,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if e := g.suspects[f]; e != nil && len(e.crashed) < crashLimit {
+		g.report(time.Now(), EventReleased, "answered", f, e)
 		delete(g.suspects, f)
 	}
 }
@@ -132,7 +139,7 @@
 		case !now.Before(b.expires):
 		case !ended(b.server):
 			kept = append(kept, b)
-		case g.addCrash(now, b.fingerprint, b.server, 0):
+		case g.addCrash(now, b.fingerprint, b.server, EventCrash, 0):
 			changed = append(changed, g.record(now, b.fingerprint))
 		case len(g.recentCrashes) >= outageCrashes:
 			changed = append(changed, Record{Fingerprint: b.fingerprint, Fallen: []Server{b.server}, Left: suspectTime})
@@ -143,9 +150,10 @@
 }
 
 // addCrash adds s to the crashed backend servers of the suspect f and reports whether
-// it did. In an outage it adds no second crash. The suspect lasts for the time left at
+// it did. In an outage it adds no second crash. The event is EventCrash if this instance
+// saw the crash, and EventLearned otherwise. The suspect lasts for the time left at
 // least, or for its full lifetime if left is zero. The lock is held.
-func (g *Register) addCrash(now time.Time, f uint64, s Server, left time.Duration) bool {
+func (g *Register) addCrash(now time.Time, f uint64, s Server, event Event, left time.Duration) bool {
 	g.activate()
 	e := g.suspects[f]
 	if e == nil || !now.Before(e.expires) {
@@ -162,13 +170,16 @@
 	if g.recordCrash(now, s) {
 		g.releaseQuarantined(now)
 		if len(e.crashed) >= crashLimit-1 {
+			g.report(now, event, "not added: part of an outage, "+s.Name, f, e)
 			return false
 		}
 	}
 	e.crashed = append(e.crashed, s)
+	e.lastCrash = now
 	if len(e.crashed) >= crashLimit {
 		e.quarantinedAt = now
 	}
+	defer func() { g.reportCrash(now, event, f, e, s) }()
 	if left == 0 {
 		left = RecordLifetime(len(e.crashed))
 	}
@@ -201,6 +212,7 @@
 			earliest, expires = f, e.expires
 		}
 	}
+	g.report(now, EventEvicted, "no space", earliest, g.suspects[earliest])
 	delete(g.suspects, earliest)
 }
 
@@ -209,6 +221,7 @@
 	g.lastSweep = now
 	for f, e := range g.suspects {
 		if !now.Before(e.expires) {
+			g.report(now, EventExpired, "time", f, e)
 			delete(g.suspects, f)
 		}
 	}
--- a/internal/request/poison/share.go
+++ b/internal/request/poison/share.go
@@ -50,7 +50,7 @@
 func (g *Register) merge(now time.Time, r Record) {
 	left := min(r.Left, quarantineTime)
 	for _, s := range r.Fallen {
-		isNew := g.addCrash(now, r.Fingerprint, s, left)
+		isNew := g.addCrash(now, r.Fingerprint, s, EventLearned, left)
 		if e := g.suspects[r.Fingerprint]; isNew && len(e.crashed) >= crashLimit && len(r.Fallen) < crashLimit {
 			e.expires = now.Add(quarantineTime)
 		}
--- a/internal/request/submit/submit.go
+++ b/internal/request/submit/submit.go
@@ -8,6 +8,7 @@
 	"context"
 	"log/slog"
 	"sync"
+	"time"
 
 	"github.com/snipefront/snipefront/internal/control/fleet"
 	"github.com/snipefront/snipefront/internal/request/poison"
@@ -43,7 +44,7 @@
 	select {
 	case r.queue <- record:
 	default:
-		r.Logger.Warn("suspect dropped since the queue is full; other instances do not receive it", "fingerprint", record.Fingerprint, "queued", maxQueue)
+		r.Logger.Warn("suspect dropped since the queue is full; other instances do not receive it", "fingerprint", record.Fingerprint, "crashes", len(record.Fallen), "queued", maxQueue)
 	}
 }
 
@@ -70,11 +71,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, poison.RecordLifetime(len(record.Fallen)))
 	defer cancel()
+	begun := time.Now()
 	if _, err := r.Submitter.Submit(ctx, b); err != nil {
-		r.Logger.Warn("could not submit a suspect; other instances may not receive it", "fingerprint", record.Fingerprint, "error", err)
+		r.Logger.Warn("could not submit a suspect; other instances may not receive it", "fingerprint", record.Fingerprint, "taken", time.Since(begun), "error", err)
 		return
 	}
-	r.Logger.Info("suspect shared", "fingerprint", record.Fingerprint, "fallen", len(record.Fallen))
+	r.Logger.Info("suspect shared", "fingerprint", record.Fingerprint, "crashes", len(record.Fallen), "taken", time.Since(begun), "queued", len(r.queue))
 }
 
 // Records returns the records of v that changed after index. Each is valid for its full
