--- a/internal/control/fleet/suspect.go
+++ b/internal/control/fleet/suspect.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "slices"
+import (
+	"slices"
+
+	"github.com/snipefront/snipefront/internal/request/poison"
+)
 
 // maxSuspects is the number of suspects that are kept. The oldest are dropped first.
 const maxSuspects = 256
@@ -28,3 +32,8 @@
 	}
 	return changed
 }
+
+// CrashKey returns the key by which package poison records the incarnation of n.
+func (n Server) CrashKey() poison.Server {
+	return poison.Server{Service: n.Service, DataCentre: n.DataCentre, Name: n.Name, Incarnation: n.Incarnation}
+}
--- a/internal/daemon/edge/build.go
+++ b/internal/daemon/edge/build.go
@@ -88,7 +88,7 @@
 
 func newEdge(p parts) *Edge {
 	e := &Edge{
-		settings: p.Settings, logger: p.Logger, targets: p.Targets, pool: p.Pool, suspects: p.Suspects,
+		settings: p.Settings, logger: p.Logger, targets: p.Targets, pool: p.Pool, suspects: &submit.Receiver{Register: p.Suspects},
 		proxy: p.Proxy, server: p.Server, retries: p.Retries, probes: p.Probes, stats: p.Stats, tally: p.Tally,
 	}
 	e.group.Logger = p.Logger
--- a/internal/daemon/edge/edge.go
+++ b/internal/daemon/edge/edge.go
@@ -17,7 +17,6 @@
 	"github.com/snipefront/snipefront/internal/control/follow"
 	"github.com/snipefront/snipefront/internal/daemon/serve"
 	"github.com/snipefront/snipefront/internal/dispatch/budget"
-	"github.com/snipefront/snipefront/internal/dispatch/direct"
 	"github.com/snipefront/snipefront/internal/dispatch/health"
 	"github.com/snipefront/snipefront/internal/dispatch/pool"
 	"github.com/snipefront/snipefront/internal/entry/pipe"
@@ -26,7 +25,6 @@
 	"github.com/snipefront/snipefront/internal/observe/status"
 	"github.com/snipefront/snipefront/internal/observe/tally"
 	"github.com/snipefront/snipefront/internal/request/paths"
-	"github.com/snipefront/snipefront/internal/request/poison"
 	"github.com/snipefront/snipefront/internal/request/submit"
 )
 
@@ -87,13 +85,11 @@
 	// triedVersion is the version of the last configuration that was decoded, valid or
 	// not.
 	triedVersion uint64
-	suspects     *poison.Register
+	suspects     *submit.Receiver
 	// control holds the control instances of the last view.
 	control atomic.Pointer[[]snipefront.Instance]
 	// index is the index of the last view that was applied.
 	index atomic.Uint64
-	// mergedIndex is the index of the last view whose suspects were merged.
-	mergedIndex uint64
 	// readyAnnounced is true once the instance has begun to announce to the fleet that
 	// it accepts requests.
 	readyAnnounced bool
@@ -144,7 +140,8 @@
 	e.probes.SetFleet(now, len(v.Servers), v.Edges())
 	e.index.Store(v.Index)
 	e.logger.Info("applied a new fleet view", "index", v.Index, "version", v.Document.Version, "servers", len(v.Servers), "instances", len(v.Instances), "out", len(v.Out))
-	e.mergeSuspects(v)
+	e.suspects.Apply(now, v)
+	e.storeControl(v)
 	if !e.readyAnnounced {
 		e.readyAnnounced = true
 		e.follower.SetReady(true)
@@ -164,17 +161,8 @@
 	return r
 }
 
-// mergeSuspects merges the suspects that other instances shared, marks those that a new
-// incarnation of a backend server reveals, and stores the control instances of v.
-func (e *Edge) mergeSuspects(v fleet.View) {
-	now := time.Now()
-	for _, n := range v.Servers {
-		if n.Index > e.mergedIndex {
-			e.suspects.Alive(now, direct.PoisonServer(n))
-		}
-	}
-	e.suspects.Merge(now, submit.Records(v, e.mergedIndex))
-	e.mergedIndex = v.Index
+// storeControl stores the control instances of v.
+func (e *Edge) storeControl(v fleet.View) {
 	var list []snipefront.Instance
 	for _, n := range v.Instances {
 		if n.Control {
--- a/internal/dispatch/direct/direct.go
+++ b/internal/dispatch/direct/direct.go
@@ -14,7 +14,6 @@
 	"time"
 
 	"github.com/snipefront/snipefront"
-	"github.com/snipefront/snipefront/internal/control/fleet"
 	"github.com/snipefront/snipefront/internal/dispatch/budget"
 	"github.com/snipefront/snipefront/internal/dispatch/health"
 	"github.com/snipefront/snipefront/internal/dispatch/quota"
@@ -143,8 +142,3 @@
 	d.Logger.Info("suspect admitted", "request", c.ID, "fingerprint", c.Fingerprint, "evidence", evidence)
 	return nil
 }
-
-// PoisonServer returns the key by which package poison records the incarnation of n.
-func PoisonServer(n fleet.Server) poison.Server {
-	return poison.Server{Service: n.Service, DataCentre: n.DataCentre, Name: n.Name, Incarnation: n.Incarnation}
-}
--- a/internal/dispatch/direct/run.go
+++ b/internal/dispatch/direct/run.go
@@ -147,7 +147,7 @@
 	if d.Poison == nil {
 		return
 	}
-	s := PoisonServer(t.Server)
+	s := t.Server.CrashKey()
 	t.ChargeProbe(time.Now())
 	d.Poison.ConnectionBroke(time.Now(), c.Fingerprint, s)
 	if d.Link.Up(ctx, t) || ctx.Err() != nil {
