direct: test requests that crash backend servers as the users count them: failing

In virtual time and without a network, 18, 132 and 300 instances with their own registers, retry budgets and views of a replicated state receive a request that crashes each backend server that runs it: every 10 ms to 2 s or through all instances at once, alone or several, beside other crashes, a release, the outage of a data centre, instances that restart, start later or are cut off, and late news; servers return under the old or a new name, and some go silent instead of breaking connections. Counted are the four lines of the users' rule on further attempts, and harmless requests refused as quarantined.

--- /dev/null
+++ b/internal/dispatch/direct/crash_test.go
@@ -0,0 +1,364 @@
+package direct_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/dispatch/direct"
+)
+
+// The users' rules on further attempts (BUDGET), as these tests count them: touchWindow
+// after a request has crashed its third backend server, it reaches backend servers three
+// times more at most; three requests at most reach more backend servers than the attempts
+// of their route, those that ended not counted; 20 at most are handed more time than their
+// caller has left; and in each window the further attempts stay within the limit.
+const (
+	touchWindow        = 3 * time.Second
+	maxLateArrivals    = 3
+	maxOverAttempts    = 3
+	maxOvertime        = 20
+	overtimeTolerance  = 500 * time.Millisecond
+	routeAttempts      = 2
+	maxHarmlessRefused = 0.01
+)
+
+// crashingRequests is the number of fingerprints, from 0 on, of requests that crash the
+// backend servers that run them.
+const crashingRequests = 8
+
+func crashesServers(fingerprint uint64) bool { return fingerprint < crashingRequests }
+
+// styleOf returns how the backend servers end that a request crashes.
+func styleOf(fingerprint uint64) crashStyle {
+	return crashStyle{dark: fingerprint%4 == 3, sameName: fingerprint%2 == 1, back: 4 * time.Second}
+}
+
+// crashBy records that a request crashes s.
+func (f *crashFleet) crashBy(fingerprint uint64, s *crashServer) {
+	if !f.crash(s, styleOf(fingerprint)) {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.crashes[fingerprint] = append(f.crashes[fingerprint], f.since())
+}
+
+// send sends a request once to a process.
+func (f *crashFleet) send(p *crashProcess, id string, fingerprint uint64, deadline time.Time) *snipefront.Error {
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	_, err := p.Serve(ctx, &direct.Call{
+		ID: id, Route: "r", Attempts: routeAttempts, Goal: time.Now().Add(400 * time.Millisecond),
+		Request: &snipefront.Request{Service: service, Idempotent: true, Deadline: deadline, Fingerprint: fingerprint},
+	})
+	f.finish(id)
+	var e *snipefront.Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return nil
+}
+
+// finish counts the backend servers that a request has reached and that have not ended.
+func (f *crashFleet) finish(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	live := map[string]bool{}
+	for _, p := range f.reached[id] {
+		select {
+		case <-p.down:
+		default:
+			live[p.name] = true
+		}
+	}
+	if len(live) > routeAttempts {
+		f.overAttempts++
+	}
+	delete(f.reached, id)
+}
+
+// receive counts a new request and returns its id.
+func (f *crashFleet) receive() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.requests = append(f.requests, f.since())
+	return fmt.Sprint("r", len(f.requests))
+}
+
+// callHarmless acts as one caller, which sends its request twice more if it fails.
+func (f *crashFleet) callHarmless(fingerprint uint64, popular bool) {
+	end := time.Now().Add(2500 * time.Millisecond)
+	quarantined := false
+	defer func() { f.countQuarantined(quarantined, popular) }()
+	for range 3 {
+		e := f.send(f.any(), f.receive(), fingerprint, end)
+		if e == nil {
+			f.count(&f.harmless.answered)
+			return
+		}
+		quarantined = quarantined || e.Reason == snipefront.ReasonQuarantined
+		time.Sleep(max(20*time.Millisecond, min(e.RetryAfter, time.Until(end)/3)))
+	}
+	f.count(&f.harmless.failed)
+}
+
+func (f *crashFleet) count(n *int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	*n++
+}
+
+func (f *crashFleet) countQuarantined(quarantined, popular bool) {
+	switch {
+	case !quarantined:
+	case popular:
+		f.count(&f.harmless.popularQuarantined)
+	default:
+		f.count(&f.harmless.rareQuarantined)
+	}
+}
+
+// repeat sends a request again and again, each time to a random instance, from one time
+// after the start to another.
+func (f *crashFleet) repeat(fingerprint uint64, from, to, interval time.Duration) {
+	time.AfterFunc(from, func() {
+		for f.since() < to {
+			go f.send(f.any(), f.receive(), fingerprint, time.Now().Add(1500*time.Millisecond))
+			time.Sleep(interval)
+		}
+	})
+}
+
+// sendToAll sends a request through all instances at the same moment.
+func (f *crashFleet) sendToAll(fingerprint uint64, at time.Duration) {
+	time.AfterFunc(at, func() {
+		for _, n := range f.instances {
+			if p := n.dispatcher(); p != nil {
+				go f.send(p, f.receive(), fingerprint, time.Now().Add(1500*time.Millisecond))
+			}
+		}
+	})
+}
+
+// checkBudget checks the four rules.
+func (f *crashFleet) checkBudget(t *testing.T) {
+	t.Helper()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for fingerprint, at := range f.crashes {
+		late := 0
+		for _, a := range f.arrivals[fingerprint] {
+			if len(at) >= 3 && a.inTouch && a.at > at[2]+touchWindow {
+				late++
+			}
+		}
+		t.Logf("request %d crashed %d backend servers, at %v, and reached %d later than %v after the third", fingerprint, len(at), firstOf(at, 8), late, touchWindow)
+		if late > maxLateArrivals {
+			t.Errorf("request %d reached backend servers %d times later than %v after it crashed the third, want %d at most", fingerprint, late, touchWindow, maxLateArrivals)
+		}
+	}
+	if f.overAttempts > maxOverAttempts {
+		t.Errorf("%d requests reached more than %d backend servers", f.overAttempts, routeAttempts)
+	}
+	if f.overtime > maxOvertime {
+		t.Errorf("%d requests had more time left at a backend server than their caller gave them", f.overtime)
+	}
+	f.checkFurther(t)
+	h := f.harmless
+	t.Logf("harmless requests: %+v", h)
+	if h.popularQuarantined > 0 {
+		t.Errorf("%d popular harmless requests were refused as quarantined", h.popularQuarantined)
+	}
+	if share := float64(h.rareQuarantined) / float64(h.answered+h.failed); share > maxHarmlessRefused {
+		t.Errorf("%.4f of the harmless requests were refused as quarantined, want %.4f at most", share, maxHarmlessRefused)
+	}
+}
+
+func firstOf(list []time.Duration, n int) []time.Duration { return list[:min(n, len(list))] }
+
+// checkFurther checks the limit on further attempts in each window. The lock is held.
+func (f *crashFleet) checkFurther(t *testing.T) {
+	t.Helper()
+	slices.Sort(f.further)
+	for _, from := range f.further {
+		n := countWithin(f.further, from)
+		q := max(countWithin(f.requests, from), countWithin(f.requests, from-limit.Window), countWithin(f.requests, from-limit.Window/2))
+		if allowed := limit.Ratio*float64(q) + limit.Slack; float64(n) > allowed {
+			t.Errorf("%d further attempts from %v on for %d requests, want %.0f at most", n, from, q, allowed)
+			return
+		}
+	}
+}
+
+var (
+	siteCrashSize  = crashSize{instances: 18, servers: 40}
+	grownCrashSize = crashSize{instances: 132, servers: 160}
+	largeCrashSize = crashSize{instances: 300, servers: 300}
+)
+
+// crashEvent is what happens beside a request that crashes backend servers.
+type crashEvent func(f *crashFleet)
+
+// otherCrashes crashes another backend server again and again.
+func otherCrashes(interval time.Duration, style crashStyle) crashEvent {
+	return func(f *crashFleet) {
+		time.AfterFunc(time.Second, func() {
+			for f.since() < crashLength {
+				f.crash(f.servers[f.chance(len(f.servers))], style)
+				time.Sleep(interval)
+			}
+		})
+	}
+}
+
+// release replaces all backend servers one after the other.
+func release(f *crashFleet) {
+	for i, s := range f.servers {
+		time.AfterFunc(2*time.Second+time.Duration(i)*150*time.Millisecond, func() { f.replace(s) })
+	}
+}
+
+// outage ends all backend servers of a data centre within 0.2 s.
+func outage(f *crashFleet) {
+	for i, s := range f.servers {
+		if s.dataCentre == "dc0" {
+			time.AfterFunc(5*time.Second+time.Duration(i%20)*10*time.Millisecond, func() { f.crash(s, crashStyle{back: 5 * time.Second}) })
+		}
+	}
+}
+
+// restarts lets instances start anew, one after the other.
+func restarts(f *crashFleet) {
+	for i, n := range f.instances {
+		time.AfterFunc(time.Second+time.Duration(i)*crashLength/time.Duration(len(f.instances)), func() { n.restart(300 * time.Millisecond) })
+	}
+}
+
+// cutOffs cuts a third of the instances off from the control quorum for some seconds.
+func cutOffs(f *crashFleet) {
+	for i, n := range f.instances {
+		if i%3 == 0 {
+			time.AfterFunc(4*time.Second, func() { n.cutOff(4 * time.Second) })
+		}
+	}
+}
+
+// lateNews delays what instances learn by up to 1.5 s.
+func lateNews(f *crashFleet) {
+	f.newsDelay = func() time.Duration { return time.Duration(f.chance(1500)) * time.Millisecond }
+}
+
+// lateStarts starts a third of the instances 8 s after the others.
+func lateStarts(f *crashFleet) {
+	for i, n := range f.instances {
+		if i%3 == 1 {
+			n.restart(8 * time.Second)
+		}
+	}
+}
+
+const crashLength = 20 * time.Second
+
+// play plays a day of a fleet on which requests crash backend servers.
+func play(t *testing.T, size crashSize, rate float64, send func(f *crashFleet), events ...crashEvent) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := newCrashFleet(size)
+		for _, event := range events {
+			event(f)
+		}
+		send(f)
+		f.run(t, crashLength, rate)
+		f.checkBudget(t)
+	})
+}
+
+// every sends requests that crash backend servers, each as often as given.
+func every(interval time.Duration, fingerprints ...uint64) func(f *crashFleet) {
+	return func(f *crashFleet) {
+		for _, fingerprint := range fingerprints {
+			f.repeat(fingerprint, 2*time.Second, crashLength, interval)
+		}
+	}
+}
+
+// atOnce sends a request through all instances at the same moment, again and again.
+func atOnce(fingerprint uint64) func(f *crashFleet) {
+	return func(f *crashFleet) {
+		for at := 2 * time.Second; at < crashLength; at += 2 * time.Second {
+			f.sendToAll(fingerprint, at)
+		}
+	}
+}
+
+// TestCrashingRequestIsKeptFromServers guards against a request that crashes each backend
+// server that runs it, and is sent to more of them after the third: where it comes often or
+// at once, beside others like it, and whatever else ends at that time. It also guards
+// against harmless requests that are refused since they were in flight when backend servers
+// ended.
+func TestCrashingRequestIsKeptFromServers(t *testing.T) {
+	other := otherCrashes(300*time.Millisecond, crashStyle{back: 4 * time.Second})
+	otherDark := otherCrashes(700*time.Millisecond, crashStyle{back: 4 * time.Second, dark: true, sameName: true})
+	for name, test := range map[string]struct {
+		send   func(f *crashFleet)
+		events []crashEvent
+	}{
+		"each 10 ms":                           {send: every(10*time.Millisecond, 0)},
+		"each 20 ms":                           {send: every(20*time.Millisecond, 0)},
+		"each 50 ms, others crash":             {every(50*time.Millisecond, 0), []crashEvent{other}},
+		"each 300 ms, others crash":            {every(300*time.Millisecond, 0), []crashEvent{other}},
+		"each 1 s, others crash":               {every(time.Second, 0), []crashEvent{other}},
+		"each 2 s, others crash":               {every(2*time.Second, 0), []crashEvent{other}},
+		"all at once":                          {send: atOnce(0)},
+		"all at once, others crash":            {atOnce(0), []crashEvent{other}},
+		"same name":                            {every(100*time.Millisecond, 1), []crashEvent{other}},
+		"dark":                                 {every(300*time.Millisecond, 3), []crashEvent{otherDark}},
+		"dark, same name, rarely":              {send: every(2*time.Second, 3)},
+		"several together":                     {every(200*time.Millisecond, 0, 1, 2), []crashEvent{otherDark}},
+		"several together, no others":          {send: every(100*time.Millisecond, 0, 1, 2, 4)},
+		"release":                              {every(300*time.Millisecond, 0), []crashEvent{release}},
+		"outage of a data centre":              {every(300*time.Millisecond, 0), []crashEvent{outage}},
+		"outage, release, others crash":        {every(100*time.Millisecond, 0, 1), []crashEvent{outage, release, other}},
+		"instances restart":                    {every(200*time.Millisecond, 0), []crashEvent{restarts, other}},
+		"instances start later":                {every(200*time.Millisecond, 0), []crashEvent{lateStarts, other}},
+		"instances are cut off":                {every(200*time.Millisecond, 0), []crashEvent{cutOffs, other}},
+		"late news":                            {every(200*time.Millisecond, 0), []crashEvent{lateNews, other}},
+		"late news, restarts, cut off, outage": {every(200*time.Millisecond, 0, 3), []crashEvent{lateNews, restarts, cutOffs, outage, other}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			play(t, siteCrashSize, 100, test.send, test.events...)
+		})
+	}
+}
+
+// TestCrashingRequestAtGrownFleet guards against the same at 132 instances.
+func TestCrashingRequestAtGrownFleet(t *testing.T) {
+	other := otherCrashes(300*time.Millisecond, crashStyle{back: 4 * time.Second})
+	for name, test := range map[string]struct {
+		send   func(f *crashFleet)
+		events []crashEvent
+	}{
+		"each 20 ms":                           {send: every(20*time.Millisecond, 0)},
+		"several together, others crash":       {every(200*time.Millisecond, 0, 1, 3), []crashEvent{other}},
+		"all at once, outage":                  {atOnce(0), []crashEvent{outage}},
+		"late news, restarts, cut off, outage": {every(200*time.Millisecond, 0, 3), []crashEvent{lateNews, restarts, cutOffs, outage, other}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			play(t, grownCrashSize, 200, test.send, test.events...)
+		})
+	}
+}
+
+// TestCrashingRequestAtLargeFleet guards against the same at 300 instances.
+func TestCrashingRequestAtLargeFleet(t *testing.T) {
+	play(t, largeCrashSize, 400, every(100*time.Millisecond, 0, 1), outage, otherCrashes(300*time.Millisecond, crashStyle{back: 4 * time.Second}))
+}
--- /dev/null
+++ b/internal/dispatch/direct/crashfleet_test.go
@@ -0,0 +1,288 @@
+package direct_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/clock/timer"
+	"github.com/snipefront/snipefront/internal/control/fleet"
+	"github.com/snipefront/snipefront/internal/dispatch/direct"
+	"github.com/snipefront/snipefront/internal/dispatch/health"
+	"github.com/snipefront/snipefront/internal/request/poison"
+	"github.com/snipefront/snipefront/internal/request/submit"
+)
+
+// crashSize is the size of a crashFleet.
+type crashSize struct{ instances, servers int }
+
+// crashFleet has many instances send to backend servers that crash, in virtual time. The
+// instances share what they know through a replicated state, as in the program: each
+// submits its records to it, and receives those of others with its view of the fleet.
+type crashFleet struct {
+	routing *snipefront.Routing
+	begun   time.Time
+	// newsDelay returns the time after which an instance receives a change of the state.
+	newsDelay func() time.Duration
+	// ctx ends with the run.
+	ctx context.Context
+	end context.CancelFunc
+
+	// log is held while an entry is applied to state.
+	log   sync.Mutex
+	index uint64
+	state fleet.State
+
+	mu        sync.Mutex
+	random    *rand.Rand
+	instances []*crashInstance
+	// servers holds the running backend server of each address, or the last one.
+	servers []*crashServer
+	started int
+	// arrivals holds the requests that reached backend servers, by fingerprint for those that
+	// crash servers, and further all beyond the first of their request.
+	arrivals map[uint64][]crashArrival
+	further  []time.Duration
+	// reached holds the processes of backend servers that each request in flight reached.
+	reached map[string][]process
+	// overAttempts counts the requests that reached more backend servers than their route
+	// allows, without those that ended before the request did.
+	overAttempts int
+	requests     []time.Duration
+	// crashes holds when each request crashed a backend server.
+	crashes map[uint64][]time.Duration
+	// overtime counts the requests that reached a backend server with more time than their
+	// caller had left.
+	overtime int
+	harmless harmless
+}
+
+// harmless counts the requests that crash nothing: those of callers that were answered,
+// not answered, and refused once at least since they were quarantined. Rare requests have
+// a content of their own; popular ones have the same content for many callers.
+type harmless struct{ answered, failed, rareQuarantined, popularQuarantined int }
+
+// crashArrival is the arrival of a request that crashes backend servers.
+type crashArrival struct {
+	at      time.Duration
+	inTouch bool
+}
+
+// crashInstance is an instance of a crashFleet.
+type crashInstance struct {
+	fleet      *crashFleet
+	name       string
+	dataCentre string
+
+	mu sync.Mutex
+	// process is nil while the instance is down.
+	process *crashProcess
+	// cutUntil is the time until which it is cut off from the control quorum.
+	cutUntil time.Time
+	// disturbed is the end of the last event that took it out of touch.
+	disturbed time.Time
+}
+
+// crashProcess is one process of an instance.
+type crashProcess struct {
+	*direct.Dispatcher
+	cancel context.CancelFunc
+}
+
+const (
+	// commitDelay is the time in which a command is committed.
+	commitDelay = 10 * time.Millisecond
+	// crashSlots is the number of slots of a backend server, and crashQueue the number of
+	// further requests that it accepts.
+	crashSlots, crashQueue = 3, 6
+)
+
+func newCrashFleet(size crashSize) *crashFleet {
+	f := &crashFleet{
+		begun: time.Now(), newsDelay: func() time.Duration { return 20 * time.Millisecond },
+		routing: &snipefront.Routing{Services: map[string]snipefront.ServiceProfile{service: {Name: service}}},
+		random:  rand.New(rand.NewPCG(1, 9)), arrivals: map[uint64][]crashArrival{}, crashes: map[uint64][]time.Duration{},
+		reached: map[string][]process{},
+	}
+	f.ctx, f.end = context.WithCancel(context.Background())
+	for i := range size.servers {
+		f.servers = append(f.servers, &crashServer{address: fmt.Sprint("a", i), dataCentre: fmt.Sprint("dc", i%dataCentres)})
+		f.startServer(f.servers[i], true)
+	}
+	for i := range size.instances {
+		var n fleet.Instance
+		n.Name, n.DataCentre, n.Ready = fmt.Sprint("e", i), fmt.Sprint("dc", i%dataCentres), true
+		f.apply(fleet.Command{Join: &n})
+		f.instances = append(f.instances, &crashInstance{fleet: f, name: n.Name, dataCentre: n.DataCentre})
+	}
+	return f
+}
+
+// apply commits a command immediately.
+func (f *crashFleet) apply(c fleet.Command) []byte {
+	b, err := c.Encode()
+	if err != nil {
+		panic(err)
+	}
+	return f.applyEncoded(b)
+}
+
+func (f *crashFleet) applyEncoded(b []byte) []byte {
+	f.log.Lock()
+	defer f.log.Unlock()
+	f.index++
+	return f.state.Apply(f.index, b)
+}
+
+// since returns the time since the start of the run.
+func (f *crashFleet) since() time.Duration { return time.Since(f.begun) }
+
+// chance returns a random number below n.
+func (f *crashFleet) chance(n int) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.random.IntN(n)
+}
+
+// start starts a process of the instance, with the view of that moment.
+func (n *crashInstance) start() {
+	f := n.fleet
+	if f.ctx.Err() != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(f.ctx)
+	set := &health.Set{Self: snipefront.Instance{Name: n.name, DataCentre: n.dataCentre}}
+	logger := slog.New(slog.NewTextHandler(io.Discard, nil))
+	spread := &submit.Replicator{Submitter: n, Logger: logger}
+	register := &poison.Register{Spread: spread}
+	edges, servers := len(f.instances), len(f.servers)
+	d := &direct.Dispatcher{
+		Targets: set, Link: crashLink{f, n, set}, Counter: noCounter{}, Attempts: noCounter{}, Poison: register,
+		Retries: newRetries(edges, 0), Probes: newProbes(servers, edges), Logger: logger,
+	}
+	receiver := &submit.Receiver{Register: register}
+	view := n.follow(set, receiver, fleet.View{})
+	go func() { _ = spread.Run(ctx) }()
+	go func() {
+		for n.await(ctx, view.Index) {
+			view = n.follow(set, receiver, view)
+		}
+	}()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.process = &crashProcess{Dispatcher: d, cancel: cancel}
+}
+
+// follow brings a view up to the present state.
+func (n *crashInstance) follow(set *health.Set, r *submit.Receiver, v fleet.View) fleet.View {
+	v = v.Apply(n.fleet.state.DeltaSince(v.Index))
+	set.Update(time.Now(), v, n.fleet.routing)
+	r.Apply(time.Now(), v)
+	return v
+}
+
+// await waits until the state is newer than index and that has reached the instance. It
+// returns false when ctx ends.
+func (n *crashInstance) await(ctx context.Context, index uint64) bool {
+	for {
+		changed := n.fleet.state.Changed()
+		if n.fleet.state.Index() > index {
+			break
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-changed:
+		}
+	}
+	return timer.Sleep(ctx, n.fleet.newsDelay()) && timer.Sleep(ctx, max(1, n.cutLeft()))
+}
+
+// cutLeft returns the time for which the instance is still cut off.
+func (n *crashInstance) cutLeft() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return time.Until(n.cutUntil)
+}
+
+// Submit implements submit.Submitter.
+func (n *crashInstance) Submit(ctx context.Context, command []byte) ([]byte, error) {
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-time.After(commitDelay + max(0, n.cutLeft())):
+	}
+	return n.fleet.applyEncoded(command), nil
+}
+
+// cutOff cuts the instance off from the control quorum for the given time.
+func (n *crashInstance) cutOff(length time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cutUntil = time.Now().Add(length)
+	n.disturbed = n.cutUntil
+}
+
+// stop ends the process of the instance, and start begins a new one after the given time.
+func (n *crashInstance) restart(pause time.Duration) {
+	n.mu.Lock()
+	if n.process != nil {
+		n.process.cancel()
+	}
+	n.process = nil
+	n.disturbed = time.Now().Add(pause)
+	n.mu.Unlock()
+	time.AfterFunc(pause, n.start)
+}
+
+// inTouch reports whether the users' rules with a time bound hold for the instance.
+func (n *crashInstance) inTouch() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return time.Since(n.disturbed) >= touchWindow
+}
+
+// dispatcher returns the process of the instance, or nil if it is down.
+func (n *crashInstance) dispatcher() *crashProcess {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.process
+}
+
+// any returns a process of a random instance that runs.
+func (f *crashFleet) any() *crashProcess {
+	for {
+		if p := f.instances[f.chance(len(f.instances))].dispatcher(); p != nil {
+			return p
+		}
+	}
+}
+
+// run starts the instances, sends harmless requests for the given time, and ends all.
+func (f *crashFleet) run(t *testing.T, length time.Duration, rate float64) {
+	t.Helper()
+	for _, n := range f.instances {
+		if n.dispatcher() == nil {
+			n.start()
+		}
+	}
+	random := rand.New(rand.NewPCG(7, 7))
+	var all sync.WaitGroup
+	for i := 0; f.since() < length; i++ {
+		time.Sleep(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
+		fingerprint, popular := uint64(1000+i), random.IntN(4) == 0
+		if popular {
+			fingerprint = uint64(100 + random.IntN(5))
+		}
+		all.Go(func() { f.callHarmless(fingerprint, popular) })
+	}
+	all.Wait()
+	f.end()
+	time.Sleep(10 * time.Second)
+}
--- /dev/null
+++ b/internal/dispatch/direct/crashserver_test.go
@@ -0,0 +1,253 @@
+package direct_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/control/fleet"
+	"github.com/snipefront/snipefront/internal/dispatch/direct"
+	"github.com/snipefront/snipefront/internal/dispatch/health"
+)
+
+// crashServer is a backend server of a crashFleet: the process at an address.
+type crashServer struct {
+	address, dataCentre, name string
+	incarnation               uint64
+	up, draining              bool
+	// dark is true if the machine answers nothing, so that connections neither open nor break.
+	dark bool
+	// down is closed when the process ends.
+	down    chan struct{}
+	running int
+}
+
+// crashStyle is how a backend server ends and returns.
+type crashStyle struct {
+	// dark leaves connections open, and unanswered.
+	dark bool
+	// sameName lets it return under the name that it had.
+	sameName bool
+	// back is the time after which it returns.
+	back time.Duration
+}
+
+const (
+	// crashAfter is the time for which a request runs that crashes its backend server, and
+	// harmlessWork that of any other.
+	crashAfter   = 5 * time.Millisecond
+	harmlessWork = 60 * time.Millisecond
+	// dialTimeout bounds a connection to a machine that answers nothing, and probeLimit a
+	// load probe.
+	dialTimeout = 400 * time.Millisecond
+	probeLimit  = 150 * time.Millisecond
+	// heartbeatDelay is the time after its start in which a backend server registers.
+	heartbeatDelay = 100 * time.Millisecond
+)
+
+// startServer starts a process at the address of s.
+func (f *crashFleet) startServer(s *crashServer, newName bool) {
+	f.mu.Lock()
+	f.started++
+	if newName {
+		s.name = fmt.Sprint("s", f.started)
+	}
+	s.incarnation = uint64(f.started)
+	s.up, s.dark, s.draining, s.running = true, false, false, 0
+	s.down = make(chan struct{})
+	n := f.registration(s)
+	f.mu.Unlock()
+	f.apply(fleet.Command{Register: &n})
+}
+
+// registration returns the registration of s. The lock is held.
+func (f *crashFleet) registration(s *crashServer) fleet.Server {
+	var n fleet.Server
+	n.Name, n.Service, n.DataCentre, n.Slots, n.Address = s.name, service, s.dataCentre, crashSlots, s.address
+	n.Incarnation, n.Sequence, n.Draining = s.incarnation, 1, s.draining
+	if s.draining {
+		n.Sequence = 2
+	}
+	return n
+}
+
+// crash ends the process at the address of s, unless it has ended, and starts another one
+// later. It reports whether it did.
+func (f *crashFleet) crash(s *crashServer, style crashStyle) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !s.up {
+		return false
+	}
+	s.up, s.dark = false, style.dark
+	close(s.down)
+	time.AfterFunc(style.back+heartbeatDelay, func() {
+		if f.ctx.Err() == nil {
+			f.startServer(s, !style.sameName)
+		}
+	})
+	return true
+}
+
+// replace replaces the process at the address of s as planned: it reports that it drains,
+// serves a little longer, deregisters and ends, and a new one starts.
+func (f *crashFleet) replace(s *crashServer) {
+	f.mu.Lock()
+	if !s.up || s.draining {
+		f.mu.Unlock()
+		return
+	}
+	s.draining = true
+	n := f.registration(s)
+	f.mu.Unlock()
+	f.apply(fleet.Command{Register: &n})
+	time.AfterFunc(2*time.Second, func() {
+		f.apply(fleet.Command{Deregister: &n})
+		f.mu.Lock()
+		same := s.incarnation == n.Incarnation
+		f.mu.Unlock()
+		if same {
+			f.crash(s, crashStyle{back: 50 * time.Millisecond})
+		}
+	})
+}
+
+// crashLink carries requests of one instance to the backend servers of a crashFleet.
+type crashLink struct {
+	fleet    *crashFleet
+	instance *crashInstance
+	targets  *health.Set
+}
+
+// process is what a connection finds at an address.
+type process struct {
+	name     string
+	up, dark bool
+	down     chan struct{}
+}
+
+// at returns the backend server and its process at the address of t.
+func (l crashLink) at(t *health.Target) (*crashServer, process) {
+	l.fleet.mu.Lock()
+	defer l.fleet.mu.Unlock()
+	for _, s := range l.fleet.servers {
+		if s.address == t.Server.Address {
+			return s, process{name: s.name, up: s.up, dark: s.dark, down: s.down}
+		}
+	}
+	panic("no such address")
+}
+
+// connect opens a connection to t within the given time.
+func (l crashLink) connect(ctx context.Context, t *health.Target, limit time.Duration) (*crashServer, process, error) {
+	time.Sleep(time.Millisecond)
+	s, p := l.at(t)
+	switch {
+	case p.up:
+		return s, p, nil
+	case !p.dark:
+		return s, p, errors.New("refused")
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(limit):
+	}
+	return s, p, errors.New("no connection in time")
+}
+
+// Probe implements health.Prober.
+func (l crashLink) Probe(t *health.Target) (health.Report, error) {
+	s, p, err := l.connect(context.Background(), t, probeLimit)
+	if err != nil {
+		return health.Report{}, err
+	}
+	l.fleet.mu.Lock()
+	defer l.fleet.mu.Unlock()
+	return health.Report{At: time.Now(), Known: true, Healthy: !s.draining, Running: s.running, Slots: crashSlots, Pace: 1, Server: p.name}, nil
+}
+
+// Up implements direct.Link.
+func (l crashLink) Up(ctx context.Context, t *health.Target) bool {
+	_, _, err := l.connect(ctx, t, probeLimit)
+	return err == nil
+}
+
+// Send implements direct.Link.
+func (l crashLink) Send(ctx context.Context, c *direct.Call, t *health.Target) direct.Attempt {
+	s, p, err := l.connect(ctx, t, dialTimeout)
+	if err != nil {
+		return direct.Attempt{Verdict: snipefront.NotRun, Reason: snipefront.ReasonConnect, Err: err, Outcome: health.Unreachable}
+	}
+	if current, accepts := l.targets.Current(t.Server.Name); !accepts || current.Server.Incarnation != t.Server.Incarnation {
+		return direct.Attempt{Verdict: snipefront.NotRun, Reason: snipefront.ReasonNoBackendServer, Err: errors.New("left"), Outcome: health.Unreachable}
+	}
+	if p.name != t.Server.Name {
+		return direct.Attempt{Verdict: snipefront.NotRun, Reason: snipefront.ReasonNoBackendServer, Err: errors.New("another"), Outcome: health.Unreachable, Misdirected: true}
+	}
+	if !l.fleet.arrive(l.instance, c, s) {
+		return shed
+	}
+	defer l.fleet.leave(s, p)
+	work := harmlessWork
+	if crashesServers(c.Fingerprint) {
+		work = crashAfter
+	}
+	select {
+	case <-p.down:
+		return l.broken(ctx, s)
+	case <-ctx.Done():
+		return direct.Attempt{Verdict: snipefront.MayHaveRun, Reason: snipefront.ReasonBrokenAnswer, Err: ctx.Err(), Outcome: health.Faulty}
+	case <-time.After(work):
+	}
+	if crashesServers(c.Fingerprint) {
+		l.fleet.crashBy(c.Fingerprint, s)
+		return l.broken(ctx, s)
+	}
+	return direct.Attempt{
+		Verdict: snipefront.Ran, Outcome: health.Answered, Response: &snipefront.Response{Status: http.StatusOK, BackendServer: t.Server.Name},
+	}
+}
+
+// broken returns the attempt at a backend server whose process has ended. If its machine
+// is dark, the attempt ends with ctx.
+func (l crashLink) broken(ctx context.Context, s *crashServer) direct.Attempt {
+	l.fleet.mu.Lock()
+	dark := s.dark
+	l.fleet.mu.Unlock()
+	if dark {
+		<-ctx.Done()
+	}
+	return broken
+}
+
+// arrive records that c reaches s, and reports whether s runs it.
+func (f *crashFleet) arrive(n *crashInstance, c *direct.Call, s *crashServer) bool {
+	inTouch := n.inTouch()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.reached[c.ID]) > 0 {
+		f.further = append(f.further, f.since())
+	}
+	f.reached[c.ID] = append(f.reached[c.ID], process{name: s.name, down: s.down})
+	if crashesServers(c.Fingerprint) {
+		f.arrivals[c.Fingerprint] = append(f.arrivals[c.Fingerprint], crashArrival{at: f.since(), inTouch: inTouch})
+	}
+	if s.running >= crashSlots+crashQueue {
+		return false
+	}
+	s.running++
+	return true
+}
+
+// leave frees the place of a request at s, unless the process p has ended.
+func (f *crashFleet) leave(s *crashServer, p process) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s.down == p.down {
+		s.running--
+	}
+}
