poison, fleet: let the answers to a request decide whether it crashes backend servers

Cause: three crashes within a second, anywhere in the fleet, counted as an outage, which added no second crash to any suspect and lifted the quarantines of that second. Several instances that run the request at once make three by themselves, and one crash of its own makes three beside two others. The class: a rule of thumb over a window of time that events elsewhere can trip. Popular harmless requests, in flight on several backend servers of a smaller outage, were quarantined for five minutes all the same.

What tells the two apart is the request's own fate: one that crashes each backend server that runs it is never answered. A complete answer, at any instance, now ends a suspicion everywhere (shared as a release), and one within the 1.5 s before dismisses the crash. Two crashes with no answer between them quarantine, whatever else ends. Nothing else lifts a quarantine.

TestOutageQuarantinesNothing asked that five crashes within 50 ms quarantine nothing, with no answer at all: that is just what a request that crashes servers looks like. Its place take TestOutageQuarantinesNoAnsweredRequest (the same outage, with an answer before or after it, at another instance) and TestOtherCrashesLiftNoQuarantine. That a quarantined request which is answered after all stays quarantined is no longer asked: TestAnswerReleasesEverywhere.

--- a/internal/control/fleet/command.go
+++ b/internal/control/fleet/command.go
@@ -98,7 +98,12 @@
 	Fingerprint uint64
 	// Crashed holds the incarnations of backend servers that crashed, each once.
 	Crashed []poison.Server `json:"Fallen"`
-	// Index is the index of the log entry that last added to Crashed.
+	// Released is true in a command that ends the suspicion, since the request was answered.
+	Released bool `json:",omitempty"`
+	// ReleasedIndex is the index of the log entry that last ended the suspicion. Crashed
+	// holds later crashes only.
+	ReleasedIndex uint64 `json:",omitempty"`
+	// Index is the index of the log entry that last changed the suspect.
 	Index uint64
 }
 
--- a/internal/control/fleet/suspect.go
+++ b/internal/control/fleet/suspect.go
@@ -9,19 +9,17 @@
 // maxSuspects is the number of suspects that are kept. The oldest are dropped first.
 const maxSuspects = 256
 
-// suspect adds the crashed backend servers of c to the suspect with its fingerprint.
-// It reports whether any of them is new.
+// suspect adds the crashed backend servers of c to the suspect with its fingerprint, or
+// ends the suspicion if c says so. It reports whether that changed the state.
 func (s *State) suspect(index uint64, c Suspect) bool {
 	i := slices.IndexFunc(s.data.Suspects, func(v Suspect) bool { return v.Fingerprint == c.Fingerprint })
 	if i < 0 {
-		c.Index = index
-		s.data.Suspects = append(s.data.Suspects, c)
-		if over := len(s.data.Suspects) - maxSuspects; over > 0 {
-			s.data.Suspects = slices.Clone(s.data.Suspects[over:])
-		}
-		return true
+		return !c.Released && s.addSuspect(index, c)
 	}
 	known := &s.data.Suspects[i]
+	if c.Released {
+		return known.release(index)
+	}
 	changed := false
 	for _, crashed := range c.Crashed {
 		if !slices.Contains(known.Crashed, crashed) {
@@ -33,6 +31,25 @@
 	return changed
 }
 
+// addSuspect adds a suspect, and drops the oldest above maxSuspects.
+func (s *State) addSuspect(index uint64, c Suspect) bool {
+	c.Index = index
+	s.data.Suspects = append(s.data.Suspects, c)
+	if over := len(s.data.Suspects) - maxSuspects; over > 0 {
+		s.data.Suspects = slices.Clone(s.data.Suspects[over:])
+	}
+	return true
+}
+
+// release ends the suspicion of v and reports whether there was one.
+func (v *Suspect) release(index uint64) bool {
+	if len(v.Crashed) == 0 {
+		return false
+	}
+	v.Crashed, v.ReleasedIndex, v.Index = nil, index, index
+	return true
+}
+
 // CrashKey returns the key by which package poison records the incarnation of n.
 func (n Server) CrashKey() poison.Server {
 	return poison.Server{Service: n.Service, DataCentre: n.DataCentre, Name: n.Name, Incarnation: n.Incarnation}
--- a/internal/daemon/module/module_test.go
+++ b/internal/daemon/module/module_test.go
@@ -114,7 +114,7 @@
 	var shared []poison.Record
 	await(t, func() bool {
 		shared = g.Records(time.Now())
-		return len(shared) == 1 && len(shared[0].Fallen) == 2
+		return len(shared) == 1 && len(shared[0].Crashed) == 2
 	})
 	other := shared[0]
 	other.Fingerprint = fingerprint(http.MethodGet, "/balance/18")
--- a/internal/dispatch/direct/run.go
+++ b/internal/dispatch/direct/run.go
@@ -125,7 +125,7 @@
 	}
 	chosen.target.Done(time.Now(), a.Outcome)
 	if a.Response != nil {
-		d.Poison.Answered(c.Fingerprint)
+		d.Poison.Answered(time.Now(), c.Fingerprint)
 	}
 	if a.Reason == snipefront.ReasonBrokenAnswer && ctx.Err() == nil {
 		d.checkCrash(ctx, c, chosen.target)
--- a/internal/dispatch/local/attempt.go
+++ b/internal/dispatch/local/attempt.go
@@ -158,7 +158,7 @@
 		slot.Done(outcome(ctx, a))
 	}
 	if a.Response != nil {
-		d.Poison.Answered(r.Fingerprint)
+		d.Poison.Answered(time.Now(), r.Fingerprint)
 	}
 	if isBroken(a) && ctx.Err() == nil {
 		d.checkCrash(ctx, b, r, service)
--- a/internal/request/fanout/parcel.go
+++ b/internal/request/fanout/parcel.go
@@ -1,6 +1,7 @@
 package fanout
 
 import (
+	"slices"
 	"time"
 
 	"github.com/snipefront/snipefront/internal/request/poison"
@@ -20,16 +21,27 @@
 
 // pendingRecord is a record with the time at which it expires.
 type pendingRecord struct {
-	fallen  []poison.Server
-	expires time.Time
+	released bool
+	crashed  []poison.Server
+	expires  time.Time
 }
 
-// add adds or replaces r and reports whether there was space.
+// add adds r to what is known of the same request, and reports whether there was space.
 func (p *backlog) add(now time.Time, r poison.Record) bool {
-	if _, ok := p.records[r.Fingerprint]; !ok && len(p.records) >= maxPending {
+	old, ok := p.records[r.Fingerprint]
+	if !ok && len(p.records) >= maxPending {
 		return false
 	}
-	p.records[r.Fingerprint] = pendingRecord{fallen: r.Fallen, expires: now.Add(r.Left)}
+	if r.Released {
+		old = pendingRecord{released: true}
+	}
+	for _, s := range r.Crashed {
+		if !slices.Contains(old.crashed, s) {
+			old.crashed = append(slices.Clone(old.crashed), s)
+		}
+	}
+	old.expires = now.Add(r.Left)
+	p.records[r.Fingerprint] = old
 	return true
 }
 
@@ -43,7 +55,7 @@
 			continue
 		}
 		if len(list) < maxBatch {
-			list = append(list, poison.Record{Fingerprint: f, Fallen: r.fallen, Left: left})
+			list = append(list, poison.Record{Fingerprint: f, Released: r.released, Crashed: r.crashed, Left: left})
 		}
 	}
 	return list
@@ -52,7 +64,7 @@
 // remove removes the records that were sent, except those with a crash added since.
 func (p *backlog) remove(sent []poison.Record) {
 	for _, r := range sent {
-		if len(p.records[r.Fingerprint].fallen) == len(r.Fallen) {
+		if len(p.records[r.Fingerprint].crashed) == len(r.Crashed) {
 			delete(p.records, r.Fingerprint)
 		}
 	}
--- a/internal/request/poison/fallen.go
+++ b/internal/request/poison/crash.go
@@ -47,9 +47,7 @@
 		return
 	}
 	for _, r := range g.addSuspects(now, s.identity(), ended) {
-		if g.Spread != nil {
-			g.Spread.Share(r)
-		}
+		g.share(r)
 	}
 }
 
--- a/internal/request/poison/events.go
+++ b/internal/request/poison/events.go
@@ -16,6 +16,9 @@
 	EventCrash Event = "crash"
 	// EventLearned is such a crash that another instance saw.
 	EventLearned Event = "learned"
+	// EventDismissed is a crash that does not count, since the request was answered just
+	// before.
+	EventDismissed Event = "dismissed"
 	// EventQuarantined is the begin of a quarantine.
 	EventQuarantined Event = "quarantined"
 	// EventReleased is the end of a suspicion or a quarantine before its time.
--- a/internal/request/poison/events_test.go
+++ b/internal/request/poison/events_test.go
@@ -24,10 +24,10 @@
 	g := poison.Register{Counter: counted, Logger: slog.New(slog.NewTextHandler(&text, nil))}
 	g.ConnectionBroke(start, 7, server("a", 3))
 	g.Crashed(start, server("a", 3))
-	g.Merge(start, []poison.Record{{Fingerprint: 7, Fallen: []poison.Server{server("b", 4)}, Left: 1e9}})
+	g.Merge(start, []poison.Record{{Fingerprint: 7, Crashed: []poison.Server{server("b", 4)}, Left: 1e9}})
 	g.ConnectionBroke(start, 8, server("a", 3))
 	g.Crashed(start, server("a", 3))
-	g.Answered(8)
+	g.Answered(start, 8)
 	for _, want := range []string{
 		`msg="suspect crash" fingerprint=7 why=a`, `msg="suspect learned" fingerprint=7 why=b`, "a/3 b/4",
 		`msg="suspect quarantined" fingerprint=7`, `msg="suspect released" fingerprint=8 why=answered`,
--- a/internal/request/poison/poison.go
+++ b/internal/request/poison/poison.go
@@ -1,17 +1,17 @@
 // Package poison keeps a request that crashes backend servers from being run again.
 //
 // A request that was in flight on a backend server when it crashed is a suspect: it,
-// or another one in flight there, may be the cause. A suspect runs only while no other
-// suspect runs in the cell, so that the next crash tells them apart: of several
-// suspects at most one is in flight on the second backend server. A request that was
-// in flight on two crashed backend servers is quarantined for a time. A complete
-// answer releases a suspect. A suspect that is not the cause may run again immediately
-// and is released by its answer. So at backend servers with three slots, the first
-// crash makes three suspects and the second one quarantines one of them.
+// or another one in flight there, may be the cause. What tells them apart is what happens
+// to the request itself: one that crashes each backend server that runs it is never
+// answered. So a complete answer, at any instance, releases a suspect, and one just
+// before a crash dismisses that crash; a request that was in flight on two crashed
+// backend servers, with no answer in between, is quarantined for a time. How many other
+// backend servers crash, and when, changes nothing. A popular request that was in flight
+// on many of them in an outage is answered by the others at the same time.
 //
-// If more backend servers crash within a second than one request can crash, it is an
-// outage. An outage quarantines no request, since a popular one is always in flight on
-// at least two of the backend servers.
+// With cells, a suspect runs only while no other suspect runs in the cell, so that the
+// next crash tells them apart: of several suspects at most one is in flight on the second
+// backend server.
 //
 // A backend server counts as crashed if a connection to it broke and it then accepts
 // no new one, or announces a new incarnation. The caller passes the time in.
@@ -64,8 +64,8 @@
 	suspects map[uint64]*suspect
 	// broken holds the broken connections whose backend server may have crashed.
 	broken map[identity][]brokenConn
-	// recentCrashes holds the crashes within outageWindow, each backend server once.
-	recentCrashes []crash
+	// answers holds the requests that this instance saw answered of late.
+	answers answers
 	// lastSweep is the time at which sweep last ran.
 	lastSweep time.Time
 }
@@ -77,8 +77,6 @@
 	expires time.Time
 	// lastCrash is when this instance learned of the last crash.
 	lastCrash time.Time
-	// quarantinedAt is the time of the last crash that began or confirmed a quarantine.
-	quarantinedAt time.Time
 }
 
 // identity identifies a backend server across its incarnations.
@@ -111,24 +109,41 @@
 	return snipefront.Refused(snipefront.ReasonQuarantined, left, "two backend servers fell while this request was in flight; this resend was not run")
 }
 
-// Answered records a complete answer to f, which releases it if it is a suspect. A
-// quarantined request stays quarantined.
-func (g *Register) Answered(f uint64) {
-	if g == nil || !g.active.Load() {
+// Answered records a complete answer to f, which shows that f does not crash each backend
+// server that runs it. It releases f at all instances if f is a suspect here.
+func (g *Register) Answered(now time.Time, f uint64) {
+	if g == nil {
 		return
 	}
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	if e := g.suspects[f]; e != nil && len(e.crashed) < crashLimit {
-		g.report(time.Now(), EventReleased, "answered", f, e)
-		delete(g.suspects, f)
+	g.answers.add(now, f)
+	released := g.release(now, f, "answered")
+	g.mu.Unlock()
+	if released {
+		g.share(Record{Fingerprint: f, Released: true, Left: suspectTime})
+	}
+}
+
+// release ends the suspicion of f and reports whether there was one. The lock is held.
+func (g *Register) release(now time.Time, f uint64, why string) bool {
+	e := g.suspects[f]
+	if e == nil {
+		return false
+	}
+	g.report(now, EventReleased, why, f, e)
+	delete(g.suspects, f)
+	return true
+}
+
+// share shares a record with the other instances.
+func (g *Register) share(r Record) {
+	if g.Spread != nil {
+		g.Spread.Share(r)
 	}
 }
 
 // addSuspects makes suspects of the requests whose connection to an incarnation of id
 // broke, if ended returns true for that incarnation. It returns the records to share.
-// In an outage it also returns a record of each crash that it did not add, so that the
-// other instances recognize the outage, too.
 func (g *Register) addSuspects(now time.Time, id identity, ended func(Server) bool) []Record {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -140,9 +155,8 @@
 		case !ended(b.server):
 			kept = append(kept, b)
 		case g.addCrash(now, b.fingerprint, b.server, EventCrash, 0):
-			changed = append(changed, g.record(now, b.fingerprint))
-		case len(g.recentCrashes) >= outageCrashes:
-			changed = append(changed, Record{Fingerprint: b.fingerprint, Fallen: []Server{b.server}, Left: suspectTime})
+			left := RecordLifetime(len(g.suspects[b.fingerprint].crashed))
+			changed = append(changed, Record{Fingerprint: b.fingerprint, Crashed: []Server{b.server}, Left: left})
 		}
 	}
 	g.setBroken(id, kept)
@@ -150,10 +164,14 @@
 }
 
 // addCrash adds s to the crashed backend servers of the suspect f and reports whether
-// it did. In an outage it adds no second crash. The event is EventCrash if this instance
+// it did. It does not if f was answered of late. The event is EventCrash if this instance
 // saw the crash, and EventLearned otherwise. The suspect lasts for the time left at
 // least, or for its full lifetime if left is zero. The lock is held.
 func (g *Register) addCrash(now time.Time, f uint64, s Server, event Event, left time.Duration) bool {
+	if g.answers.has(now, f) {
+		g.report(now, EventDismissed, "answered before the crash of "+s.Name, f, &suspect{expires: now})
+		return false
+	}
 	g.activate()
 	e := g.suspects[f]
 	if e == nil || !now.Before(e.expires) {
@@ -167,18 +185,8 @@
 	if len(e.crashed) >= maxCrashed || slices.Contains(e.crashed, s) {
 		return false
 	}
-	if g.recordCrash(now, s) {
-		g.releaseQuarantined(now)
-		if len(e.crashed) >= crashLimit-1 {
-			g.report(now, event, "not added: part of an outage, "+s.Name, f, e)
-			return false
-		}
-	}
 	e.crashed = append(e.crashed, s)
 	e.lastCrash = now
-	if len(e.crashed) >= crashLimit {
-		e.quarantinedAt = now
-	}
 	defer func() { g.reportCrash(now, event, f, e, s) }()
 	if left == 0 {
 		left = RecordLifetime(len(e.crashed))
--- a/internal/request/poison/poison_test.go
+++ b/internal/request/poison/poison_test.go
@@ -12,7 +12,7 @@
 // sharer merges records into another register.
 type sharer struct{ to *poison.Register }
 
-func (s sharer) Share(r poison.Record) { s.to.Merge(start, []poison.Record{r}) }
+func (s sharer) Share(r poison.Record) { s.to.Merge(start.Add(time.Millisecond), []poison.Record{r}) }
 
 var start = time.Unix(1000, 0)
 
@@ -41,7 +41,7 @@
 	for f := range uint64(3) {
 		expectAdmission(t, &g, start, f, poison.Alone)
 	}
-	g.Answered(1)
+	g.Answered(start, 1)
 	expectAdmission(t, &g, start, 1, poison.Clear)
 	for _, f := range []uint64{0, 3, 4} {
 		g.ConnectionBroke(start, f, server("b", 1))
@@ -50,7 +50,6 @@
 	for f, want := range []poison.Admission{poison.Quarantined, poison.Clear, poison.Alone, poison.Alone, poison.Alone} {
 		expectAdmission(t, &g, start, uint64(f), want)
 	}
-	g.Answered(0)
 	expectAdmission(t, &g, start, 0, poison.Quarantined)
 	expectAdmission(t, &other, start, 0, poison.Quarantined)
 	_, left := g.Admit(start, 0)
@@ -58,6 +57,16 @@
 	expectAdmission(t, &g, start.Add(left), 0, poison.Clear)
 }
 
+// TestAnswerReleasesEverywhere guards against a harmless request that stays quarantined,
+// here or at another instance, though a copy of it that was in flight has been answered.
+func TestAnswerReleasesEverywhere(t *testing.T) {
+	g, other := quarantined(start), quarantined(start)
+	g.Spread = sharer{other}
+	g.Answered(start, 1)
+	expectAdmission(t, g, start, 1, poison.Clear)
+	expectAdmission(t, other, start, 1, poison.Clear)
+}
+
 // TestNewIncarnationCountsAsCrash guards against crashes that go unnoticed since the
 // backend server restarts before a connection to it is refused.
 func TestNewIncarnationCountsAsCrash(t *testing.T) {
@@ -132,24 +141,48 @@
 	return g
 }
 
-// TestOutageQuarantinesNothing guards against a popular request that is quarantined
-// because it was in flight on many backend servers that crashed together. If it is in
-// flight on two that crash after the outage, it must be quarantined.
-func TestOutageQuarantinesNothing(t *testing.T) {
+// TestOutageQuarantinesNoAnsweredRequest guards against a popular request that is
+// quarantined because it was in flight on many backend servers that crashed together,
+// though others answer it at the same time: just before, or at another instance.
+func TestOutageQuarantinesNoAnsweredRequest(t *testing.T) {
+	for name, answered := range map[string]time.Duration{"before": -500 * time.Millisecond, "after": 60 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			var g, other poison.Register
+			g.Spread, other.Spread = sharer{&other}, sharer{&g}
+			if answered < 0 {
+				other.Answered(start.Add(answered), 7)
+			}
+			crashMany(&g, 7)
+			if answered > 0 {
+				other.Answered(start.Add(answered), 7)
+			}
+			expectAdmission(t, &g, start.Add(time.Second), 7, poison.Clear)
+			expectAdmission(t, &other, start.Add(time.Second), 7, poison.Clear)
+		})
+	}
+}
+
+// TestOtherCrashesLiftNoQuarantine guards against a request that crashes each backend
+// server that runs it, and is admitted again since others crash at the same time: it is
+// one of several, or runs through several instances at once.
+func TestOtherCrashesLiftNoQuarantine(t *testing.T) {
 	var g, other poison.Register
-	g.Spread = sharer{&other}
+	g.Spread, other.Spread = sharer{&other}, sharer{&g}
+	crashMany(&g, 7)
+	expectAdmission(t, &g, start.Add(time.Second), 7, poison.Quarantined)
+	for f := range uint64(5) {
+		crashMany(&g, f)
+	}
+	expectAdmission(t, &g, start.Add(time.Second), 7, poison.Quarantined)
+	expectAdmission(t, &other, start.Add(time.Second), 7, poison.Quarantined)
+}
+
+// crashMany records that five backend servers crash within 50 ms while the request f is in
+// flight on each.
+func crashMany(g *poison.Register, f uint64) {
 	for i, n := range []string{"a", "b", "c", "d", "e"} {
 		at := start.Add(time.Duration(i) * 10 * time.Millisecond)
-		g.ConnectionBroke(at, 7, server(n, 1))
-		g.Crashed(at, server(n, 1))
-	}
-	expectAdmission(t, &g, start.Add(time.Second), 7, poison.Alone)
-	expectAdmission(t, &other, start.Add(time.Second), 7, poison.Alone)
-	g.Answered(7)
-	for i, n := range []string{"a", "b"} {
-		at := start.Add(time.Minute + time.Duration(i)*10*time.Millisecond)
-		g.ConnectionBroke(at, 7, server(n, 2))
-		g.Crashed(at, server(n, 2))
+		g.ConnectionBroke(at, f, server(n, 1+f))
+		g.Crashed(at, server(n, 1+f))
 	}
-	expectAdmission(t, &g, start.Add(time.Minute+time.Second), 7, poison.Quarantined)
 }
--- a/internal/request/poison/share.go
+++ b/internal/request/poison/share.go
@@ -8,9 +8,12 @@
 // Record describes a suspect to other instances.
 type Record struct {
 	Fingerprint uint64
-	// Fallen lists the backend servers that crashed while the request was in flight.
-	// There is at least one.
-	Fallen []Server
+	// Released is true if the request has been answered completely since what was known of
+	// it before. Crashed then holds only later crashes.
+	Released bool
+	// Crashed lists the backend servers that crashed while the request was in flight.
+	// There is at least one, unless Released is true.
+	Crashed []Server
 	// Left is the time for which the record is still valid.
 	Left time.Duration
 }
@@ -35,30 +38,42 @@
 
 // Merge adds the records of another instance to the suspects.
 func (g *Register) Merge(now time.Time, list []Record) {
+	var answered []Record
 	g.mu.Lock()
-	defer g.mu.Unlock()
 	for _, r := range list {
-		if r.Left > 0 {
-			g.merge(now, r)
+		if r.Left <= 0 {
+			continue
+		}
+		if r.Released {
+			g.release(now, r.Fingerprint, "answered at another instance")
 		}
+		if g.merge(now, r) {
+			answered = append(answered, Record{Fingerprint: r.Fingerprint, Released: true, Left: suspectTime})
+		}
+	}
+	g.mu.Unlock()
+	for _, r := range answered {
+		g.share(r)
 	}
 }
 
 // merge adds r to the suspects. If r alone does not quarantine the request, but its
 // crash does together with those recorded here, the request is quarantined for the
-// full time from now on. The lock is held.
-func (g *Register) merge(now time.Time, r Record) {
+// full time from now on. It reports whether this instance saw the request answered, so
+// that the others should learn of that. The lock is held.
+func (g *Register) merge(now time.Time, r Record) (answered bool) {
 	left := min(r.Left, quarantineTime)
-	for _, s := range r.Fallen {
+	for _, s := range r.Crashed {
 		isNew := g.addCrash(now, r.Fingerprint, s, EventLearned, left)
-		if e := g.suspects[r.Fingerprint]; isNew && len(e.crashed) >= crashLimit && len(r.Fallen) < crashLimit {
+		if e := g.suspects[r.Fingerprint]; isNew && len(e.crashed) >= crashLimit && len(r.Crashed) < crashLimit {
 			e.expires = now.Add(quarantineTime)
 		}
 	}
+	return len(r.Crashed) > 0 && g.answers.has(now, r.Fingerprint)
 }
 
 // record returns the record of the suspect f. The lock is held.
 func (g *Register) record(now time.Time, f uint64) Record {
 	e := g.suspects[f]
-	return Record{Fingerprint: f, Fallen: slices.Clone(e.crashed), Left: e.expires.Sub(now)}
+	return Record{Fingerprint: f, Crashed: slices.Clone(e.crashed), Left: e.expires.Sub(now)}
 }
--- a/internal/request/submit/submit.go
+++ b/internal/request/submit/submit.go
@@ -44,7 +44,7 @@
 	select {
 	case r.queue <- record:
 	default:
-		r.Logger.Warn("suspect dropped since the queue is full; other instances do not receive it", "fingerprint", record.Fingerprint, "crashes", len(record.Fallen), "queued", maxQueue)
+		r.Logger.Warn("suspect dropped since the queue is full; other instances do not receive it", "fingerprint", record.Fingerprint, "crashes", len(record.Crashed), "queued", maxQueue)
 	}
 }
 
@@ -64,19 +64,19 @@
 // submit submits a record for as long as it is valid: the control quorum may be lost for
 // some seconds, and the other instances send the request on until they know of it.
 func (r *Replicator) submit(ctx context.Context, record poison.Record) {
-	b, err := fleet.Command{Suspect: &fleet.Suspect{Fingerprint: record.Fingerprint, Crashed: record.Fallen}}.Encode()
+	b, err := fleet.Command{Suspect: &fleet.Suspect{Fingerprint: record.Fingerprint, Released: record.Released, Crashed: record.Crashed}}.Encode()
 	if err != nil {
 		r.Logger.Error("cannot encode a suspect; other instances do not receive it", "error", err)
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, poison.RecordLifetime(len(record.Fallen)))
+	ctx, cancel := context.WithTimeout(ctx, poison.RecordLifetime(len(record.Crashed)))
 	defer cancel()
 	begun := time.Now()
 	if _, err := r.Submitter.Submit(ctx, b); err != nil {
 		r.Logger.Warn("could not submit a suspect; other instances may not receive it", "fingerprint", record.Fingerprint, "taken", time.Since(begun), "error", err)
 		return
 	}
-	r.Logger.Info("suspect shared", "fingerprint", record.Fingerprint, "crashes", len(record.Fallen), "taken", time.Since(begun), "queued", len(r.queue))
+	r.Logger.Info("suspect shared", "fingerprint", record.Fingerprint, "crashes", len(record.Crashed), "taken", time.Since(begun), "queued", len(r.queue))
 }
 
 // Records returns the records of v that changed after index. Each is valid for its full
@@ -85,7 +85,9 @@
 	var list []poison.Record
 	for _, s := range v.Suspects {
 		if s.Index > index {
-			list = append(list, poison.Record{Fingerprint: s.Fingerprint, Fallen: s.Crashed, Left: poison.RecordLifetime(len(s.Crashed))})
+			list = append(list, poison.Record{
+				Fingerprint: s.Fingerprint, Released: s.ReleasedIndex > index, Crashed: s.Crashed, Left: poison.RecordLifetime(len(s.Crashed)),
+			})
 		}
 	}
 	return list
--- a/internal/request/submit/submit_test.go
+++ b/internal/request/submit/submit_test.go
@@ -35,7 +35,7 @@
 	ended := make(chan error, 1)
 	go func() { ended <- r.Run(ctx) }()
 	crashed := []poison.Server{{Service: "a", Name: "x", Incarnation: 1}, {Service: "a", Name: "y", Incarnation: 1}}
-	r.Share(poison.Record{Fingerprint: 7, Fallen: crashed})
+	r.Share(poison.Record{Fingerprint: 7, Crashed: crashed})
 	c := <-s
 	cancel()
 	if err := <-ended; err != nil {
@@ -44,7 +44,7 @@
 	c.Suspect.Index = 5
 	v := fleet.View{Suspects: map[uint64]fleet.Suspect{7: *c.Suspect}}
 	list := submit.Records(v, 4)
-	if len(list) != 1 || list[0].Fingerprint != 7 || len(list[0].Fallen) != 2 || list[0].Left <= 0 {
+	if len(list) != 1 || list[0].Fingerprint != 7 || len(list[0].Crashed) != 2 || list[0].Left <= 0 {
 		t.Fatalf("another instance reads %+v, want one record with two crashes", list)
 	}
 	if again := submit.Records(v, 5); len(again) != 0 {
@@ -78,8 +78,8 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan error, 1)
 		go func() { ended <- r.Run(ctx) }()
-		r.Share(poison.Record{Fingerprint: 7, Fallen: []poison.Server{{Service: "a", Name: "x", Incarnation: 1}}})
-		r.Share(poison.Record{Fingerprint: 8, Fallen: []poison.Server{{Service: "a", Name: "x", Incarnation: 1}}})
+		r.Share(poison.Record{Fingerprint: 7, Crashed: []poison.Server{{Service: "a", Name: "x", Incarnation: 1}}})
+		r.Share(poison.Record{Fingerprint: 8, Crashed: []poison.Server{{Service: "a", Name: "x", Incarnation: 1}}})
 		time.Sleep(10 * time.Second)
 		if n := len(q.submitter); n != 2 {
 			t.Errorf("%d of 2 suspects submitted 4 s after the control quorum is back", n)
--- a/internal/rpc/peers/suspects.go
+++ b/internal/rpc/peers/suspects.go
@@ -48,29 +48,40 @@
 	return m, nil
 }
 
+// suspectMessages encodes list. A release is a message without crashes, before the one
+// with the crashes since, if there are any.
 func suspectMessages(list []poison.Record) []*wire.Suspect {
 	out := make([]*wire.Suspect, 0, len(list))
 	for _, r := range list {
-		m := &wire.Suspect{Fingerprint: r.Fingerprint, LeftMillis: r.Left.Milliseconds()}
-		for _, s := range r.Fallen {
-			m.Fallen = append(m.Fallen, &wire.Fallen{
-				Service:     s.Service,
-				DataCentre:  s.DataCentre,
-				Name:        s.Name,
-				Incarnation: s.Incarnation,
-			})
+		if r.Released {
+			out = append(out, &wire.Suspect{Fingerprint: r.Fingerprint, LeftMillis: r.Left.Milliseconds()})
+		}
+		if len(r.Crashed) > 0 {
+			out = append(out, suspectMessage(r))
 		}
-		out = append(out, m)
 	}
 	return out
 }
 
+func suspectMessage(r poison.Record) *wire.Suspect {
+	m := &wire.Suspect{Fingerprint: r.Fingerprint, LeftMillis: r.Left.Milliseconds()}
+	for _, s := range r.Crashed {
+		m.Fallen = append(m.Fallen, &wire.Fallen{
+			Service:     s.Service,
+			DataCentre:  s.DataCentre,
+			Name:        s.Name,
+			Incarnation: s.Incarnation,
+		})
+	}
+	return m
+}
+
 func recordsOf(list []*wire.Suspect) []poison.Record {
 	out := make([]poison.Record, 0, len(list))
 	for _, m := range list {
-		r := poison.Record{Fingerprint: m.Fingerprint, Left: time.Duration(m.LeftMillis) * time.Millisecond}
+		r := poison.Record{Fingerprint: m.Fingerprint, Released: len(m.Fallen) == 0, Left: time.Duration(m.LeftMillis) * time.Millisecond}
 		for _, s := range m.Fallen {
-			r.Fallen = append(r.Fallen, poison.Server{
+			r.Crashed = append(r.Crashed, poison.Server{
 				Service:     s.Service,
 				DataCentre:  s.DataCentre,
 				Name:        s.Name,
