link: count a backend server that accepts connections as up

A backend server that is full may reset its connections. A request whose connection broke so, and whose check was reset, too, became a suspect, and after a second one was refused for five minutes, though no backend server had crashed. Cause: the check sent a load probe over its new connection, so a reset of that looked like a refused connection. Now only the connection itself counts; it is kept for the next request.

Test: link TestFullServerIsUp, which fails on the code before ("counts as crashed").

--- a/internal/dispatch/link/link.go
+++ b/internal/dispatch/link/link.go
@@ -151,14 +151,17 @@
 	b.WriteString("\r\n")
 }
 
-// Up implements direct.Link. It probes t over a new connection. A timeout of the probe
-// shows that the connection was opened, so t counts as up.
+// Up implements direct.Link. Only the connection counts: a backend server that is full may
+// reset it after that.
 func (l *Link) Up(ctx context.Context, t *health.Target) bool {
-	l.Pool.CloseIdle(t.Server.Address)
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	_, err := l.probe(ctx, t)
-	return err == nil || errors.Is(err, health.ErrProbeTimeout)
+	c, err := l.Pool.Dial(ctx, t.Server.Address)
+	if err != nil {
+		return false
+	}
+	l.putBack(c, t)
+	return true
 }
 
 // Probe implements health.Prober.
--- a/internal/dispatch/link/link_test.go
+++ b/internal/dispatch/link/link_test.go
@@ -272,3 +272,23 @@
 }
 
 var _ direct.Link = (*link.Link)(nil)
+
+// TestFullServerIsUp guards against a harmless request that becomes a suspect since a
+// backend server that is full resets its connections: one that accepts them has not
+// crashed, and one that accepts none has.
+func TestFullServerIsUp(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go rawtcp.Serve(l, func(c net.Conn) { c.Close() })
+	link, target := startServer(t, func(net.Conn, *http.Request) {})
+	target.Server.Address = l.Addr().String()
+	if !link.Up(t.Context(), target) {
+		t.Error("a backend server that resets its connections counts as crashed")
+	}
+	l.Close()
+	if link.Up(t.Context(), target) {
+		t.Error("a backend server that accepts no connection counts as up")
+	}
+}
--- a/internal/dispatch/pool/pool.go
+++ b/internal/dispatch/pool/pool.go
@@ -58,7 +58,7 @@
 	for {
 		c := p.pop(address)
 		if c == nil {
-			return dial(ctx, address)
+			return p.Dial(ctx, address)
 		}
 		idle := now.Sub(c.lastUsed)
 		if idle < c.idleTimeout && (!proven || idle < provenFor) && c.isUsable() {
@@ -130,7 +130,8 @@
 	return c
 }
 
-func dial(ctx context.Context, address string) (*Conn, error) {
+// Dial opens a connection to address.
+func (p *Pool) Dial(ctx context.Context, address string) (*Conn, error) {
 	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
 	c, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
