poison, direct, submit: recognize crashes of backend servers that fall silent

Cause: only a connection that broke before the attempt's time was over was looked into, and then only a new incarnation under the same name counted as a crash. A silent backend server breaks nothing, the attempt ends with its deadline or when the caller leaves, and the process is back under a new name.

When an answer is overdue, the edge now checks whether the backend server still accepts connections, unless it has just answered a load probe; if not, the request is a suspect. An attempt that ends unanswered after a silence is remembered, and the fleet tells later whether its backend server had ended: replaced under its name or its address, or removed for missing heartbeats. One that drained or deregistered ended as planned, and leaves no suspects; so does one that is missing in a whole state, which doesn't tell why. Follower.Publish passes the delta on for that.

--- a/internal/control/fleet/delta.go
+++ b/internal/control/fleet/delta.go
@@ -77,6 +77,12 @@
 	return list
 }
 
+// Deregistered reports whether the incarnation of n has deregistered itself according to
+// d. A whole state does not tell why a backend server is missing.
+func (d Delta) Deregistered(n Server) bool {
+	return slices.ContainsFunc(d.Removals, func(r Removal) bool { return r.Server == n.Name && r.Incarnation >= n.Incarnation })
+}
+
 // Apply returns v with the changes of d applied. It does not modify v.
 func (v View) Apply(d Delta) View {
 	next := View{
--- a/internal/control/follow/follow.go
+++ b/internal/control/follow/follow.go
@@ -49,8 +49,9 @@
 	// whenever all known ones have failed.
 	Seeds  func() []string
 	Caller Caller
-	// Publish is called with each new view, from one goroutine.
-	Publish func(v fleet.View)
+	// Publish is called with each new view and the delta that led to it, from one
+	// goroutine.
+	Publish func(v fleet.View, d fleet.Delta)
 	Logger  *slog.Logger
 
 	mu sync.Mutex
@@ -216,7 +217,7 @@
 		return
 	}
 	f.view = f.view.Apply(d)
-	f.Publish(f.view)
+	f.Publish(f.view, d)
 }
 
 // recordFailure records a failed call to address and delays the next one.
--- a/internal/control/follow/follow_test.go
+++ b/internal/control/follow/follow_test.go
@@ -59,7 +59,7 @@
 		Self:    fleet.Instance{Instance: snipefront.Instance{Name: "e", DataCentre: "dc1"}},
 		Seeds:   func() []string { return []string{"c1", "c2"} },
 		Caller:  c,
-		Publish: func(v fleet.View) { views[v.Index] = time.Since(c.start) },
+		Publish: func(v fleet.View, _ fleet.Delta) { views[v.Index] = time.Since(c.start) },
 		Logger:  slog.New(slog.NewTextHandler(io.Discard, nil)),
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), length)
--- a/internal/daemon/edge/edge.go
+++ b/internal/daemon/edge/edge.go
@@ -126,9 +126,9 @@
 // ready reports whether the instance accepts requests.
 func (e *Edge) ready() bool { return e.proxy.Table() != nil && !e.server.Draining() }
 
-// apply applies a view of the fleet. Until there is a valid configuration, it ignores
-// the rest of the view.
-func (e *Edge) apply(v fleet.View) {
+// apply applies a view of the fleet, which the delta d led to. Until there is a valid
+// configuration, it ignores the rest of the view.
+func (e *Edge) apply(v fleet.View, d fleet.Delta) {
 	e.configure(v.Document)
 	t := e.proxy.Table()
 	if t == nil {
@@ -140,7 +140,7 @@
 	e.probes.SetFleet(now, len(v.Servers), v.Edges())
 	e.index.Store(v.Index)
 	e.logger.Info("applied a new fleet view", "index", v.Index, "version", v.Document.Version, "servers", len(v.Servers), "instances", len(v.Instances), "out", len(v.Out))
-	e.suspects.Apply(now, v)
+	e.suspects.Apply(now, v, d)
 	e.storeControl(v)
 	if !e.readyAnnounced {
 		e.readyAnnounced = true
--- a/internal/dispatch/direct/crashfleet_test.go
+++ b/internal/dispatch/direct/crashfleet_test.go
@@ -181,9 +181,10 @@
 
 // follow brings a view up to the present state.
 func (n *crashInstance) follow(set *health.Set, r *submit.Receiver, v fleet.View) fleet.View {
-	v = v.Apply(n.fleet.state.DeltaSince(v.Index))
+	d := n.fleet.state.DeltaSince(v.Index)
+	v = v.Apply(d)
 	set.Update(time.Now(), v, n.fleet.routing)
-	r.Apply(time.Now(), v)
+	r.Apply(time.Now(), v, d)
 	return v
 }
 
--- a/internal/dispatch/direct/run.go
+++ b/internal/dispatch/direct/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/snipefront/snipefront"
@@ -27,17 +28,22 @@
 	taken time.Duration
 }
 
-// run sends c to the chosen target. If the answer to an idempotent call is overdue,
-// run hedges: it also sends c to a second target. The first answer that is not a
-// server error cancels the other attempt. run records each attempt in p.
+// run sends c to the chosen target. If the answer is overdue, run checks whether the
+// target still accepts connections and, for an idempotent call, hedges: it also sends c to
+// a second target. The first answer that is not a server error cancels the other attempt.
+// run records each attempt in p.
 func (d *Dispatcher) run(ctx context.Context, c *Call, p *progress, chosen choice) Attempt {
 	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
 	results := make(chan attemptResult, 2)
 	d.startAttempt(ctx, c, p.cause(), chosen, results)
 	running := 1
 	overdue := time.NewTimer(chosen.overdueAfter())
 	defer overdue.Stop()
+	checked := make(chan struct{}, 1)
+	var checks sync.WaitGroup
+	defer checks.Wait()
+	defer cancel()
+	latest := chosen
 	var last Attempt
 	for running > 0 {
 		select {
@@ -54,8 +60,15 @@
 			}
 			return last
 		case <-overdue.C:
-			if d.hedge(ctx, c, p, chosen, results) {
+			checks.Go(func() {
+				d.checkSilent(ctx, c, latest.target)
+				checked <- struct{}{}
+			})
+		case <-checked:
+			if second, ok := d.hedge(ctx, c, p, latest, results); ok {
 				running++
+				latest = second
+				overdue.Reset(second.overdueAfter())
 			}
 		}
 	}
@@ -87,10 +100,10 @@
 }
 
 // hedge sends c to a second target if that target may answer before the deadline and
-// stays within busyShare. It reports whether it did.
-func (d *Dispatcher) hedge(ctx context.Context, c *Call, p *progress, first choice, results chan<- attemptResult) bool {
+// stays within busyShare. It returns that target and reports whether it did.
+func (d *Dispatcher) hedge(ctx context.Context, c *Call, p *progress, first choice, results chan<- attemptResult) (choice, bool) {
 	if !c.Idempotent || p.sent+2 > c.Attempts {
-		return false
+		return choice{}, false
 	}
 	avoid := map[string]bool{first.target.Server.Name: true}
 	for n := range p.avoid {
@@ -99,16 +112,16 @@
 	base := d.estimator.baseLatency(c)
 	second, ok := d.bestTarget(ctx, c, base, avoid)
 	if !ok || !staysBelowBusy(second.snapshot) || time.Now().Add(second.estimate).After(c.Deadline) {
-		return false
+		return choice{}, false
 	}
 	if !d.spend(c) || !d.reserve(time.Now(), c, base, second.target) {
-		return false
+		return choice{}, false
 	}
 	d.Counter.Retried(c.Service, snipefront.ReasonHedge)
 	d.Logger.Info("answer overdue; request also sent to a second target", "request", c.ID, "service", c.Service, "server", first.target.Server.Name,
 		"estimated", first.estimate, "second", second.target.Server.Name, "secondEstimated", second.estimate)
 	d.startAttempt(ctx, c, snipefront.CauseHedge, second, results)
-	return true
+	return second, true
 }
 
 // send sends c to the chosen target, at which a request is reserved.
@@ -127,8 +140,8 @@
 	if a.Response != nil {
 		d.Poison.Answered(time.Now(), c.Fingerprint)
 	}
-	if a.Reason == snipefront.ReasonBrokenAnswer && ctx.Err() == nil {
-		d.checkCrash(ctx, c, chosen.target)
+	if a.Response == nil && a.Verdict == snipefront.MayHaveRun {
+		d.recordUnanswered(ctx, c, chosen.target, taken)
 	}
 	return a
 }
@@ -140,19 +153,3 @@
 	}
 	return quota.Answer
 }
-
-// checkCrash records that a connection to t broke while c was in flight. If t accepts
-// no new connection either, it has crashed, and c is a suspect.
-func (d *Dispatcher) checkCrash(ctx context.Context, c *Call, t *health.Target) {
-	if d.Poison == nil {
-		return
-	}
-	s := t.Server.CrashKey()
-	t.ChargeProbe(time.Now())
-	d.Poison.ConnectionBroke(time.Now(), c.Fingerprint, s)
-	if d.Link.Up(ctx, t) || ctx.Err() != nil {
-		return
-	}
-	d.Logger.Info("backend server crashed with the request in flight; the request is a suspect", "request", c.ID, "server", s.Name, "incarnation", s.Incarnation, "fingerprint", c.Fingerprint)
-	d.Poison.Crashed(time.Now(), s)
-}
--- a/internal/dispatch/health/target.go
+++ b/internal/dispatch/health/target.go
@@ -155,6 +155,13 @@
 	return !now.Before(t.retryAt)
 }
 
+// HeardSince reports whether t has answered a load probe that was sent after the given time.
+func (t *Target) HeardSince(at time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.report.At.After(at)
+}
+
 // observedState returns the state of t as this instance has observed it, regardless of
 // the registration.
 func (t *Target) observedState(now time.Time) status.State {
--- a/internal/request/poison/crash.go
+++ b/internal/request/poison/crash.go
@@ -1,30 +1,70 @@
 package poison
 
 import (
+	"slices"
 	"time"
 )
 
-// brokenConn is a connection that broke while a request was in flight.
+// brokenConn is a connection that broke, or fell silent, while a request was in flight.
 type brokenConn struct {
 	fingerprint uint64
 	server      Server
 	expires     time.Time
 }
 
-// ConnectionBroke records that a connection to s broke while the request f was in
-// flight. It is not known yet whether s crashed.
+// ending is the last known end of a backend server.
+type ending struct {
+	incarnation uint64
+	planned     bool
+	expires     time.Time
+}
+
+// ConnectionBroke records that a connection to s broke, or fell silent, while the request
+// f was in flight. Unless Ended has told, it is not known yet whether s crashed.
 func (g *Register) ConnectionBroke(now time.Time, f uint64, s Server) {
 	if g == nil {
 		return
 	}
+	if g.recordBroken(now, f, s) {
+		g.share(newCrash(f, s))
+	}
+}
+
+// recordBroken records the connection, or the crash of s if that is known. It reports
+// whether it recorded a crash.
+func (g *Register) recordBroken(now time.Time, f uint64, s Server) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.sweep(now)
 	g.activate()
 	id := s.identity()
+	if end, ok := g.ended[id]; ok && s.Incarnation <= end.incarnation {
+		return !end.planned && g.addCrash(now, f, s, EventCrash, 0)
+	}
 	if len(g.broken[id]) < maxEntries {
 		g.broken[id] = append(g.broken[id], brokenConn{fingerprint: f, server: s, expires: now.Add(suspectTime)})
 	}
+	return false
+}
+
+// Ended records that the incarnation s, and with it every earlier one, has ended
+// according to the fleet. If its end was planned, the requests in flight there are no
+// suspects.
+func (g *Register) Ended(now time.Time, s Server, planned bool) {
+	if g == nil {
+		return
+	}
+	g.mu.Lock()
+	g.activate()
+	id := s.identity()
+	if len(g.ended) < maxEntries {
+		g.ended[id] = ending{incarnation: s.Incarnation, planned: planned, expires: now.Add(suspectTime)}
+	}
+	if planned {
+		g.setBroken(id, slices.DeleteFunc(g.broken[id], func(b brokenConn) bool { return b.server.Incarnation <= s.Incarnation }))
+	}
+	g.mu.Unlock()
+	g.Crashed(now, s)
 }
 
 // Crashed records that the incarnation s, and with it every earlier one, has ended.
--- a/internal/request/poison/poison.go
+++ b/internal/request/poison/poison.go
@@ -13,12 +13,14 @@
 // next crash tells them apart: of several suspects at most one is in flight on the second
 // backend server.
 //
-// A backend server counts as crashed if a connection to it broke and it then accepts
-// no new one, or announces a new incarnation. The caller passes the time in.
+// A backend server counts as crashed if a connection to it broke, or fell silent, and it
+// then accepts no new one, announces a new incarnation, or leaves the fleet without a word.
+// One that drains or deregisters ends as planned. The caller passes the time in.
 package poison
 
 import (
 	"log/slog"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -64,6 +66,8 @@
 	suspects map[uint64]*suspect
 	// broken holds the broken connections whose backend server may have crashed.
 	broken map[identity][]brokenConn
+	// ended holds the last end of each backend server that the fleet has told of.
+	ended map[identity]ending
 	// answers holds the requests that this instance saw answered of late.
 	answers answers
 	// lastSweep is the time at which sweep last ran.
@@ -155,8 +159,7 @@
 		case !ended(b.server):
 			kept = append(kept, b)
 		case g.addCrash(now, b.fingerprint, b.server, EventCrash, 0):
-			left := RecordLifetime(len(g.suspects[b.fingerprint].crashed))
-			changed = append(changed, Record{Fingerprint: b.fingerprint, Crashed: []Server{b.server}, Left: left})
+			changed = append(changed, newCrash(b.fingerprint, b.server))
 		}
 	}
 	g.setBroken(id, kept)
@@ -236,7 +239,8 @@
 	for id, list := range g.broken {
 		g.setBroken(id, slices.DeleteFunc(list, func(b brokenConn) bool { return !now.Before(b.expires) }))
 	}
-	g.active.Store(len(g.suspects)+len(g.broken) > 0)
+	maps.DeleteFunc(g.ended, func(_ identity, e ending) bool { return !now.Before(e.expires) })
+	g.active.Store(len(g.suspects)+len(g.broken)+len(g.ended) > 0)
 }
 
 // activate makes the maps if they are nil, and sets active. The lock is held.
@@ -244,6 +248,7 @@
 	if g.suspects == nil {
 		g.suspects = map[uint64]*suspect{}
 		g.broken = map[identity][]brokenConn{}
+		g.ended = map[identity]ending{}
 	}
 	g.active.Store(true)
 }
--- a/internal/request/poison/poison_test.go
+++ b/internal/request/poison/poison_test.go
@@ -186,3 +186,31 @@
 		g.Crashed(at, server(n, 1+f))
 	}
 }
+
+// TestEndTellsOfCrashes guards against a request that makes backend servers go silent, and
+// is no suspect since its connection never breaks: the fleet tells of their end, before or
+// after its attempt is over.
+func TestEndTellsOfCrashes(t *testing.T) {
+	var g poison.Register
+	g.ConnectionBroke(start, 1, server("a", 1))
+	expectAdmission(t, &g, start, 1, poison.Clear)
+	g.Ended(start, server("a", 1), false)
+	expectAdmission(t, &g, start, 1, poison.Alone)
+	g.Ended(start, server("b", 4), false)
+	g.ConnectionBroke(start, 1, server("b", 5))
+	expectAdmission(t, &g, start, 1, poison.Alone)
+	g.ConnectionBroke(start, 1, server("b", 4))
+	expectAdmission(t, &g, start, 1, poison.Quarantined)
+}
+
+// TestPlannedEndMakesNoSuspects guards against harmless requests that are quarantined in a
+// release, since they were in flight when backend servers ended as planned.
+func TestPlannedEndMakesNoSuspects(t *testing.T) {
+	var g poison.Register
+	for _, name := range []string{"a", "b", "c"} {
+		g.ConnectionBroke(start, 1, server(name, 1))
+		g.Ended(start, server(name, 1), true)
+		g.ConnectionBroke(start, 1, server(name, 1))
+	}
+	expectAdmission(t, &g, start.Add(time.Second), 1, poison.Clear)
+}
--- a/internal/request/poison/share.go
+++ b/internal/request/poison/share.go
@@ -18,6 +18,11 @@
 	Left time.Duration
 }
 
+// newCrash returns the record of a crash of s that this instance saw.
+func newCrash(f uint64, s Server) Record {
+	return Record{Fingerprint: f, Crashed: []Server{s}, Left: suspectTime}
+}
+
 // Sharer shares a record with the other instances.
 type Sharer interface {
 	// Share must not block.
--- a/internal/request/submit/receiver.go
+++ b/internal/request/submit/receiver.go
@@ -7,23 +7,26 @@
 	"github.com/snipefront/snipefront/internal/request/poison"
 )
 
-// Receiver takes over what each new view of the fleet says of suspects. Set the exported
+// Receiver takes over what each new view of the fleet says of suspects, and of backend
+// servers that have ended. Set the exported
 // field before use. Its method must be called from one goroutine at a time.
 type Receiver struct {
 	Register *poison.Register
 
-	// index is the index of the last view that was applied.
-	index uint64
+	// last is the last view that was applied.
+	last fleet.View
 }
 
 // Apply merges the suspects that other instances have shared since the last view, and
-// marks those that a new incarnation of a backend server reveals.
-func (r *Receiver) Apply(now time.Time, v fleet.View) {
-	for _, n := range v.Servers {
-		if n.Index > r.index {
-			r.Register.Alive(now, n.CrashKey())
+// records which backend servers have ended. The delta d led to v.
+func (r *Receiver) Apply(now time.Time, v fleet.View, d fleet.Delta) {
+	for name, old := range r.last.Servers {
+		if n, ok := v.Servers[name]; !ok || n.Incarnation != old.Incarnation {
+			// A whole state doesn't tell why a backend server is missing.
+			planned := old.Draining || d.Deregistered(old) || !ok && d.Whole
+			r.Register.Ended(now, old.CrashKey(), planned)
 		}
 	}
-	r.Register.Merge(now, Records(v, r.index))
-	r.index = v.Index
+	r.Register.Merge(now, Records(v, r.last.Index))
+	r.last = v
 }
