direct: look at the quarantine again just before each send; keep hedges within attempts

A request that waited for a free backend server, for up to its latency goal, was sent though it had been quarantined meanwhile; one whose answer was overdue was hedged to a second backend server though it had been quarantined. The decision is now made again after the choice of a backend server, and before each hedge.

A hedge now needs an attempt that the route still allows.

Tests: direct TestWaitingRequestIsQuarantined, TestQuarantinedRequestIsNotHedged, TestHedgesStayWithinAttempts, each failing before. The fleet's test gets backend servers that answer no request; it does not reach the limit on attempts either way.

--- a/internal/dispatch/direct/crash.go
+++ b/internal/dispatch/direct/crash.go
@@ -4,7 +4,9 @@
 	"context"
 	"time"
 
+	"github.com/snipefront/snipefront"
 	"github.com/snipefront/snipefront/internal/dispatch/health"
+	"github.com/snipefront/snipefront/internal/request/poison"
 )
 
 // silentTime is the time without an answer to a load probe after which a target whose
@@ -54,3 +56,20 @@
 	current, _ := d.Targets.Current(t.Server.Name)
 	return current != nil && current.Server.Draining
 }
+
+// quarantined returns the refusal of c if it is quarantined, and nil otherwise. It logs
+// each decision on a suspect with what decided it.
+func (d *Dispatcher) quarantined(c *Call) *snipefront.Error {
+	now := time.Now()
+	admission, left := d.Poison.Admit(now, c.Fingerprint)
+	if admission == poison.Clear {
+		return nil
+	}
+	evidence, _ := d.Poison.Evidence(now, c.Fingerprint)
+	if admission == poison.Quarantined {
+		d.Logger.Info("quarantined request refused", "request", c.ID, "fingerprint", c.Fingerprint, "retryAfter", left, "evidence", evidence)
+		return poison.Refusal(left)
+	}
+	d.Logger.Info("suspect admitted", "request", c.ID, "fingerprint", c.Fingerprint, "evidence", evidence)
+	return nil
+}
--- a/internal/dispatch/direct/crash_test.go
+++ b/internal/dispatch/direct/crash_test.go
@@ -234,6 +234,19 @@
 	}
 }
 
+// muteServers lets a third of the backend servers answer no request for some seconds.
+func muteServers(f *crashFleet) {
+	setMute := func(mute bool) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		for i, s := range f.servers {
+			s.mute = mute && i%3 == 0
+		}
+	}
+	time.AfterFunc(4*time.Second, func() { setMute(true) })
+	time.AfterFunc(9*time.Second, func() { setMute(false) })
+}
+
 // restarts lets instances start anew, one after the other.
 func restarts(f *crashFleet) {
 	for i, n := range f.instances {
@@ -323,6 +336,7 @@
 		"dark, same name, rarely":              {send: every(2*time.Second, 3)},
 		"several together":                     {every(200*time.Millisecond, 0, 1, 2), []crashEvent{otherDark}},
 		"several together, no others":          {send: every(100*time.Millisecond, 0, 1, 2, 4)},
+		"mute servers":                         {every(300*time.Millisecond, 0), []crashEvent{muteServers, other}},
 		"release":                              {every(300*time.Millisecond, 0), []crashEvent{release}},
 		"outage of a data centre":              {every(300*time.Millisecond, 0), []crashEvent{outage}},
 		"outage, release, others crash":        {every(100*time.Millisecond, 0, 1), []crashEvent{outage, release, other}},
--- a/internal/dispatch/direct/crashserver_test.go
+++ b/internal/dispatch/direct/crashserver_test.go
@@ -19,8 +19,9 @@
 	address, dataCentre, name string
 	incarnation               uint64
 	up, draining              bool
-	// dark is true if the machine answers nothing, so that connections neither open nor break.
-	dark bool
+	// dark is true if the machine answers nothing, so that connections neither open nor break,
+	// and mute if the process runs no request and answers none.
+	dark, mute bool
 	// down is closed when the process ends.
 	down    chan struct{}
 	running int
@@ -125,9 +126,9 @@
 
 // process is what a connection finds at an address.
 type process struct {
-	name     string
-	up, dark bool
-	down     chan struct{}
+	name           string
+	up, dark, mute bool
+	down           chan struct{}
 }
 
 // at returns the backend server and its process at the address of t.
@@ -136,7 +137,7 @@
 	defer l.fleet.mu.Unlock()
 	for _, s := range l.fleet.servers {
 		if s.address == t.Server.Address {
-			return s, process{name: s.name, up: s.up, dark: s.dark, down: s.down}
+			return s, process{name: s.name, up: s.up, dark: s.dark, mute: s.mute, down: s.down}
 		}
 	}
 	panic("no such address")
@@ -193,7 +194,10 @@
 	}
 	defer l.fleet.leave(s, p)
 	work := harmlessWork
-	if crashesServers(c.Fingerprint) {
+	switch {
+	case p.mute:
+		work = time.Hour
+	case crashesServers(c.Fingerprint):
 		work = crashAfter
 	}
 	select {
--- a/internal/dispatch/direct/direct.go
+++ b/internal/dispatch/direct/direct.go
@@ -102,13 +102,18 @@
 		if time.Until(c.Deadline) < minAttemptTime || ctx.Err() != nil {
 			return d.finish(c, &p, timeoutError(ctx, &p))
 		}
-		if e := d.admit(c); e != nil {
+		if e := d.quarantined(c); e != nil {
 			return d.finish(c, &p, withVerdict(e, p.verdict))
 		}
 		chosen, ok := d.choose(ctx, c, p.avoid)
 		if !ok {
 			return d.finish(c, &p, d.noTargetError(ctx, c, &p, chosen.quotaWait))
 		}
+		// The quarantine may have begun while c waited for a target.
+		if e := d.quarantined(c); e != nil {
+			chosen.target.Done(time.Now(), health.Neutral)
+			return d.finish(c, &p, withVerdict(e, p.verdict))
+		}
 		if !d.spendForNext(c, &p) {
 			chosen.target.Done(time.Now(), health.Neutral)
 			return d.finish(c, &p, attemptError(ctx, &p))
@@ -125,20 +130,3 @@
 		}
 	}
 }
-
-// admit returns nil if c may run, or the refusal of c if it is quarantined. It logs each
-// decision on a suspect with what decided it.
-func (d *Dispatcher) admit(c *Call) *snipefront.Error {
-	now := time.Now()
-	admission, left := d.Poison.Admit(now, c.Fingerprint)
-	if admission == poison.Clear {
-		return nil
-	}
-	evidence, _ := d.Poison.Evidence(now, c.Fingerprint)
-	if admission == poison.Quarantined {
-		d.Logger.Info("quarantined request refused", "request", c.ID, "fingerprint", c.Fingerprint, "retryAfter", left, "evidence", evidence)
-		return poison.Refusal(left)
-	}
-	d.Logger.Info("suspect admitted", "request", c.ID, "fingerprint", c.Fingerprint, "evidence", evidence)
-	return nil
-}
--- /dev/null
+++ b/internal/dispatch/direct/quarantine_test.go
@@ -0,0 +1,70 @@
+package direct_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/dispatch/direct"
+	"github.com/snipefront/snipefront/internal/request/poison"
+)
+
+// quarantineElsewhere tells d that the request of newCall crashed two backend servers at
+// other instances.
+func quarantineElsewhere(d *direct.Dispatcher) {
+	d.Poison.Merge(time.Now(), []poison.Record{{Fingerprint: 7, Left: time.Minute, Crashed: []poison.Server{{Name: "x"}, {Name: "y"}}}})
+}
+
+// TestWaitingRequestIsQuarantined guards against a request that is sent although it was
+// quarantined while it waited for a backend server with a free slot.
+func TestWaitingRequestIsQuarantined(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeLink{running: 20}
+		s.send = func(context.Context, string) direct.Attempt { return answered }
+		d := newDispatcher(2, s)
+		time.AfterFunc(50*time.Millisecond, func() { quarantineElsewhere(d) })
+		time.AfterFunc(100*time.Millisecond, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.running = 0
+		})
+		_, err := d.Serve(t.Context(), newCall(true))
+		if e := errorOf(t, err); e.Reason != snipefront.ReasonQuarantined || len(s.sent) > 0 {
+			t.Errorf("the request ended with %v and reached %v, want a refusal as quarantined", e, s.sent)
+		}
+	})
+}
+
+// TestQuarantinedRequestIsNotHedged guards against a second backend server that receives a
+// request since its answer is overdue, though it was quarantined meanwhile.
+func TestQuarantinedRequestIsNotHedged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeLink{}
+		s.send = func(ctx context.Context, _ string) direct.Attempt {
+			<-ctx.Done()
+			return broken
+		}
+		d := newDispatcher(3, s)
+		time.AfterFunc(20*time.Millisecond, func() { quarantineElsewhere(d) })
+		if _, err := d.Serve(t.Context(), newCall(true)); err == nil || len(s.sent) != 1 {
+			t.Errorf("the request ended with %v and reached %v, want one backend server", err, s.sent)
+		}
+	})
+}
+
+// TestHedgesStayWithinAttempts guards against a request that is sent to more backend
+// servers than its route allows, since the answers of all of them are overdue.
+func TestHedgesStayWithinAttempts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeLink{}
+		s.send = func(ctx context.Context, _ string) direct.Attempt {
+			<-ctx.Done()
+			return broken
+		}
+		if _, err := newDispatcher(5, s).Serve(t.Context(), newCall(true)); err == nil || len(s.sent) != 2 {
+			t.Errorf("the request ended with %v and reached %v, want two backend servers", err, s.sent)
+		}
+	})
+}
--- a/internal/dispatch/direct/run.go
+++ b/internal/dispatch/direct/run.go
@@ -65,6 +65,9 @@
 				checked <- struct{}{}
 			})
 		case <-checked:
+			if p.sent+running >= c.Attempts {
+				continue
+			}
 			if second, ok := d.hedge(ctx, c, p, latest, results); ok {
 				running++
 				latest = second
@@ -102,7 +105,7 @@
 // hedge sends c to a second target if that target may answer before the deadline and
 // stays within busyShare. It returns that target and reports whether it did.
 func (d *Dispatcher) hedge(ctx context.Context, c *Call, p *progress, first choice, results chan<- attemptResult) (choice, bool) {
-	if !c.Idempotent || p.sent+2 > c.Attempts {
+	if !c.Idempotent || d.quarantined(c) != nil {
 		return choice{}, false
 	}
 	avoid := map[string]bool{first.target.Server.Name: true}
@@ -114,7 +117,7 @@
 	if !ok || !staysBelowBusy(second.snapshot) || time.Now().Add(second.estimate).After(c.Deadline) {
 		return choice{}, false
 	}
-	if !d.spend(c) || !d.reserve(time.Now(), c, base, second.target) {
+	if d.quarantined(c) != nil || !d.spend(c) || !d.reserve(time.Now(), c, base, second.target) {
 		return choice{}, false
 	}
 	d.Counter.Retried(c.Service, snipefront.ReasonHedge)
