submit, fleet, poison: keep quarantines where many suspects come at once

In a busy outage every request in flight on a crashed backend server becomes a suspect. An instance dropped all records beyond 64 that waited for the control quorum, which may be away just then; the replicated list of 256 forgot its oldest entries first, and the register of 4,096 those that expire first: a request quarantined before the outage was sent on during it, and by instances that started, or had been cut off, after it.

Tests: submit TestQuarantineComesBeforeOtherSuspects, fleet and poison TestOutagePushesOutNoQuarantine, which fail on the code before; fleet TestReleaseReachesReaders.

--- a/internal/control/fleet/fleet.go
+++ b/internal/control/fleet/fleet.go
@@ -46,7 +46,7 @@
 	Removals []Removal
 	// Forgotten is the index of the last removal that is no longer in Removals.
 	Forgotten uint64
-	// Suspects holds the last maxSuspects suspects, oldest first.
+	// Suspects holds at most maxSuspects suspects, in the order in which they came.
 	Suspects []Suspect
 }
 
--- a/internal/control/fleet/fleet_test.go
+++ b/internal/control/fleet/fleet_test.go
@@ -309,3 +309,40 @@
 		t.Error("the heartbeat of a warm backend server did not end its warm-up")
 	}
 }
+
+// TestOutagePushesOutNoQuarantine guards against a quarantined request that instances
+// which start later do not learn of, since many suspects of an outage came after it.
+func TestOutagePushesOutNoQuarantine(t *testing.T) {
+	r := newReplica()
+	for i := range uint64(1000) {
+		s := fleet.Suspect{Fingerprint: 100 + i, Crashed: []poison.Server{{Name: "c"}}}
+		if i == 10 {
+			s = fleet.Suspect{Fingerprint: 1, Crashed: []poison.Server{{Name: "a"}, {Name: "b"}}}
+		}
+		r.apply(t, fleet.Command{Suspect: &s})
+	}
+	v := r.View()
+	if len(v.Suspects[1].Crashed) != 2 {
+		t.Error("the quarantined request is gone")
+	}
+	if _, ok := v.Suspects[1099]; !ok || len(v.Suspects) > 256 {
+		t.Errorf("%d suspects are kept, the last one: %v", len(v.Suspects), ok)
+	}
+}
+
+// TestReleaseReachesReaders guards against a harmless request that stays a suspect at
+// instances that learn of its release and of a later crash at the same time.
+func TestReleaseReachesReaders(t *testing.T) {
+	r := newReplica()
+	crashed := func(name string) *fleet.Suspect {
+		return &fleet.Suspect{Fingerprint: 1, Crashed: []poison.Server{{Name: name}}}
+	}
+	r.apply(t, fleet.Command{Suspect: crashed("a")})
+	before := r.View().Index
+	r.apply(t, fleet.Command{Suspect: &fleet.Suspect{Fingerprint: 1, Released: true}})
+	r.apply(t, fleet.Command{Suspect: crashed("b")})
+	s := r.View().Suspects[1]
+	if s.ReleasedIndex <= before || len(s.Crashed) != 1 || s.Crashed[0].Name != "b" {
+		t.Errorf("the suspect is %+v, want the crash of b and a release after the index %d", s, before)
+	}
+}
--- a/internal/control/fleet/suspect.go
+++ b/internal/control/fleet/suspect.go
@@ -6,7 +6,7 @@
 	"github.com/snipefront/snipefront/internal/request/poison"
 )
 
-// maxSuspects is the number of suspects that are kept. The oldest are dropped first.
+// maxSuspects is the number of suspects that are kept.
 const maxSuspects = 256
 
 // suspect adds the crashed backend servers of c to the suspect with its fingerprint, or
@@ -31,13 +31,21 @@
 	return changed
 }
 
-// addSuspect adds a suspect, and drops the oldest above maxSuspects.
+// addSuspect adds a suspect. Above maxSuspects it drops one that the fewest backend
+// servers crashed with, the oldest of several.
 func (s *State) addSuspect(index uint64, c Suspect) bool {
 	c.Index = index
-	s.data.Suspects = append(s.data.Suspects, c)
-	if over := len(s.data.Suspects) - maxSuspects; over > 0 {
-		s.data.Suspects = slices.Clone(s.data.Suspects[over:])
+	s.data.Suspects = append(slices.Clone(s.data.Suspects), c)
+	if len(s.data.Suspects) <= maxSuspects {
+		return true
 	}
+	least := 0
+	for i, v := range s.data.Suspects {
+		if len(v.Crashed) < len(s.data.Suspects[least].Crashed) {
+			least = i
+		}
+	}
+	s.data.Suspects = slices.Delete(s.data.Suspects, least, least+1)
 	return true
 }
 
--- a/internal/request/fanout/parcel.go
+++ b/internal/request/fanout/parcel.go
@@ -1,7 +1,6 @@
 package fanout
 
 import (
-	"slices"
 	"time"
 
 	"github.com/snipefront/snipefront/internal/request/poison"
@@ -32,16 +31,8 @@
 	if !ok && len(p.records) >= maxPending {
 		return false
 	}
-	if r.Released {
-		old = pendingRecord{released: true}
-	}
-	for _, s := range r.Crashed {
-		if !slices.Contains(old.crashed, s) {
-			old.crashed = append(slices.Clone(old.crashed), s)
-		}
-	}
-	old.expires = now.Add(r.Left)
-	p.records[r.Fingerprint] = old
+	known := poison.Record{Released: old.released, Crashed: old.crashed}.Add(r)
+	p.records[r.Fingerprint] = pendingRecord{released: known.Released, crashed: known.Crashed, expires: now.Add(r.Left)}
 	return true
 }
 
--- a/internal/request/poison/crash.go
+++ b/internal/request/poison/crash.go
@@ -25,26 +25,29 @@
 	if g == nil {
 		return
 	}
-	if g.recordBroken(now, f, s) {
-		g.share(newCrash(f, s))
+	if r, ok := g.recordBroken(now, f, s); ok {
+		g.share(r)
 	}
 }
 
-// recordBroken records the connection, or the crash of s if that is known. It reports
-// whether it recorded a crash.
-func (g *Register) recordBroken(now time.Time, f uint64, s Server) bool {
+// recordBroken records the connection, or the crash of s if that is known. It returns the
+// record of the crash and reports whether it recorded one.
+func (g *Register) recordBroken(now time.Time, f uint64, s Server) (Record, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.sweep(now)
 	g.activate()
 	id := s.identity()
 	if end, ok := g.ended[id]; ok && s.Incarnation <= end.incarnation {
-		return !end.planned && g.addCrash(now, f, s, EventCrash, 0)
+		if end.planned || !g.addCrash(now, f, s, EventCrash, 0) {
+			return Record{}, false
+		}
+		return g.newCrash(f, s), true
 	}
 	if len(g.broken[id]) < maxEntries {
 		g.broken[id] = append(g.broken[id], brokenConn{fingerprint: f, server: s, expires: now.Add(suspectTime)})
 	}
-	return false
+	return Record{}, false
 }
 
 // Ended records that the incarnation s, and with it every earlier one, has ended
--- a/internal/request/poison/poison.go
+++ b/internal/request/poison/poison.go
@@ -159,7 +159,7 @@
 		case !ended(b.server):
 			kept = append(kept, b)
 		case g.addCrash(now, b.fingerprint, b.server, EventCrash, 0):
-			changed = append(changed, newCrash(b.fingerprint, b.server))
+			changed = append(changed, g.newCrash(b.fingerprint, b.server))
 		}
 	}
 	g.setBroken(id, kept)
@@ -210,21 +210,22 @@
 }
 
 // evict frees space for one suspect. It removes the expired ones or, if none has
-// expired, the one that expires first. The lock is held.
+// expired, one that the fewest backend servers crashed with and that expires first. The
+// lock is held.
 func (g *Register) evict(now time.Time) {
 	g.sweep(now)
 	if len(g.suspects) < maxEntries {
 		return
 	}
-	var earliest uint64
-	var expires time.Time
-	for f, e := range g.suspects {
-		if expires.IsZero() || e.expires.Before(expires) {
-			earliest, expires = f, e.expires
+	var least uint64
+	var e *suspect
+	for f, o := range g.suspects {
+		if e == nil || len(o.crashed) < len(e.crashed) || len(o.crashed) == len(e.crashed) && o.expires.Before(e.expires) {
+			least, e = f, o
 		}
 	}
-	g.report(now, EventEvicted, "no space", earliest, g.suspects[earliest])
-	delete(g.suspects, earliest)
+	g.report(now, EventEvicted, "no space", least, e)
+	delete(g.suspects, least)
 }
 
 // sweep removes expired suspects and broken connections. The lock is held.
--- a/internal/request/poison/poison_test.go
+++ b/internal/request/poison/poison_test.go
@@ -214,3 +214,15 @@
 	}
 	expectAdmission(t, &g, start.Add(time.Second), 1, poison.Clear)
 }
+
+// TestOutagePushesOutNoQuarantine guards against a quarantined request that is forgotten
+// since many others become suspects in an outage.
+func TestOutagePushesOutNoQuarantine(t *testing.T) {
+	g := quarantined(start)
+	for f := range uint64(5000) {
+		at := start.Add(4*time.Minute + 30*time.Second)
+		g.ConnectionBroke(at, 100+f, server("c", f))
+		g.Crashed(at, server("c", f))
+	}
+	expectAdmission(t, g, start.Add(4*time.Minute+31*time.Second), 1, poison.Quarantined)
+}
--- a/internal/request/poison/share.go
+++ b/internal/request/poison/share.go
@@ -18,9 +18,24 @@
 	Left time.Duration
 }
 
-// newCrash returns the record of a crash of s that this instance saw.
-func newCrash(f uint64, s Server) Record {
-	return Record{Fingerprint: f, Crashed: []Server{s}, Left: suspectTime}
+// Add returns the record r with the later one added.
+func (r Record) Add(later Record) Record {
+	if later.Released {
+		return later
+	}
+	for _, s := range later.Crashed {
+		if !slices.Contains(r.Crashed, s) {
+			r.Crashed = append(slices.Clone(r.Crashed), s)
+		}
+	}
+	r.Left = max(r.Left, later.Left)
+	return r
+}
+
+// newCrash returns the record of a crash of s that this instance saw with the suspect f in
+// flight. The lock is held.
+func (g *Register) newCrash(f uint64, s Server) Record {
+	return Record{Fingerprint: f, Crashed: []Server{s}, Left: RecordLifetime(len(g.suspects[f].crashed))}
 }
 
 // Sharer shares a record with the other instances.
--- a/internal/request/submit/submit_test.go
+++ b/internal/request/submit/submit_test.go
@@ -99,3 +99,34 @@
 		r.Share(poison.Record{Fingerprint: f})
 	}
 }
+
+// TestQuarantineComesBeforeOtherSuspects guards against a request that other instances send
+// on, since its record is dropped, or waits, behind those of many others in a busy outage
+// without a control quorum.
+func TestQuarantineComesBeforeOtherSuspects(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := lostQuorum{submitter: make(submitter, 4000), back: time.Now().Add(6 * time.Second)}
+		r := &submit.Replicator{Submitter: q, Logger: slog.New(slog.NewTextHandler(io.Discard, nil))}
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- r.Run(ctx) }()
+		for f := range uint64(3000) {
+			r.Share(poison.Record{Fingerprint: f, Left: time.Minute, Crashed: []poison.Server{{Name: "x"}}})
+			if f == 100 || f == 2900 {
+				r.Share(poison.Record{Fingerprint: 10000 + f, Left: 5 * time.Minute, Crashed: []poison.Server{{Name: "y"}}})
+			}
+		}
+		time.Sleep(10 * time.Second)
+		first := map[uint64]bool{}
+		for range 3 {
+			first[(<-q.submitter).Suspect.Fingerprint] = true
+		}
+		if !first[10100] || !first[12900] {
+			t.Errorf("the first three records are of %v, want those of the quarantined requests 10100 and 12900 among them", first)
+		}
+		cancel()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+}
