poison: make the first trial run follow the quarantine at once, the others much later

Trial runs late enough to cost one more backend server each answered few of the callers, who wait for some seconds only. A first trial run after 0.2 s does for them what a third crash allowed everywhere does, but in one place of the fleet; a request that crashes backend servers and comes once at a time ends three of them. The later trial runs serve those who ask for the same again. Retry-After has a margin of 0.1 s: the next instance may have learned of the crash later.

--- a/internal/dispatch/direct/crash.go
+++ b/internal/dispatch/direct/crash.go
@@ -58,7 +58,7 @@
 }
 
 // trialRetryAfter is the time after which a caller may resend a request whose trial run
-// another instance has been granted, or the control quorum has not.
+// another instance has been granted, or that the control quorum did not grant.
 const trialRetryAfter = 500 * time.Millisecond
 
 // admit returns nil if c may be sent, and otherwise its refusal. If c is quarantined and a
--- a/internal/request/poison/poison_test.go
+++ b/internal/request/poison/poison_test.go
@@ -229,18 +229,19 @@
 
 // TestTrialRunsOfQuarantinedRequest guards against a harmless request that stays refused
 // after an outage, and against one that crashes backend servers and gets one trial run
-// after the other: each comes later than the last one, and there are two.
+// after the other: each comes later than the last one, and there are three.
 func TestTrialRunsOfQuarantinedRequest(t *testing.T) {
 	g := quarantined(start)
 	g.Trials = true
 	now := start
-	for trial := range 2 {
-		a, left := g.Admit(now, 1)
-		if a != poison.Quarantined || left < 500*time.Millisecond {
+	for trial, delay := range []time.Duration{200 * time.Millisecond, time.Minute, 10 * time.Minute} {
+		if a, left := g.Admit(now, 1); a != poison.Quarantined || left < delay {
 			t.Fatalf("admission %d for %v, want a quarantine until trial run %d", a, left, trial+1)
 		}
-		now = now.Add(left)
-		expectAdmission(t, g, now.Add(-time.Millisecond), 1, poison.Quarantined)
+		for at := time.Duration(0); at < delay; at += delay / 10 {
+			expectAdmission(t, g, now.Add(at), 1, poison.Quarantined)
+		}
+		now = now.Add(delay)
 		expectAdmission(t, g, now, 1, poison.Trial)
 		g.Merge(now, []poison.Record{{Fingerprint: 1, Trials: trial + 1, Left: time.Minute}})
 		expectAdmission(t, g, now, 1, poison.Quarantined)
--- a/internal/request/poison/trial.go
+++ b/internal/request/poison/trial.go
@@ -3,10 +3,14 @@
 import "time"
 
 // trialDelays holds the times from the last crash or trial run to each further trial run.
-// Together with the two crashes before, no more backend servers are lost to a request, even
-// if it comes for hours, than it has trial runs: a quarantine with trials ends only once the
-// request has not come for quarantineTime.
-var trialDelays = []time.Duration{500 * time.Millisecond, 15 * time.Second}
+// A request that crashes backend servers ends as many more of them as it gets trial runs,
+// even if it comes for hours: a quarantine with trials ends only once the request has not
+// come for quarantineTime.
+var trialDelays = []time.Duration{200 * time.Millisecond, time.Minute, 10 * time.Minute}
+
+// trialMargin is added to the time after which a resend may run as a trial: the instance
+// that receives it may have learned of the last crash later than this one.
+const trialMargin = 100 * time.Millisecond
 
 // admitTrial returns the admission of a quarantined suspect and, if it is refused, after
 // what time a resend may run.
@@ -22,7 +26,7 @@
 		since = e.lastTrial
 	}
 	if left := since.Add(trialDelays[e.trials]).Sub(now); left > 0 {
-		return Quarantined, left
+		return Quarantined, left + trialMargin
 	}
 	return Trial, 0
 }
