pool, link: end an exchange whose answer never ends

A backend server that writes bytes without end in a status line, a field, a head, interim answers or chunks held an exchange until its deadline, and its memory grew with what came: over a gigabyte in a second on loopback, where an instance has 184 MB.

Cause: nothing bounded the head of an answer or the number of interim ones, and closing a body that was too long first read the rest of it. Now the head, with the interim ones before it, has 64 KiB and must be complete 0.5 s after its first byte; bytes that don't begin like an answer end it with the first one that differs; there are 8 interim answers at most; and a body over its limit closes the connection first. A slow body may last until the deadline. Package bound grows the buffer of a body with what has arrived, whatever length was promised, and bounds all buffers of bodies over 64 KiB that an edge reads at once to 32 MiB (half more while one is copied); shorter answers are read beside them. The attempt may have run, and its backend server counts as faulty, unless this instance had no memory left for the answer. A load probe whose answer has begun and doesn't end is a failure, no longer a health path that waits for a slot.

--- a/internal/daemon/edge/build.go
+++ b/internal/daemon/edge/build.go
@@ -19,6 +19,7 @@
 	"github.com/snipefront/snipefront/internal/observe/tally"
 	"github.com/snipefront/snipefront/internal/request/poison"
 	"github.com/snipefront/snipefront/internal/request/submit"
+	"github.com/snipefront/snipefront/internal/rpc/bound"
 	"github.com/snipefront/snipefront/internal/rpc/peers"
 )
 
@@ -51,7 +52,7 @@
 func newPool() *pool.Pool { return &pool.Pool{} }
 
 func newLink(s Settings, targets *health.Set, connections *pool.Pool, counters *stats.Stats, logger *slog.Logger) *link.Link {
-	return &link.Link{Pool: connections, Targets: targets, Fields: s.Fields, Counter: counters, Logger: logger}
+	return &link.Link{Pool: connections, Memory: &bound.Memory{Limit: link.MaxMemory}, Targets: targets, Fields: s.Fields, Counter: counters, Logger: logger}
 }
 
 func newDispatcher(targets *health.Set, l *link.Link, retries *budget.Retries, probes *budget.Probes, suspects *poison.Register, counters *stats.Stats, attempts *tally.Tally, logger *slog.Logger) *direct.Dispatcher {
--- a/internal/dispatch/link/link.go
+++ b/internal/dispatch/link/link.go
@@ -16,6 +16,7 @@
 	"github.com/snipefront/snipefront/internal/dispatch/health"
 	"github.com/snipefront/snipefront/internal/dispatch/pool"
 	"github.com/snipefront/snipefront/internal/dispatch/quota"
+	"github.com/snipefront/snipefront/internal/rpc/bound"
 )
 
 const (
@@ -25,8 +26,10 @@
 	reusedConnTimeout = 60 * time.Millisecond
 	// maxReportBytes bounds the body of the answer to a load probe.
 	maxReportBytes = 64 << 10
-	// maxAnswerBytes bounds the body of the answer to a request.
+	// maxAnswerBytes bounds the body of the answer to a request, and MaxMemory those of all
+	// long answers that an instance reads at the same time.
 	maxAnswerBytes = 16 << 20
+	MaxMemory      = 32 << 20
 	// maxIdle is the maximum number of idle connections to one backend server.
 	maxIdle = 8
 )
@@ -47,6 +50,8 @@
 // Link implements direct.Link. Set the exported fields before use.
 type Link struct {
 	Pool *pool.Pool
+	// Memory bounds the bodies of the answers that are being read. Nil sets no bound.
+	Memory *bound.Memory
 	// Targets holds the backend servers that accept requests.
 	Targets *health.Set
 	Fields  snipefront.HeaderFields
@@ -66,14 +71,14 @@
 	}
 	e := pool.Exchange{
 		Head: l.requestHead(c, t, time.Until(c.Deadline)), Body: c.Body, Method: c.Method,
-		IDField: l.Fields.RequestID, ID: c.ID, MaxBytes: maxAnswerBytes,
+		IDField: l.Fields.RequestID, ID: c.ID, MaxBytes: maxAnswerBytes, Memory: l.Memory,
 	}
 	reusable, err := e.Do(ctx, conn)
 	if reusable {
 		l.putBack(conn, t)
 	}
 	if err != nil {
-		return direct.Attempt{Verdict: snipefront.MayHaveRun, Reason: snipefront.ReasonBrokenAnswer, Err: err, Outcome: health.Faulty}
+		return brokenAttempt(err)
 	}
 	a := l.attemptOf(&e, t)
 	if !a.Misdirected {
@@ -82,6 +87,16 @@
 	return a
 }
 
+// brokenAttempt returns the attempt that ended with err instead of an answer. It shows
+// nothing about the backend server if this instance had no memory for its answer.
+func brokenAttempt(err error) direct.Attempt {
+	a := direct.Attempt{Verdict: snipefront.MayHaveRun, Reason: snipefront.ReasonBrokenAnswer, Err: err, Outcome: health.Faulty}
+	if errors.Is(err, bound.ErrNoMemory) {
+		a.Outcome = health.Neutral
+	}
+	return a
+}
+
 // statementOf returns what an answer of t with the header h says of its rate limit.
 func (l *Link) statementOf(t *health.Target, h http.Header) quota.Statement {
 	s, err := quota.Parse(h.Values(l.Fields.RateLimit))
@@ -203,10 +218,10 @@
 // probeOn sends a load probe over c.
 func (l *Link) probeOn(ctx context.Context, c *pool.Conn, t *health.Target) (health.Report, error) {
 	head := "GET " + t.Profile.HealthPath + " HTTP/1.1\r\nHost: " + t.Server.Address + "\r\n\r\n"
-	e := pool.Exchange{Head: []byte(head), Method: http.MethodGet, MaxBytes: maxReportBytes}
+	e := pool.Exchange{Head: []byte(head), Method: http.MethodGet, MaxBytes: maxReportBytes, Memory: l.Memory}
 	at := time.Now()
 	reusable, err := e.Do(ctx, c)
-	if err != nil && ctx.Err() != nil {
+	if err != nil && ctx.Err() != nil && !e.Begun {
 		return health.Report{}, errors.WithMessage(health.ErrProbeTimeout, err.Error())
 	}
 	if err != nil {
--- a/internal/dispatch/pool/exchange.go
+++ b/internal/dispatch/pool/exchange.go
@@ -1,9 +1,7 @@
 package pool
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -11,6 +9,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/snipefront/snipefront/internal/rpc/bound"
 )
 
 const (
@@ -35,16 +35,19 @@
 	ID      string
 	// MaxBytes is the maximum length of the body of the answer, in bytes.
 	MaxBytes int64
+	// Memory bounds the bodies of all answers that are being read. It may be nil.
+	Memory *bound.Memory
 
 	// Response holds the status and header of the answer. Its Body is closed.
 	Response *http.Response
 	// Answer is the complete body of the answer.
 	Answer []byte
+	// Begun is true once a byte of an answer has arrived.
+	Begun bool
 }
 
 // Errors of an exchange.
 var (
-	ErrTooBig   = errors.New("answer over the size limit")
 	ErrMismatch = errors.New("answers to other requests")
 	ErrClosed   = errors.New("connection closed without an answer")
 )
@@ -121,31 +124,31 @@
 
 // readOne reads the next answer with a status of 200 or more, whatever its request.
 func (e *Exchange) readOne(c *Conn) (reusable bool, err error) {
-	resp, err := http.ReadResponse(c.reader, &http.Request{Method: e.Method})
-	for err == nil && resp.StatusCode < http.StatusOK {
-		resp, err = http.ReadResponse(c.reader, &http.Request{Method: e.Method})
-	}
-	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
-		return false, errors.WithMessage(ErrClosed, err.Error())
-	}
+	resp, err := e.readHead(c)
 	if err != nil {
-		return false, errors.Wrap(err, "read answer")
+		return false, err
 	}
-	defer resp.Body.Close()
-	var body bytes.Buffer
-	n, err := body.ReadFrom(io.LimitReader(resp.Body, e.MaxBytes+1))
+	body, err := e.Memory.ReadBody(resp.Body, bodyLength(resp), e.MaxBytes)
 	if err != nil {
+		// Closing the body alone would first read the rest of it.
+		c.Close()
 		return false, errors.Wrap(err, "read body of answer")
 	}
-	if n > e.MaxBytes {
-		return false, ErrTooBig
-	}
+	_ = resp.Body.Close()
 	e.Response = resp
-	e.Answer = body.Bytes()
+	e.Answer = body
 	c.idleTimeout = idleTimeoutOf(resp.Header.Get("Keep-Alive"))
 	return !resp.Close, nil
 }
 
+// bodyLength returns the length of the body of resp, or -1 if the head doesn't tell it.
+func bodyLength(resp *http.Response) int64 {
+	if resp.Request.Method == http.MethodHead {
+		return -1
+	}
+	return resp.ContentLength
+}
+
 // idleTimeoutOf returns how long a connection may be idle: idleMargin less than the
 // timeout in the Keep-Alive field of its last answer, but at least a quarter of
 // idleMargin and at most defaultIdleTimeout.
--- a/internal/dispatch/pool/pool.go
+++ b/internal/dispatch/pool/pool.go
@@ -45,6 +45,7 @@
 	// Reused is true if the connection has carried a request before.
 	Reused   bool
 	address  string
+	limit    *headLimit
 	reader   *bufio.Reader
 	lastUsed time.Time
 	// idleTimeout is the time for which the connection may be idle.
@@ -137,7 +138,8 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "dial")
 	}
-	return &Conn{Conn: c, address: address, reader: bufio.NewReaderSize(c, readBufferBytes), idleTimeout: defaultIdleTimeout}, nil
+	limit := &headLimit{r: c, left: -1}
+	return &Conn{Conn: c, address: address, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes), idleTimeout: defaultIdleTimeout}, nil
 }
 
 // isUsable reports whether the connection is open and has no unread bytes. It peeks at
--- a/internal/stand/rawtcp/endless.go
+++ b/internal/stand/rawtcp/endless.go
@@ -68,9 +68,9 @@
 	if pause == 0 {
 		again = strings.Repeat(again, 64)
 	}
-	written := int64(0)
-	for piece := begin; written < maxEndless; piece = again {
-		n, err := io.WriteString(c, piece)
+	written, following := int64(0), []byte(again)
+	for piece := []byte(begin); written < maxEndless; piece = following {
+		n, err := c.Write(piece)
 		written += int64(n)
 		if err != nil {
 			return written
