sender, conns: fail a probe whose answer never ends, and bound the memory of long answers

But a backend server whose probe path answered with a body without end counted as working: the probe read 64 KiB and looked at the status only. And a promised Content-Length of up to 8 MiB was allocated at once for each request in flight, whether it came or not. A probe's answer must now be complete, and bodies are read by package bound: 32 MiB for all long ones of an instance.

--- a/internal/daemon/module/module.go
+++ b/internal/daemon/module/module.go
@@ -36,6 +36,7 @@
 	"github.com/snipefront/snipefront/internal/request/fanout"
 	"github.com/snipefront/snipefront/internal/request/poison"
 	"github.com/snipefront/snipefront/internal/request/route"
+	"github.com/snipefront/snipefront/internal/rpc/bound"
 	"github.com/snipefront/snipefront/internal/rpc/meter"
 	"github.com/snipefront/snipefront/internal/rpc/peers"
 )
@@ -43,6 +44,8 @@
 const (
 	// maxAnswerBytes bounds the answer of a backend server, which is buffered.
 	maxAnswerBytes = 8 << 20
+	// maxAnswersMemory bounds the long answers that are read at the same time.
+	maxAnswersMemory = 32 << 20
 	// messageOverheadBytes is the space for the header of an answer and the
 	// framing of a message between instances.
 	messageOverheadBytes = 128 << 10
@@ -103,7 +106,9 @@
 	return max(s.MaxBodyBytes, maxAnswerBytes) + int64(s.MaxHeaderBytes) + messageOverheadBytes
 }
 
-func newSender() *sender.Sender { return &sender.Sender{MaxAnswerBytes: maxAnswerBytes} }
+func newSender() *sender.Sender {
+	return &sender.Sender{MaxAnswerBytes: maxAnswerBytes, Memory: &bound.Memory{Limit: maxAnswersMemory}}
+}
 
 func newState() *state.State { return &state.State{} }
 
--- a/internal/dispatch/sender/sender.go
+++ b/internal/dispatch/sender/sender.go
@@ -29,6 +29,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/rpc/bound"
 	"github.com/snipefront/snipefront/internal/rpc/conns"
 	"github.com/snipefront/snipefront/internal/rpc/writes"
 )
@@ -55,6 +56,8 @@
 type Sender struct {
 	// MaxAnswerBytes is the maximum length of the body of an answer, in bytes.
 	MaxAnswerBytes int64
+	// Memory bounds the bodies of all answers that are being read. Nil sets no bound.
+	Memory *bound.Memory
 	// MayProbe spends one probe of the measuring budget and reports whether one was
 	// left. If it is nil, Check sends no probe and only opens a connection.
 	MayProbe func() bool
@@ -225,7 +228,6 @@
 }
 
 var (
-	errTooBig     = errors.New("answer over the size limit")
 	errNoLength   = errors.New("answer without a length cannot be known to be whole")
 	errSwitch     = errors.New("answer switches the protocol")
 	errMismatched = errors.New("answer to another request")
@@ -233,7 +235,7 @@
 
 func readReason(err error) snipefront.Reason {
 	switch {
-	case errors.Is(err, errTooBig):
+	case errors.Is(err, bound.ErrTooBig):
 		return snipefront.ReasonAnswerTooBig
 	case errors.Is(err, context.DeadlineExceeded):
 		return snipefront.ReasonAttemptLate
@@ -249,25 +251,10 @@
 	if resp.Request.Method == http.MethodHead {
 		return nil, nil
 	}
-	if resp.ContentLength > s.MaxAnswerBytes {
-		return nil, errTooBig
-	}
-	if resp.ContentLength >= 0 {
-		body := make([]byte, resp.ContentLength)
-		_, err := io.ReadFull(resp.Body, body)
-		return body, err
-	}
-	if len(resp.TransferEncoding) == 0 {
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 		return nil, errNoLength
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, s.MaxAnswerBytes+1))
-	if err != nil {
-		return nil, err
-	}
-	if int64(len(body)) > s.MaxAnswerBytes {
-		return nil, errTooBig
-	}
-	return body, nil
+	return s.Memory.ReadBody(resp.Body, resp.ContentLength, s.MaxAnswerBytes)
 }
 
 // maxIdle returns how long the connection for c may have been idle. Zero sets no
--- a/internal/rpc/conns/conns.go
+++ b/internal/rpc/conns/conns.go
@@ -130,8 +130,8 @@
 	}
 }
 
-// Probe reports whether a GET of the URL over a new connection is answered with a
-// status below 500.
+// Probe reports whether a GET of the URL over a new connection is answered completely,
+// with a body of at most maxProbeBytes and a status below 500.
 func Probe(ctx context.Context, url string) bool {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
@@ -143,6 +143,6 @@
 		return false
 	}
 	defer resp.Body.Close()
-	_, _ = io.CopyN(io.Discard, resp.Body, maxProbeBytes)
-	return resp.StatusCode < http.StatusInternalServerError
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxProbeBytes+1))
+	return err == nil && n <= maxProbeBytes && resp.StatusCode < http.StatusInternalServerError
 }
