--- a/internal/stand/rawtcp/endless.go
+++ b/internal/stand/rawtcp/endless.go
@@ -14,15 +14,15 @@
 // The parts of an answer.
 const (
 	// Noise is no part of an answer: its first byte can begin none.
-	Noise      Endless = "noise"
-	StatusLine Endless = "status line"
-	Field      Endless = "field"
-	Head       Endless = "head"
-	Interim    Endless = "interim answers"
-	Chunks     Endless = "chunks"
-	Extension  Endless = "chunk extension"
-	Trailer    Endless = "trailer"
-	Body       Endless = "body"
+	Noise      Endless = "Noise"
+	StatusLine Endless = "StatusLine"
+	Field      Endless = "Field"
+	Head       Endless = "Head"
+	Interim    Endless = "Interim"
+	Chunks     Endless = "Chunks"
+	Extension  Endless = "Extension"
+	Trailer    Endless = "Trailer"
+	Body       Endless = "Body"
 )
 
 // AllEndless holds all parts.
--- a/internal/stand/server/handle.go
+++ b/internal/stand/server/handle.go
@@ -101,6 +101,9 @@
 		RequestID:      r.Header.Get(headerRequestID),
 		Body:           body,
 	}
+	if s.writeEndless(w) {
+		return
+	}
 	m := s.currentMode()
 	if m.Cross {
 		q.RequestID += " of another"
--- a/internal/stand/server/mode.go
+++ b/internal/stand/server/mode.go
@@ -3,10 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/gorilla/mux"
+
+	"github.com/snipefront/snipefront/internal/stand/rawtcp"
 )
 
 // Mode holds the switches of a Server. A new Mode replaces all of the old one.
@@ -29,6 +33,11 @@
 	Cold bool
 	// Truncate closes the connection after half of each answer.
 	Truncate bool
+	// Endless is the part of each answer, those to probes included, that never ends. Empty
+	// means that all answers end.
+	Endless rawtcp.Endless
+	// EndlessPauseMillis is the pause between the pieces of such an answer, in milliseconds.
+	EndlessPauseMillis int
 	// Cross answers each request with the answer to another request.
 	Cross bool
 	// Crash simulates a crash of the process. It acts once.
@@ -53,7 +62,7 @@
 	}
 	s.mu.Unlock()
 	s.Log.Info("mode changed", "name", s.Name, "shed", m.Shed, "draining", m.Draining, "slow", m.Slow, "frozen", m.Frozen,
-		"silent_old", m.SilentOld, "cold", m.Cold, "truncate", m.Truncate, "cross", m.Cross, "crash", m.Crash)
+		"silent_old", m.SilentOld, "cold", m.Cold, "truncate", m.Truncate, "cross", m.Cross, "crash", m.Crash, "endless", m.Endless)
 	if drainingChanged {
 		s.announceSoon()
 	}
@@ -114,8 +123,12 @@
 		http.Error(w, "mode: "+err.Error(), http.StatusBadRequest)
 		return
 	}
-	if m.Slow < 0 {
-		http.Error(w, "mode: Slow: expected at least 0", http.StatusBadRequest)
+	if m.Slow < 0 || m.EndlessPauseMillis < 0 {
+		http.Error(w, "mode: Slow, EndlessPauseMillis: expected at least 0", http.StatusBadRequest)
+		return
+	}
+	if m.Endless != "" && !slices.Contains(rawtcp.AllEndless, m.Endless) {
+		http.Error(w, fmt.Sprintf("mode: Endless: expected one of %v", rawtcp.AllEndless), http.StatusBadRequest)
 		return
 	}
 	if !m.Crash {
@@ -140,6 +153,9 @@
 
 func (s *Server) serveLoad(w http.ResponseWriter, r *http.Request) {
 	s.delayProbe(r.Context())
+	if s.writeEndless(w) {
+		return
+	}
 	s.mu.Lock()
 	inFlight := s.load.lagged(time.Now())
 	s.mu.Unlock()
@@ -148,7 +164,31 @@
 
 func (s *Server) serveHealth(w http.ResponseWriter, r *http.Request) {
 	s.delayProbe(r.Context())
-	w.WriteHeader(http.StatusOK)
+	if !s.writeEndless(w) {
+		w.WriteHeader(http.StatusOK)
+	}
+}
+
+// writeEndless writes an answer without end if the mode says so, until the other end
+// closes the connection. It reports whether it did.
+func (s *Server) writeEndless(w http.ResponseWriter) bool {
+	m := s.currentMode()
+	if m.Endless == "" {
+		return false
+	}
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		s.Log.Warn("could not write an answer without end", "name", s.Name, "error", err)
+		return false
+	}
+	defer c.Close()
+	field := headerName + ": " + s.Name + "\r\n"
+	if id := w.Header().Get(headerAttempt); id != "" {
+		field += headerAttempt + ": " + id + "\r\n"
+	}
+	n := m.Endless.Write(c, field, time.Duration(m.EndlessPauseMillis)*time.Millisecond)
+	s.Log.Info("answer without end cut off", "name", s.Name, "part", m.Endless, "bytes", n)
+	return true
 }
 
 // delayProbe counts a probe and waits until the server is not frozen and then for
