request: recognize a resend whatever its idempotency key, and tell hosts apart

And with direct dispatch two requests with the same path at different hosts were the same one, so that the answers to one would release the other.

--- a/internal/request/claim/claim.go
+++ b/internal/request/claim/claim.go
@@ -56,7 +56,7 @@
 	}
 	c := &state.Claim{
 		Key:         r.Service + "\x00" + r.IdempotencyKey,
-		Fingerprint: r.Fingerprint,
+		Fingerprint: r.KeyFingerprint(),
 		Token:       f.Origin + "/" + strconv.FormatUint(f.sequence.Add(1), 10),
 	}
 	replayed, err := f.claim(ctx, r, c)
--- a/request.go
+++ b/request.go
@@ -5,6 +5,7 @@
 	"hash/fnv"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 )
 
@@ -27,7 +28,8 @@
 	// IdempotencyKey is the caller's key for a request that must not run more than
 	// once. It is empty if the caller sent none.
 	IdempotencyKey string
-	// Fingerprint identifies the content. See ContentFingerprint.
+	// Fingerprint identifies the content, also of a resend with another idempotency key. See
+	// ContentFingerprint.
 	Fingerprint uint64
 	// Idempotent is true if a second run of the request does no harm.
 	Idempotent bool
@@ -38,11 +40,20 @@
 	Forwarded bool
 }
 
-// ContentFingerprint returns a hash of the content of r: method, target, idempotency
-// key and body.
-func (r *Request) ContentFingerprint() uint64 {
+// ContentFingerprint returns a hash of the content of r: the Host field if there is one,
+// method, target and body.
+func (r *Request) ContentFingerprint() uint64 { return r.fingerprint("") }
+
+// KeyFingerprint returns a hash of the content of r and its idempotency key.
+func (r *Request) KeyFingerprint() uint64 { return r.fingerprint(r.IdempotencyKey) }
+
+func (r *Request) fingerprint(key string) uint64 {
 	h := fnv.New64a()
-	for _, part := range []string{r.Method, r.Target, r.IdempotencyKey} {
+	if host := r.Header.Get("Host"); host != "" {
+		_, _ = io.WriteString(h, strings.ToLower(host))
+		_, _ = h.Write([]byte{0})
+	}
+	for _, part := range []string{r.Method, r.Target, key} {
 		_, _ = io.WriteString(h, part)
 		_, _ = h.Write([]byte{0})
 	}
