local: test a request that crashes backend servers and is sent through all cells at once

With cells, too, 16 copies sent at the same moment through four cells ended 8 backend servers, which counted as an outage; so the request was never quarantined, and five more such moments ended all 40 others.

Test: local TestRequestSentAtOnceIsQuarantined, which fails on (8 at first and 40 later).

--- /dev/null
+++ b/internal/dispatch/local/crash_test.go
@@ -0,0 +1,97 @@
+package local_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/dispatch/budget"
+	"github.com/snipefront/snipefront/internal/dispatch/cell"
+	"github.com/snipefront/snipefront/internal/dispatch/local"
+	"github.com/snipefront/snipefront/internal/dispatch/sender"
+	"github.com/snipefront/snipefront/internal/request/poison"
+)
+
+// crashCells is the dispatchers of several cells, whose registers share their records.
+// Each backend server crashes when it receives a request.
+type crashCells struct {
+	dispatchers []*local.Dispatcher
+	crashes     atomic.Int32
+}
+
+// Share implements poison.Sharer.
+func (c *crashCells) Share(r poison.Record) {
+	for _, d := range c.dispatchers {
+		d.Poison.Merge(time.Now(), []poison.Record{r})
+	}
+}
+
+func newCrashCells(t *testing.T, cells, servers int) *crashCells {
+	t.Helper()
+	c := &crashCells{}
+	for i := range cells {
+		dataCentre := fmt.Sprint("dc", i)
+		one := &cell.Cell{Picker: firstFree{}, MaxQueue: 10}
+		one.SetRules(time.Now(), cell.Rules{ColdLimit: 3})
+		for j := range servers {
+			one.Announce(time.Now(), snipefront.BackendServer{
+				Name: fmt.Sprint(dataCentre, "-", j), DataCentre: dataCentre, Address: c.startServer(t),
+				Incarnation: 1, Slots: 3, Expires: time.Now().Add(time.Hour),
+			})
+		}
+		one.Open(time.Now())
+		c.dispatchers = append(c.dispatchers, &local.Dispatcher{
+			Cell: one, Sender: &sender.Sender{MaxAnswerBytes: 1 << 10, OverdueFloor: testTimeout},
+			Budget: &budget.Share{}, Counter: nopCounter{}, Poison: &poison.Register{Spread: c},
+		})
+	}
+	return c
+}
+
+// startServer starts a backend server and returns its address.
+func (c *crashCells) startServer(t *testing.T) string {
+	var s *httptest.Server
+	var once sync.Once
+	s = httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		once.Do(func() {
+			c.crashes.Add(1)
+			s.Listener.Close()
+			s.CloseClientConnections()
+		})
+	}))
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
+// sendToAll sends the request 9 several times through each cell at the same moment, and
+// waits for all.
+func (c *crashCells) sendToAll(t *testing.T, copies int) {
+	var all sync.WaitGroup
+	for _, d := range c.dispatchers {
+		for range copies {
+			all.Go(func() { _, _ = d.Run(t.Context(), request(http.MethodPost, "/1", 9), service, true) })
+		}
+	}
+	all.Wait()
+}
+
+// TestRequestSentAtOnceIsQuarantined guards against a request that crashes each backend
+// server that runs it, is sent through all instances at the same moment, and is never
+// quarantined, since so many crashes at once look like an outage.
+func TestRequestSentAtOnceIsQuarantined(t *testing.T) {
+	c := newCrashCells(t, 4, 12)
+	c.sendToAll(t, 4)
+	first := c.crashes.Load()
+	for range 5 {
+		c.sendToAll(t, 4)
+	}
+	t.Logf("%d backend servers crashed at first", first)
+	if n := c.crashes.Load(); first < 4 || n > first {
+		t.Errorf("%d backend servers crashed at first and %d later, want 4 or more and none", first, n-first)
+	}
+}
