--- a/internal/dispatch/local/attempt.go
+++ b/internal/dispatch/local/attempt.go
@@ -209,7 +209,7 @@
 	select {
 	case d.suspectSlot <- struct{}{}:
 	case <-ctx.Done():
-		return nil, true, snipefront.Refused(snipefront.ReasonDeadline, 0, "another request under which a backend server fell is running")
+		return nil, true, snipefront.Refused(snipefront.ReasonDeadline, 0, "another request that was in flight when a backend server crashed is running")
 	}
 	release = func() { <-d.suspectSlot }
 	if admission, left = d.Poison.Admit(time.Now(), r.Fingerprint); admission == poison.Quarantined {
--- a/internal/observe/stats/stats.go
+++ b/internal/observe/stats/stats.go
@@ -69,7 +69,7 @@
 		}, []string{"service"}),
 		unshared: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "snipefront_suspects_unshared_total",
-			Help: "Requests under which a backend server fell that were not shared with an instance.",
+			Help: "Requests in flight on a crashed backend server that were not shared with an instance.",
 		}),
 		suspects: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "snipefront_suspects_total",
--- a/internal/request/poison/crash.go
+++ b/internal/request/poison/crash.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// brokenConn is a connection that broke, or fell silent, while a request was in flight.
+// brokenConn is a connection that broke, or went silent, while a request was in flight.
 type brokenConn struct {
 	fingerprint uint64
 	server      Server
@@ -19,7 +19,7 @@
 	expires     time.Time
 }
 
-// ConnectionBroke records that a connection to s broke, or fell silent, while the request
+// ConnectionBroke records that a connection to s broke, or went silent, while the request
 // f was in flight. Unless Ended has told, it is not known yet whether s crashed.
 func (g *Register) ConnectionBroke(now time.Time, f uint64, s Server) {
 	if g == nil {
--- a/internal/request/poison/poison.go
+++ b/internal/request/poison/poison.go
@@ -18,7 +18,7 @@
 // next crash tells them apart: of several suspects at most one is in flight on the second
 // backend server.
 //
-// A backend server counts as crashed if a connection to it broke, or fell silent, and it
+// A backend server counts as crashed if a connection to it broke, or went silent, and it
 // then accepts no new one, announces a new incarnation, or leaves the fleet without a word.
 // One that drains or deregisters ends as planned. The caller passes the time in.
 package poison
@@ -124,7 +124,7 @@
 
 // Refusal returns the answer to a request that is quarantined for the time left.
 func Refusal(left time.Duration) *snipefront.Error {
-	return snipefront.Refused(snipefront.ReasonQuarantined, left, "two backend servers fell while this request was in flight; this resend was not run")
+	return snipefront.Refused(snipefront.ReasonQuarantined, left, "two backend servers crashed while this request was in flight; this resend was not run")
 }
 
 // Answered records a complete answer to f, which shows that f does not crash each backend
