--- /dev/null
+++ b/internal/control/fleet/server.go
@@ -0,0 +1,90 @@
+package fleet
+
+import "slices"
+
+// register records n unless a newer registration is known for its name or address,
+// or its incarnation has deregistered itself. It removes an older backend server with
+// the address of n. It reports whether it recorded n.
+func (s *State) register(index uint64, n Server) bool {
+	old, ok := s.data.Servers[n.Name]
+	if ok && !n.isNewerThan(old) || !ok && s.isDeregistered(n) {
+		return false
+	}
+	if ok && old.Incarnation == n.Incarnation {
+		n.Draining = n.Draining || old.Draining
+		n.Limit, n.LimitSource, n.LimitIndex = old.Limit, old.LimitSource, old.LimitIndex
+	}
+	for name, other := range s.data.Servers {
+		if name == n.Name || other.Address != n.Address {
+			continue
+		}
+		if other.Incarnation >= n.Incarnation && n.Incarnation != 0 {
+			return false
+		}
+		s.remove(Removal{Index: index, Server: name})
+	}
+	n.Index = index
+	s.data.Servers[n.Name] = n
+	return true
+}
+
+// isNewerThan reports whether n is of a later incarnation than old, or of the same
+// one with a higher sequence.
+func (n Server) isNewerThan(old Server) bool {
+	if n.Incarnation != old.Incarnation {
+		return n.Incarnation > old.Incarnation
+	}
+	return n.Sequence > old.Sequence
+}
+
+// deregister removes the incarnation that n names, or any if it names none. It
+// reports whether that changed the state.
+func (s *State) deregister(index uint64, n Server) bool {
+	old, ok := s.data.Servers[n.Name]
+	if n.Incarnation > old.Incarnation {
+		return s.deregisterEarly(index, n)
+	}
+	if !ok || n.Incarnation != 0 && n.Incarnation != old.Incarnation {
+		return false
+	}
+	r := Removal{Index: index, Server: n.Name}
+	if !n.Expired {
+		r.Incarnation = old.Incarnation
+	}
+	s.remove(r)
+	return true
+}
+
+// deregisterEarly records the deregistration of an incarnation that has overtaken its first
+// heartbeat, so that the heartbeat doesn't register it any more. It reports whether that
+// is new.
+func (s *State) deregisterEarly(index uint64, n Server) bool {
+	if n.Expired || s.isDeregistered(n) {
+		return false
+	}
+	s.remove(Removal{Index: index, Server: n.Name, Incarnation: n.Incarnation})
+	return true
+}
+
+// isDeregistered reports whether this incarnation of n, or a later one, has
+// deregistered itself.
+func (s *State) isDeregistered(n Server) bool {
+	return slices.ContainsFunc(s.data.Removals, func(r Removal) bool {
+		return r.Server == n.Name && r.Incarnation != 0 && r.Incarnation >= n.Incarnation
+	})
+}
+
+func (s *State) remove(r Removal) {
+	delete(s.data.Servers, r.Server)
+	s.recordRemoval(r)
+}
+
+// recordRemoval records r for DeltaSince and drops the oldest removals above
+// maxRemovals.
+func (s *State) recordRemoval(r Removal) {
+	s.data.Removals = append(s.data.Removals, r)
+	for len(s.data.Removals) > maxRemovals {
+		s.data.Forgotten = s.data.Removals[0].Index
+		s.data.Removals = s.data.Removals[1:]
+	}
+}
--- a/internal/dispatch/direct/quarantine_test.go
+++ b/internal/dispatch/direct/quarantine_test.go
@@ -17,6 +17,12 @@
 	d.Poison.Merge(time.Now(), []poison.Record{{Fingerprint: 7, Left: time.Minute, Crashed: []poison.Server{{Name: "x"}, {Name: "y"}}}})
 }
 
+// neverAnswer is a backend server that answers nothing.
+func neverAnswer(ctx context.Context, _ string) direct.Attempt {
+	<-ctx.Done()
+	return broken
+}
+
 // TestWaitingRequestIsQuarantined guards against a request that is sent although it was
 // quarantined while it waited for a backend server with a free slot.
 func TestWaitingRequestIsQuarantined(t *testing.T) {
@@ -41,11 +47,7 @@
 // request since its answer is overdue, though it was quarantined meanwhile.
 func TestQuarantinedRequestIsNotHedged(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &fakeLink{}
-		s.send = func(ctx context.Context, _ string) direct.Attempt {
-			<-ctx.Done()
-			return broken
-		}
+		s := &fakeLink{send: neverAnswer}
 		d := newDispatcher(3, s)
 		time.AfterFunc(20*time.Millisecond, func() { quarantineElsewhere(d) })
 		if _, err := d.Serve(t.Context(), newCall(true)); err == nil || len(s.sent) != 1 {
@@ -58,11 +60,7 @@
 // servers than its route allows, since the answers of all of them are overdue.
 func TestHedgesStayWithinAttempts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &fakeLink{}
-		s.send = func(ctx context.Context, _ string) direct.Attempt {
-			<-ctx.Done()
-			return broken
-		}
+		s := &fakeLink{send: neverAnswer}
 		if _, err := newDispatcher(5, s).Serve(t.Context(), newCall(true)); err == nil || len(s.sent) != 2 {
 			t.Errorf("the request ended with %v and reached %v, want two backend servers", err, s.sent)
 		}
--- a/internal/request/poison/crash.go
+++ b/internal/request/poison/crash.go
@@ -35,7 +35,7 @@
 func (g *Register) recordBroken(now time.Time, f uint64, s Server) (Record, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.sweep(now)
+	g.sweepIfDue(now)
 	g.activate()
 	id := s.identity()
 	if end, ok := g.ended[id]; ok && s.Incarnation <= end.incarnation {
@@ -44,7 +44,7 @@
 		}
 		return g.newCrash(f, s), true
 	}
-	if len(g.broken[id]) < maxEntries {
+	if len(g.broken[id]) < maxBroken {
 		g.broken[id] = append(g.broken[id], brokenConn{fingerprint: f, server: s, expires: now.Add(suspectTime)})
 	}
 	return Record{}, false
@@ -94,24 +94,6 @@
 	}
 }
 
-const (
-	// quarantineTime is how long a request that was in flight on two crashed backend
-	// servers is refused.
-	quarantineTime = 5 * time.Minute
-	// suspectTime is how long a request that was in flight on one crashed backend
-	// server stays a suspect, and how long a broken connection may still be recognized
-	// as part of a crash.
-	suspectTime = time.Minute
-	// crashLimit is the number of crashed backend servers that quarantine a request.
-	crashLimit = 2
-	// maxCrashed bounds the crashed backend servers that are recorded for a suspect.
-	maxCrashed = 8
-	// maxEntries bounds the suspects, and the broken connections of one backend server.
-	maxEntries = 4096
-	// sweepInterval is the time between sweeps for expired entries.
-	sweepInterval = time.Second
-)
-
 // setBroken replaces the broken connections of a backend server. The lock is held.
 func (g *Register) setBroken(id identity, kept []brokenConn) {
 	if len(kept) == 0 {
--- a/internal/request/poison/poison.go
+++ b/internal/request/poison/poison.go
@@ -34,6 +34,26 @@
 	"github.com/snipefront/snipefront"
 )
 
+const (
+	// quarantineTime is how long a quarantine lasts: after the last crash or, with trial
+	// runs, after the request has come for the last time.
+	quarantineTime = 5 * time.Minute
+	// suspectTime is how long a request that was in flight on one crashed backend server
+	// stays a suspect, and how long a broken connection may still be recognized as part of a
+	// crash.
+	suspectTime = time.Minute
+	// crashLimit is the number of crashed backend servers that quarantine a request.
+	crashLimit = 2
+	// maxCrashed bounds the crashed backend servers that are recorded for a suspect.
+	maxCrashed = 8
+	// maxEntries bounds the suspects and the ended backend servers, and maxBroken the broken
+	// connections of one backend server.
+	maxEntries = 4096
+	maxBroken  = 256
+	// sweepInterval is the time between sweeps for expired entries.
+	sweepInterval = time.Second
+)
+
 // Server is one incarnation of a backend server.
 type Server struct {
 	Service     string
@@ -58,7 +78,7 @@
 )
 
 // Register holds the suspects. Its zero value is empty and ready to use, and a nil
-// Register admits every request. Set the exported field before use.
+// Register admits every request. Set the exported fields before use.
 type Register struct {
 	// Spread shares new suspects with other instances. It may be nil.
 	Spread Sharer
@@ -68,7 +88,8 @@
 	Counter Counter
 	Logger  *slog.Logger
 
-	// active is false while there are no suspects and no broken connections.
+	// active is false while there are no suspects, broken connections and ended backend
+	// servers.
 	active atomic.Bool
 	mu     sync.Mutex
 	// suspects holds the suspects by fingerprint.
@@ -106,9 +127,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if now.Sub(g.lastSweep) >= sweepInterval {
-		g.sweep(now)
-	}
+	g.sweepIfDue(now)
 	e := g.suspects[f]
 	switch {
 	case e == nil || !now.Before(e.expires):
@@ -242,6 +261,13 @@
 	delete(g.suspects, least)
 }
 
+// sweepIfDue sweeps once in sweepInterval. The lock is held.
+func (g *Register) sweepIfDue(now time.Time) {
+	if now.Sub(g.lastSweep) >= sweepInterval {
+		g.sweep(now)
+	}
+}
+
 // sweep removes expired suspects and broken connections. The lock is held.
 func (g *Register) sweep(now time.Time) {
 	g.lastSweep = now
