--- a/internal/control/fleet/suspect.go
+++ b/internal/control/fleet/suspect.go
@@ -13,8 +13,12 @@
 // ends the suspicion if c says so. It reports whether that changed the state.
 func (s *State) suspect(index uint64, c Suspect) bool {
 	i := slices.IndexFunc(s.data.Suspects, func(v Suspect) bool { return v.Fingerprint == c.Fingerprint })
+	if i < 0 && len(c.Crashed) == 0 {
+		return false
+	}
 	if i < 0 {
-		return len(c.Crashed) > 0 && s.addSuspect(index, c)
+		s.addSuspect(index, c)
+		return true
 	}
 	known := &s.data.Suspects[i]
 	switch {
@@ -36,11 +40,11 @@
 
 // addSuspect adds a suspect. Above maxSuspects it drops one that the fewest backend
 // servers crashed with, the oldest of several.
-func (s *State) addSuspect(index uint64, c Suspect) bool {
+func (s *State) addSuspect(index uint64, c Suspect) {
 	c.Index = index
 	s.data.Suspects = append(slices.Clone(s.data.Suspects), c)
 	if len(s.data.Suspects) <= maxSuspects {
-		return true
+		return
 	}
 	least := 0
 	for i, v := range s.data.Suspects {
@@ -49,7 +53,6 @@
 		}
 	}
 	s.data.Suspects = slices.Delete(s.data.Suspects, least, least+1)
-	return true
 }
 
 // release ends the suspicion of v and reports whether there was one.
--- a/internal/dispatch/direct/crash_test.go
+++ b/internal/dispatch/direct/crash_test.go
@@ -118,12 +118,17 @@
 	}
 }
 
+// sendOnce sends a request that crashes backend servers to a process, whatever its end.
+func (f *crashFleet) sendOnce(p *crashProcess, fingerprint uint64) {
+	_ = f.send(p, f.receive(), fingerprint, time.Now().Add(1500*time.Millisecond))
+}
+
 // repeat sends a request again and again, each time to a random instance, from one time
 // after the start to another.
 func (f *crashFleet) repeat(fingerprint uint64, from, to, interval time.Duration) {
 	time.AfterFunc(from, func() {
 		for f.since() < to && f.ctx.Err() == nil {
-			go f.send(f.any(), f.receive(), fingerprint, time.Now().Add(1500*time.Millisecond))
+			go f.sendOnce(f.any(), fingerprint)
 			timer.Sleep(f.ctx, interval)
 		}
 	})
@@ -134,7 +139,7 @@
 	time.AfterFunc(at, func() {
 		for _, n := range f.instances {
 			if p := n.dispatcher(); p != nil {
-				go f.send(p, f.receive(), fingerprint, time.Now().Add(1500*time.Millisecond))
+				go f.sendOnce(p, fingerprint)
 			}
 		}
 	})
--- a/internal/dispatch/direct/crashfleet_test.go
+++ b/internal/dispatch/direct/crashfleet_test.go
@@ -136,12 +136,12 @@
 }
 
 // apply commits a command immediately.
-func (f *crashFleet) apply(c fleet.Command) []byte {
+func (f *crashFleet) apply(c fleet.Command) {
 	b, err := c.Encode()
 	if err != nil {
 		panic(err)
 	}
-	return f.applyEncoded(b)
+	f.applyEncoded(b)
 }
 
 func (f *crashFleet) applyEncoded(b []byte) []byte {
--- a/internal/dispatch/link/link.go
+++ b/internal/dispatch/link/link.go
@@ -26,10 +26,11 @@
 	reusedConnTimeout = 60 * time.Millisecond
 	// maxReportBytes bounds the body of the answer to a load probe.
 	maxReportBytes = 64 << 10
-	// maxAnswerBytes bounds the body of the answer to a request, and MaxMemory those of all
-	// long answers that an instance reads at the same time.
+	// maxAnswerBytes bounds the body of the answer to a request.
 	maxAnswerBytes = 16 << 20
-	MaxMemory      = 32 << 20
+	// MaxMemory is the limit of Link.Memory in an instance: that of all long answers which it
+	// reads at the same time, in bytes.
+	MaxMemory = 32 << 20
 	// maxIdle is the maximum number of idle connections to one backend server.
 	maxIdle = 8
 )
--- a/internal/rpc/bound/bound_test.go
+++ b/internal/rpc/bound/bound_test.go
@@ -72,7 +72,7 @@
 	if b, err := m.ReadBody(strings.NewReader(strings.Repeat("a", 60<<10)), -1, 1<<20); err != nil || len(b) != 60<<10 {
 		t.Errorf("a short body beside it: %d bytes, %v", len(b), err)
 	}
-	release.Close()
+	_ = release.Close()
 	if err := <-ended; err != nil || m.Used() != 0 {
 		t.Errorf("the long body ended with %v, %d bytes are still taken", err, m.Used())
 	}
