--- a/internal/dispatch/direct/crashfleet_test.go
+++ b/internal/dispatch/direct/crashfleet_test.go
@@ -28,6 +28,8 @@
 type crashFleet struct {
 	routing *snipefront.Routing
 	begun   time.Time
+	// length is the length of the day.
+	length time.Duration
 	// popularRate is the rate of popular requests, in requests per second. They have one of
 	// five contents.
 	popularRate float64
