local: let suspects run side by side, one on each backend server

Keeping suspects apart needs less: of several that were in flight on one backend server, at most one may be in flight on the next. A suspect now gets a backend server without another suspect, and waits only while each has one.

--- a/internal/dispatch/local/attempt.go
+++ b/internal/dispatch/local/attempt.go
@@ -19,15 +19,11 @@
 // there was no answer, avoid names the backend server that a retry should not use.
 // It is empty after a half-open connection, since the backend server itself works.
 func (d *Dispatcher) attempt(ctx context.Context, slotRequest cell.SlotRequest, r *snipefront.Request, service snipefront.Service, p *progress) (a sender.Attempt, avoid string, err error) {
-	release, suspect, err := d.admit(ctx, r)
+	slot, suspect, release, err := d.acquire(ctx, slotRequest, r)
 	if err != nil {
 		return a, "", err
 	}
 	defer release()
-	slot, err := d.Cell.Acquire(ctx, slotRequest)
-	if err != nil {
-		return a, "", err
-	}
 	p.attempts++
 	if after := d.hedgeAfter(r); after > 0 && !suspect && p.broken == 0 {
 		a = d.race(ctx, after, slotRequest.Avoid, slot, r, service, p)
@@ -194,31 +190,6 @@
 	}
 }
 
-// admit waits until r may run and returns a function to call when the attempt has
-// ended. Only a suspect waits: until no other suspect runs in the cell. A quarantined
-// request is refused.
-func (d *Dispatcher) admit(ctx context.Context, r *snipefront.Request) (release func(), suspect bool, err error) {
-	admission, left := d.Poison.Admit(time.Now(), r.Fingerprint)
-	switch admission {
-	case poison.Clear:
-		return func() {}, false, nil
-	case poison.Quarantined:
-		return nil, true, poison.Refusal(left)
-	}
-	d.suspectOnce.Do(func() { d.suspectSlot = make(chan struct{}, 1) })
-	select {
-	case d.suspectSlot <- struct{}{}:
-	case <-ctx.Done():
-		return nil, true, snipefront.Refused(snipefront.ReasonDeadline, 0, "another request that was in flight when a backend server crashed is running")
-	}
-	release = func() { <-d.suspectSlot }
-	if admission, left = d.Poison.Admit(time.Now(), r.Fingerprint); admission == poison.Quarantined {
-		release()
-		return nil, true, poison.Refusal(left)
-	}
-	return release, true, nil
-}
-
 func serverOf(b snipefront.BackendServer) poison.Server {
 	return poison.Server{Service: b.Service, DataCentre: b.DataCentre, Name: b.Name, Incarnation: b.Incarnation}
 }
--- a/internal/dispatch/local/local.go
+++ b/internal/dispatch/local/local.go
@@ -16,7 +16,6 @@
 import (
 	"context"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/snipefront/snipefront"
@@ -57,9 +56,7 @@
 	// Nil records none.
 	Poison *poison.Register
 
-	suspectOnce sync.Once
-	// suspectSlot holds one element while a suspect runs.
-	suspectSlot chan struct{}
+	suspects suspects
 }
 
 // progress is the state of a request across its attempts.
--- a/internal/request/poison/poison.go
+++ b/internal/request/poison/poison.go
@@ -14,8 +14,8 @@
 // one instance of the fleet and later than the one before: an outage is over by then, and a
 // request that crashes backend servers ends one more each time.
 //
-// With cells, a suspect runs only while no other suspect runs in the cell, so that the
-// next crash tells them apart: of several suspects at most one is in flight on the second
+// With cells, a suspect runs on a backend server without another suspect, so that the next
+// crash tells them apart: of several suspects at most one is in flight on the second
 // backend server.
 //
 // A backend server counts as crashed if a connection to it broke, or went silent, and it
@@ -69,7 +69,7 @@
 const (
 	// Clear admits a request that is no suspect.
 	Clear Admission = iota
-	// Alone admits a suspect while no other suspect runs in the cell.
+	// Alone admits a suspect; with cells, on a backend server without another suspect.
 	Alone
 	// Quarantined refuses the request.
 	Quarantined
