direct, link: hedge beside the check for a silent backend server; close its idle connections

Both are as before again: the hedge goes out when the answer is overdue, the check runs beside it, and idle connections to the backend server are closed.

--- a/internal/dispatch/direct/run.go
+++ b/internal/dispatch/direct/run.go
@@ -39,7 +39,6 @@
 	running := 1
 	overdue := time.NewTimer(chosen.overdueAfter())
 	defer overdue.Stop()
-	checked := make(chan struct{}, 1)
 	var checks sync.WaitGroup
 	defer checks.Wait()
 	defer cancel()
@@ -60,11 +59,8 @@
 			}
 			return last
 		case <-overdue.C:
-			checks.Go(func() {
-				d.checkSilent(ctx, c, latest.target)
-				checked <- struct{}{}
-			})
-		case <-checked:
+			silent := latest.target
+			checks.Go(func() { d.checkSilent(ctx, c, silent) })
 			if p.sent+running >= c.Attempts {
 				continue
 			}
--- a/internal/dispatch/link/link.go
+++ b/internal/dispatch/link/link.go
@@ -168,8 +168,10 @@
 }
 
 // Up implements direct.Link. Only the connection counts: a backend server that is full may
-// reset it after that.
+// reset it after that. The idle connections to t, which may have ended or gone silent
+// like the one that led to the check, are closed.
 func (l *Link) Up(ctx context.Context, t *health.Target) bool {
+	l.Pool.CloseIdle(t.Server.Address)
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	c, err := l.Pool.Dial(ctx, t.Server.Address)
