submit: share suspects in batches, and let releases wait for each other

In an outage every request in flight on a crashed backend server is a suspect, and nearly all are answered a moment later.

All records that wait while one is submitted now go into one command, those of quarantined requests first, and releases of other requests wait half a second for more. Control instances of an earlier build ignore such a command, as they ignore releases (docs/OPERATIONS.md: control instances first).

TestQuarantineComesBeforeOtherSuspects read the first three commands; it now asks for the records of the two quarantined requests in the first command and at the head of the second. New: TestReleasesAreSubmittedTogether.

--- a/internal/control/fleet/command.go
+++ b/internal/control/fleet/command.go
@@ -25,6 +25,8 @@
 	Serve *Serve `json:",omitempty"`
 	// Suspect records a request that was in flight on a crashed backend server.
 	Suspect *Suspect `json:",omitempty"`
+	// Suspects records several of them.
+	Suspects []Suspect `json:",omitempty"`
 	// Limit records the rate limit that a backend server names.
 	Limit *Limit `json:",omitempty"`
 	// Cold records that a backend server is warming up again.
@@ -130,7 +132,7 @@
 		return "part"
 	case c.Serve != nil:
 		return "serve"
-	case c.Suspect != nil:
+	case c.Suspect != nil, len(c.Suspects) > 0:
 		return "suspect"
 	case c.Limit != nil:
 		return "limit"
@@ -160,6 +162,10 @@
 		changed = s.serve(index, *c.Serve)
 	case c.Suspect != nil:
 		changed = s.suspect(index, *c.Suspect)
+	case len(c.Suspects) > 0:
+		for _, v := range c.Suspects {
+			changed = s.suspect(index, v) || changed
+		}
 	case c.Limit != nil:
 		changed = s.limit(index, *c.Limit)
 	case c.Cold != nil:
--- a/internal/request/poison/poison.go
+++ b/internal/request/poison/poison.go
@@ -154,10 +154,14 @@
 	}
 	g.mu.Lock()
 	g.answers.add(now, f)
+	crashed := 0
+	if e := g.suspects[f]; e != nil {
+		crashed = len(e.crashed)
+	}
 	released := g.release(now, f, "answered")
 	g.mu.Unlock()
 	if released {
-		g.share(Record{Fingerprint: f, Released: true, Left: suspectTime})
+		g.share(Record{Fingerprint: f, Released: true, Left: RecordLifetime(crashed)})
 	}
 }
 
--- a/internal/request/submit/submit.go
+++ b/internal/request/submit/submit.go
@@ -5,12 +5,14 @@
 package submit
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/snipefront/snipefront/internal/clock/timer"
 	"github.com/snipefront/snipefront/internal/control/fleet"
 	"github.com/snipefront/snipefront/internal/request/poison"
 )
@@ -20,6 +22,14 @@
 // than one that is quarantined.
 const maxPending = 1024
 
+const (
+	// maxBatch bounds the records of one command.
+	maxBatch = 64
+	// releaseDelay is the longest time for which releases wait for others, since an outage
+	// brings many.
+	releaseDelay = 500 * time.Millisecond
+)
+
 // Submitter appends a command to the log of the control quorum. It retries until ctx ends.
 type Submitter interface {
 	Submit(ctx context.Context, command []byte) ([]byte, error)
@@ -92,21 +102,30 @@
 	return record
 }
 
-// take removes and returns the record that is valid for the longest time, the first one of
-// several, and reports whether there is one.
-func (r *Replicator) take() (poison.Record, bool) {
+// take removes and returns up to maxBatch records, those first that are valid for the
+// longest time.
+func (r *Replicator) take() []poison.Record {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(r.order) == 0 {
-		return poison.Record{}, false
+	slices.SortStableFunc(r.order, func(a, b uint64) int { return cmp.Compare(r.pending[b].Left, r.pending[a].Left) })
+	var batch []poison.Record
+	for len(r.order) > 0 && len(batch) < maxBatch {
+		batch = append(batch, r.remove(0))
 	}
-	longest := 0
-	for i, f := range r.order {
-		if r.pending[f].Left > r.pending[r.order[longest]].Left {
-			longest = i
+	return batch
+}
+
+// canWait reports whether all pending records are releases of requests that are not
+// quarantined, which other instances need not learn at once.
+func (r *Replicator) canWait() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, record := range r.pending {
+		if !record.Released || record.Left > poison.RecordLifetime(0) {
+			return false
 		}
 	}
-	return r.remove(longest), true
+	return true
 }
 
 // Run submits records until ctx ends.
@@ -118,28 +137,43 @@
 			return nil
 		case <-r.signal:
 		}
-		for record, ok := r.take(); ok && ctx.Err() == nil; record, ok = r.take() {
-			r.submit(ctx, record)
+		for waited := time.Duration(0); r.canWait() && waited < releaseDelay; waited += releaseDelay / 10 {
+			if !timer.Sleep(ctx, releaseDelay/10) {
+				return nil
+			}
+		}
+		for batch := r.take(); len(batch) > 0 && ctx.Err() == nil; batch = r.take() {
+			r.submit(ctx, batch)
 		}
 	}
 }
 
-// submit submits a record for as long as it is valid: the control quorum may be lost for
-// some seconds, and the other instances send the request on until they know of it.
-func (r *Replicator) submit(ctx context.Context, record poison.Record) {
-	b, err := fleet.Command{Suspect: &fleet.Suspect{Fingerprint: record.Fingerprint, Released: record.Released, Crashed: record.Crashed}}.Encode()
+// submit submits records for as long as one of them is valid: the control quorum may be
+// lost for some seconds, and the other instances send the requests on until they know of
+// them.
+func (r *Replicator) submit(ctx context.Context, batch []poison.Record) {
+	var c fleet.Command
+	left := time.Duration(0)
+	for _, record := range batch {
+		c.Suspects = append(c.Suspects, fleet.Suspect{Fingerprint: record.Fingerprint, Released: record.Released, Crashed: record.Crashed})
+		left = max(left, record.Left, poison.RecordLifetime(len(record.Crashed)))
+	}
+	b, err := c.Encode()
 	if err != nil {
-		r.Logger.Error("cannot encode a suspect; other instances do not receive it", "error", err)
+		r.Logger.Error("cannot encode suspects; other instances do not receive them", "error", err)
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, max(record.Left, poison.RecordLifetime(len(record.Crashed))))
+	ctx, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
 	begun := time.Now()
-	if _, err := r.Submitter.Submit(ctx, b); err != nil {
-		r.Logger.Warn("could not submit a suspect; other instances may not receive it", "fingerprint", record.Fingerprint, "taken", time.Since(begun), "error", err)
-		return
+	_, err = r.Submitter.Submit(ctx, b)
+	for _, record := range batch {
+		if err != nil {
+			r.Logger.Warn("could not submit a suspect; other instances may not receive it", "fingerprint", record.Fingerprint, "taken", time.Since(begun), "error", err)
+			continue
+		}
+		r.Logger.Info("suspect shared", "fingerprint", record.Fingerprint, "crashes", len(record.Crashed), "released", record.Released, "taken", time.Since(begun))
 	}
-	r.Logger.Info("suspect shared", "fingerprint", record.Fingerprint, "crashes", len(record.Crashed), "released", record.Released, "taken", time.Since(begun))
 }
 
 // Records returns the records of v that changed after index. Each is valid for its full
