fleet: keep crashes that come in one record with a release

An instance that has not submitted the release of a suspect yet, and sees it crash another backend server, submits both in one record. The replicated state took the release and lost the crash. The request had just been answered, so at worst a quarantine began one crash late.

Test: fleet TestReleaseReachesReaders, which fails before.

--- a/internal/control/fleet/fleet_test.go
+++ b/internal/control/fleet/fleet_test.go
@@ -346,6 +346,10 @@
 	if s.ReleasedIndex <= before || len(s.Crashed) != 1 || s.Crashed[0].Name != "b" {
 		t.Errorf("the suspect is %+v, want the crash of b and a release after the index %d", s, before)
 	}
+	r.apply(t, fleet.Command{Suspects: []fleet.Suspect{{Fingerprint: 1, Released: true, Crashed: crashed("c").Crashed}, *crashed("d")}})
+	if s := r.View().Suspects[1]; len(s.Crashed) != 2 || s.Crashed[0].Name != "c" || s.Crashed[1].Name != "d" {
+		t.Errorf("after a record with a release and a later crash the suspect is %+v, want the crashes of c and d", s)
+	}
 }
 
 // TestTrialRunIsGrantedOnce guards against a quarantined request that several instances run
--- a/internal/control/fleet/suspect.go
+++ b/internal/control/fleet/suspect.go
@@ -9,25 +9,22 @@
 // maxSuspects is the number of suspects that are kept.
 const maxSuspects = 256
 
-// suspect adds the crashed backend servers of c to the suspect with its fingerprint, or
-// ends the suspicion if c says so. It reports whether that changed the state.
+// suspect ends the suspicion of the request of c if c says so, and adds the crashed backend
+// servers of c. It reports whether that changed the state.
 func (s *State) suspect(index uint64, c Suspect) bool {
 	i := slices.IndexFunc(s.data.Suspects, func(v Suspect) bool { return v.Fingerprint == c.Fingerprint })
-	if i < 0 && len(c.Crashed) == 0 {
-		return false
-	}
 	if i < 0 {
-		s.addSuspect(index, c)
+		if len(c.Crashed) == 0 {
+			return false
+		}
+		s.addSuspect(index, Suspect{Fingerprint: c.Fingerprint, Crashed: c.Crashed})
 		return true
 	}
 	known := &s.data.Suspects[i]
-	switch {
-	case c.Released:
-		return known.release(index)
-	case c.Trials > 0:
+	if c.Trials > 0 {
 		return known.grantTrial(index, c.Trials)
 	}
-	changed := false
+	changed := c.Released && known.release(index)
 	for _, crashed := range c.Crashed {
 		if !slices.Contains(known.Crashed, crashed) {
 			known.Crashed = append(slices.Clone(known.Crashed), crashed)
--- a/internal/request/submit/submit.go
+++ b/internal/request/submit/submit.go
@@ -1,7 +1,8 @@
 // Package submit shares what one instance learns with all others, through the replicated
 // state of the fleet: suspects, which are the requests in flight on crashed backend
-// servers, and reports of backend servers, their rate limits and warm-ups. An instance submits its own
-// records to the control quorum, and receives those of others with its view.
+// servers, and reports of backend servers, their rate limits and warm-ups. An instance
+// submits its own records to the control quorum, and receives those of others with its
+// view. The log also grants trial runs of quarantined requests (Trials).
 package submit
 
 import (
