--- a/internal/request/submit/submit.go
+++ b/internal/request/submit/submit.go
@@ -28,7 +28,7 @@
 	maxBatch = 64
 	// releaseDelay is the longest time for which releases wait for others, since an outage
 	// brings many.
-	releaseDelay = 500 * time.Millisecond
+	releaseDelay = 100 * time.Millisecond
 )
 
 // Submitter appends a command to the log of the control quorum. It retries until ctx ends.
--- a/internal/request/submit/submit_test.go
+++ b/internal/request/submit/submit_test.go
@@ -162,7 +162,7 @@
 		go func() { ended <- r.Run(ctx) }()
 		for f := range uint64(40) {
 			r.Share(poison.Record{Fingerprint: f, Released: true, Left: time.Minute})
-			time.Sleep(5 * time.Millisecond)
+			time.Sleep(time.Millisecond)
 		}
 		time.Sleep(time.Second)
 		if n := len(s); n != 1 {
@@ -172,7 +172,7 @@
 		r.Share(poison.Record{Fingerprint: 101, Released: true, Left: 5 * time.Minute, Crashed: []poison.Server{{Name: "x"}}})
 		begun := time.Now()
 		<-s
-		if c := <-s; len(c.Suspects) != 2 || time.Since(begun) > 100*time.Millisecond {
+		if c := <-s; len(c.Suspects) != 2 || time.Since(begun) > 20*time.Millisecond {
 			t.Errorf("the release of a quarantined request is submitted after %v", time.Since(begun))
 		}
 		cancel()
