direct: tell callers of a request that is now quarantined when to come back

What callers saw: their request was in flight on two backend servers of the outage, the answer was 502 without Retry-After, they came back 20 ms later, were refused as quarantined and had no resend left when the trial run was due. Cause: an error after attempts that may have run dropped the Retry-After of the quarantine (withVerdict), or never had one (the second crash was the caller's own). Ruled out: late or missing trial runs; each that was asked for in the traced runs was granted and answered.

Now the answer to an idempotent request that may have run and is quarantined has the Retry-After of the next trial run.

--- a/internal/dispatch/direct/crash.go
+++ b/internal/dispatch/direct/crash.go
@@ -69,7 +69,7 @@
 		return nil
 	}
 	now := time.Now()
-	if admission, _ := d.Poison.Admit(now, c.Fingerprint); admission != poison.Trial || d.Trials == nil || p.verdict != snipefront.NotRun {
+	if admission, _ := d.admission(now, c); admission != poison.Trial || d.Trials == nil || p.verdict != snipefront.NotRun {
 		return e
 	}
 	evidence, _ := d.Poison.Evidence(now, c.Fingerprint)
@@ -85,7 +85,7 @@
 // each decision on a suspect with what decided it.
 func (d *Dispatcher) quarantined(c *Call) *snipefront.Error {
 	now := time.Now()
-	admission, left := d.Poison.Admit(now, c.Fingerprint)
+	admission, left := d.admission(now, c)
 	if admission == poison.Clear {
 		return nil
 	}
@@ -94,9 +94,16 @@
 		d.Logger.Info("suspect admitted", "request", c.ID, "fingerprint", c.Fingerprint, "evidence", evidence)
 		return nil
 	}
-	if admission == poison.Trial {
-		left = trialRetryAfter
-	}
 	d.Logger.Info("request is quarantined", "request", c.ID, "fingerprint", c.Fingerprint, "trialDue", admission == poison.Trial, "retryAfter", left, "evidence", evidence)
 	return poison.Refusal(left)
 }
+
+// admission returns the admission of c and, if c is quarantined, after what time its caller
+// may resend it.
+func (d *Dispatcher) admission(now time.Time, c *Call) (poison.Admission, time.Duration) {
+	admission, left := d.Poison.Admit(now, c.Fingerprint)
+	if admission == poison.Trial {
+		return admission, trialRetryAfter
+	}
+	return admission, left
+}
--- a/internal/dispatch/direct/errors.go
+++ b/internal/dispatch/direct/errors.go
@@ -21,11 +21,15 @@
 )
 
 // finish returns the result of a call that is not retried: the last answer that was a
-// server error or, if there was none, the error e.
+// server error or, if there was none, the error e. If c may have run and is quarantined now,
+// the error tells when a resend may run.
 func (d *Dispatcher) finish(c *Call, p *progress, e *snipefront.Error) (*snipefront.Response, error) {
 	if p.response != nil {
 		return p.response, nil
 	}
+	if c.Idempotent && e.Verdict == snipefront.MayHaveRun {
+		_, e.RetryAfter = d.admission(time.Now(), c)
+	}
 	d.Logger.Info("request failed", "request", c.ID, "fingerprint", c.Fingerprint, "route", c.Route, "service", c.Service, "verdict", e.Verdict, "reason", e.Reason,
 		"status", e.Status, "attempts", p.sent, "undelivered", p.undelivered, "retryAfter", e.RetryAfter, "targets", len(d.Targets.Candidates(c.Service)), "goalIn", time.Until(c.Goal), "detail", e.Detail)
 	return nil, e
--- a/internal/dispatch/direct/quarantine_test.go
+++ b/internal/dispatch/direct/quarantine_test.go
@@ -66,3 +66,37 @@
 		}
 	})
 }
+
+// TestAnswerTellsOfTrialRun guards against callers that waste their resends: the attempts of
+// their request crashed backend servers so that it is quarantined now, and the answer that
+// it may have run has no Retry-After, so that they come back before a trial run is due.
+func TestAnswerTellsOfTrialRun(t *testing.T) {
+	const trialAfter = 200 * time.Millisecond
+	for name, test := range map[string]struct {
+		idempotent, elsewhere bool
+		least, most           time.Duration
+	}{
+		"quarantined here":      {idempotent: true, least: trialAfter, most: 2 * trialAfter},
+		"quarantined elsewhere": {idempotent: true, elsewhere: true, least: trialAfter, most: 2 * trialAfter},
+		"not idempotent":        {elsewhere: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &fakeLink{}
+				d := newDispatcher(5, s)
+				d.Poison.Trials = true
+				s.send = func(_ context.Context, name string) direct.Attempt {
+					if test.elsewhere {
+						quarantineElsewhere(d)
+					}
+					s.crash(name)
+					return broken
+				}
+				_, err := d.Serve(t.Context(), newCall(test.idempotent))
+				if e := errorOf(t, err); e.Verdict != snipefront.MayHaveRun || e.RetryAfter < test.least || e.RetryAfter > test.most {
+					t.Errorf("the request ended with %v and Retry-After %v, want one from %v to %v", e, e.RetryAfter, test.least, test.most)
+				}
+			})
+		})
+	}
+}
