fleet: bound the suspects that a reader keeps

The state keeps 256 suspects, but tells no reader which one it drops for a new one, so that each instance kept every suspect there ever was: memory that only grows, and a longer copy with each entry of the log.

A view keeps the 256 that changed last. Registers have taken over older ones when they came, and a reader that starts gets the suspects of the state. TestReadersKeepBoundedSuspects: before, 257 kept after 257 suspects; now 256 after 768, the newest always among them.

--- a/internal/control/fleet/delta.go
+++ b/internal/control/fleet/delta.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 )
@@ -120,9 +121,23 @@
 	for _, n := range d.Suspects {
 		next.Suspects[n.Fingerprint] = n
 	}
+	next.Suspects = newestSuspects(next.Suspects)
 	return next
 }
 
+// newestSuspects removes from m all but the maxSuspects that changed last, since a reader
+// isn't told which ones the state dropped. It returns m.
+func newestSuspects(m map[uint64]Suspect) map[uint64]Suspect {
+	if len(m) <= maxSuspects {
+		return m
+	}
+	oldestFirst := slices.SortedFunc(maps.Values(m), func(a, b Suspect) int { return cmp.Compare(a.Index, b.Index) })
+	for _, n := range oldestFirst[:len(m)-maxSuspects] {
+		delete(m, n.Fingerprint)
+	}
+	return m
+}
+
 // View is a reader's copy of the state. It is immutable once published.
 type View struct {
 	Index uint64
@@ -132,7 +147,7 @@
 	Instances map[string]Instance
 	// Out holds the data centres out of service.
 	Out map[string]bool
-	// Suspects holds the suspects by fingerprint.
+	// Suspects holds the suspects by fingerprint, at most maxSuspects.
 	Suspects map[uint64]Suspect
 }
 
--- a/internal/control/fleet/fleet_test.go
+++ b/internal/control/fleet/fleet_test.go
@@ -352,6 +352,21 @@
 	}
 }
 
+// TestReadersKeepBoundedSuspects guards against instances whose memory grows with each
+// suspect that there ever was, since no reader is told which ones the state has dropped.
+func TestReadersKeepBoundedSuspects(t *testing.T) {
+	const most = 256
+	r := newReplica()
+	v := r.View()
+	for f := range uint64(3 * most) {
+		r.apply(t, fleet.Command{Suspect: &fleet.Suspect{Fingerprint: f, Crashed: []poison.Server{{Name: "a", Incarnation: f}}}})
+		v = v.Apply(r.DeltaSince(v.Index))
+		if _, ok := v.Suspects[f]; !ok || len(v.Suspects) > most {
+			t.Fatalf("after %d suspects the reader keeps %d, want %d at most and the last one among them", f+1, len(v.Suspects), most)
+		}
+	}
+}
+
 // TestTrialRunIsGrantedOnce guards against a quarantined request that several instances run
 // as a trial at the same time.
 func TestTrialRunIsGrantedOnce(t *testing.T) {
