fleet, edge: let a suspect cost no copy of the fleet

In an outage each instance receives up to hundreds of suspects a second. For each entry of the log an edge copied its maps of all backend servers and instances, and built its targets anew with their order: work that grows with the fleet and changes nothing.

A view now shares with the one before what a delta does not change, and an edge builds its targets anew only for a delta with more than suspects. TestSuspectCopiesNoServers failed before on the copy.

--- a/internal/control/fleet/delta.go
+++ b/internal/control/fleet/delta.go
@@ -84,20 +84,18 @@
 	return slices.ContainsFunc(d.Removals, func(r Removal) bool { return r.Server == n.Name && r.Incarnation >= n.Incarnation })
 }
 
-// Apply returns v with the changes of d applied. It does not modify v.
+// OnlySuspects reports whether d changes nothing but suspects.
+func (d Delta) OnlySuspects() bool {
+	return !d.Whole && d.Document == nil && d.Out == nil && len(d.Servers)+len(d.Instances)+len(d.Removals) == 0
+}
+
+// Apply returns v with the changes of d applied. It does not modify v, and shares with it
+// what d does not change.
 func (v View) Apply(d Delta) View {
-	next := View{
-		Index:     d.Index,
-		Document:  v.Document,
-		Servers:   map[string]Server{},
-		Instances: map[string]Instance{},
-		Suspects:  map[uint64]Suspect{},
-		Out:       v.Out,
-	}
-	if !d.Whole {
-		maps.Copy(next.Servers, v.Servers)
-		maps.Copy(next.Instances, v.Instances)
-		maps.Copy(next.Suspects, v.Suspects)
+	next := v
+	next.Index = d.Index
+	if d.Whole {
+		next.Servers, next.Instances, next.Suspects = nil, nil, nil
 	}
 	if d.Document != nil && d.Document.Version > v.Document.Version {
 		next.Document = *d.Document
@@ -108,20 +106,30 @@
 			next.Out[n] = true
 		}
 	}
+	var servers, instances []string
 	for _, r := range d.Removals {
-		delete(next.Servers, r.Server)
-		delete(next.Instances, r.Instance)
+		servers, instances = append(servers, r.Server), append(instances, r.Instance)
 	}
-	for _, n := range d.Servers {
-		next.Servers[n.Name] = n
+	next.Servers = withChanges(next.Servers, servers, d.Servers, func(n Server) string { return n.Name })
+	next.Instances = withChanges(next.Instances, instances, d.Instances, func(n Instance) string { return n.Name })
+	next.Suspects = newestSuspects(withChanges(next.Suspects, nil, d.Suspects, func(n Suspect) uint64 { return n.Fingerprint }))
+	return next
+}
+
+// withChanges returns a copy of m without the keys removed and with the values changed, or
+// m itself if there are none.
+func withChanges[K comparable, V any](m map[K]V, removed []K, changed []V, key func(V) K) map[K]V {
+	if m != nil && len(removed)+len(changed) == 0 {
+		return m
 	}
-	for _, n := range d.Instances {
-		next.Instances[n.Name] = n
+	next := make(map[K]V, len(m)+len(changed))
+	maps.Copy(next, m)
+	for _, k := range removed {
+		delete(next, k)
 	}
-	for _, n := range d.Suspects {
-		next.Suspects[n.Fingerprint] = n
+	for _, n := range changed {
+		next[key(n)] = n
 	}
-	next.Suspects = newestSuspects(next.Suspects)
 	return next
 }
 
@@ -138,7 +146,8 @@
 	return m
 }
 
-// View is a reader's copy of the state. It is immutable once published.
+// View is a reader's copy of the state. It is immutable once published, and may share its
+// maps with earlier views.
 type View struct {
 	Index uint64
 	// Document never goes back to a lower version.
--- a/internal/control/fleet/fleet_test.go
+++ b/internal/control/fleet/fleet_test.go
@@ -367,6 +367,27 @@
 	}
 }
 
+// TestSuspectCopiesNoServers guards against instances that copy and rebuild all that they
+// know of the fleet for each suspect: an outage brings hundreds within a second.
+func TestSuspectCopiesNoServers(t *testing.T) {
+	r := newReplica()
+	r.apply(t, fleet.Command{Register: server("a", "h:a", 1, 1)})
+	before := r.View()
+	r.apply(t, fleet.Command{Suspect: &fleet.Suspect{Fingerprint: 1, Crashed: []poison.Server{{Name: "a"}}}})
+	d := r.DeltaSince(before.Index)
+	after := before.Apply(d)
+	if !d.OnlySuspects() || len(after.Suspects) != 1 || len(before.Suspects) != 0 {
+		t.Errorf("the delta is %+v, and %d suspects became %d, want only suspects and 1 instead of 0", d, len(before.Suspects), len(after.Suspects))
+	}
+	if reflect.ValueOf(before.Servers).Pointer() != reflect.ValueOf(after.Servers).Pointer() {
+		t.Error("a suspect led to a copy of the backend servers")
+	}
+	r.apply(t, fleet.Command{Register: server("b", "h:b", 1, 1)})
+	if d := r.DeltaSince(after.Index); d.OnlySuspects() || len(after.Apply(d).Servers) != 2 || len(after.Servers) != 1 {
+		t.Errorf("the delta is %+v, want the backend server b, which changes no earlier view", d)
+	}
+}
+
 // TestTrialRunIsGrantedOnce guards against a quarantined request that several instances run
 // as a trial at the same time.
 func TestTrialRunIsGrantedOnce(t *testing.T) {
--- a/internal/daemon/edge/edge.go
+++ b/internal/daemon/edge/edge.go
@@ -135,19 +135,26 @@
 		return
 	}
 	now := time.Now()
-	e.targets.Update(now, v, t.Routing)
-	e.retries.SetInstances(now, v.Edges())
-	e.probes.SetFleet(now, len(v.Servers), v.Edges())
+	if !d.OnlySuspects() {
+		e.applyMembers(now, v, t.Routing)
+	}
 	e.index.Store(v.Index)
 	e.logger.Info("applied a new fleet view", "index", v.Index, "version", v.Document.Version, "servers", len(v.Servers), "instances", len(v.Instances), "out", len(v.Out))
 	e.suspects.Apply(now, v, d)
-	e.storeControl(v)
 	if !e.readyAnnounced {
 		e.readyAnnounced = true
 		e.follower.SetReady(true)
 	}
 }
 
+// applyMembers applies the backend servers and the instances of v.
+func (e *Edge) applyMembers(now time.Time, v fleet.View, r *snipefront.Routing) {
+	e.targets.Update(now, v, r)
+	e.retries.SetInstances(now, v.Edges())
+	e.probes.SetFleet(now, len(v.Servers), v.Edges())
+	e.storeControl(v)
+}
+
 // report returns the state of the fleet as this instance has applied it.
 func (e *Edge) report() status.Report {
 	r := status.Report{
--- a/internal/dispatch/direct/crashfleet_test.go
+++ b/internal/dispatch/direct/crashfleet_test.go
@@ -197,7 +197,9 @@
 func (n *crashInstance) follow(set *health.Set, r *submit.Receiver, v fleet.View) fleet.View {
 	d := n.fleet.state.DeltaSince(v.Index)
 	v = v.Apply(d)
-	set.Update(time.Now(), v, n.fleet.routing)
+	if !d.OnlySuspects() {
+		set.Update(time.Now(), v, n.fleet.routing)
+	}
 	r.Apply(time.Now(), v, d)
 	return v
 }
