access: pause between calls while the control quorum has no leader

Each edge with a suspect to submit called all control instances in turn, again and again 50 ms after each round, while none led: 163 calls a second for each edge in virtual time with calls of 2 ms, some 21,000 a second from 132 edges to control instances that have a third of a core and an election to hold. Suspects are what edges submit in an outage, which is when the quorum loses its leader, too.

Now a client calls each control instance once and then one at a time, after 50 to 200 ms on average with jitter; one that names a leader is followed at once.

--- a/internal/control/access/access.go
+++ b/internal/control/access/access.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -16,8 +17,11 @@
 const (
 	// defaultTryTimeout limits one call to one control instance.
 	defaultTryTimeout = 2 * time.Second
-	// roundInterval is the time between rounds of calls to all control instances.
-	roundInterval = 50 * time.Millisecond
+	// minPause and maxPause bound the mean pause before a call, once a first round of calls
+	// to all control instances has failed. It doubles with each pause: many clients call
+	// at the same time, and the control instances may be busy with an election.
+	minPause = 50 * time.Millisecond
+	maxPause = 200 * time.Millisecond
 )
 
 // Caller calls one control instance. If that instance does not lead, the error is
@@ -88,9 +92,12 @@
 // leader if it is known.
 type call func(ctx context.Context, address string) ([]byte, string, error)
 
-// retry calls the control instances in turn with f until a call succeeds or ctx
-// ends.
+// retry calls the control instances with f until a call succeeds or ctx ends: each of them
+// once, and then one at a time after a pause. It calls an instance that another one names as
+// the leader immediately.
 func (c *Client) retry(ctx context.Context, f call) ([]byte, error) {
+	pause := minPause
+	followed := false
 	for n := 1; ; n++ {
 		list := c.Control()
 		instance := list[int(c.next.Load())%len(list)]
@@ -98,15 +105,18 @@
 		if err == nil {
 			return text, nil
 		}
-		c.setNext(list, leader)
-		if n%len(list) != 0 && ctx.Err() == nil {
+		named := c.setNext(list, leader)
+		if ctx.Err() == nil && (n < len(list) || named && !followed) {
+			followed = named
 			continue
 		}
+		followed = false
 		select {
 		case <-ctx.Done():
 			return nil, errors.Wrap(err, "no answer from the control quorum")
-		case <-time.After(roundInterval):
+		case <-time.After(pause/2 + rand.N(pause)):
 		}
+		pause = min(2*pause, maxPause)
 	}
 }
 
@@ -121,13 +131,14 @@
 }
 
 // setNext makes the named leader the next instance to call, or the next one in
-// list if the leader is unknown.
-func (c *Client) setNext(list []snipefront.Instance, leader string) {
+// list if the leader is unknown. It reports whether the leader is in list.
+func (c *Client) setNext(list []snipefront.Instance, leader string) bool {
 	for i, instance := range list {
 		if instance.Name == leader {
 			c.next.Store(int64(i))
-			return
+			return true
 		}
 	}
 	c.next.Store((c.next.Load() + 1) % int64(len(list)))
+	return false
 }
