raft: resend nothing to a peer that has been silent since the last time

Cause: with each heartbeat a leader resent everything that a lagging peer lacked, up to 1 MiB, whether the peer answered or not; the messages wait for the peer, 256 at most, and go out in one call once its link answers. Suspects make the log grow faster in an outage.

A leader now resends with a heartbeat only if the peer has answered one since the last resend, as other implementations of Raft do. A peer that answers gets what it lacks one heartbeat later at most.

--- a/internal/quorum/raft/lead.go
+++ b/internal/quorum/raft/lead.go
@@ -24,16 +24,19 @@
 }
 
 // sendHeartbeats sends each peer a heartbeat. A peer that lags and has acknowledged
-// nothing since the last heartbeat is also resent the entries after its match.
+// nothing since the last heartbeat is also resent the entries after its match, unless it has
+// been silent since they were resent.
 func (r *Replica) sendHeartbeats(now time.Time) {
 	r.nextHeartbeat = now.Add(r.Heartbeat)
 	r.announceCommit = false
 	for _, p := range r.orderedPeers() {
+		sent := now.Sub(r.start)
 		r.send(Message{
 			Kind: Heartbeat, To: p.Identity, ToName: p.Name, Term: r.hard.Term,
-			Commit: min(r.commit, p.match), Sent: now.Sub(r.start),
+			Commit: min(r.commit, p.match), Sent: sent,
 		}, false)
-		if p.match < r.log.last() && p.match == p.heartbeatMatch {
+		if p.match < r.log.last() && p.match == p.heartbeatMatch && p.lastContact >= p.resent {
+			p.resent = sent
 			if p.matchKnown {
 				p.next = p.match + 1
 			}
