raft: a test that a slow peer gets entries once

Refuted on the way: that a leader sends entries again to a peer that is only slower than the others, with each commit that it announces.

--- a/internal/quorum/raft/fleet_test.go
+++ b/internal/quorum/raft/fleet_test.go
@@ -45,6 +45,10 @@
 	// steps that would let it propose.
 	proposeOneIn int
 	proposed     int
+	// configure sets further fields of each replica before it starts. It may be nil.
+	configure func(r *raft.Replica)
+	// late holds the messages that runFor delays, in the order of their arrival.
+	late []lateMessage
 
 	// leaders is keyed by group and term, votes by group, term and voter, and
 	// committed by index.
@@ -95,6 +99,9 @@
 	n.Replica = &raft.Replica{
 		Name: name, Identity: n.Identity, Names: f.names, Heartbeat: heartbeat, Election: election, Random: f.Int64N,
 	}
+	if f.configure != nil {
+		f.configure(n.Replica)
+	}
 	n.up, n.leaseEnd = true, time.Time{}
 	n.applied, n.state = n.snapshot.Index, splitState(n.snapshot.State)
 	n.Start(f.clock(n), n.hard, n.snapshot, slices.Clone(n.log))
