peers: send a starting instance the whole state compressed, and encode it once

An instance that holds nothing now says that it accepts compressed changes, and a control instance keeps the last whole state in that form. Instances of earlier versions send no such field and get plain JSON; earlier control instances ignore it.

--- a/internal/rpc/peers/link.go
+++ b/internal/rpc/peers/link.go
@@ -46,6 +46,8 @@
 	newConnPeer wire.Peer
 	// header is the HTTP header of every call. It is never changed.
 	header http.Header
+	// gzipHeader is the HTTP header of every call that accepts a compressed answer.
+	gzipHeader http.Header
 	// lastUsed is the time of the last call, in nanoseconds of Unix time.
 	lastUsed atomic.Int64
 	// checkMu is held during a check.
@@ -61,6 +63,8 @@
 		maxBytes: maxBytes,
 		header:   http.Header{"Content-Type": {"application/protobuf"}, "User-Agent": nil},
 	}
+	l.gzipHeader = l.header.Clone()
+	l.gzipHeader.Set(acceptHeader, acceptGzip)
 	url := "http://" + address
 	l.peer = wire.NewPeerProtobufClient(url, l)
 	l.control = wire.NewControlProtobufClient(url, l)
@@ -89,6 +93,8 @@
 	floor time.Duration
 	// idempotent is true if the call ends when a check finds the owner unreachable.
 	idempotent bool
+	// acceptsGzip is true if the answer may hold compressed changes.
+	acceptsGzip bool
 
 	tracker writes.Tracker
 	// transport is nil if nothing was sent.
@@ -107,8 +113,13 @@
 // do makes one call with f, without checking it when its answer is overdue.
 func (l *link) do(ctx context.Context, f func(ctx context.Context) error) error {
 	var k call
+	return l.doCall(ctx, &k, f)
+}
+
+// doCall makes the call k with f, without checking it when its answer is overdue.
+func (l *link) doCall(ctx context.Context, k *call, f func(ctx context.Context) error) error {
 	err := f(k.with(ctx))
-	l.retireIfFailed(ctx, &k)
+	l.retireIfFailed(ctx, k)
 	return err
 }
 
@@ -166,6 +177,9 @@
 		return nil, errTooBig
 	}
 	req.Header = l.header
+	if k.acceptsGzip {
+		req.Header = l.gzipHeader
+	}
 	k.transport = l.conns.Transport()
 	resp, err := k.transport.RoundTrip(req)
 	if err != nil {
--- a/internal/rpc/peers/server.go
+++ b/internal/rpc/peers/server.go
@@ -51,7 +51,8 @@
 	// MaxBytes bounds a message of the peer service. Zero means 16 MiB.
 	MaxBytes int64
 
-	calls runningCalls
+	calls  runningCalls
+	wholes wholeStates
 }
 
 // Route adds the services to r: the peer service if Owner or Suspects is set, and the
@@ -61,7 +62,7 @@
 		r.PathPrefix(wire.PeerPathPrefix).Handler(withoutDate(http.MaxBytesHandler(wire.NewPeerServer(s), s.maxBytes())))
 	}
 	if s.Leader != nil || s.Watcher != nil {
-		r.PathPrefix(wire.ControlPathPrefix).Handler(meter.Handler(withoutDate(http.MaxBytesHandler(wire.NewControlServer(s), maxControlBytes))))
+		r.PathPrefix(wire.ControlPathPrefix).Handler(meter.Handler(withoutDate(withAccept(http.MaxBytesHandler(wire.NewControlServer(s), maxControlBytes)))))
 	}
 	r.NotFoundHandler = http.NotFoundHandler()
 }
--- a/internal/rpc/peers/watch.go
+++ b/internal/rpc/peers/watch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/pkg/errors"
@@ -41,7 +40,8 @@
 func (c *Client) Watch(ctx context.Context, address string, w Watch) (Update, error) {
 	l := c.controlLink(address)
 	var r *wire.WatchResponse
-	err := l.do(ctx, func(ctx context.Context) (err error) {
+	k := call{acceptsGzip: w.Held == 0}
+	err := l.doCall(ctx, &k, func(ctx context.Context) (err error) {
 		r, err = l.control.Watch(ctx, &wire.WatchRequest{
 			Instance:   instanceMessage(w.Instance.Instance),
 			Region:     w.Instance.Region,
@@ -56,7 +56,8 @@
 		return Update{}, errors.Wrap(err, "watch")
 	}
 	u := Update{Current: r.Current}
-	return u, errors.Wrap(json.Unmarshal(r.Changes, &u.Delta), "decode changes")
+	u.Delta, err = decodeChanges(r.Changes, l.maxBytes)
+	return u, errors.Wrap(err, "decode changes")
 }
 
 // Watch implements wire.Control.
@@ -72,7 +73,7 @@
 	if err != nil {
 		return nil, err
 	}
-	b, err := json.Marshal(u.Delta)
+	b, err := s.encodeChanges(ctx, u.Delta)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode changes")
 	}
