--- a/internal/request/submit/receiver.go
+++ b/internal/request/submit/receiver.go
@@ -8,8 +8,8 @@
 )
 
 // Receiver takes over what each new view of the fleet says of suspects, and of backend
-// servers that have ended. Set the exported
-// field before use. Its method must be called from one goroutine at a time.
+// servers that have ended. Set the exported field before use. Its method must be called
+// from one goroutine at a time.
 type Receiver struct {
 	Register *poison.Register
 
