--- a/internal/request/poison/poison.go
+++ b/internal/request/poison/poison.go
@@ -227,13 +227,13 @@
 	}
 	e.crashed = append(e.crashed, s)
 	e.lastCrash = now
-	defer func() { g.reportCrash(now, event, f, e, s) }()
 	if left == 0 {
 		left = RecordLifetime(len(e.crashed))
 	}
 	if expires := now.Add(left); expires.After(e.expires) {
 		e.expires = expires
 	}
+	g.reportCrash(now, event, f, e, s)
 	return true
 }
 
--- a/internal/request/submit/receiver.go
+++ b/internal/request/submit/receiver.go
@@ -30,3 +30,17 @@
 	r.Register.Merge(now, Records(v, r.last.Index))
 	r.last = v
 }
+
+// Records returns the records of v that changed after index. Each is valid for its full
+// lifetime from now on.
+func Records(v fleet.View, index uint64) []poison.Record {
+	var list []poison.Record
+	for _, s := range v.Suspects {
+		if s.Index > index {
+			list = append(list, poison.Record{
+				Fingerprint: s.Fingerprint, Released: s.ReleasedIndex > index, Crashed: s.Crashed, Trials: s.Trials, Left: poison.RecordLifetime(len(s.Crashed)),
+			})
+		}
+	}
+	return list
+}
--- a/internal/request/submit/submit.go
+++ b/internal/request/submit/submit.go
@@ -176,17 +176,3 @@
 		r.Logger.Info("suspect shared", "fingerprint", record.Fingerprint, "crashes", len(record.Crashed), "released", record.Released, "taken", time.Since(begun))
 	}
 }
-
-// Records returns the records of v that changed after index. Each is valid for its full
-// lifetime from now on.
-func Records(v fleet.View, index uint64) []poison.Record {
-	var list []poison.Record
-	for _, s := range v.Suspects {
-		if s.Index > index {
-			list = append(list, poison.Record{
-				Fingerprint: s.Fingerprint, Released: s.ReleasedIndex > index, Crashed: s.Crashed, Trials: s.Trials, Left: poison.RecordLifetime(len(s.Crashed)),
-			})
-		}
-	}
-	return list
-}
