raft: resend as soon as a silent peer answers again

A reply to a heartbeat that was sent after the last resend now leads to the next one at once, if the peer was silent in between.

--- a/internal/quorum/raft/lag_test.go
+++ b/internal/quorum/raft/lag_test.go
@@ -11,29 +11,32 @@
 // TestSilentPeerGetsEntriesOnce guards against a leader that sends all entries that a peer
 // lacks again with each heartbeat while the peer is silent: what waits for a frozen instance,
 // or for one behind a broken link, grows by up to 1 MiB each time, in memory and on the wire.
-// Once the peer answers, it must catch up soon.
+// It also guards against a peer that returns, as after a loss of power, and waits for a second
+// heartbeat until it gets them.
 func TestSilentPeerGetsEntriesOnce(t *testing.T) {
 	const (
 		entries, entryBytes = 10, 50_000
 		silence             = 5 * time.Second
-		catchUp             = 500 * time.Millisecond
+		catchUp             = heartbeat + 4*step
 	)
-	f := newFleet(1, 3)
-	f.heal()
-	leader, silent := f.leaderAndPeer()
-	f.crash(silent)
-	for range entries {
-		leader.Propose([][]byte{[]byte(strings.Repeat("x", entryBytes))})
-		f.process(leader, false)
-	}
-	sent := f.runFor(silence, silent, 0)
-	if sent > 2*entries*entryBytes {
-		t.Errorf("the silent peer was sent %d bytes of entries, want those of the backlog, %d, twice at most", sent, entries*entryBytes)
-	}
-	f.restart(silent.Name)
-	f.runFor(catchUp, silent, 0)
-	if !f.converged() || f.failure != nil {
-		t.Errorf("the peer has applied %d of %d entries %v after its return (%v)", silent.applied, leader.applied, catchUp, f.failure)
+	for phase := time.Duration(0); phase < heartbeat; phase += step {
+		f := newFleet(1, 3)
+		f.heal()
+		leader, silent := f.leaderAndPeer()
+		f.crash(silent)
+		for range entries {
+			leader.Propose([][]byte{[]byte(strings.Repeat("x", entryBytes))})
+			f.process(leader, false)
+		}
+		sent := f.runFor(silence+phase, silent, 0)
+		if sent > 2*entries*entryBytes {
+			t.Errorf("the silent peer was sent %d bytes of entries, want those of the backlog, %d, twice at most", sent, entries*entryBytes)
+		}
+		f.restart(silent.Name)
+		f.runFor(catchUp, silent, 0)
+		if !f.converged() || f.failure != nil {
+			t.Errorf("the peer has applied %d of %d entries %v after its return (%v)", silent.applied, leader.applied, catchUp, f.failure)
+		}
 	}
 }
 
--- a/internal/quorum/raft/lead.go
+++ b/internal/quorum/raft/lead.go
@@ -25,27 +25,34 @@
 
 // sendHeartbeats sends each peer a heartbeat. A peer that lags and has acknowledged
 // nothing since the last heartbeat is also resent the entries after its match, unless it has
-// been silent since they were resent.
+// been silent since they were resent. Then its next reply to a heartbeat leads to that.
 func (r *Replica) sendHeartbeats(now time.Time) {
 	r.nextHeartbeat = now.Add(r.Heartbeat)
 	r.announceCommit = false
 	for _, p := range r.orderedPeers() {
-		sent := now.Sub(r.start)
 		r.send(Message{
 			Kind: Heartbeat, To: p.Identity, ToName: p.Name, Term: r.hard.Term,
-			Commit: min(r.commit, p.match), Sent: sent,
+			Commit: min(r.commit, p.match), Sent: now.Sub(r.start),
 		}, false)
-		if p.match < r.log.last() && p.match == p.heartbeatMatch && p.lastContact >= p.resent {
-			p.resent = sent
-			if p.matchKnown {
-				p.next = p.match + 1
-			}
-			r.sendNext(now, p)
+		if p.match == p.heartbeatMatch && p.lastContact >= p.resent {
+			r.resend(now, p)
 		}
 		p.heartbeatMatch = p.match
 	}
 }
 
+// resend sends p the entries after its match again, if it lags.
+func (r *Replica) resend(now time.Time, p *peer) {
+	if p.match >= r.log.last() {
+		return
+	}
+	p.resent = now.Sub(r.start)
+	if p.matchKnown {
+		p.next = p.match + 1
+	}
+	r.sendNext(now, p)
+}
+
 // replicate sends new entries to each peer whose match is known and that has fewer
 // than maxInFlightEntries unacknowledged.
 func (r *Replica) replicate() {
@@ -102,10 +109,13 @@
 	if r.role != leader || p == nil {
 		return
 	}
+	wasSilent := p.lastContact < p.resent
 	p.lastContact = max(p.lastContact, m.Sent)
 	switch {
 	case m.Kind == HeartbeatReply:
-		return
+		if wasSilent && m.Sent > p.resent {
+			r.resend(now, p)
+		}
 	case m.Reject:
 		p.next = max(p.match+1, min(p.next, r.possibleMatch(m)+1))
 		r.sendNext(now, p)
--- a/internal/quorum/raft/raft.go
+++ b/internal/quorum/raft/raft.go
@@ -179,7 +179,7 @@
 	// lastContact is when the latest heartbeat that the peer answered was sent,
 	// counted from Replica.start.
 	lastContact time.Duration
-	// resent is when entries were last resent with a heartbeat, counted from Replica.start.
+	// resent is when entries were last resent, counted from Replica.start.
 	resent time.Duration
 	// nextSnapshot is the earliest time to send a snapshot again.
 	nextSnapshot time.Time
