poison, direct: log which answer releases a suspect, crashes tied to nothing, and why a request waited

The logs could not tell the hypotheses apart: 'suspect released why=answered' named no answer, a crash that no request was tied to left no line, nor did an attempt that was cut short, and the time from a request's arrival to its attempt was not told.

A release now names the backend server, its incarnation, the status and whether the answer was signed; untied crashes are logged and counted (snipefront_suspects_total{event=untied}), attempts without an answer that are tied to no crash are logged with the reason; each attempt has waited, choices and granting. All go through the bounded, non-blocking log. No decision changes.

--- a/internal/dispatch/direct/choose.go
+++ b/internal/dispatch/direct/choose.go
@@ -45,6 +45,8 @@
 	// load is the number of running and waiting requests divided by that of slots,
 	// over all targets that were compared and report their load.
 	load float64
+	// choices is the number of choices that it took to find the target.
+	choices int
 	// quotaWait is the time after which the call may come back if it was refused for the
 	// rate limits of all targets, and zero otherwise.
 	quotaWait time.Duration
@@ -58,8 +60,10 @@
 // returns false if no target can accept c in time.
 func (d *Dispatcher) choose(ctx context.Context, c *Call, avoid map[string]bool) (choice, bool) {
 	base := d.estimator.baseLatency(c)
-	for waited := false; len(d.Targets.Candidates(c.Service)) > 0; waited = true {
+	for n := 1; len(d.Targets.Candidates(c.Service)) > 0; n++ {
 		best, ok := d.bestTarget(ctx, c, base, avoid)
+		best.choices = n
+		waited := n > 1
 		now := time.Now()
 		meetsGoal := ok && !now.Add(best.estimate).After(c.Goal)
 		likelyMeetsGoal := ok && waited && !now.Add(d.estimator.medianLatency(c, best.estimate)).After(c.Goal)
--- a/internal/dispatch/direct/crash.go
+++ b/internal/dispatch/direct/crash.go
@@ -18,12 +18,17 @@
 // t has crashed and c is a suspect. If t was silent to the end, a later change of the fleet
 // may show that it had crashed.
 func (d *Dispatcher) recordUnanswered(ctx context.Context, c *Call, t *health.Target, taken time.Duration) {
-	if d.Poison == nil || d.isLeaving(t) {
+	if d.Poison == nil {
+		return
+	}
+	if d.isLeaving(t) {
+		d.logUntied(c, t, taken, "draining")
 		return
 	}
 	now := time.Now()
 	silent := ctx.Err() != nil
 	if silent && (taken < minOverdueTime || t.HeardSince(now.Add(-silentTime))) {
+		d.logUntied(c, t, taken, "cut short")
 		return
 	}
 	d.Poison.ConnectionBroke(now, c.Fingerprint, t.Server.CrashKey())
@@ -32,6 +37,13 @@
 	}
 }
 
+// logUntied logs that an attempt at t has ended without an answer, and why no crash of t is
+// tied to c.
+func (d *Dispatcher) logUntied(c *Call, t *health.Target, taken time.Duration, why string) {
+	d.Logger.Info("attempt without an answer is tied to no crash", "request", c.ID, "fingerprint", c.Fingerprint, "server", t.Server.Name,
+		"incarnation", t.Server.Incarnation, "why", why, "taken", taken)
+}
+
 // checkSilent checks a target whose answer to c is overdue. If it has gone silent and
 // accepts no new connection, it has crashed and c is a suspect.
 func (d *Dispatcher) checkSilent(ctx context.Context, c *Call, t *health.Target) {
@@ -74,6 +86,7 @@
 	}
 	evidence, _ := d.Poison.Evidence(now, c.Fingerprint)
 	p.trial = d.Trials.Grant(ctx, c.Fingerprint, evidence.Trials+1)
+	p.granting += time.Since(now)
 	if !p.trial {
 		return e
 	}
--- a/internal/dispatch/direct/direct.go
+++ b/internal/dispatch/direct/direct.go
@@ -80,6 +80,8 @@
 	Reason   snipefront.Reason
 	// Err is why there is no answer.
 	Err error
+	// Signed is true if Response has the signature of a backend server.
+	Signed bool
 	// Outcome is what the attempt shows about the target.
 	Outcome health.Outcome
 	// Misdirected is true if the request reached a backend server that was not the
@@ -106,7 +108,7 @@
 	defer cancel()
 	d.Retries.Earn(time.Now(), c.Service)
 	d.Attempts.Received(c.Service)
-	p := progress{verdict: snipefront.NotRun, avoid: map[string]bool{}}
+	p := progress{verdict: snipefront.NotRun, avoid: map[string]bool{}, received: time.Now()}
 	for first := true; ; first = false {
 		if time.Until(c.Deadline) < minAttemptTime || ctx.Err() != nil {
 			return d.finish(c, &p, timeoutError(ctx, &p))
--- a/internal/dispatch/direct/progress.go
+++ b/internal/dispatch/direct/progress.go
@@ -31,6 +31,10 @@
 	avoid map[string]bool
 	// trial is true while the call is the trial run of a quarantined request.
 	trial bool
+	// received is when the call came, and granting the time that it has waited for the
+	// grants of trial runs.
+	received time.Time
+	granting time.Duration
 	// last is the last attempt, response the last answer that was a server error.
 	last     Attempt
 	response *snipefront.Response
@@ -72,7 +76,7 @@
 		}
 	}
 	d.Logger.Info(message, "request", c.ID, "fingerprint", c.Fingerprint, "route", c.Route, "service", c.Service, "server", r.target.Server.Name,
-		"attempt", p.sent, "estimated", r.estimate, "load", r.snapshot, "taken", r.taken, "status", status,
+		"attempt", p.sent, "waited", r.begun.Sub(p.received), "choices", r.choices, "granting", p.granting, "signed", r.Signed, "estimated", r.estimate, "load", r.snapshot, "taken", r.taken, "status", status,
 		"verdict", r.Verdict, "reason", r.Reason, "error", r.Err, "left", time.Until(c.Deadline))
 }
 
--- a/internal/dispatch/direct/run.go
+++ b/internal/dispatch/direct/run.go
@@ -9,6 +9,7 @@
 	"github.com/snipefront/snipefront"
 	"github.com/snipefront/snipefront/internal/dispatch/health"
 	"github.com/snipefront/snipefront/internal/dispatch/quota"
+	"github.com/snipefront/snipefront/internal/request/poison"
 )
 
 const (
@@ -25,6 +26,8 @@
 type attemptResult struct {
 	choice
 	Attempt
+	// begun is when the attempt was sent.
+	begun time.Time
 	taken time.Duration
 }
 
@@ -94,7 +97,7 @@
 	begun := time.Now()
 	go func() {
 		a := d.send(ctx, c, chosen)
-		results <- attemptResult{choice: chosen, Attempt: a, taken: time.Since(begun)}
+		results <- attemptResult{choice: chosen, Attempt: a, begun: begun, taken: time.Since(begun)}
 	}()
 }
 
@@ -137,7 +140,7 @@
 	}
 	chosen.target.Done(time.Now(), a.Outcome)
 	if a.Response != nil {
-		d.Poison.Answered(time.Now(), c.Fingerprint)
+		d.Poison.Answered(time.Now(), c.Fingerprint, poison.Answer{Server: chosen.target.Server.CrashKey(), Status: a.Response.Status, Signed: a.Signed})
 	}
 	if a.Response == nil && a.Verdict == snipefront.MayHaveRun {
 		d.recordUnanswered(ctx, c, chosen.target, taken)
--- a/internal/dispatch/link/link.go
+++ b/internal/dispatch/link/link.go
@@ -132,7 +132,7 @@
 	case !signed && status < http.StatusMultipleChoices:
 		return direct.Attempt{Verdict: snipefront.MayHaveRun, Reason: snipefront.ReasonBrokenAnswer, Err: errUnsigned, Outcome: health.Faulty}
 	}
-	a := direct.Attempt{Verdict: snipefront.Ran, Reason: snipefront.ReasonBackendServer, Outcome: health.Answered}
+	a := direct.Attempt{Verdict: snipefront.Ran, Reason: snipefront.ReasonBackendServer, Outcome: health.Answered, Signed: signed}
 	a.Response = &snipefront.Response{Status: status, Header: h, Body: e.Answer, BackendServer: t.Server.Name}
 	if a.Response.Status >= http.StatusInternalServerError {
 		a.Outcome = health.Faulty
--- a/internal/dispatch/local/attempt.go
+++ b/internal/dispatch/local/attempt.go
@@ -154,7 +154,7 @@
 		slot.Done(outcome(ctx, a))
 	}
 	if a.Response != nil {
-		d.Poison.Answered(time.Now(), r.Fingerprint)
+		d.Poison.Answered(time.Now(), r.Fingerprint, poison.Answer{Server: serverOf(b), Status: a.Response.Status})
 	}
 	if isBroken(a) && ctx.Err() == nil {
 		d.checkCrash(ctx, b, r, service)
--- a/internal/request/poison/crash.go
+++ b/internal/request/poison/crash.go
@@ -63,10 +63,14 @@
 	if len(g.ended) < maxEntries {
 		g.ended[id] = ending{incarnation: s.Incarnation, planned: planned, expires: now.Add(suspectTime)}
 	}
+	tied := planned || len(g.broken[id]) > 0
 	if planned {
 		g.setBroken(id, slices.DeleteFunc(g.broken[id], func(b brokenConn) bool { return b.server.Incarnation <= s.Incarnation }))
 	}
 	g.mu.Unlock()
+	if !tied {
+		g.reportUntied(s)
+	}
 	g.Crashed(now, s)
 }
 
--- a/internal/request/poison/events.go
+++ b/internal/request/poison/events.go
@@ -27,8 +27,25 @@
 	EventExpired Event = "expired"
 	// EventEvicted is a suspect that was dropped for lack of space.
 	EventEvicted Event = "evicted"
+	// EventUntied is a crash of a backend server that no request of this instance is tied
+	// to.
+	EventUntied Event = "untied"
 )
 
+// Answer describes an answer to a request, for the log.
+type Answer struct {
+	Server Server
+	// Status is the HTTP status.
+	Status int
+	// Signed is true if the answer has the signature of a backend server.
+	Signed bool
+}
+
+// String implements fmt.Stringer.
+func (a Answer) String() string {
+	return fmt.Sprintf("answered by %s/%d status=%d signed=%v", a.Server.Name, a.Server.Incarnation, a.Status, a.Signed)
+}
+
 // Counter counts events.
 type Counter interface {
 	Suspect(e Event)
@@ -84,6 +101,17 @@
 	}
 }
 
+// reportUntied reports that s crashed, and that no request of this instance is tied to
+// that.
+func (g *Register) reportUntied(s Server) {
+	if g.Counter != nil {
+		g.Counter.Suspect(EventUntied)
+	}
+	if g.Logger != nil {
+		g.Logger.Info("crash untied", "server", s.Name, "service", s.Service, "incarnation", s.Incarnation)
+	}
+}
+
 // reportCrash reports that s crashed with the suspect f in flight and, if that begins a
 // quarantine, reports this, too. The lock is held.
 func (g *Register) reportCrash(now time.Time, event Event, f uint64, e *suspect, s Server) {
--- a/internal/request/poison/poison.go
+++ b/internal/request/poison/poison.go
@@ -146,9 +146,9 @@
 	return snipefront.Refused(snipefront.ReasonQuarantined, left, "two backend servers crashed while this request was in flight; this resend was not run")
 }
 
-// Answered records a complete answer to f, which shows that f does not crash each backend
-// server that runs it. It releases f at all instances if f is a suspect here.
-func (g *Register) Answered(now time.Time, f uint64) {
+// Answered records the complete answer a to f, which shows that f does not crash each
+// backend server that runs it. It releases f at all instances if f is a suspect here.
+func (g *Register) Answered(now time.Time, f uint64, a Answer) {
 	if g == nil {
 		return
 	}
@@ -158,7 +158,7 @@
 	if e := g.suspects[f]; e != nil {
 		crashed = len(e.crashed)
 	}
-	released := g.release(now, f, "answered")
+	released := g.release(now, f, a.String())
 	g.mu.Unlock()
 	if released {
 		g.share(Record{Fingerprint: f, Released: true, Left: RecordLifetime(crashed)})
--- a/internal/request/poison/poison_test.go
+++ b/internal/request/poison/poison_test.go
@@ -16,6 +16,9 @@
 
 var start = time.Unix(1000, 0)
 
+// goodAnswer is an answer to a request that has run to its end.
+var goodAnswer = poison.Answer{Server: server("good", 1), Status: 200, Signed: true}
+
 func server(name string, incarnation uint64) poison.Server {
 	return poison.Server{Service: "balance", DataCentre: "d", Name: name, Incarnation: incarnation}
 }
@@ -41,7 +44,7 @@
 	for f := range uint64(3) {
 		expectAdmission(t, &g, start, f, poison.Alone)
 	}
-	g.Answered(start, 1)
+	g.Answered(start, 1, goodAnswer)
 	expectAdmission(t, &g, start, 1, poison.Clear)
 	for _, f := range []uint64{0, 3, 4} {
 		g.ConnectionBroke(start, f, server("b", 1))
@@ -62,7 +65,7 @@
 func TestAnswerReleasesEverywhere(t *testing.T) {
 	g, other := quarantined(start), quarantined(start)
 	g.Spread = sharer{other}
-	g.Answered(start, 1)
+	g.Answered(start, 1, goodAnswer)
 	expectAdmission(t, g, start, 1, poison.Clear)
 	expectAdmission(t, other, start, 1, poison.Clear)
 }
@@ -150,11 +153,11 @@
 			var g, other poison.Register
 			g.Spread, other.Spread = sharer{&other}, sharer{&g}
 			if answered < 0 {
-				other.Answered(start.Add(answered), 7)
+				other.Answered(start.Add(answered), 7, goodAnswer)
 			}
 			crashMany(&g, 7)
 			if answered > 0 {
-				other.Answered(start.Add(answered), 7)
+				other.Answered(start.Add(answered), 7, goodAnswer)
 			}
 			expectAdmission(t, &g, start.Add(time.Second), 7, poison.Clear)
 			expectAdmission(t, &other, start.Add(time.Second), 7, poison.Clear)
@@ -250,6 +253,6 @@
 		now = now.Add(4 * time.Minute)
 		expectAdmission(t, g, now, 1, poison.Quarantined)
 	}
-	g.Answered(now, 1)
+	g.Answered(now, 1, goodAnswer)
 	expectAdmission(t, g, now, 1, poison.Clear)
 }
