--- a/internal/dispatch/direct/crash_test.go
+++ b/internal/dispatch/direct/crash_test.go
@@ -25,9 +25,12 @@
 	return crashStyle{dark: fingerprint%4 == 3, sameName: fingerprint%2 == 1, back: 4 * time.Second}
 }
 
-// crashBy records that a request crashes s.
-func (f *crashFleet) crashBy(fingerprint uint64, s *crashServer) {
-	if !f.crash(s, styleOf(fingerprint)) {
+// crashBy records that a request crashes the process p of s.
+func (f *crashFleet) crashBy(fingerprint uint64, s *crashServer, p process) {
+	f.mu.Lock()
+	same := s.down == p.down
+	f.mu.Unlock()
+	if !same || !f.crash(s, styleOf(fingerprint)) {
 		return
 	}
 	f.mu.Lock()
@@ -35,13 +38,13 @@
 	f.crashes[fingerprint] = append(f.crashes[fingerprint], f.since())
 }
 
-// send sends a request once to a process.
-func (f *crashFleet) send(p *crashProcess, id string, fingerprint uint64, deadline time.Time) *snipefront.Error {
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+// send sends a request once to a process. Its caller leaves when ctx ends.
+func (f *crashFleet) send(ctx context.Context, p *crashProcess, id string, fingerprint uint64, deadline time.Time) *snipefront.Error {
+	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	_, err := p.Serve(ctx, &direct.Call{
 		ID: id, Route: "r", Attempts: routeAttempts, Goal: time.Now().Add(400 * time.Millisecond),
-		Request: &snipefront.Request{Service: service, Idempotent: true, Deadline: deadline, Fingerprint: fingerprint},
+		Request: &snipefront.Request{Service: f.services[f.chance(len(f.services))], Idempotent: true, Deadline: deadline, Fingerprint: fingerprint},
 	})
 	f.finish(id)
 	var e *snipefront.Error
@@ -83,7 +86,7 @@
 	quarantined, answered := false, false
 	defer func() { f.countCaller(answered, quarantined, popular) }()
 	for range 3 {
-		e := f.send(f.any(), f.receive(), fingerprint, end)
+		e := f.send(context.Background(), f.any(), f.receive(), fingerprint, end)
 		if e == nil {
 			answered = true
 			return
@@ -120,7 +123,12 @@
 
 // sendOnce sends a request that crashes backend servers to a process, whatever its end.
 func (f *crashFleet) sendOnce(p *crashProcess, fingerprint uint64) {
-	_ = f.send(p, f.receive(), fingerprint, time.Now().Add(1500*time.Millisecond))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if f.patience > 0 {
+		time.AfterFunc(f.patience, cancel)
+	}
+	_ = f.send(ctx, p, f.receive(), fingerprint, time.Now().Add(f.deadline))
 }
 
 // repeat sends a request again and again, each time to a random instance, from one time
--- a/internal/dispatch/direct/crashfleet_test.go
+++ b/internal/dispatch/direct/crashfleet_test.go
@@ -33,6 +33,20 @@
 	// popularRate is the rate of popular requests, in requests per second. They have one of
 	// five contents.
 	popularRate float64
+	// crashAfter is the time for which a request runs that crashes its backend server.
+	crashAfter time.Duration
+	// patience is the time after which the caller of a request that crashes backend servers
+	// leaves, and deadline that which it gives the request. Zero patience waits for the
+	// deadline.
+	patience, deadline time.Duration
+	// worksOn lets a backend server go on with such a request after its connection closed.
+	worksOn bool
+	// fails returns what a backend server does in place of running a request, or zero.
+	fails func(s *crashServer) failure
+	// services are the services of the route, with equal weights.
+	services []string
+	// spares reports whether s answers requests that crash others. Nil stands for none.
+	spares func(s *crashServer) bool
 	// newsDelay returns the time after which an instance receives a change of the state.
 	newsDelay func() time.Duration
 	// ctx ends with the run.
@@ -81,7 +95,8 @@
 // total returns the number of callers.
 func (h harmless) total() float64 { return float64(h.answered + h.failed) }
 
-// crashArrival is the arrival of a request that crashes backend servers.
+// crashArrival is the arrival of a request that crashes backend servers at one of those that
+// it crashes.
 type crashArrival struct {
 	at      time.Duration
 	inTouch bool
@@ -117,15 +132,25 @@
 )
 
 func newCrashFleet(size crashSize) *crashFleet {
+	return newSplitFleet(size, service)
+}
+
+// newSplitFleet returns a fleet whose route is split between the services.
+func newSplitFleet(size crashSize, services ...string) *crashFleet {
 	f := &crashFleet{
+		crashAfter: 5 * time.Millisecond, deadline: 1500 * time.Millisecond, services: services,
 		begun: time.Now(), popularRate: 25, newsDelay: func() time.Duration { return 20 * time.Millisecond },
-		routing: &snipefront.Routing{Services: map[string]snipefront.ServiceProfile{service: {Name: service}}},
+		routing: &snipefront.Routing{Services: map[string]snipefront.ServiceProfile{}},
 		random:  rand.New(rand.NewPCG(1, 9)), arrivals: map[uint64][]crashArrival{}, crashes: map[uint64][]time.Duration{},
 		reached: map[string][]process{},
 	}
 	f.ctx, f.end = context.WithCancel(context.Background())
+	for _, name := range services {
+		f.routing.Services[name] = snipefront.ServiceProfile{Name: name}
+	}
 	for i := range size.servers {
-		f.servers = append(f.servers, &crashServer{address: fmt.Sprint("a", i), dataCentre: fmt.Sprint("dc", i%dataCentres)})
+		name := services[i/dataCentres%len(services)]
+		f.servers = append(f.servers, &crashServer{address: fmt.Sprint("a", i), service: name, version: "v1", dataCentre: fmt.Sprint("dc", i%dataCentres)})
 		f.startServer(f.servers[i], true)
 	}
 	for i := range size.instances {
--- a/internal/dispatch/direct/crashserver_test.go
+++ b/internal/dispatch/direct/crashserver_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -17,6 +18,7 @@
 // crashServer is a backend server of a crashFleet: the process at an address.
 type crashServer struct {
 	address, dataCentre, name string
+	service, version          string
 	incarnation               uint64
 	up, draining              bool
 	// dark is true if the machine answers nothing, so that connections neither open nor break,
@@ -38,10 +40,10 @@
 }
 
 const (
-	// crashAfter is the time for which a request runs that crashes its backend server, and
-	// harmlessWork that of any other.
-	crashAfter   = 5 * time.Millisecond
+	// harmlessWork is the time for which a request runs that crashes nothing, and errorTime
+	// that after which a server error is there.
 	harmlessWork = 60 * time.Millisecond
+	errorTime    = 2 * time.Millisecond
 	// dialTimeout bounds a connection to a machine that answers nothing, and probeLimit a
 	// load probe.
 	dialTimeout = 400 * time.Millisecond
@@ -50,6 +52,37 @@
 	heartbeatDelay = 100 * time.Millisecond
 )
 
+// failure is what a backend server that runs on does in place of running a request.
+type failure uint8
+
+// The failures. noFailure runs the request.
+const (
+	noFailure failure = iota
+	serverError
+	reset
+)
+
+// someFail returns a function for crashFleet.fails: each of n backend servers fails the given
+// share of its requests.
+func someFail(f *crashFleet, n int, share float64, kind failure) func(s *crashServer) failure {
+	return func(s *crashServer) failure {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if s.number(f)%n == 0 && f.random.Float64() < share {
+			return kind
+		}
+		return noFailure
+	}
+}
+
+// number returns the place of s in the fleet.
+func (s *crashServer) number(f *crashFleet) int { return slices.Index(f.servers, s) }
+
+// isCrashedBy reports whether a request with the fingerprint crashes s. The lock is not held.
+func (s *crashServer) isCrashedBy(f *crashFleet, fingerprint uint64) bool {
+	return crashesServers(fingerprint) && (f.spares == nil || !f.spares(s))
+}
+
 // startServer starts a process at the address of s.
 func (f *crashFleet) startServer(s *crashServer, newName bool) {
 	f.mu.Lock()
@@ -68,7 +101,7 @@
 // registration returns the registration of s. The lock is held.
 func (f *crashFleet) registration(s *crashServer) fleet.Server {
 	var n fleet.Server
-	n.Name, n.Service, n.DataCentre, n.Slots, n.Address = s.name, service, s.dataCentre, crashSlots, s.address
+	n.Name, n.Service, n.DataCentre, n.Slots, n.Address, n.Version = s.name, s.service, s.dataCentre, crashSlots, s.address, s.version
 	n.Incarnation, n.Sequence, n.Draining = s.incarnation, 1, s.draining
 	if s.draining {
 		n.Sequence = 2
@@ -113,6 +146,9 @@
 		f.mu.Unlock()
 		if same {
 			f.crash(s, crashStyle{back: 50 * time.Millisecond})
+			f.mu.Lock()
+			s.version = "v2"
+			f.mu.Unlock()
 		}
 	})
 }
@@ -192,28 +228,69 @@
 	if !l.fleet.arrive(l.instance, c, s) {
 		return shed
 	}
-	defer l.fleet.leave(s, p)
-	work := harmlessWork
-	switch {
-	case p.mute:
-		work = time.Hour
-	case crashesServers(c.Fingerprint):
-		work = crashAfter
-	}
+	dropped := make(chan struct{})
+	end := l.fleet.execute(c, s, p, dropped)
 	select {
-	case <-p.down:
-		return l.broken(ctx, s)
+	case a := <-end:
+		if a.Response == nil {
+			return l.broken(ctx, s)
+		}
+		return a
 	case <-ctx.Done():
+		if !l.fleet.worksOn {
+			close(dropped)
+		}
 		return direct.Attempt{Verdict: snipefront.MayHaveRun, Reason: snipefront.ReasonBrokenAnswer, Err: ctx.Err(), Outcome: health.Faulty}
-	case <-time.After(work):
 	}
-	if crashesServers(c.Fingerprint) {
-		l.fleet.crashBy(c.Fingerprint, s)
-		return l.broken(ctx, s)
+}
+
+// execute lets the process p of s run c until dropped is closed, and returns a channel that
+// delivers the answer, or one without a response if p has ended or resets the connection.
+func (f *crashFleet) execute(c *direct.Call, s *crashServer, p process, dropped <-chan struct{}) <-chan direct.Attempt {
+	end := make(chan direct.Attempt, 1)
+	work, status := harmlessWork, http.StatusOK
+	kind := noFailure
+	if f.fails != nil {
+		kind = f.fails(s)
+	}
+	crashes := kind == noFailure && !p.mute && s.isCrashedBy(f, c.Fingerprint)
+	switch {
+	case p.mute:
+		work = time.Hour
+	case kind != noFailure:
+		work, status = errorTime, http.StatusInternalServerError
+	case crashes:
+		work = f.crashAfter
 	}
-	return direct.Attempt{
-		Verdict: snipefront.Ran, Outcome: health.Answered, Response: &snipefront.Response{Status: http.StatusOK, BackendServer: t.Server.Name},
+	go func() {
+		defer f.leave(s, p)
+		select {
+		case <-p.down:
+			end <- broken
+			return
+		case <-dropped:
+			return
+		case <-time.After(work):
+		}
+		if crashes {
+			f.crashBy(c.Fingerprint, s, p)
+		}
+		if crashes || kind == reset {
+			end <- broken
+			return
+		}
+		end <- answerOf(p.name, status)
+	}()
+	return end
+}
+
+// answerOf returns the attempt that the named backend server has answered.
+func answerOf(name string, status int) direct.Attempt {
+	a := direct.Attempt{Verdict: snipefront.Ran, Signed: true, Response: &snipefront.Response{Status: status, BackendServer: name}}
+	if status >= http.StatusInternalServerError {
+		a.Outcome = health.Faulty
 	}
+	return a
 }
 
 // broken returns the attempt at a backend server whose process has ended. If its machine
@@ -230,14 +307,14 @@
 
 // arrive records that c reaches s, and reports whether s runs it.
 func (f *crashFleet) arrive(n *crashInstance, c *direct.Call, s *crashServer) bool {
-	inTouch := n.inTouch()
+	inTouch, crashes := n.inTouch(), s.isCrashedBy(f, c.Fingerprint)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if len(f.reached[c.ID]) > 0 {
 		f.further = append(f.further, f.since())
 	}
 	f.reached[c.ID] = append(f.reached[c.ID], process{name: s.name, down: s.down})
-	if crashesServers(c.Fingerprint) {
+	if crashes {
 		f.arrivals[c.Fingerprint] = append(f.arrivals[c.Fingerprint], crashArrival{at: f.since(), inTouch: inTouch})
 	}
 	if s.running >= crashSlots+crashQueue {
