poison: only an answer that shows a complete run releases a request

Cause: any answer counted as a proof that the request is harmless: a server error that a backend server gives in place of a run, an unsigned answer of 300 and more, a refusal without its mark, an answer before the request was read. Each lifted the quarantine everywhere, dismissed the crashes of the next 1.5 to 3 s and gave the request three new trial runs. With cells the same.

Why this works: the request of a crash never runs to its end, and only an answer that it has run to its end counts now: signed, after the whole request was sent, with a status below 500 that isn't 408, 421 or 429 (with cells, which have no signatures, by the status). What a failing backend server does meanwhile proves neither, so its crashes count as before, and harmless requests are released by the answers of all others.

--- a/internal/dispatch/direct/crashserver_test.go
+++ b/internal/dispatch/direct/crashserver_test.go
@@ -286,7 +286,7 @@
 
 // answerOf returns the attempt that the named backend server has answered.
 func answerOf(name string, status int) direct.Attempt {
-	a := direct.Attempt{Verdict: snipefront.Ran, Signed: true, Response: &snipefront.Response{Status: status, BackendServer: name}}
+	a := direct.Attempt{Verdict: snipefront.Ran, Signed: true, Complete: snipefront.ShowsCompleteRun(status), Response: &snipefront.Response{Status: status, BackendServer: name}}
 	if status >= http.StatusInternalServerError {
 		a.Outcome = health.Faulty
 	}
--- a/internal/dispatch/direct/direct.go
+++ b/internal/dispatch/direct/direct.go
@@ -82,6 +82,9 @@
 	Err error
 	// Signed is true if Response has the signature of a backend server.
 	Signed bool
+	// Complete is true if Response shows that the target has run the whole request to its
+	// end. A server error doesn't: the target may have given it in place of a run.
+	Complete bool
 	// Outcome is what the attempt shows about the target.
 	Outcome health.Outcome
 	// Misdirected is true if the request reached a backend server that was not the
--- a/internal/dispatch/direct/run.go
+++ b/internal/dispatch/direct/run.go
@@ -139,7 +139,7 @@
 		a.Outcome = health.Neutral
 	}
 	chosen.target.Done(time.Now(), a.Outcome)
-	if a.Response != nil {
+	if a.Complete {
 		d.Poison.Answered(time.Now(), c.Fingerprint, poison.Answer{Server: chosen.target.Server.CrashKey(), Status: a.Response.Status, Signed: a.Signed})
 	}
 	if a.Response == nil && a.Verdict == snipefront.MayHaveRun {
--- a/internal/dispatch/link/link.go
+++ b/internal/dispatch/link/link.go
@@ -133,6 +133,7 @@
 		return direct.Attempt{Verdict: snipefront.MayHaveRun, Reason: snipefront.ReasonBrokenAnswer, Err: errUnsigned, Outcome: health.Faulty}
 	}
 	a := direct.Attempt{Verdict: snipefront.Ran, Reason: snipefront.ReasonBackendServer, Outcome: health.Answered, Signed: signed}
+	a.Complete = signed && e.Sent && snipefront.ShowsCompleteRun(status)
 	a.Response = &snipefront.Response{Status: status, Header: h, Body: e.Answer, BackendServer: t.Server.Name}
 	if a.Response.Status >= http.StatusInternalServerError {
 		a.Outcome = health.Faulty
--- a/internal/dispatch/link/link_test.go
+++ b/internal/dispatch/link/link_test.go
@@ -34,13 +34,19 @@
 // startServer starts a backend server that answers each request with what f writes.
 // It returns a link and the target for the server.
 func startServer(t *testing.T, f func(c net.Conn, r *http.Request)) (*link.Link, *health.Target) {
+	t.Helper()
+	return startRawServer(t, rawtcp.HTTPHandler(f))
+}
+
+// startRawServer starts a backend server that serves each connection by f.
+func startRawServer(t *testing.T, f func(c net.Conn)) (*link.Link, *health.Target) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { l.Close() })
-	go rawtcp.Serve(l, rawtcp.HTTPHandler(f))
+	go rawtcp.Serve(l, f)
 	var n fleet.Server
 	n.Name, n.Service, n.DataCentre, n.Slots, n.Incarnation, n.Address = "s", "a", "dc1", 2, 1, l.Addr().String()
 	set := &health.Set{Self: snipefront.Instance{Name: "e", DataCentre: "dc1"}}
--- a/internal/dispatch/local/attempt.go
+++ b/internal/dispatch/local/attempt.go
@@ -153,7 +153,7 @@
 	} else {
 		slot.Done(outcome(ctx, a))
 	}
-	if a.Response != nil {
+	if a.Response != nil && snipefront.ShowsCompleteRun(a.Response.Status) {
 		d.Poison.Answered(time.Now(), r.Fingerprint, poison.Answer{Server: serverOf(b), Status: a.Response.Status})
 	}
 	if isBroken(a) && ctx.Err() == nil {
--- a/internal/dispatch/local/crash_test.go
+++ b/internal/dispatch/local/crash_test.go
@@ -132,3 +132,25 @@
 		t.Errorf("%d suspects run at the same time on %d backend servers, want more", n, servers)
 	}
 }
+
+// TestServerErrorReleasesNoSuspect guards against a request that crashes backend servers
+// and is released since another one answers it with a server error in place of running it.
+func TestServerErrorReleasesNoSuspect(t *testing.T) {
+	for status, want := range map[int]poison.Admission{
+		http.StatusOK: poison.Clear, http.StatusNotFound: poison.Clear, http.StatusInternalServerError: poison.Quarantined,
+		http.StatusBadGateway: poison.Quarantined, http.StatusTooManyRequests: poison.Quarantined,
+	} {
+		d, _ := newDispatcher(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) })
+		crashed := func(names ...string) {
+			for _, name := range names {
+				d.Poison.Merge(time.Now(), []poison.Record{{Fingerprint: 9, Left: time.Minute, Crashed: []poison.Server{{Name: name}}}})
+			}
+		}
+		crashed("x")
+		_, _ = run(t, d, request(http.MethodPost, "/1", 9))
+		crashed("y", "z")
+		if got, _ := d.Poison.Admit(time.Now(), 9); got != want {
+			t.Errorf("after an answer with status %d the request is admitted as %d, want %d", status, got, want)
+		}
+	}
+}
--- a/internal/dispatch/pool/exchange.go
+++ b/internal/dispatch/pool/exchange.go
@@ -44,6 +44,8 @@
 	Answer []byte
 	// Begun is true once a byte of an answer has arrived.
 	Begun bool
+	// Sent is true if the whole request had been sent when the answer was complete.
+	Sent bool
 }
 
 // Errors of an exchange.
@@ -71,6 +73,7 @@
 	reusable, err = e.read(c)
 	select {
 	case w := <-written:
+		e.Sent = w == nil
 		return reusable && w == nil, err
 	default:
 		// The rest of the body is not sent yet, so no other request may use c.
--- a/internal/request/poison/poison.go
+++ b/internal/request/poison/poison.go
@@ -2,9 +2,10 @@
 //
 // A request that was in flight on a backend server when it crashed is a suspect: it,
 // or another one in flight there, may be the cause. What tells them apart is what happens
-// to the request itself: one that crashes each backend server that runs it is never
-// answered. So a complete answer, at any instance, releases a suspect, and one just
-// before a crash dismisses that crash; a request that was in flight on two crashed
+// to the request itself: one that crashes each backend server that runs it never runs to
+// its end. So an answer that shows a complete run, at any instance, releases a suspect, and
+// one just before a crash dismisses that crash; a server error, which a backend server may
+// give in place of a run, shows nothing; a request that was in flight on two crashed
 // backend servers, with no answer in between, is quarantined for a time. How many other
 // backend servers crash, and when, changes nothing. A popular request that was in flight
 // on many of them in an outage is answered by the others at the same time.
@@ -146,8 +147,8 @@
 	return snipefront.Refused(snipefront.ReasonQuarantined, left, "two backend servers crashed while this request was in flight; this resend was not run")
 }
 
-// Answered records the complete answer a to f, which shows that f does not crash each
-// backend server that runs it. It releases f at all instances if f is a suspect here.
+// Answered records the answer a to f, which shows a complete run (see
+// snipefront.ShowsCompleteRun), and so that f does not crash each backend server that runs it. It releases f at all instances if f is a suspect here.
 func (g *Register) Answered(now time.Time, f uint64, a Answer) {
 	if g == nil {
 		return
--- a/request.go
+++ b/request.go
@@ -74,6 +74,17 @@
 	BackendServer string
 }
 
+// ShowsCompleteRun reports whether an answer of a backend server with this status shows that
+// it has run the request to its end. A server error may stand in place of a run, and the
+// statuses 408, 421 and 429 say that there was none.
+func ShowsCompleteRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests:
+		return false
+	}
+	return status < http.StatusInternalServerError
+}
+
 // Handler answers a request with a response or an *Error.
 type Handler interface {
 	Serve(ctx context.Context, r *Request) (*Response, error)
