poison, direct: a crash is tied to requests whose callers had left

Cause: an attempt that ended within 150 ms, or at a backend server that had just answered a load probe, left nothing to which a crash some milliseconds later could be tied: that nobody waits for an answer was taken for the end of the run. Most backend servers drop a request when its connection closes; some don't.

Why this works: each attempt that ends without an answer now stays tied to its backend server for the second in which that may still run it. The same bounds connections that broke while the backend server runs on: they count for a second, not a minute. A request that was answered just before isn't tied at all.

--- a/internal/daemon/edge/build.go
+++ b/internal/daemon/edge/build.go
@@ -28,7 +28,7 @@
 	return fx.Options(
 		fx.NopLogger,
 		fx.Supply(s, logger),
-		fx.Provide(stats.New, newTally, newRetries, newProbes, newTargets, newPool, newSuspects, newLink, newDispatcher, newProxy, newServer, newEdge),
+		fx.Provide(stats.New, newTally, newRetries, newProbes, newTargets, newPool, newSuspects, newLink, newChecks, newDispatcher, newProxy, newServer, newEdge),
 		fx.Invoke(registerHooks),
 	)
 }
@@ -55,10 +55,14 @@
 	return &link.Link{Pool: connections, Memory: &bound.Memory{Limit: link.MaxMemory}, Targets: targets, Fields: s.Fields, Counter: counters, Logger: logger}
 }
 
-func newDispatcher(targets *health.Set, l *link.Link, retries *budget.Retries, probes *budget.Probes, suspects *poison.Register, counters *stats.Stats, attempts *tally.Tally, logger *slog.Logger) *direct.Dispatcher {
+func newChecks(targets *health.Set, l *link.Link, probes *budget.Probes, suspects *poison.Register, logger *slog.Logger) *direct.Checks {
+	return &direct.Checks{Targets: targets, Link: l, Probes: probes, Poison: suspects, Logger: logger}
+}
+
+func newDispatcher(targets *health.Set, l *link.Link, checks *direct.Checks, retries *budget.Retries, probes *budget.Probes, suspects *poison.Register, counters *stats.Stats, attempts *tally.Tally, logger *slog.Logger) *direct.Dispatcher {
 	return &direct.Dispatcher{
 		Targets: targets, Link: l, Poison: suspects, Counter: counters, Attempts: attempts, Logger: logger,
-		Retries: retries, Probes: probes,
+		Retries: retries, Probes: probes, Checks: checks,
 	}
 }
 
@@ -92,7 +96,7 @@
 func newEdge(p parts) *Edge {
 	e := &Edge{
 		settings: p.Settings, logger: p.Logger, targets: p.Targets, pool: p.Pool, suspects: &submit.Receiver{Register: p.Suspects},
-		proxy: p.Proxy, server: p.Server, retries: p.Retries, probes: p.Probes, stats: p.Stats, tally: p.Tally,
+		proxy: p.Proxy, server: p.Server, checks: p.Dispatcher.Checks, retries: p.Retries, probes: p.Probes, stats: p.Stats, tally: p.Tally,
 	}
 	e.group.Logger = p.Logger
 	client := &peers.Client{}
--- a/internal/daemon/edge/edge.go
+++ b/internal/daemon/edge/edge.go
@@ -17,6 +17,7 @@
 	"github.com/snipefront/snipefront/internal/control/follow"
 	"github.com/snipefront/snipefront/internal/daemon/serve"
 	"github.com/snipefront/snipefront/internal/dispatch/budget"
+	"github.com/snipefront/snipefront/internal/dispatch/direct"
 	"github.com/snipefront/snipefront/internal/dispatch/health"
 	"github.com/snipefront/snipefront/internal/dispatch/pool"
 	"github.com/snipefront/snipefront/internal/entry/pipe"
@@ -79,6 +80,7 @@
 	retries    *budget.Retries
 	probes     *budget.Probes
 	server     *pipe.Server
+	checks     *direct.Checks
 	stats      *stats.Stats
 	tally      *tally.Tally
 	group      serve.Group
@@ -115,6 +117,7 @@
 	e.group.Go(ctx, "replicator", e.replicator.Run)
 	e.group.Go(ctx, "tally", e.tally.Run)
 	e.group.Go(ctx, "reports", e.reports.Run)
+	e.group.Go(ctx, "checks", e.checks.Run)
 	e.group.Go(ctx, "limits", func(ctx context.Context) error {
 		return timer.Every(ctx, logLimitsInterval, func(time.Time) { e.targets.LogLimits() })
 	})
--- a/internal/dispatch/direct/crash.go
+++ b/internal/dispatch/direct/crash.go
@@ -15,8 +15,8 @@
 
 // recordUnanswered records that an attempt at t, which took the given time, ended without
 // an answer though c may have run there. If the connection broke and t accepts no new one,
-// t has crashed and c is a suspect. If t was silent to the end, a later change of the fleet
-// may show that it had crashed.
+// t has crashed and c is a suspect. Otherwise t may still run c, also where nobody waits for
+// the answer any more: later checks of t, or a change of the fleet, may show that it crashed.
 func (d *Dispatcher) recordUnanswered(ctx context.Context, c *Call, t *health.Target, taken time.Duration) {
 	if d.Poison == nil {
 		return
@@ -25,16 +25,12 @@
 		d.logUntied(c, t, taken, "draining")
 		return
 	}
-	now := time.Now()
-	silent := ctx.Err() != nil
-	if silent && (taken < minOverdueTime || t.HeardSince(now.Add(-silentTime))) {
-		d.logUntied(c, t, taken, "cut short")
-		return
-	}
-	d.Poison.ConnectionBroke(now, c.Fingerprint, t.Server.CrashKey())
-	if !silent && !d.Link.Up(ctx, t) && ctx.Err() == nil {
+	d.Poison.ConnectionBroke(time.Now(), c.Fingerprint, t.Server.CrashKey())
+	if ctx.Err() == nil && !d.Link.Up(ctx, t) && ctx.Err() == nil {
 		d.recordCrash(c, t)
+		return
 	}
+	d.Checks.add(t)
 }
 
 // logUntied logs that an attempt at t has ended without an answer, and why no crash of t is
--- a/internal/dispatch/direct/crashfleet_test.go
+++ b/internal/dispatch/direct/crashfleet_test.go
@@ -200,14 +200,17 @@
 	spread := &submit.Replicator{Submitter: n, Logger: logger}
 	register := &poison.Register{Spread: spread, Trials: true}
 	edges, servers := len(f.instances), len(f.servers)
+	probes := newProbes(servers, edges)
+	checks := &direct.Checks{Targets: set, Link: crashLink{f, n, set}, Probes: probes, Poison: register, Logger: logger}
 	d := &direct.Dispatcher{
 		Targets: set, Link: crashLink{f, n, set}, Counter: noCounter{}, Attempts: noCounter{}, Poison: register,
 		Trials:  &submit.Trials{Submitter: n, Logger: logger},
-		Retries: newRetries(edges, 0), Probes: newProbes(servers, edges), Logger: logger,
+		Retries: newRetries(edges, 0), Probes: probes, Checks: checks, Logger: logger,
 	}
 	receiver := &submit.Receiver{Register: register}
 	view := n.follow(set, receiver, fleet.View{})
 	go func() { _ = spread.Run(ctx) }()
+	go func() { _ = checks.Run(ctx) }()
 	go func() {
 		for n.await(ctx, view.Index) {
 			view = n.follow(set, receiver, view)
--- a/internal/dispatch/direct/direct.go
+++ b/internal/dispatch/direct/direct.go
@@ -48,7 +48,10 @@
 	// crashed. Nil records none.
 	Poison *poison.Register
 	// Trials grants trial runs of quarantined requests. Nil grants none.
-	Trials  Trials
+	Trials Trials
+	// Checks follows targets that may crash by a request whose connection has ended. Nil
+	// follows none.
+	Checks  *Checks
 	Counter Counter
 	// Attempts counts requests and attempts by their cause.
 	Attempts snipefront.AttemptCounter
--- a/internal/dispatch/health/target.go
+++ b/internal/dispatch/health/target.go
@@ -155,6 +155,13 @@
 	return !now.Before(t.retryAt)
 }
 
+// HeardAt returns when the last load probe was sent that t has answered, or the zero time.
+func (t *Target) HeardAt() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.report.At
+}
+
 // HeardSince reports whether t has answered a load probe that was sent after the given time.
 func (t *Target) HeardSince(at time.Time) bool {
 	t.mu.Lock()
--- a/internal/request/poison/crash.go
+++ b/internal/request/poison/crash.go
@@ -5,13 +5,21 @@
 	"time"
 )
 
-// brokenConn is a connection that broke, or went silent, while a request was in flight.
+// brokenConn is a connection that ended while a request was in flight: it broke, went
+// silent, or this instance closed it since nobody waited for the answer any more.
 type brokenConn struct {
 	fingerprint uint64
 	server      Server
-	expires     time.Time
+	// runsUntil is the time until which server may still run the request. A sign of life
+	// from after that time shows that the request hasn't crashed it.
+	runsUntil time.Time
+	expires   time.Time
 }
 
+// overrunTime is the time for which a backend server may go on with a request whose
+// connection has ended.
+const overrunTime = time.Second
+
 // ending is the last known end of a backend server.
 type ending struct {
 	incarnation uint64
@@ -19,8 +27,11 @@
 	expires     time.Time
 }
 
-// ConnectionBroke records that a connection to s broke, or went silent, while the request
-// f was in flight. Unless Ended has told, it is not known yet whether s crashed.
+// ConnectionBroke records that a connection to s ended while the request f was in flight:
+// it broke, went silent, or this instance closed it since the caller had left, the deadline
+// had passed or another attempt had brought the answer. Unless Ended has told, it is not
+// known yet whether s crashed, or will by f. It will not by a request that was answered just
+// before, such as one that was also sent to another backend server.
 func (g *Register) ConnectionBroke(now time.Time, f uint64, s Server) {
 	if g == nil {
 		return
@@ -44,12 +55,38 @@
 		}
 		return g.newCrash(f, s), true
 	}
+	if g.answers.has(now, f) {
+		return Record{}, false
+	}
 	if len(g.broken[id]) < maxBroken {
-		g.broken[id] = append(g.broken[id], brokenConn{fingerprint: f, server: s, expires: now.Add(suspectTime)})
+		g.broken[id] = append(g.broken[id], brokenConn{fingerprint: f, server: s, runsUntil: now.Add(overrunTime), expires: now.Add(suspectTime)})
 	}
 	return Record{}, false
 }
 
+// MayCrash reports whether s may still crash by, or may have crashed by, a request whose
+// connection has ended.
+func (g *Register) MayCrash(s Server) bool {
+	if g == nil || !g.active.Load() {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.ContainsFunc(g.broken[s.identity()], func(b brokenConn) bool { return b.server == s })
+}
+
+// Heard records that the incarnation s gave a sign of life at the given time, so that the
+// requests which it could run only before have not crashed it.
+func (g *Register) Heard(at time.Time, s Server) {
+	if g == nil || !g.active.Load() {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	id := s.identity()
+	g.setBroken(id, slices.DeleteFunc(g.broken[id], func(b brokenConn) bool { return b.server == s && at.After(b.runsUntil) }))
+}
+
 // Ended records that the incarnation s, and with it every earlier one, has ended
 // according to the fleet. If its end was planned, the requests in flight there are no
 // suspects.
--- a/internal/request/poison/poison_test.go
+++ b/internal/request/poison/poison_test.go
@@ -256,3 +256,28 @@
 	g.Answered(now, 1, goodAnswer)
 	expectAdmission(t, g, now, 1, poison.Clear)
 }
+
+// TestSignOfLifeEndsOnlyEarlierRuns guards against a crash that is tied to a request whose run
+// was over before it, and against one that is tied to nothing since the caller had left: the
+// connection to the backend server ended, and the request may run on there for a second.
+func TestSignOfLifeEndsOnlyEarlierRuns(t *testing.T) {
+	for name, test := range map[string]struct {
+		heard time.Duration
+		want  poison.Admission
+	}{
+		"heard while it may run":   {900 * time.Millisecond, poison.Alone},
+		"heard after it has ended": {1100 * time.Millisecond, poison.Clear},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var g poison.Register
+			g.ConnectionBroke(start, 1, server("a", 1))
+			g.Heard(start.Add(test.heard), server("a", 1))
+			if got := g.MayCrash(server("a", 1)); got != (test.want == poison.Alone) {
+				t.Errorf("the backend server may crash by the request: %v", got)
+			}
+			now := start.Add(1200 * time.Millisecond)
+			g.Crashed(now, server("a", 1))
+			expectAdmission(t, &g, now, 1, test.want)
+		})
+	}
+}
