poison, fleet: an answer says nothing of other software

Cause: an answer released the request everywhere, whoever gave it.

Why this works: an answer now ends only the crashes of backend servers with the same service and version; a version that isn't known counts as any. The others stay, shared through the log (Suspect.Answered); replicas of builds before this one take it for a whole release, as before. A quarantined request still runs on software that has answered it, so callers are served by the old version, or by the other service, and a harmless request is not kept from a healthy service by an outage of another one.

--- a/internal/control/fleet/command.go
+++ b/internal/control/fleet/command.go
@@ -104,6 +104,9 @@
 	// Trials counts the trial runs that were granted since the suspicion began. A command
 	// that sets it asks for the next one: it is granted if it changes the state.
 	Trials int `json:",omitempty"`
+	// Answered holds the software that has answered the request since the suspicion began. In
+	// a command, only crashes of that end.
+	Answered []Answered `json:",omitempty"`
 	// ReleasedIndex is the index of the log entry that last ended the suspicion. Crashed
 	// holds later crashes only.
 	ReleasedIndex uint64 `json:",omitempty"`
@@ -111,6 +114,13 @@
 	Index uint64
 }
 
+// Answered is software that has answered a suspect.
+type Answered struct {
+	poison.Software
+	// Index is the index of the log entry that last said so.
+	Index uint64 `json:",omitempty"`
+}
+
 // Encode returns c in the encoding of the log, which is JSON.
 func (c Command) Encode() ([]byte, error) {
 	b, err := json.Marshal(c)
--- a/internal/control/fleet/suspect.go
+++ b/internal/control/fleet/suspect.go
@@ -9,6 +9,10 @@
 // maxSuspects is the number of suspects that are kept.
 const maxSuspects = 256
 
+// maxAnswered is the number of versions or services that are kept as having answered a
+// suspect.
+const maxAnswered = 8
+
 // suspect ends the suspicion of the request of c if c says so, and adds the crashed backend
 // servers of c. It reports whether that changed the state.
 func (s *State) suspect(index uint64, c Suspect) bool {
@@ -17,17 +21,21 @@
 		if len(c.Crashed) == 0 {
 			return false
 		}
-		s.addSuspect(index, Suspect{Fingerprint: c.Fingerprint, Crashed: c.Crashed})
+		s.addSuspect(index, Suspect{Fingerprint: c.Fingerprint, Crashed: c.Crashed, Answered: answeredAt(index, c)})
 		return true
 	}
 	known := &s.data.Suspects[i]
 	if c.Trials > 0 {
 		return known.grantTrial(index, c.Trials)
 	}
-	changed := c.Released && known.release(index)
+	changed := c.Released && len(c.Answered) == 0 && known.release(index)
+	for _, a := range c.Answered {
+		changed = known.answered(index, a.Software) || changed
+	}
 	for _, crashed := range c.Crashed {
-		if !slices.Contains(known.Crashed, crashed) {
+		if !poison.ContainsServer(known.Crashed, crashed) {
 			known.Crashed = append(slices.Clone(known.Crashed), crashed)
+			known.Answered = withoutAnswer(known.Answered, crashed.Software())
 			known.Index = index
 			changed = true
 		}
@@ -35,6 +43,46 @@
 	return changed
 }
 
+// answered records that the software has answered v, and ends the suspicion of v if no
+// backend server with another software has crashed. It reports whether that changed v.
+func (v *Suspect) answered(index uint64, software poison.Software) bool {
+	left := poison.WithoutSoftware(v.Crashed, software)
+	if len(left) == 0 {
+		return v.release(index)
+	}
+	known := slices.ContainsFunc(v.Answered, func(a Answered) bool { return a.Software == software })
+	if known && len(left) == len(v.Crashed) {
+		return false
+	}
+	v.Answered = append(withoutAnswer(v.Answered, software), Answered{Software: software, Index: index})
+	v.Answered = v.Answered[max(0, len(v.Answered)-maxAnswered):]
+	v.Crashed, v.Index = left, index
+	return true
+}
+
+// withoutAnswer returns a copy of list without the software.
+func withoutAnswer(list []Answered, software poison.Software) []Answered {
+	var kept []Answered
+	for _, a := range list {
+		if a.Software != software {
+			kept = append(kept, a)
+		}
+	}
+	return kept
+}
+
+// answeredAt returns the software that has answered according to c, except that of the later
+// crashes of c.
+func answeredAt(index uint64, c Suspect) []Answered {
+	var list []Answered
+	for _, a := range c.Answered {
+		if len(poison.WithoutSoftware(c.Crashed, a.Software)) == len(c.Crashed) {
+			list = append(list, Answered{Software: a.Software, Index: index})
+		}
+	}
+	return list
+}
+
 // addSuspect adds a suspect. Above maxSuspects it drops one that the fewest backend
 // servers crashed with, the oldest of several.
 func (s *State) addSuspect(index uint64, c Suspect) {
@@ -57,7 +105,7 @@
 	if len(v.Crashed) == 0 {
 		return false
 	}
-	v.Crashed, v.Trials, v.ReleasedIndex, v.Index = nil, 0, index, index
+	v.Crashed, v.Answered, v.Trials, v.ReleasedIndex, v.Index = nil, nil, 0, index, index
 	return true
 }
 
@@ -73,5 +121,5 @@
 
 // CrashKey returns the key by which package poison records the incarnation of n.
 func (n Server) CrashKey() poison.Server {
-	return poison.Server{Service: n.Service, DataCentre: n.DataCentre, Name: n.Name, Incarnation: n.Incarnation}
+	return poison.Server{Service: n.Service, DataCentre: n.DataCentre, Name: n.Name, Incarnation: n.Incarnation, Version: n.Version}
 }
--- a/internal/control/fleet/suspect_test.go
+++ b/internal/control/fleet/suspect_test.go
@@ -105,3 +105,30 @@
 		t.Errorf("after its release the suspect is %+v, want no trial runs", s)
 	}
 }
+
+// TestAnswerOfOneVersionEndsNoCrashOfAnother guards against instances that start, or are
+// behind, and learn that a request is released which only another version has answered.
+func TestAnswerOfOneVersionEndsNoCrashOfAnother(t *testing.T) {
+	r := newReplica()
+	v1, v2 := poison.Software{Service: "s", Version: "v1"}, poison.Software{Service: "s", Version: "v2"}
+	crashed := func(name, version string) poison.Server {
+		return poison.Server{Service: "s", Name: name, Incarnation: 1, Version: version}
+	}
+	answered := func(by poison.Software) fleet.Command {
+		return fleet.Command{Suspect: &fleet.Suspect{Fingerprint: 7, Released: true, Answered: []fleet.Answered{{Software: by}}}}
+	}
+	r.apply(t, fleet.Command{Suspect: &fleet.Suspect{Fingerprint: 7, Crashed: []poison.Server{crashed("a", "v2"), crashed("b", "v2")}}})
+	r.apply(t, answered(v1))
+	if v := r.View().Suspects[7]; len(v.Crashed) != 2 || len(v.Answered) != 1 || v.Answered[0].Software != v1 {
+		t.Errorf("after an answer of the other version the suspect is %+v, want two crashes and one answer", v)
+	}
+	r.apply(t, fleet.Command{Suspect: &fleet.Suspect{Fingerprint: 7, Crashed: []poison.Server{crashed("c", "v1")}}})
+	if v := r.View().Suspects[7]; len(v.Crashed) != 3 || len(v.Answered) != 0 {
+		t.Errorf("after a crash of the other version the suspect is %+v, want three crashes and no answer", v)
+	}
+	r.apply(t, answered(v2))
+	r.apply(t, answered(v1))
+	if v := r.View().Suspects[7]; len(v.Crashed) != 0 || v.ReleasedIndex != v.Index {
+		t.Errorf("after answers of both versions the suspect is %+v, want it released", v)
+	}
+}
--- a/internal/dispatch/direct/crash.go
+++ b/internal/dispatch/direct/crash.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/snipefront/snipefront"
@@ -69,11 +71,12 @@
 // another instance has been granted, or that the control quorum did not grant.
 const trialRetryAfter = 500 * time.Millisecond
 
-// admit returns nil if c may be sent, and otherwise its refusal. If c is quarantined and a
-// trial run is due, admit asks for it.
+// admit returns nil if c may be sent, and otherwise its refusal. If c is quarantined, it may
+// be sent to targets whose software has answered it. If there are none and a trial run is
+// due, admit asks for it.
 func (d *Dispatcher) admit(ctx context.Context, c *Call, p *progress) *snipefront.Error {
-	e := d.quarantined(c)
-	if e == nil || p.trial {
+	e := d.quarantined(c, nil)
+	if e == nil || p.trial || d.hasProven(c) {
 		return nil
 	}
 	now := time.Now()
@@ -90,12 +93,38 @@
 	return nil
 }
 
-// quarantined returns the refusal of c if it is quarantined, and nil otherwise. It logs
-// each decision on a suspect with what decided it.
-func (d *Dispatcher) quarantined(c *Call) *snipefront.Error {
+// hasProven reports whether there is a target whose software has answered the suspect c.
+func (d *Dispatcher) hasProven(c *Call) bool {
+	return slices.ContainsFunc(d.Targets.Candidates(c.Service), func(t *health.Target) bool { return d.isProven(c, t) })
+}
+
+// isProven reports whether the software of t has answered the suspect c.
+func (d *Dispatcher) isProven(c *Call, t *health.Target) bool {
+	return t != nil && d.Poison.Proven(c.Fingerprint, t.Server.CrashKey().Software())
+}
+
+// barred returns avoid with the targets to which c may not be sent: if c is quarantined,
+// those whose software has not answered it. A trial run may be sent to all.
+func (d *Dispatcher) barred(c *Call, p *progress) map[string]bool {
+	if admission, _ := d.Poison.Admit(time.Now(), c.Fingerprint); admission < poison.Quarantined || p.trial {
+		return p.avoid
+	}
+	avoid := maps.Clone(p.avoid)
+	for _, t := range d.Targets.Candidates(c.Service) {
+		if !d.isProven(c, t) {
+			avoid[t.Server.Name] = true
+		}
+	}
+	return avoid
+}
+
+// quarantined returns the refusal of c if it is quarantined and may not be sent to t, which
+// may be nil for any target, and nil otherwise. It logs each decision on a suspect with what
+// decided it.
+func (d *Dispatcher) quarantined(c *Call, t *health.Target) *snipefront.Error {
 	now := time.Now()
 	admission, left := d.admission(now, c)
-	if admission == poison.Clear {
+	if admission == poison.Clear || admission >= poison.Quarantined && d.isProven(c, t) {
 		return nil
 	}
 	evidence, _ := d.Poison.Evidence(now, c.Fingerprint)
--- a/internal/dispatch/direct/direct.go
+++ b/internal/dispatch/direct/direct.go
@@ -122,12 +122,12 @@
 		if e := d.admit(ctx, c, &p); e != nil {
 			return d.finish(c, &p, withVerdict(e, p.verdict))
 		}
-		chosen, ok := d.choose(ctx, c, p.avoid)
+		chosen, ok := d.choose(ctx, c, d.barred(c, &p))
 		if !ok {
 			return d.finish(c, &p, d.noTargetError(ctx, c, &p, chosen.quotaWait))
 		}
 		// The quarantine may have begun while c waited for a target.
-		if e := d.quarantined(c); e != nil && !p.trial {
+		if e := d.quarantined(c, chosen.target); e != nil && !p.trial {
 			chosen.target.Done(time.Now(), health.Neutral)
 			return d.finish(c, &p, withVerdict(e, p.verdict))
 		}
--- a/internal/dispatch/direct/run.go
+++ b/internal/dispatch/direct/run.go
@@ -104,11 +104,11 @@
 // hedge sends c to a second target if that target may answer before the deadline and
 // stays within busyShare. It returns that target and reports whether it did.
 func (d *Dispatcher) hedge(ctx context.Context, c *Call, p *progress, first choice, results chan<- attemptResult) (choice, bool) {
-	if !c.Idempotent || d.quarantined(c) != nil {
+	if !c.Idempotent || d.quarantined(c, first.target) != nil {
 		return choice{}, false
 	}
 	avoid := map[string]bool{first.target.Server.Name: true}
-	for n := range p.avoid {
+	for n := range d.barred(c, p) {
 		avoid[n] = true
 	}
 	base := d.estimator.baseLatency(c)
@@ -116,7 +116,7 @@
 	if !ok || !staysBelowBusy(second.snapshot) || time.Now().Add(second.estimate).After(c.Deadline) {
 		return choice{}, false
 	}
-	if d.quarantined(c) != nil || !d.spend(c) || !d.reserve(time.Now(), c, base, second.target) {
+	if d.quarantined(c, second.target) != nil || !d.spend(c) || !d.reserve(time.Now(), c, base, second.target) {
 		return choice{}, false
 	}
 	d.Counter.Retried(c.Service, snipefront.ReasonHedge)
--- a/internal/request/fanout/parcel.go
+++ b/internal/request/fanout/parcel.go
@@ -21,6 +21,7 @@
 // pendingRecord is a record with the time at which it expires.
 type pendingRecord struct {
 	released bool
+	answered []poison.Software
 	crashed  []poison.Server
 	expires  time.Time
 }
@@ -31,8 +32,8 @@
 	if !ok && len(p.records) >= maxPending {
 		return false
 	}
-	known := poison.Record{Released: old.released, Crashed: old.crashed}.Add(r)
-	p.records[r.Fingerprint] = pendingRecord{released: known.Released, crashed: known.Crashed, expires: now.Add(r.Left)}
+	known := poison.Record{Released: old.released, Answered: old.answered, Crashed: old.crashed}.Add(r)
+	p.records[r.Fingerprint] = pendingRecord{released: known.Released, answered: known.Answered, crashed: known.Crashed, expires: now.Add(r.Left)}
 	return true
 }
 
@@ -46,7 +47,7 @@
 			continue
 		}
 		if len(list) < maxBatch {
-			list = append(list, poison.Record{Fingerprint: f, Released: r.released, Crashed: r.crashed, Left: left})
+			list = append(list, poison.Record{Fingerprint: f, Released: r.released, Answered: r.answered, Crashed: r.crashed, Left: left})
 		}
 	}
 	return list
--- a/internal/request/poison/answers.go
+++ b/internal/request/poison/answers.go
@@ -11,28 +11,36 @@
 )
 
 // answers remembers the requests that were answered completely within the last
-// answerMemory, and some before, in two generations. Its zero value is empty.
+// answerMemory, and some before, in two generations, and by which software. Its zero value
+// is empty.
 type answers struct {
 	// begun is the time at which current began.
 	begun             time.Time
-	current, previous map[uint64]struct{}
+	current, previous map[uint64][]Software
 }
 
 // add records a complete answer to f.
-func (a *answers) add(now time.Time, f uint64) {
+func (a *answers) add(now time.Time, f uint64, by Software) {
 	a.age(now)
 	if len(a.current) >= maxAnswers {
 		a.rotate(now)
 	}
-	a.current[f] = struct{}{}
+	a.current[f] = addSoftware(a.current[f], by)
 }
 
-// has reports whether f was answered of late.
-func (a *answers) has(now time.Time, f uint64) bool {
+// has reports whether the software has answered f of late.
+func (a *answers) has(now time.Time, f uint64, software Software) bool {
+	return coveredBy(a.by(now, f), software)
+}
+
+// by returns the software that has answered f of late. The caller must not modify it.
+func (a *answers) by(now time.Time, f uint64) []Software {
 	a.age(now)
-	_, current := a.current[f]
-	_, previous := a.previous[f]
-	return current || previous
+	list := a.current[f]
+	for _, s := range a.previous[f] {
+		list = addSoftware(list, s)
+	}
+	return list
 }
 
 // age drops what is older than two generations.
@@ -48,5 +56,5 @@
 
 func (a *answers) rotate(now time.Time) {
 	a.begun = now
-	a.current, a.previous = map[uint64]struct{}{}, a.current
+	a.current, a.previous = map[uint64][]Software{}, a.current
 }
--- a/internal/request/poison/crash.go
+++ b/internal/request/poison/crash.go
@@ -55,7 +55,7 @@
 		}
 		return g.newCrash(f, s), true
 	}
-	if g.answers.has(now, f) {
+	if g.answers.has(now, f, s.Software()) {
 		return Record{}, false
 	}
 	if len(g.broken[id]) < maxBroken {
@@ -72,7 +72,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return slices.ContainsFunc(g.broken[s.identity()], func(b brokenConn) bool { return b.server == s })
+	return slices.ContainsFunc(g.broken[s.identity()], func(b brokenConn) bool { return b.server.isSame(s) })
 }
 
 // Heard records that the incarnation s gave a sign of life at the given time, so that the
@@ -84,7 +84,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	id := s.identity()
-	g.setBroken(id, slices.DeleteFunc(g.broken[id], func(b brokenConn) bool { return b.server == s && at.After(b.runsUntil) }))
+	g.setBroken(id, slices.DeleteFunc(g.broken[id], func(b brokenConn) bool { return b.server.isSame(s) && at.After(b.runsUntil) }))
 }
 
 // Ended records that the incarnation s, and with it every earlier one, has ended
--- a/internal/request/poison/events.go
+++ b/internal/request/poison/events.go
@@ -23,6 +23,9 @@
 	EventQuarantined Event = "quarantined"
 	// EventReleased is the end of a suspicion or a quarantine before its time.
 	EventReleased Event = "released"
+	// EventProven is an answer of one software to a request that other software crashed
+	// with.
+	EventProven Event = "proven"
 	// EventExpired is the end of a suspicion or a quarantine by its time.
 	EventExpired Event = "expired"
 	// EventEvicted is a suspect that was dropped for lack of space.
@@ -59,6 +62,8 @@
 	Age time.Duration
 	// Left is the time until the suspicion expires.
 	Left time.Duration
+	// Proven holds the software on which the request may run, since it has answered it.
+	Proven []Software
 	// Trials counts the trial runs that were granted.
 	Trials int
 }
@@ -69,6 +74,9 @@
 	for _, s := range e.Crashed {
 		text += fmt.Sprintf(" %s/%d", s.Name, s.Incarnation)
 	}
+	for _, s := range e.Proven {
+		text += fmt.Sprintf(" proven=%s/%s", s.Service, s.Version)
+	}
 	return slog.StringValue(text)
 }
 
@@ -88,7 +96,7 @@
 
 // evidence returns what is known of the suspect.
 func (e *suspect) evidence(now time.Time) Evidence {
-	return Evidence{Crashed: append([]Server(nil), e.crashed...), Age: now.Sub(e.lastCrash), Left: e.expires.Sub(now), Trials: e.trials}
+	return Evidence{Crashed: append([]Server(nil), e.crashed...), Age: now.Sub(e.lastCrash), Left: e.expires.Sub(now), Proven: e.proven, Trials: e.trials}
 }
 
 // report counts and logs an event of the suspect f. The lock is held.
--- a/internal/request/poison/poison.go
+++ b/internal/request/poison/poison.go
@@ -5,7 +5,7 @@
 // to the request itself: one that crashes each backend server that runs it never runs to
 // its end. So an answer that shows a complete run, at any instance, releases a suspect, and
 // one just before a crash dismisses that crash; a server error, which a backend server may
-// give in place of a run, shows nothing; a request that was in flight on two crashed
+// give in place of a run, shows nothing, and no answer shows anything of other software; a request that was in flight on two crashed
 // backend servers, with no answer in between, is quarantined for a time. How many other
 // backend servers crash, and when, changes nothing. A popular request that was in flight
 // on many of them in an outage is answered by the others at the same time.
@@ -61,6 +61,8 @@
 	DataCentre  string
 	Name        string
 	Incarnation uint64
+	// Version is that of its software, or empty if it is not known.
+	Version string `json:",omitempty"`
 }
 
 // Admission is the decision whether a request may run.
@@ -109,6 +111,9 @@
 type suspect struct {
 	// crashed holds each incarnation once.
 	crashed []Server
+	// proven holds the software that has answered the request since the suspicion began, and
+	// hasn't crashed since. The request may run on it.
+	proven  []Software
 	expires time.Time
 	// lastCrash is when this instance learned of the last crash.
 	lastCrash time.Time
@@ -148,24 +153,58 @@
 }
 
 // Answered records the answer a to f, which shows a complete run (see
-// snipefront.ShowsCompleteRun), and so that f does not crash each backend server that runs it. It releases f at all instances if f is a suspect here.
+// snipefront.ShowsCompleteRun), and so that f does not crash each backend server with the
+// same software. Crashes of those don't count any more, at all instances. If no others are
+// left, f is released.
 func (g *Register) Answered(now time.Time, f uint64, a Answer) {
 	if g == nil {
 		return
 	}
+	software := a.Server.Software()
 	g.mu.Lock()
-	g.answers.add(now, f)
+	g.answers.add(now, f, software)
 	crashed := 0
 	if e := g.suspects[f]; e != nil {
 		crashed = len(e.crashed)
 	}
-	released := g.release(now, f, a.String())
+	changed := g.prove(now, f, software, a.String())
 	g.mu.Unlock()
-	if released {
-		g.share(Record{Fingerprint: f, Released: true, Left: RecordLifetime(crashed)})
+	if changed {
+		g.share(Record{Fingerprint: f, Answered: []Software{software}, Left: RecordLifetime(crashed)})
 	}
 }
 
+// prove records that the software has answered f, and reports whether that changed what is
+// known of f. The lock is held.
+func (g *Register) prove(now time.Time, f uint64, software Software, why string) bool {
+	e := g.suspects[f]
+	if e == nil {
+		return false
+	}
+	left := WithoutSoftware(e.crashed, software)
+	if len(left) == 0 {
+		return g.release(now, f, why)
+	}
+	if len(left) == len(e.crashed) && slices.Contains(e.proven, software) {
+		return false
+	}
+	e.crashed, e.proven = left, addSoftware(e.proven, software)
+	g.report(now, EventProven, why, f, e)
+	return true
+}
+
+// Proven reports whether the software has answered f since f became a suspect, and hasn't
+// crashed since, so that f may run on it though it is quarantined.
+func (g *Register) Proven(f uint64, software Software) bool {
+	if g == nil || !g.active.Load() {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	e := g.suspects[f]
+	return e != nil && coveredBy(e.proven, software)
+}
+
 // release ends the suspicion of f and reports whether there was one. The lock is held.
 func (g *Register) release(now time.Time, f uint64, why string) bool {
 	e := g.suspects[f]
@@ -209,7 +248,7 @@
 // saw the crash, and EventLearned otherwise. The suspect lasts for the time left at
 // least, or for its full lifetime if left is zero. The lock is held.
 func (g *Register) addCrash(now time.Time, f uint64, s Server, event Event, left time.Duration) bool {
-	if g.answers.has(now, f) {
+	if g.answers.has(now, f, s.Software()) {
 		g.report(now, EventDismissed, "answered before the crash of "+s.Name, f, &suspect{expires: now})
 		return false
 	}
@@ -220,13 +259,14 @@
 			g.evict(now)
 			g.activate()
 		}
-		e = &suspect{}
+		e = &suspect{proven: slices.Clone(g.answers.by(now, f))}
 		g.suspects[f] = e
 	}
-	if len(e.crashed) >= maxCrashed || slices.Contains(e.crashed, s) {
+	if len(e.crashed) >= maxCrashed || ContainsServer(e.crashed, s) {
 		return false
 	}
 	e.crashed = append(e.crashed, s)
+	e.proven = slices.DeleteFunc(slices.Clone(e.proven), s.Software().covers)
 	e.lastCrash = now
 	if left == 0 {
 		left = RecordLifetime(len(e.crashed))
--- a/internal/request/poison/share.go
+++ b/internal/request/poison/share.go
@@ -8,9 +8,12 @@
 // Record describes a suspect to other instances.
 type Record struct {
 	Fingerprint uint64
-	// Released is true if the request has been answered completely since what was known of
-	// it before. Crashed then holds only later crashes.
+	// Released is true if nothing that was known of the request before counts any more.
+	// Crashed then holds only later crashes.
 	Released bool
+	// Answered holds the software that has answered the request completely since what was
+	// known of it before. Of that, Crashed holds only later crashes.
+	Answered []Software
 	// Crashed lists the backend servers that crashed while the request was in flight.
 	// There is at least one, unless Released is true.
 	Crashed []Server
@@ -25,8 +28,11 @@
 	if later.Released {
 		return later
 	}
+	for _, s := range later.Answered {
+		r.Crashed, r.Answered = WithoutSoftware(r.Crashed, s), addSoftware(r.Answered, s)
+	}
 	for _, s := range later.Crashed {
-		if !slices.Contains(r.Crashed, s) {
+		if !ContainsServer(r.Crashed, s) {
 			r.Crashed = append(slices.Clone(r.Crashed), s)
 		}
 	}
@@ -34,6 +40,11 @@
 	return r
 }
 
+// IsRelease reports whether r tells only of answers.
+func (r Record) IsRelease() bool {
+	return len(r.Crashed) == 0 && (r.Released || len(r.Answered) > 0)
+}
+
 // newCrash returns the record of a crash of s that this instance saw with the suspect f in
 // flight. The lock is held.
 func (g *Register) newCrash(f uint64, s Server) Record {
@@ -69,8 +80,11 @@
 		if r.Released {
 			g.release(now, r.Fingerprint, "answered at another instance")
 		}
-		if g.merge(now, r) {
-			answered = append(answered, Record{Fingerprint: r.Fingerprint, Released: true, Left: suspectTime})
+		for _, s := range r.Answered {
+			g.prove(now, r.Fingerprint, s, "answered at another instance")
+		}
+		if own := g.merge(now, r); len(own) > 0 {
+			answered = append(answered, Record{Fingerprint: r.Fingerprint, Answered: own, Left: suspectTime})
 		}
 	}
 	g.mu.Unlock()
@@ -81,9 +95,9 @@
 
 // merge adds r to the suspects. If r alone does not quarantine the request, but its
 // crash does together with those recorded here, the request is quarantined for the
-// full time from now on. It reports whether this instance saw the request answered, so
-// that the others should learn of that. The lock is held.
-func (g *Register) merge(now time.Time, r Record) (answered bool) {
+// full time from now on. It returns the software that has answered the request according to
+// this instance alone, so that the others should learn of that. The lock is held.
+func (g *Register) merge(now time.Time, r Record) (answered []Software) {
 	left := min(r.Left, quarantineTime)
 	for _, s := range r.Crashed {
 		isNew := g.addCrash(now, r.Fingerprint, s, EventLearned, left)
@@ -94,11 +108,19 @@
 	if e := g.suspects[r.Fingerprint]; e != nil {
 		e.addTrials(now, r.Trials)
 	}
-	return len(r.Crashed) > 0 && g.answers.has(now, r.Fingerprint)
+	if len(r.Crashed) == 0 {
+		return nil
+	}
+	for _, s := range g.answers.by(now, r.Fingerprint) {
+		if !slices.Contains(r.Answered, s) {
+			answered = append(answered, s)
+		}
+	}
+	return answered
 }
 
 // record returns the record of the suspect f. The lock is held.
 func (g *Register) record(now time.Time, f uint64) Record {
 	e := g.suspects[f]
-	return Record{Fingerprint: f, Crashed: slices.Clone(e.crashed), Trials: e.trials, Left: e.expires.Sub(now)}
+	return Record{Fingerprint: f, Crashed: slices.Clone(e.crashed), Answered: e.proven, Trials: e.trials, Left: e.expires.Sub(now)}
 }
--- a/internal/request/submit/receiver.go
+++ b/internal/request/submit/receiver.go
@@ -37,9 +37,15 @@
 	var list []poison.Record
 	for _, s := range v.Suspects {
 		if s.Index > index {
-			list = append(list, poison.Record{
+			r := poison.Record{
 				Fingerprint: s.Fingerprint, Released: s.ReleasedIndex > index, Crashed: s.Crashed, Trials: s.Trials, Left: poison.RecordLifetime(len(s.Crashed)),
-			})
+			}
+			for _, a := range s.Answered {
+				if a.Index > index {
+					r.Answered = append(r.Answered, a.Software)
+				}
+			}
+			list = append(list, r)
 		}
 	}
 	return list
--- a/internal/request/submit/submit.go
+++ b/internal/request/submit/submit.go
@@ -122,7 +122,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, record := range r.pending {
-		if !record.Released || record.Left > poison.RecordLifetime(0) {
+		if !record.IsRelease() || record.Left > poison.RecordLifetime(0) {
 			return false
 		}
 	}
@@ -156,7 +156,11 @@
 	var c fleet.Command
 	left := time.Duration(0)
 	for _, record := range batch {
-		c.Suspects = append(c.Suspects, fleet.Suspect{Fingerprint: record.Fingerprint, Released: record.Released, Crashed: record.Crashed})
+		s := fleet.Suspect{Fingerprint: record.Fingerprint, Released: record.Released || len(record.Answered) > 0, Crashed: record.Crashed}
+		for _, software := range record.Answered {
+			s.Answered = append(s.Answered, fleet.Answered{Software: software})
+		}
+		c.Suspects = append(c.Suspects, s)
 		left = max(left, record.Left, poison.RecordLifetime(len(record.Crashed)))
 	}
 	b, err := c.Encode()
@@ -173,6 +177,6 @@
 			r.Logger.Warn("could not submit a suspect; other instances may not receive it", "fingerprint", record.Fingerprint, "taken", time.Since(begun), "error", err)
 			continue
 		}
-		r.Logger.Info("suspect shared", "fingerprint", record.Fingerprint, "crashes", len(record.Crashed), "released", record.Released, "taken", time.Since(begun))
+		r.Logger.Info("suspect shared", "fingerprint", record.Fingerprint, "crashes", len(record.Crashed), "released", record.Released, "answered", record.Answered, "taken", time.Since(begun))
 	}
 }
--- a/internal/rpc/peers/suspects.go
+++ b/internal/rpc/peers/suspects.go
@@ -49,11 +49,12 @@
 }
 
 // suspectMessages encodes list. A release is a message without crashes, before the one
-// with the crashes since, if there are any.
+// with the crashes since, if there are any. With cells a request has one service, whose
+// version is not known, so that an answer releases it.
 func suspectMessages(list []poison.Record) []*wire.Suspect {
 	out := make([]*wire.Suspect, 0, len(list))
 	for _, r := range list {
-		if r.Released {
+		if r.Released || len(r.Answered) > 0 {
 			out = append(out, &wire.Suspect{Fingerprint: r.Fingerprint, LeftMillis: r.Left.Milliseconds()})
 		}
 		if len(r.Crashed) > 0 {
