local: a crash is tied to requests whose callers had left, with cells, too

Cause: an attempt whose context had ended was looked into no further.

Why this works: it stays tied to its backend server for the second in which that may still run it, like one whose connection broke; the next attempt that finds no connection there checks it, and an answer from there after that second unties it. The owner of a cell sends all of its requests, so it needs no probes of its own.

--- a/internal/dispatch/local/attempt.go
+++ b/internal/dispatch/local/attempt.go
@@ -156,8 +156,19 @@
 	if a.Response != nil && snipefront.ShowsCompleteRun(a.Response.Status) {
 		d.Poison.Answered(time.Now(), r.Fingerprint, poison.Answer{Server: serverOf(b), Status: a.Response.Status})
 	}
-	if isBroken(a) && ctx.Err() == nil {
-		d.checkCrash(ctx, b, r, service)
+	if a.Response != nil {
+		d.Poison.Heard(time.Now(), serverOf(b))
+	}
+	switch {
+	case ctx.Err() != nil && a.Verdict == snipefront.MayHaveRun && a.Response == nil:
+		// b may run r on, and crash.
+		d.Poison.ConnectionBroke(time.Now(), r.Fingerprint, serverOf(b))
+	case ctx.Err() != nil:
+	case isBroken(a):
+		d.Poison.ConnectionBroke(time.Now(), r.Fingerprint, serverOf(b))
+		d.checkCrash(ctx, b, service)
+	case a.Reason == snipefront.ReasonConnect && d.Poison.MayCrash(serverOf(b)):
+		d.checkCrash(ctx, b, service)
 	}
 	return a
 }
@@ -178,13 +189,11 @@
 	}
 }
 
-// checkCrash records that a connection to b broke during r, and that b crashed if it
-// fails a check over a new connection.
-func (d *Dispatcher) checkCrash(ctx context.Context, b snipefront.BackendServer, r *snipefront.Request, service snipefront.Service) {
+// checkCrash records that b crashed if it fails a check over a new connection.
+func (d *Dispatcher) checkCrash(ctx context.Context, b snipefront.BackendServer, service snipefront.Service) {
 	if d.Poison == nil {
 		return
 	}
-	d.Poison.ConnectionBroke(time.Now(), r.Fingerprint, serverOf(b))
 	if !d.Sender.Check(ctx, b, service) && ctx.Err() == nil {
 		d.Poison.Crashed(time.Now(), serverOf(b))
 	}
--- a/internal/dispatch/local/crash_test.go
+++ b/internal/dispatch/local/crash_test.go
@@ -1,6 +1,7 @@
 package local_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -154,3 +155,35 @@
 		}
 	}
 }
+
+// TestCrashAfterCallerLeftIsTied guards against a request that crashes backend servers and is
+// sent on and on, since its callers leave before the crash.
+func TestCrashAfterCallerLeftIsTied(t *testing.T) {
+	const patience, crash, servers = 20 * time.Millisecond, 60 * time.Millisecond, 8
+	var crashes atomic.Int32
+	var list []*httptest.Server
+	var handlers []http.HandlerFunc
+	for i := range servers {
+		var once sync.Once
+		handlers = append(handlers, func(http.ResponseWriter, *http.Request) {
+			time.Sleep(crash)
+			once.Do(func() {
+				crashes.Add(1)
+				list[i].Listener.Close()
+				list[i].CloseClientConnections()
+			})
+			panic(http.ErrAbortHandler)
+		})
+	}
+	d, started := newDispatcher(t, handlers...)
+	list = started
+	for range servers {
+		ctx, cancel := context.WithTimeout(t.Context(), patience)
+		_, _ = d.Run(ctx, request(http.MethodGet, "/1", 9), service, true)
+		cancel()
+		time.Sleep(4 * crash)
+	}
+	if n := crashes.Load(); n != 2 {
+		t.Errorf("%d backend servers crashed, want 2", n)
+	}
+}
