health, link: read in all answers that a backend server drains, or asks for a pause

Every head of an answer is read now, as soon as it arrives: answers, refusals, load probes, late answers to other requests, answers that break off. A backend server that says so drains for this instance at once, whatever its heartbeats or a view say, also after the fleet has lost it and registered it again; it is shared through the log (fleet.Draining), which keeps it for the incarnation. Only a new incarnation ends it. A pause binds this instance alone: no request, retry, hedge or load probe is sent in it. It may have fractions; one that is over 10 min is bounded, one that can't be read is ignored, both are logged. Where all backend servers are away, a request is refused at once, with the time until the first is back and up to a quarter more. A pause lasts up to a quarter (1 s at most) longer here, and after it one request goes first, so that not all instances and callers return at the same moment.

--- a/internal/control/fleet/command.go
+++ b/internal/control/fleet/command.go
@@ -31,6 +31,8 @@
 	Limit *Limit `json:",omitempty"`
 	// Cold records that a backend server is warming up again.
 	Cold *Cold `json:",omitempty"`
+	// Draining records that a backend server drains, as it says in its answers.
+	Draining *Draining `json:",omitempty"`
 	// Read changes nothing. Its Result reflects every command committed before it.
 	Read bool `json:",omitempty"`
 }
@@ -41,6 +43,12 @@
 	Out        bool
 }
 
+// Draining says that an incarnation of a backend server drains.
+type Draining struct {
+	Server      string
+	Incarnation uint64
+}
+
 // Result is the result of applying a Command.
 type Result struct {
 	// Changed is true if the command changed the state.
@@ -148,6 +156,8 @@
 		return "limit"
 	case c.Cold != nil:
 		return "cold"
+	case c.Draining != nil:
+		return "draining"
 	}
 	return "read"
 }
@@ -180,6 +190,8 @@
 		changed = s.limit(index, *c.Limit)
 	case c.Cold != nil:
 		changed = s.cold(index, *c.Cold)
+	case c.Draining != nil:
+		changed = s.drain(index, *c.Draining)
 	default:
 		return Result{Failure: "empty command"}
 	}
--- a/internal/control/fleet/fleet.go
+++ b/internal/control/fleet/fleet.go
@@ -61,6 +61,8 @@
 	// and for a backend server that may register again, since it was removed for
 	// missing heartbeats or because another one registered with its address.
 	Incarnation uint64 `json:",omitempty"`
+	// Drained is the incarnation of a backend server that drained when it was removed.
+	Drained uint64 `json:",omitempty"`
 }
 
 // Document is a configuration as the operator sent it.
--- a/internal/control/fleet/server.go
+++ b/internal/control/fleet/server.go
@@ -10,6 +10,7 @@
 	if ok && !n.isNewerThan(old) || !ok && s.isDeregistered(n) {
 		return false
 	}
+	n.Draining = n.Draining || !ok && s.drainedBefore(n)
 	if ok && old.Incarnation == n.Incarnation {
 		n.Draining = n.Draining || old.Draining
 		n.Limit, n.LimitSource, n.LimitIndex = old.Limit, old.LimitSource, old.LimitIndex
@@ -28,6 +29,24 @@
 	return true
 }
 
+// drain records that the incarnation of c drains. It reports whether that is new.
+func (s *State) drain(index uint64, c Draining) bool {
+	n, ok := s.data.Servers[c.Server]
+	if !ok || n.Incarnation != c.Incarnation || n.Draining {
+		return false
+	}
+	n.Draining, n.Index = true, index
+	s.data.Servers[c.Server] = n
+	return true
+}
+
+// drainedBefore reports whether this incarnation of n drained when it was removed.
+func (s *State) drainedBefore(n Server) bool {
+	return n.Incarnation != 0 && slices.ContainsFunc(s.data.Removals, func(r Removal) bool {
+		return r.Server == n.Name && r.Drained == n.Incarnation
+	})
+}
+
 // isNewerThan reports whether n is of a later incarnation than old, or of the same
 // one with a higher sequence.
 func (n Server) isNewerThan(old Server) bool {
@@ -75,6 +94,9 @@
 }
 
 func (s *State) remove(r Removal) {
+	if old := s.data.Servers[r.Server]; old.Draining {
+		r.Drained = old.Incarnation
+	}
 	delete(s.data.Servers, r.Server)
 	s.recordRemoval(r)
 }
--- a/internal/dispatch/direct/choose.go
+++ b/internal/dispatch/direct/choose.go
@@ -45,6 +45,9 @@
 	// load is the number of running and waiting requests divided by that of slots,
 	// over all targets that were compared and report their load.
 	load float64
+	// pauseWait is the time until the first target may be used again, if all are away and one
+	// at least has asked for a pause, and zero otherwise.
+	pauseWait time.Duration
 	// choices is the number of choices that it took to find the target.
 	choices int
 	// quotaWait is the time after which the call may come back if it was refused for the
@@ -73,6 +76,10 @@
 			d.estimator.recordStart(c, meetsGoal)
 			return best, true
 		}
+		if wait, all := d.pauseWait(now, c.Service); all {
+			d.Logger.Info("all targets are away", "request", c.ID, "route", c.Route, "service", c.Service, "wait", wait)
+			return choice{pauseWait: wait}, false
+		}
 		if wait, limited := d.quotaWait(now, c, base, avoid); limited && now.Add(wait).Add(base).After(c.Goal) {
 			d.Logger.Info("rate limits of all targets are used up", "request", c.ID, "route", c.Route, "service", c.Service, "rank", c.Rank, "goalIn", time.Until(c.Goal), "wait", wait)
 			return choice{quotaWait: wait}, false
--- a/internal/dispatch/direct/crash.go
+++ b/internal/dispatch/direct/crash.go
@@ -64,7 +64,7 @@
 // isLeaving reports whether t drains, so that its end is planned.
 func (d *Dispatcher) isLeaving(t *health.Target) bool {
 	current, _ := d.Targets.Current(t.Server.Name)
-	return current != nil && current.Server.Draining
+	return current != nil && current.Draining()
 }
 
 // trialRetryAfter is the time after which a caller may resend a request whose trial run
--- a/internal/dispatch/direct/crashfleet_test.go
+++ b/internal/dispatch/direct/crashfleet_test.go
@@ -47,6 +47,8 @@
 	services []string
 	// spares reports whether s answers requests that crash others. Nil stands for none.
 	spares func(s *crashServer) bool
+	// notices counts what backend servers say beside their answers, and what reaches them then.
+	notices notices
 	// newsDelay returns the time after which an instance receives a change of the state.
 	newsDelay func() time.Duration
 	// ctx ends with the run.
@@ -197,13 +199,15 @@
 	ctx, cancel := context.WithCancel(f.ctx)
 	set := &health.Set{Self: snipefront.Instance{Name: n.name, DataCentre: n.dataCentre}}
 	logger := slog.New(slog.NewTextHandler(io.Discard, nil))
+	reports := &submit.Reports{Submitter: n, Logger: logger}
+	set.Sharer = reports
 	spread := &submit.Replicator{Submitter: n, Logger: logger}
 	register := &poison.Register{Spread: spread, Trials: true}
 	edges, servers := len(f.instances), len(f.servers)
 	probes := newProbes(servers, edges)
-	checks := &direct.Checks{Targets: set, Link: crashLink{f, n, set}, Probes: probes, Poison: register, Logger: logger}
+	checks := &direct.Checks{Targets: set, Link: crashLink{f, n, set, ctx}, Probes: probes, Poison: register, Logger: logger}
 	d := &direct.Dispatcher{
-		Targets: set, Link: crashLink{f, n, set}, Counter: noCounter{}, Attempts: noCounter{}, Poison: register,
+		Targets: set, Link: crashLink{f, n, set, ctx}, Counter: noCounter{}, Attempts: noCounter{}, Poison: register,
 		Trials:  &submit.Trials{Submitter: n, Logger: logger},
 		Retries: newRetries(edges, 0), Probes: probes, Checks: checks, Logger: logger,
 	}
@@ -211,6 +215,7 @@
 	view := n.follow(set, receiver, fleet.View{})
 	go func() { _ = spread.Run(ctx) }()
 	go func() { _ = checks.Run(ctx) }()
+	go func() { _ = reports.Run(ctx) }()
 	go func() {
 		for n.await(ctx, view.Index) {
 			view = n.follow(set, receiver, view)
--- a/internal/dispatch/direct/crashserver_test.go
+++ b/internal/dispatch/direct/crashserver_test.go
@@ -27,6 +27,10 @@
 	// down is closed when the process ends.
 	down    chan struct{}
 	running int
+	// leaving is true if it says in its answers that it drains, and restUntil the time until
+	// which it refuses requests and asks for a pause.
+	leaving   bool
+	restUntil time.Time
 }
 
 // crashStyle is how a backend server ends and returns.
@@ -91,7 +95,7 @@
 		s.name = fmt.Sprint("s", f.started)
 	}
 	s.incarnation = uint64(f.started)
-	s.up, s.dark, s.draining, s.running = true, false, false, 0
+	s.up, s.dark, s.draining, s.leaving, s.restUntil, s.running = true, false, false, false, time.Time{}, 0
 	s.down = make(chan struct{})
 	n := f.registration(s)
 	f.mu.Unlock()
@@ -158,6 +162,8 @@
 	fleet    *crashFleet
 	instance *crashInstance
 	targets  *health.Set
+	// process identifies the process of the instance.
+	process context.Context
 }
 
 // process is what a connection finds at an address.
@@ -202,6 +208,11 @@
 	if err != nil {
 		return health.Report{}, err
 	}
+	l.fleet.notices.arrive(l, p, time.Time{})
+	if l.refusesForPause(t, s, p) {
+		return health.Report{At: time.Now(), Server: p.name}, nil
+	}
+	l.hearLeaving(t, s, p)
 	l.fleet.mu.Lock()
 	defer l.fleet.mu.Unlock()
 	return health.Report{At: time.Now(), Known: true, Healthy: !s.draining, Running: s.running, Slots: crashSlots, Pace: 1, Server: p.name}, nil
@@ -225,6 +236,13 @@
 	if p.name != t.Server.Name {
 		return direct.Attempt{Verdict: snipefront.NotRun, Reason: snipefront.ReasonNoBackendServer, Err: errors.New("another"), Outcome: health.Unreachable, Misdirected: true}
 	}
+	l.fleet.notices.arrive(l, p, l.fleet.sentAt(c.ID))
+	if l.refusesForPause(t, s, p) {
+		l.fleet.mu.Lock()
+		defer l.fleet.mu.Unlock()
+		l.fleet.reach(c, s)
+		return shed
+	}
 	if !l.fleet.arrive(l.instance, c, s) {
 		return shed
 	}
@@ -235,6 +253,7 @@
 		if a.Response == nil {
 			return l.broken(ctx, s)
 		}
+		l.hearLeaving(t, s, p)
 		return a
 	case <-ctx.Done():
 		if !l.fleet.worksOn {
@@ -310,10 +329,7 @@
 	inTouch, crashes := n.inTouch(), s.isCrashedBy(f, c.Fingerprint)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(f.reached[c.ID]) > 0 {
-		f.further = append(f.further, f.since())
-	}
-	f.reached[c.ID] = append(f.reached[c.ID], process{name: s.name, down: s.down})
+	f.reach(c, s)
 	if crashes {
 		f.arrivals[c.Fingerprint] = append(f.arrivals[c.Fingerprint], crashArrival{at: f.since(), inTouch: inTouch})
 	}
@@ -324,6 +340,15 @@
 	return true
 }
 
+// reach records that c reaches s, where it is a further attempt if it is not the first. The
+// lock is held.
+func (f *crashFleet) reach(c *direct.Call, s *crashServer) {
+	if len(f.reached[c.ID]) > 0 {
+		f.further = append(f.further, f.since())
+	}
+	f.reached[c.ID] = append(f.reached[c.ID], process{name: s.name, down: s.down})
+}
+
 // leave frees the place of a request at s, unless the process p has ended.
 func (f *crashFleet) leave(s *crashServer, p process) {
 	f.mu.Lock()
--- a/internal/dispatch/direct/direct.go
+++ b/internal/dispatch/direct/direct.go
@@ -124,7 +124,7 @@
 		}
 		chosen, ok := d.choose(ctx, c, d.barred(c, &p))
 		if !ok {
-			return d.finish(c, &p, d.noTargetError(ctx, c, &p, chosen.quotaWait))
+			return d.finish(c, &p, d.noTargetError(ctx, c, &p, chosen))
 		}
 		// The quarantine may have begun while c waited for a target.
 		if e := d.quarantined(c, chosen.target); e != nil && !p.trial {
--- a/internal/dispatch/direct/errors.go
+++ b/internal/dispatch/direct/errors.go
@@ -48,9 +48,9 @@
 	return &snipefront.Error{Verdict: p.verdict, Reason: reason, Status: http.StatusGatewayTimeout, Detail: "no answer in time"}
 }
 
-// noTargetError returns the error of a call that no target can accept in time. The
-// quotaWait is that of the choice.
-func (d *Dispatcher) noTargetError(ctx context.Context, c *Call, p *progress, quotaWait time.Duration) *snipefront.Error {
+// noTargetError returns the error of a call that no target can accept in time, after the
+// last choice.
+func (d *Dispatcher) noTargetError(ctx context.Context, c *Call, p *progress, last choice) *snipefront.Error {
 	switch {
 	case ctx.Err() != nil:
 		return timeoutError(ctx, p)
@@ -59,8 +59,11 @@
 	case len(d.Targets.Candidates(c.Service)) == 0:
 		return snipefront.Refused(snipefront.ReasonNoBackendServer, retryAfter, "no backend server takes requests")
 	}
-	if quotaWait > 0 {
-		return snipefront.Refused(snipefront.ReasonRateLimit, max(retryAfter, quotaWait), "the rate limits of all backend servers are used up")
+	if last.pauseWait > 0 {
+		return snipefront.Refused(snipefront.ReasonPaused, last.pauseWait, "all backend servers have asked for a pause or are unreachable")
+	}
+	if last.quotaWait > 0 {
+		return snipefront.Refused(snipefront.ReasonRateLimit, max(retryAfter, last.quotaWait), "the rate limits of all backend servers are used up")
 	}
 	return snipefront.Refused(snipefront.ReasonOverload, retryAfter, "no backend server has room")
 }
--- a/internal/dispatch/direct/limited_test.go
+++ b/internal/dispatch/direct/limited_test.go
@@ -143,6 +143,9 @@
 	})
 }
 
+// ShareDraining implements health.Sharer. No backend server of these tests drains.
+func (sharer) ShareDraining(fleet.Server) {}
+
 // shareLimit records a limit in the view of the fleet.
 func (f *limitedFleet) shareLimit(instance int, n fleet.Server, said snipefront.RateLimit, source quota.Source) {
 	f.mu.Lock()
--- /dev/null
+++ b/internal/dispatch/health/notice.go
@@ -0,0 +1,176 @@
+package health
+
+import (
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/snipefront/snipefront"
+)
+
+const (
+	// maxPause bounds the pause for which a backend server may ask.
+	maxPause = 10 * time.Minute
+	// pauseSpread is the largest share of a pause by which this instance waits longer, and
+	// maxPauseSpread the longest such time. Many instances may be asked at the same moment.
+	pauseSpread    = 0.25
+	maxPauseSpread = time.Second
+	// maxWithdrawn bounds the states of withdrawn backend servers that have left the view, and
+	// withdrawnTime is how long they are kept.
+	maxWithdrawn  = 1024
+	withdrawnTime = maxPause
+)
+
+// Notice is what the header of an answer says of its backend server, whatever the answer is.
+type Notice struct {
+	// Draining is true if the backend server accepts no new requests any more.
+	Draining bool
+	// Pause is the time for which it wants nothing from this instance.
+	Pause time.Duration
+}
+
+// ErrPauseUnreadable means that a backend server asked for a pause whose length can't be
+// read, and ErrPauseTooLong that the length was bounded.
+var (
+	ErrPauseUnreadable = errors.New("pause that can't be read")
+	ErrPauseTooLong    = errors.New("pause over the limit")
+)
+
+// ParseNotice parses the notice of an answer with the given status and header. It returns a
+// notice also beside an error, which only concerns the pause.
+func ParseNotice(f snipefront.HeaderFields, status int, h http.Header) (Notice, error) {
+	n := Notice{Draining: f.Draining != "" && h.Get(f.Draining) == "1"}
+	text := strings.TrimSpace(h.Get("Retry-After"))
+	if status != http.StatusServiceUnavailable || text == "" {
+		return n, nil
+	}
+	seconds, err := strconv.ParseFloat(text, 64)
+	switch {
+	case err != nil && !errors.Is(err, strconv.ErrRange), math.IsNaN(seconds), seconds < 0:
+		return n, errors.WithMessage(ErrPauseUnreadable, text)
+	case seconds > maxPause.Seconds():
+		n.Pause = maxPause
+		return n, errors.WithMessage(ErrPauseTooLong, text)
+	}
+	n.Pause = time.Duration(seconds * float64(time.Second))
+	return n, nil
+}
+
+// Hear records the notice of an answer of t. A backend server that drains does so until its
+// incarnation ends, and a pause is never shortened.
+func (t *Target) Hear(n Notice) {
+	if n == (Notice{}) {
+		return
+	}
+	now := time.Now()
+	t.mu.Lock()
+	first := n.Draining && !t.draining
+	t.draining = t.draining || n.Draining
+	if n.Pause > 0 {
+		t.pause(now, n.Pause)
+	}
+	t.mu.Unlock()
+	if first {
+		t.set.startDraining(t)
+	}
+	if t.set.Logger != nil && (first || n.Pause > 0) {
+		t.set.Logger.Info("backend server withdraws", "server", t.Server.Name, "service", t.Server.Service, "incarnation", t.Server.Incarnation, "draining", n.Draining, "pause", n.Pause)
+	}
+}
+
+// pause lets t rest for the given time. The lock is held.
+func (t *Target) pause(now time.Time, length time.Duration) {
+	spread := min(time.Duration(pauseSpread*float64(length)), maxPauseSpread)
+	until := now.Add(length + time.Duration(rand.Int64N(int64(spread)+1)))
+	if until.After(t.pausedUntil) {
+		t.pausedUntil = until
+	}
+	t.resuming, t.resumeSent = true, false
+}
+
+// isResting reports whether t may not receive a request at now: during a pause, and after it
+// until the first request has been answered. The lock is held.
+func (t *Target) isResting(now time.Time) bool {
+	return now.Before(t.pausedUntil) || t.resuming && t.resumeSent
+}
+
+// PauseLeft returns the time until t may receive a request again after a pause. It is zero or
+// negative without a pause.
+func (t *Target) PauseLeft(now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.pausedUntil.Sub(now)
+}
+
+// AwayLeft returns the time until t may be chosen again, after a pause or a backoff. It is
+// at least one millisecond.
+func (t *Target) AwayLeft(now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return max(t.pausedUntil.Sub(now), t.retryAt.Sub(now), time.Millisecond)
+}
+
+// Draining reports whether t drains, according to its registration or to an answer.
+func (t *Target) Draining() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.Server.Draining || t.draining
+}
+
+// startDraining records that t drains, and shares it unless the registration of t says so.
+func (s *Set) startDraining(t *Target) {
+	s.draining.Add(1)
+	if s.Sharer != nil && !t.Server.Draining {
+		s.Sharer.ShareDraining(t.Server)
+	}
+}
+
+// withdrawal identifies the incarnation of a backend server at an address.
+type withdrawal struct {
+	name, address string
+	incarnation   uint64
+}
+
+// withdrawnState is the state of a backend server that has left the view.
+type withdrawnState struct {
+	*state
+	since time.Time
+}
+
+// keepWithdrawn keeps the states of the targets of old that drain or rest and are not in
+// next: the fleet may lose them and register them again, with the same incarnation.
+func (s *Set) keepWithdrawn(now time.Time, old, next *targets) {
+	for key, w := range s.withdrawn {
+		if now.Sub(w.since) >= withdrawnTime {
+			delete(s.withdrawn, key)
+		}
+	}
+	if old == nil {
+		return
+	}
+	for name, t := range old.byName {
+		if n := next.byName[name]; n != nil && n.state == t.state || t.Server.Incarnation == 0 || !t.isWithdrawn(now) || len(s.withdrawn) >= maxWithdrawn {
+			continue
+		}
+		if s.withdrawn == nil {
+			s.withdrawn = map[withdrawal]withdrawnState{}
+		}
+		s.withdrawn[keyOf(t.Server.Name, t.Server.Address, t.Server.Incarnation)] = withdrawnState{state: t.state, since: now}
+	}
+}
+
+func keyOf(name, address string, incarnation uint64) withdrawal {
+	return withdrawal{name: name, address: address, incarnation: incarnation}
+}
+
+// isWithdrawn reports whether t drains or rests.
+func (t *Target) isWithdrawn(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.draining || now.Before(t.pausedUntil)
+}
--- /dev/null
+++ b/internal/dispatch/health/notice_test.go
@@ -0,0 +1,129 @@
+package health_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/control/fleet"
+	"github.com/snipefront/snipefront/internal/dispatch/health"
+)
+
+// TestPauseIsParsed guards against a pause that is ignored since it has a fraction, and one
+// that lasts for ever, or ends at once, since its length is absurd.
+func TestPauseIsParsed(t *testing.T) {
+	const longest = 10 * time.Minute
+	for text, test := range map[string]struct {
+		status int
+		want   time.Duration
+		err    error
+	}{
+		"2":                             {503, 2 * time.Second, nil},
+		"0.25":                          {503, 250 * time.Millisecond, nil},
+		" 1.5 ":                         {503, 1500 * time.Millisecond, nil},
+		"0":                             {503, 0, nil},
+		"":                              {503, 0, nil},
+		"600.5":                         {503, longest, health.ErrPauseTooLong},
+		"1e300":                         {503, longest, health.ErrPauseTooLong},
+		"1e999":                         {503, longest, health.ErrPauseTooLong},
+		"Inf":                           {503, longest, health.ErrPauseTooLong},
+		"-1":                            {503, 0, health.ErrPauseUnreadable},
+		"NaN":                           {503, 0, health.ErrPauseUnreadable},
+		"soon":                          {503, 0, health.ErrPauseUnreadable},
+		"Wed, 21 Oct 2026 07:28:00 GMT": {503, 0, health.ErrPauseUnreadable},
+		"3":                             {429, 0, nil},
+		"4":                             {200, 0, nil},
+	} {
+		n, err := health.ParseNotice(snipefront.HeaderFields{}, test.status, http.Header{"Retry-After": {text}})
+		if n.Pause != test.want || !errors.Is(err, test.err) {
+			t.Errorf("%q with status %d asks for %v, %v, want %v, %v", text, test.status, n.Pause, err, test.want, test.err)
+		}
+	}
+}
+
+// sharedDraining records which backend servers are shared as draining.
+type sharedDraining struct {
+	health.Sharer
+	names []string
+}
+
+func (s *sharedDraining) ShareDraining(n fleet.Server) { s.names = append(s.names, n.Name) }
+
+// TestOnlyNewIncarnationEndsNotice guards against a backend server that has said that it
+// drains, or asked for a pause, and gets requests again since the fleet says that it is
+// ready, lost it for a while, or has moved its address; and against a new incarnation that
+// gets none.
+func TestOnlyNewIncarnationEndsNotice(t *testing.T) {
+	server := func(name string, incarnation uint64, address string) fleet.Server {
+		var n fleet.Server
+		n.Name, n.Service, n.Incarnation, n.Address, n.Slots = name, "a", incarnation, address, 2
+		return n
+	}
+	routing := &snipefront.Routing{Services: map[string]snipefront.ServiceProfile{"a": {Name: "a"}}}
+	for name, test := range map[string]struct {
+		later fleet.Server
+		want  bool
+	}{
+		"ready again":          {server("s", 5, "x"), false},
+		"new incarnation":      {server("s", 6, "x"), true},
+		"another name":         {server("r", 6, "x"), true},
+		"a different address":  {server("s", 5, "y"), true},
+		"an older incarnation": {server("s", 4, "x"), true},
+	} {
+		for _, lostBefore := range []bool{false, true} {
+			for _, n := range []health.Notice{{Draining: true}, {Pause: time.Minute}} {
+				shared := &sharedDraining{}
+				set := &health.Set{Sharer: shared}
+				update := func(list ...fleet.Server) {
+					v := fleet.View{Servers: map[string]fleet.Server{}}
+					for _, n := range list {
+						v.Servers[n.Name] = n
+					}
+					set.Update(time.Now(), v, routing)
+				}
+				update(server("s", 5, "x"))
+				target, _ := set.Current("s")
+				target.Hear(n)
+				target.Hear(n)
+				if lostBefore {
+					update()
+				}
+				update(test.later)
+				got, accepts := set.Current(test.later.Name)
+				if receives := accepts && got.Available(time.Now()); receives != test.want {
+					t.Errorf("%s, lost before: %v, after %+v: it receives requests: %v, want %v", name, lostBefore, n, receives, test.want)
+				}
+				if n.Draining && len(shared.names) != 1 {
+					t.Errorf("shared %d times, want once", len(shared.names))
+				}
+			}
+		}
+	}
+}
+
+// TestFirstRequestAfterPauseIsAlone guards against many requests that reach a backend server
+// at the moment at which its pause ends.
+func TestFirstRequestAfterPauseIsAlone(t *testing.T) {
+	set := &health.Set{}
+	var n fleet.Server
+	n.Name, n.Service, n.Slots = "s", "a", 4
+	set.Update(time.Now(), fleet.View{Servers: map[string]fleet.Server{"s": n}}, &snipefront.Routing{Services: map[string]snipefront.ServiceProfile{"a": {Name: "a"}}})
+	target, _ := set.Current("s")
+	target.Hear(health.Notice{Pause: time.Second})
+	reserve := func(after time.Duration) bool {
+		return target.Reserve(time.Now().Add(after), 0, health.Priority{})
+	}
+	if reserve(900 * time.Millisecond) {
+		t.Error("a request is admitted in the pause")
+	}
+	if !reserve(2*time.Second) || reserve(2*time.Second) {
+		t.Error("after the pause not exactly one request is admitted")
+	}
+	target.Done(time.Now().Add(2*time.Second), health.Answered)
+	if !reserve(2*time.Second) || !reserve(2*time.Second) {
+		t.Error("requests are not admitted after the first has been answered")
+	}
+}
--- a/internal/dispatch/health/set.go
+++ b/internal/dispatch/health/set.go
@@ -28,6 +28,8 @@
 	// ShareCold shares that n is cold for the time left, though its registration says
 	// that it is warm.
 	ShareCold(n fleet.Server, left time.Duration)
+	// ShareDraining shares that n drains, though its registration doesn't say so.
+	ShareDraining(n fleet.Server)
 }
 
 // Set holds the targets of all services. Its zero value is empty. Update must be
@@ -44,6 +46,11 @@
 	// parts is held while current is replaced, and while the part of a rate limit is set
 	// by it, so that no part is set by an older one afterwards.
 	parts sync.Mutex
+	// draining counts the targets that were found to drain by their answers.
+	draining atomic.Int64
+	// withdrawn holds the states of withdrawn targets that have left the view. Only Update
+	// uses it.
+	withdrawn map[withdrawal]withdrawnState
 }
 
 // targets is the immutable content of a Set after an Update.
@@ -79,6 +86,7 @@
 			next.edges.Instances = append(next.edges.Instances, i.Instance)
 		}
 	}
+	s.keepWithdrawn(now, old, next)
 	slices.SortFunc(next.edges.Instances, func(a, b snipefront.Instance) int { return strings.Compare(a.Name, b.Name) })
 	s.parts.Lock()
 	s.current.Store(next)
@@ -130,6 +138,9 @@
 	}
 	if previous == nil || previous.Server.Incarnation != n.Incarnation || previous.Server.Address != n.Address {
 		t.state = &state{coldUntil: coldUntil(now, n)}
+		if w, ok := s.withdrawn[keyOf(n.Name, n.Address, n.Incarnation)]; ok {
+			t.state = w.state
+		}
 		return t
 	}
 	t.state = previous.state
@@ -152,7 +163,11 @@
 	if c == nil {
 		return nil
 	}
-	return c.byService[service]
+	list := c.byService[service]
+	if s.draining.Load() == 0 || !slices.ContainsFunc(list, (*Target).Draining) {
+		return list
+	}
+	return slices.DeleteFunc(slices.Clone(list), (*Target).Draining)
 }
 
 // Current returns the target of that name as it is registered now, or nil if there is
@@ -163,7 +178,7 @@
 		return nil, false
 	}
 	t = c.byName[name]
-	return t, t != nil && c.accepts(t.Server)
+	return t, t != nil && c.accepts(t.Server) && !t.Draining()
 }
 
 // accepts reports whether n accepts requests according to its registration.
@@ -203,7 +218,11 @@
 		if q := t.quota.State(); q.Named {
 			entry.Limit = &status.Limit{PerSecond: q.PerSecond, Source: string(q.Source), Shared: q.Shared, Learned: q.Learned, Part: q.Part}
 		}
-		if c.accepts(n) {
+		switch {
+		case entry.State == status.Out:
+		case t.Draining():
+			entry.State = status.Draining
+		default:
 			entry.State = t.observedState(now)
 		}
 		list = append(list, entry)
--- a/internal/dispatch/health/target.go
+++ b/internal/dispatch/health/target.go
@@ -91,6 +91,12 @@
 	// that none has begun since the last success.
 	backoff time.Duration
 	retryAt time.Time
+	// draining is true once an answer has said that the backend server drains.
+	draining bool
+	// pausedUntil is the end of the pause for which the backend server has asked. After it,
+	// resuming is true until a first request has ended, and resumeSent once that was sent.
+	pausedUntil          time.Time
+	resuming, resumeSent bool
 	// coldTokens limits the requests to a cold target.
 	coldTokens bucket.Bucket
 	// quota holds the rate limit that the backend server names.
@@ -148,11 +154,11 @@
 }
 
 // Available reports whether t may be chosen: no backoff after a failed attempt or probe
-// is running.
+// is running, and t has not asked for a pause.
 func (t *Target) Available(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return !now.Before(t.retryAt)
+	return !now.Before(t.retryAt) && !t.isResting(now)
 }
 
 // HeardAt returns when the last load probe was sent that t has answered, or the zero time.
@@ -174,6 +180,8 @@
 func (t *Target) observedState(now time.Time) status.State {
 	s := t.Snapshot(now)
 	switch {
+	case t.PauseLeft(now) > 0:
+		return status.Paused
 	case !t.Available(now):
 		return status.Unreachable
 	case s.Cold:
@@ -201,9 +209,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	cold := t.isCold(now)
-	if cold && !t.coldTokens.HasToken(now, rate, coldBurst) || !t.quota.Take(now, t.urgency(p)) {
+	if t.isResting(now) || cold && !t.coldTokens.HasToken(now, rate, coldBurst) || !t.quota.Take(now, t.urgency(p)) {
 		return false
 	}
+	t.resumeSent = t.resuming
 	if cold {
 		t.coldTokens.Take(now, rate, coldBurst)
 	}
@@ -234,6 +243,8 @@
 	defer t.mu.Unlock()
 	t.inFlight--
 	t.decayFaults(now)
+	t.resuming = t.resuming && (o == Neutral || o == Unreachable || now.Before(t.pausedUntil))
+	t.resumeSent = false
 	switch o {
 	case Answered:
 		t.faultShare *= 1 - faultWeight
@@ -266,13 +277,13 @@
 	return now.Before(t.coldUntil) || t.report.Cold > now.Sub(t.report.At)
 }
 
-// Refresh probes t unless its load report is fresh, its rate limit leaves no request for
+// Refresh probes t unless its load report is fresh, it has asked for a pause, its rate limit leaves no request for
 // a probe, or mayProbe, which is called just before a probe, returns false. Concurrent calls share one probe. Refresh returns when
 // the probe has ended or ctx is done; ctx does not end the probe.
 func (t *Target) Refresh(ctx context.Context, prober Prober, mayProbe func() bool) {
 	t.mu.Lock()
 	done := t.probing
-	if t.isFresh() || done == nil && (!t.quota.AllowsProbe(time.Now()) || !mayProbe()) {
+	if t.isFresh() || time.Now().Before(t.pausedUntil) || done == nil && (!t.quota.AllowsProbe(time.Now()) || !mayProbe()) {
 		t.mu.Unlock()
 		return
 	}
--- a/internal/dispatch/link/link.go
+++ b/internal/dispatch/link/link.go
@@ -70,9 +70,13 @@
 		l.putBack(conn, t)
 		return direct.Attempt{Verdict: snipefront.NotRun, Reason: snipefront.ReasonNoBackendServer, Err: errors.New("backend server left"), Outcome: health.Unreachable}
 	}
+	if t.PauseLeft(time.Now()) > 0 {
+		l.putBack(conn, t)
+		return direct.Attempt{Verdict: snipefront.NotRun, Reason: snipefront.ReasonPaused, Err: errors.New("backend server has asked for a pause"), Outcome: health.Unreachable}
+	}
 	e := pool.Exchange{
 		Head: l.requestHead(c, t, time.Until(c.Deadline)), Body: c.Body, Method: c.Method,
-		IDField: l.Fields.RequestID, ID: c.ID, MaxBytes: maxAnswerBytes, Memory: l.Memory,
+		IDField: l.Fields.RequestID, ID: c.ID, MaxBytes: maxAnswerBytes, Memory: l.Memory, Heard: l.hear(t),
 	}
 	reusable, err := e.Do(ctx, conn)
 	if reusable {
@@ -98,6 +102,21 @@
 	return a
 }
 
+// hear returns a function that takes over what the head of an answer of t says of t. An
+// answer of another backend server at the same address says nothing of t.
+func (l *Link) hear(t *health.Target) func(status int, h http.Header) {
+	return func(status int, h http.Header) {
+		if name := h.Get(l.Fields.Server); status == http.StatusMisdirectedRequest || name != "" && name != t.Server.Name {
+			return
+		}
+		n, err := health.ParseNotice(l.Fields, status, h)
+		if err != nil {
+			l.Logger.Warn("backend server asks for a pause of no usable length", "server", t.Server.Name, "service", t.Server.Service, "used", n.Pause, "error", err)
+		}
+		t.Hear(n)
+	}
+}
+
 // statementOf returns what an answer of t with the header h says of its rate limit.
 func (l *Link) statementOf(t *health.Target, h http.Header) quota.Statement {
 	s, err := quota.Parse(h.Values(l.Fields.RateLimit))
@@ -222,7 +241,7 @@
 // probeOn sends a load probe over c.
 func (l *Link) probeOn(ctx context.Context, c *pool.Conn, t *health.Target) (health.Report, error) {
 	head := "GET " + t.Profile.HealthPath + " HTTP/1.1\r\nHost: " + t.Server.Address + "\r\n\r\n"
-	e := pool.Exchange{Head: []byte(head), Method: http.MethodGet, MaxBytes: maxReportBytes, Memory: l.Memory}
+	e := pool.Exchange{Head: []byte(head), Method: http.MethodGet, MaxBytes: maxReportBytes, Memory: l.Memory, Heard: l.hear(t)}
 	at := time.Now()
 	reusable, err := e.Do(ctx, c)
 	if err != nil && ctx.Err() != nil && !e.Begun {
--- a/internal/dispatch/link/link_test.go
+++ b/internal/dispatch/link/link_test.go
@@ -24,7 +24,7 @@
 )
 
 var fields = snipefront.HeaderFields{
-	RequestID: "Id", Remaining: "Remaining", Expected: "Expected", Signature: "Signature", NotRun: "Not-Run", Server: "Server", Load: "Load", Cold: "Cold", RateLimit: "Limit",
+	RequestID: "Id", Remaining: "Remaining", Expected: "Expected", Signature: "Signature", NotRun: "Not-Run", Server: "Server", Load: "Load", Cold: "Cold", RateLimit: "Limit", Draining: "Leaving",
 }
 
 type noCounter struct{}
--- a/internal/dispatch/pool/exchange.go
+++ b/internal/dispatch/pool/exchange.go
@@ -38,6 +38,10 @@
 	// Memory bounds the bodies of all answers that are being read. It may be nil.
 	Memory *bound.Memory
 
+	// Heard is called with the head of each answer, those to other requests included, before
+	// its body is read. It may be nil.
+	Heard func(status int, h http.Header)
+
 	// Response holds the status and header of the answer. Its Body is closed.
 	Response *http.Response
 	// Answer is the complete body of the answer.
@@ -131,6 +135,9 @@
 	if err != nil {
 		return false, err
 	}
+	if e.Heard != nil {
+		e.Heard(resp.StatusCode, resp.Header)
+	}
 	body, err := e.Memory.ReadBody(resp.Body, bodyLength(resp), e.MaxBytes)
 	if err != nil {
 		// Closing the body alone would first read the rest of it.
--- a/internal/observe/status/status.go
+++ b/internal/observe/status/status.go
@@ -43,6 +43,8 @@
 	// Unreachable means that it could not be reached recently, and that no request is
 	// sent to it for now.
 	Unreachable State = "unreachable"
+	// Paused means that it has asked this instance to send nothing for a time.
+	Paused State = "paused"
 	// Faulty means that many of its recent requests failed. Others are preferred, so
 	// it receives only what they have no capacity for.
 	Faulty State = "faulty"
--- a/internal/request/submit/reports.go
+++ b/internal/request/submit/reports.go
@@ -63,6 +63,11 @@
 	r.share(n.Name, fleet.Command{Cold: &fleet.Cold{Server: n.Name, Incarnation: n.Incarnation, Millis: left.Milliseconds()}})
 }
 
+// ShareDraining implements health.Sharer.
+func (r *Reports) ShareDraining(n fleet.Server) {
+	r.share(n.Name, fleet.Command{Draining: &fleet.Draining{Server: n.Name, Incarnation: n.Incarnation}})
+}
+
 // share queues a report of the named backend server.
 func (r *Reports) share(server string, c fleet.Command) {
 	r.init()
@@ -80,7 +85,8 @@
 }
 
 // Run submits reports until ctx ends. A report whose submission fails is dropped: the next
-// answer that brings it is submitted again.
+// answer that brings it is submitted again. One of a backend server that drains, to which
+// nothing more is sent, is queued again.
 func (r *Reports) Run(ctx context.Context) error {
 	r.init()
 	for {
@@ -135,6 +141,9 @@
 	begun := time.Now()
 	if _, err := r.Submitter.Submit(ctx, b); err != nil {
 		r.Logger.Warn("could not submit a report of a backend server; other instances may not receive it", "server", s.server, "kind", s.kind, "error", err)
+		if c.Draining != nil {
+			r.share(s.server, c)
+		}
 		return
 	}
 	r.Logger.Info("report of backend server shared", "server", s.server, "kind", s.kind, "taken", time.Since(begun))
--- a/reason.go
+++ b/reason.go
@@ -24,6 +24,7 @@
 	ReasonClaimMismatch    Reason = "claim_mismatch"
 	ReasonRetryBudget      Reason = "retry_budget"
 	ReasonRateLimit        Reason = "rate_limit"
+	ReasonPaused           Reason = "paused"
 )
 
 // Reasons for retrying an attempt at another backend server or instance, or for ending
--- a/routing.go
+++ b/routing.go
@@ -114,6 +114,9 @@
 	Cold string
 	// RateLimit holds a RateLimit, in requests per second.
 	RateLimit string
+	// Draining is 1 in each answer of a backend server that accepts no new requests any
+	// more.
+	Draining string
 }
 
 // RateLimit is the limit that a backend server names for the requests that it receives
