cell, sender: with cells, too, answers tell that a backend server drains or asks for a pause

The two new rules of the users (DRAIN after an answer that says that the server leaves, BUDGET in the time of a 503 with Retry-After) hold for both forms of dispatch.

The sender reads both in each answer, probes included (X-Draining: 1; Retry-After of a 503), and the cell keeps them for the incarnation of the backend server, also beyond its announcements. One that drains, or rests, gets no request, hedge or probe; where none is left, callers are refused at once with the time of the first that is back. The parser is a package of its own (dispatch/notice), used by both forms.

The stand-in server says both (modes Leaving and PauseMillis). It no longer adds Retry-After: 1 to each refusal of a full server: that now asks for a second without any request, which it never meant.

Not shared between owners of a cell: the next owner reads it in the first answer.

--- a/internal/daemon/module/module.go
+++ b/internal/daemon/module/module.go
@@ -22,6 +22,7 @@
 	"github.com/snipefront/snipefront/internal/dispatch/cell"
 	"github.com/snipefront/snipefront/internal/dispatch/cells"
 	"github.com/snipefront/snipefront/internal/dispatch/local"
+	"github.com/snipefront/snipefront/internal/dispatch/notice"
 	"github.com/snipefront/snipefront/internal/dispatch/picker"
 	"github.com/snipefront/snipefront/internal/dispatch/probe"
 	"github.com/snipefront/snipefront/internal/dispatch/sender"
@@ -147,8 +148,8 @@
 	return b
 }
 
-func newCells(s *sender.Sender, suspects *poison.Register, counters *stats.Stats) *cells.Set {
-	return &cells.Set{Make: func(c snipefront.Cell) *local.Dispatcher {
+func newCells(s *sender.Sender, suspects *poison.Register, counters *stats.Stats, logger *slog.Logger) *cells.Set {
+	set := &cells.Set{Make: func(c snipefront.Cell) *local.Dispatcher {
 		l := &cell.Cell{Name: c, Picker: picker.Free{}, MaxQueue: maxQueued}
 		return &local.Dispatcher{
 			Cell:       l,
@@ -160,6 +161,12 @@
 			Poison:     suspects,
 		}
 	}}
+	s.Heard = func(b snipefront.BackendServer, n notice.Notice, err error) {
+		logger.Info("backend server drains or asks for a pause", "server", b.Name, "service", b.Service, "incarnation", b.Incarnation,
+			"draining", n.Draining, "pause", n.Pause, "error", err)
+		set.Hear(time.Now(), b, n)
+	}
+	return set
 }
 
 func newMember(s setup.Settings, instance snipefront.Instance, members controlMembers, client *peers.Client, cellSet *cells.Set, logger *slog.Logger) *member.Member {
--- a/internal/dispatch/cell/cell.go
+++ b/internal/dispatch/cell/cell.go
@@ -47,6 +47,8 @@
 	// superseded holds the earlier announcements of backend servers that have changed
 	// their address, until Expire returns them.
 	superseded []snipefront.BackendServer
+	// withdrawn holds what backend servers had said before their announcements ended, by name.
+	withdrawn map[string]withdrawal
 	// order lists the backend servers in the order of their first announcements.
 	order []*server
 	queue queue
@@ -68,6 +70,8 @@
 	inFlight  int
 	// lastContact is when it last answered, was last probed, or started.
 	lastContact time.Time
+	// withdrawn is what the incarnation has said in its answers.
+	withdrawn withdrawal
 }
 
 // Announce applies the announcement of a backend server. It ignores one of an older
@@ -81,13 +85,16 @@
 	s := c.servers[b.Name]
 	switch {
 	case s == nil:
-		s = &server{}
+		s = &server{withdrawn: c.recall(b)}
 		c.servers[b.Name] = s
 		c.order = append(c.order, s)
 		c.beginColdStart(now, s, b)
 	case b.Incarnation < s.announced.Incarnation:
 		return
 	case b.Incarnation > s.announced.Incarnation || b.Address != s.announced.Address:
+		if b.Incarnation > s.announced.Incarnation {
+			s.withdrawn = withdrawal{}
+		}
 		c.beginColdStart(now, s, b)
 		if b.Address != s.announced.Address {
 			c.superseded = append(c.superseded, s.announced)
@@ -165,6 +172,7 @@
 			kept = append(kept, s)
 			continue
 		}
+		c.remember(now, s)
 		delete(c.servers, s.announced.Name)
 		removed = append(removed, s.announced)
 	}
--- a/internal/dispatch/cell/choose.go
+++ b/internal/dispatch/cell/choose.go
@@ -19,9 +19,10 @@
 	tiers
 )
 
-// acceptsRequests reports whether s is neither draining nor expired.
+// acceptsRequests reports whether s is neither draining nor expired, and has not asked for a
+// pause.
 func (s *server) acceptsRequests(now time.Time) bool {
-	return !s.announced.Draining && now.Before(s.announced.Expires)
+	return !s.announced.Draining && !s.withdrawn.rests(now) && now.Before(s.announced.Expires)
 }
 
 // pick returns the backend server for the next request, or nil. It uses a suspended one
--- a/internal/dispatch/cell/load.go
+++ b/internal/dispatch/cell/load.go
@@ -85,8 +85,10 @@
 		return "not owner"
 	case c.rules.Out:
 		return "data centre out"
-	case s.announced.Draining:
+	case s.announced.Draining || s.withdrawn.draining:
 		return "draining"
+	case s.withdrawn.rests(now):
+		return "paused"
 	case !now.Before(s.announced.Expires):
 		return "announcement lapsed"
 	case s.inFlight >= s.limiter.Limit():
--- a/internal/dispatch/cell/queue.go
+++ b/internal/dispatch/cell/queue.go
@@ -163,7 +163,7 @@
 		return
 	}
 	if !c.anyAccepts(now, nil) {
-		c.refuseAll(noBackendServer())
+		c.refuseAll(c.noBackendServer(now))
 		return
 	}
 	var skipped []*waiter
--- a/internal/dispatch/cell/slot.go
+++ b/internal/dispatch/cell/slot.go
@@ -114,7 +114,7 @@
 		return snipefront.Refused(snipefront.ReasonDeadline, 0, "the deadline has passed")
 	}
 	if !c.anyAccepts(now, r.Avoid) {
-		return noBackendServer()
+		return c.noBackendServer(now)
 	}
 	return nil
 }
@@ -129,8 +129,10 @@
 	return false
 }
 
-func noBackendServer() *snipefront.Error {
-	return snipefront.Refused(snipefront.ReasonNoBackendServer, retryLater, "no backend server of the cell accepts the request")
+// noBackendServer returns the refusal of a request that no backend server accepts. The lock
+// is held.
+func (c *Cell) noBackendServer(now time.Time) *snipefront.Error {
+	return snipefront.Refused(snipefront.ReasonNoBackendServer, c.comeBack(now), "no backend server of the cell accepts the request")
 }
 
 // await waits until w gets a slot, is refused, is canceled or expires.
--- a/internal/dispatch/cells/cells.go
+++ b/internal/dispatch/cells/cells.go
@@ -20,6 +20,7 @@
 	"github.com/snipefront/snipefront/internal/control/member"
 	"github.com/snipefront/snipefront/internal/dispatch/cell"
 	"github.com/snipefront/snipefront/internal/dispatch/local"
+	"github.com/snipefront/snipefront/internal/dispatch/notice"
 )
 
 // expiryInterval is the time between two checks whether announcements or the lease of the
@@ -70,6 +71,13 @@
 	return list
 }
 
+// Hear records what an answer of b says of it.
+func (s *Set) Hear(now time.Time, b snipefront.BackendServer, n notice.Notice) {
+	if d := s.Get(snipefront.Cell{Service: b.Service, DataCentre: b.DataCentre}); d != nil {
+		d.Cell.Hear(now, b, n)
+	}
+}
+
 // Announce applies the announcement of a backend server and returns the time until the
 // announcement expires.
 func (s *Set) Announce(now time.Time, b snipefront.BackendServer) time.Duration {
--- a/internal/dispatch/direct/notice_test.go
+++ b/internal/dispatch/direct/notice_test.go
@@ -12,6 +12,7 @@
 	"github.com/snipefront/snipefront"
 	"github.com/snipefront/snipefront/internal/control/fleet"
 	"github.com/snipefront/snipefront/internal/dispatch/health"
+	"github.com/snipefront/snipefront/internal/dispatch/notice"
 )
 
 // The users' rules on what backend servers say beside their answers, as these tests count
@@ -110,7 +111,7 @@
 		return false
 	}
 	l.fleet.notices.pause(l, p, left)
-	t.Hear(health.Notice{Pause: left})
+	t.Hear(notice.Notice{Pause: left})
 	return true
 }
 
@@ -121,7 +122,7 @@
 	l.fleet.mu.Unlock()
 	if leaving {
 		l.fleet.notices.leave(l, p)
-		t.Hear(health.Notice{Draining: true})
+		t.Hear(notice.Notice{Draining: true})
 	}
 }
 
--- a/internal/dispatch/health/notice.go
+++ b/internal/dispatch/health/notice.go
@@ -1,70 +1,22 @@
 package health
 
 import (
-	"math"
-	"math/rand/v2"
-	"net/http"
-	"strconv"
-	"strings"
 	"time"
 
-	"github.com/pkg/errors"
-
-	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/dispatch/notice"
 )
 
 const (
-	// maxPause bounds the pause for which a backend server may ask.
-	maxPause = 10 * time.Minute
-	// pauseSpread is the largest share of a pause by which this instance waits longer, and
-	// maxPauseSpread the longest such time. Many instances may be asked at the same moment.
-	pauseSpread    = 0.25
-	maxPauseSpread = time.Second
 	// maxWithdrawn bounds the states of withdrawn backend servers that have left the view, and
 	// withdrawnTime is how long they are kept.
 	maxWithdrawn  = 1024
-	withdrawnTime = maxPause
-)
-
-// Notice is what the header of an answer says of its backend server, whatever the answer is.
-type Notice struct {
-	// Draining is true if the backend server accepts no new requests any more.
-	Draining bool
-	// Pause is the time for which it wants nothing from this instance.
-	Pause time.Duration
-}
-
-// ErrPauseUnreadable means that a backend server asked for a pause whose length can't be
-// read, and ErrPauseTooLong that the length was bounded.
-var (
-	ErrPauseUnreadable = errors.New("pause that can't be read")
-	ErrPauseTooLong    = errors.New("pause over the limit")
+	withdrawnTime = 10 * time.Minute
 )
 
-// ParseNotice parses the notice of an answer with the given status and header. It returns a
-// notice also beside an error, which only concerns the pause.
-func ParseNotice(f snipefront.HeaderFields, status int, h http.Header) (Notice, error) {
-	n := Notice{Draining: f.Draining != "" && h.Get(f.Draining) == "1"}
-	text := strings.TrimSpace(h.Get("Retry-After"))
-	if status != http.StatusServiceUnavailable || text == "" {
-		return n, nil
-	}
-	seconds, err := strconv.ParseFloat(text, 64)
-	switch {
-	case err != nil && !errors.Is(err, strconv.ErrRange), math.IsNaN(seconds), seconds < 0:
-		return n, errors.WithMessage(ErrPauseUnreadable, text)
-	case seconds > maxPause.Seconds():
-		n.Pause = maxPause
-		return n, errors.WithMessage(ErrPauseTooLong, text)
-	}
-	n.Pause = time.Duration(seconds * float64(time.Second))
-	return n, nil
-}
-
 // Hear records the notice of an answer of t. A backend server that drains does so until its
 // incarnation ends, and a pause is never shortened.
-func (t *Target) Hear(n Notice) {
-	if n == (Notice{}) {
+func (t *Target) Hear(n notice.Notice) {
+	if n == (notice.Notice{}) {
 		return
 	}
 	now := time.Now()
@@ -72,21 +24,19 @@
 	first := n.Draining && !t.draining
 	t.draining = t.draining || n.Draining
 	if n.Pause > 0 {
-		t.pause(now, n.Pause)
+		t.pause(n.End(now))
 	}
 	t.mu.Unlock()
 	if first {
 		t.set.startDraining(t)
 	}
 	if t.set.Logger != nil && (first || n.Pause > 0) {
-		t.set.Logger.Info("backend server withdraws", "server", t.Server.Name, "service", t.Server.Service, "incarnation", t.Server.Incarnation, "draining", n.Draining, "pause", n.Pause)
+		t.set.Logger.Info("backend server drains or asks for a pause", "server", t.Server.Name, "service", t.Server.Service, "incarnation", t.Server.Incarnation, "draining", n.Draining, "pause", n.Pause)
 	}
 }
 
-// pause lets t rest for the given time. The lock is held.
-func (t *Target) pause(now time.Time, length time.Duration) {
-	spread := min(time.Duration(pauseSpread*float64(length)), maxPauseSpread)
-	until := now.Add(length + time.Duration(rand.Int64N(int64(spread)+1)))
+// pause lets t rest until the given time. The lock is held.
+func (t *Target) pause(until time.Time) {
 	if until.After(t.pausedUntil) {
 		t.pausedUntil = until
 	}
--- a/internal/dispatch/health/notice_test.go
+++ b/internal/dispatch/health/notice_test.go
@@ -1,49 +1,15 @@
 package health_test
 
 import (
-	"net/http"
 	"testing"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/snipefront/snipefront"
 	"github.com/snipefront/snipefront/internal/control/fleet"
 	"github.com/snipefront/snipefront/internal/dispatch/health"
+	"github.com/snipefront/snipefront/internal/dispatch/notice"
 )
 
-// TestPauseIsParsed guards against a pause that is ignored since it has a fraction, and one
-// that lasts for ever, or ends at once, since its length is absurd.
-func TestPauseIsParsed(t *testing.T) {
-	const longest = 10 * time.Minute
-	for text, test := range map[string]struct {
-		status int
-		want   time.Duration
-		err    error
-	}{
-		"2":                             {503, 2 * time.Second, nil},
-		"0.25":                          {503, 250 * time.Millisecond, nil},
-		" 1.5 ":                         {503, 1500 * time.Millisecond, nil},
-		"0":                             {503, 0, nil},
-		"":                              {503, 0, nil},
-		"600.5":                         {503, longest, health.ErrPauseTooLong},
-		"1e300":                         {503, longest, health.ErrPauseTooLong},
-		"1e999":                         {503, longest, health.ErrPauseTooLong},
-		"Inf":                           {503, longest, health.ErrPauseTooLong},
-		"-1":                            {503, 0, health.ErrPauseUnreadable},
-		"NaN":                           {503, 0, health.ErrPauseUnreadable},
-		"soon":                          {503, 0, health.ErrPauseUnreadable},
-		"Wed, 21 Oct 2026 07:28:00 GMT": {503, 0, health.ErrPauseUnreadable},
-		"3":                             {429, 0, nil},
-		"4":                             {200, 0, nil},
-	} {
-		n, err := health.ParseNotice(snipefront.HeaderFields{}, test.status, http.Header{"Retry-After": {text}})
-		if n.Pause != test.want || !errors.Is(err, test.err) {
-			t.Errorf("%q with status %d asks for %v, %v, want %v, %v", text, test.status, n.Pause, err, test.want, test.err)
-		}
-	}
-}
-
 // sharedDraining records which backend servers are shared as draining.
 type sharedDraining struct {
 	health.Sharer
@@ -74,7 +40,7 @@
 		"an older incarnation": {server("s", 4, "x"), true},
 	} {
 		for _, lostBefore := range []bool{false, true} {
-			for _, n := range []health.Notice{{Draining: true}, {Pause: time.Minute}} {
+			for _, n := range []notice.Notice{{Draining: true}, {Pause: time.Minute}} {
 				shared := &sharedDraining{}
 				set := &health.Set{Sharer: shared}
 				update := func(list ...fleet.Server) {
@@ -112,7 +78,7 @@
 	n.Name, n.Service, n.Slots = "s", "a", 4
 	set.Update(time.Now(), fleet.View{Servers: map[string]fleet.Server{"s": n}}, &snipefront.Routing{Services: map[string]snipefront.ServiceProfile{"a": {Name: "a"}}})
 	target, _ := set.Current("s")
-	target.Hear(health.Notice{Pause: time.Second})
+	target.Hear(notice.Notice{Pause: time.Second})
 	reserve := func(after time.Duration) bool {
 		return target.Reserve(time.Now().Add(after), 0, health.Priority{})
 	}
--- a/internal/dispatch/link/link.go
+++ b/internal/dispatch/link/link.go
@@ -14,6 +14,7 @@
 	"github.com/snipefront/snipefront"
 	"github.com/snipefront/snipefront/internal/dispatch/direct"
 	"github.com/snipefront/snipefront/internal/dispatch/health"
+	"github.com/snipefront/snipefront/internal/dispatch/notice"
 	"github.com/snipefront/snipefront/internal/dispatch/pool"
 	"github.com/snipefront/snipefront/internal/dispatch/quota"
 	"github.com/snipefront/snipefront/internal/rpc/bound"
@@ -109,7 +110,7 @@
 		if name := h.Get(l.Fields.Server); status == http.StatusMisdirectedRequest || name != "" && name != t.Server.Name {
 			return
 		}
-		n, err := health.ParseNotice(l.Fields, status, h)
+		n, err := notice.Parse(l.Fields.Draining, status, h)
 		if err != nil {
 			l.Logger.Warn("backend server asks for a pause of no usable length", "server", t.Server.Name, "service", t.Server.Service, "used", n.Pause, "error", err)
 		}
--- a/internal/dispatch/sender/sender.go
+++ b/internal/dispatch/sender/sender.go
@@ -29,6 +29,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/dispatch/notice"
 	"github.com/snipefront/snipefront/internal/rpc/bound"
 	"github.com/snipefront/snipefront/internal/rpc/conns"
 	"github.com/snipefront/snipefront/internal/rpc/writes"
@@ -40,6 +41,9 @@
 	// AttemptHeader carries the id of an attempt. If a backend server echoes it in its
 	// answers, an answer to another attempt is detected.
 	AttemptHeader = "X-Request-Attempt"
+	// DrainingHeader is 1 in the answers of a backend server that accepts no new requests any
+	// more.
+	DrainingHeader = "X-Draining"
 )
 
 const (
@@ -69,6 +73,10 @@
 	// a tenth of a second.
 	OverdueFloor time.Duration
 
+	// Heard is called with what an answer of b says of b, or why that can't be used. It may be
+	// nil.
+	Heard func(b snipefront.BackendServer, n notice.Notice, err error)
+
 	upstreams sync.Map
 }
 
@@ -159,6 +167,7 @@
 	resp, err := c.transport.RoundTrip(req)
 	if err == nil {
 		defer resp.Body.Close()
+		s.hear(c.server, resp.StatusCode, resp.Header)
 	}
 	if t.Unsolicited() || err == nil && isMismatched(req, resp) {
 		c.upstream.DisableReuse()
@@ -170,6 +179,16 @@
 	return s.readAnswer(c.server, resp, c.service.RefusalStatuses)
 }
 
+// hear takes over what the head of an answer of b says of b.
+func (s *Sender) hear(b snipefront.BackendServer, status int, h http.Header) {
+	if s.Heard == nil {
+		return
+	}
+	if n, err := notice.Parse(DrainingHeader, status, h); n != (notice.Notice{}) || err != nil {
+		s.Heard(b, n, err)
+	}
+}
+
 // isMismatched reports whether resp echoes the id of another attempt than req. It
 // removes the id from the header.
 func isMismatched(req *http.Request, resp *http.Response) bool {
--- a/internal/dispatch/sender/upstream.go
+++ b/internal/dispatch/sender/upstream.go
@@ -102,5 +102,5 @@
 func (s *Sender) Probe(ctx context.Context, b snipefront.BackendServer, path string) bool {
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
-	return conns.Probe(ctx, "http://"+b.Address+path)
+	return conns.Probe(ctx, "http://"+b.Address+path, func(status int, h http.Header) { s.hear(b, status, h) })
 }
--- a/internal/rpc/conns/conns.go
+++ b/internal/rpc/conns/conns.go
@@ -131,8 +131,9 @@
 }
 
 // Probe reports whether a GET of the URL over a new connection is answered completely,
-// with a body of at most maxProbeBytes and a status below 500.
-func Probe(ctx context.Context, url string) bool {
+// with a body of at most maxProbeBytes and a status below 500. It calls heard with the head
+// of the answer, unless heard is nil.
+func Probe(ctx context.Context, url string, heard func(status int, h http.Header)) bool {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return false
@@ -143,6 +144,9 @@
 		return false
 	}
 	defer resp.Body.Close()
+	if heard != nil {
+		heard(resp.StatusCode, resp.Header)
+	}
 	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxProbeBytes+1))
 	return err == nil && n <= maxProbeBytes && resp.StatusCode < http.StatusInternalServerError
 }
--- a/internal/stand/server/handle.go
+++ b/internal/stand/server/handle.go
@@ -28,6 +28,9 @@
 		w.Header().Set(headerAttempt, id)
 	}
 	s.awaitUnfrozen(r.Context().Done())
+	if s.rests(w) {
+		return
+	}
 	if s.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -139,9 +142,25 @@
 	http.Error(w, "fallen over", http.StatusInternalServerError)
 }
 
-// refuse answers a request that has not run and will not run.
+// rests says in the header of an answer what the mode tells. If that is a pause, it also
+// refuses the request and returns true.
+func (s *Server) rests(w http.ResponseWriter) bool {
+	m := s.currentMode()
+	if m.Leaving {
+		w.Header().Set(headerDraining, "1")
+	}
+	if m.PauseMillis <= 0 {
+		return false
+	}
+	pause := time.Duration(m.PauseMillis) * time.Millisecond
+	w.Header().Set("Retry-After", strconv.FormatFloat(pause.Seconds(), 'f', -1, 64))
+	refuse(w)
+	return true
+}
+
+// refuse answers a request that has not run and will not run. It asks for no pause: a server
+// that is full now has room again within milliseconds.
 func refuse(w http.ResponseWriter) {
-	w.Header().Set("Retry-After", retryAfterSeconds)
 	http.Error(w, "not run", http.StatusServiceUnavailable)
 }
 
--- a/internal/stand/server/mode.go
+++ b/internal/stand/server/mode.go
@@ -20,6 +20,12 @@
 	Shed bool
 	// Draining refuses each request and announces that the server is draining.
 	Draining bool
+	// Leaving says in all answers that the server drains, while its announcements say that it
+	// doesn't.
+	Leaving bool
+	// PauseMillis refuses each request, those to the probe path included, and asks for a pause
+	// of so many milliseconds. Zero means that the server doesn't.
+	PauseMillis int
 	// Slow multiplies the service times. Zero means 1.
 	Slow float64
 	// Frozen leaves requests and probes unanswered and stops the announcements. When
@@ -61,7 +67,7 @@
 		s.period = s.newPeriod(time.Now())
 	}
 	s.mu.Unlock()
-	s.Log.Info("mode changed", "name", s.Name, "shed", m.Shed, "draining", m.Draining, "slow", m.Slow, "frozen", m.Frozen,
+	s.Log.Info("mode changed", "name", s.Name, "shed", m.Shed, "draining", m.Draining, "leaving", m.Leaving, "pauseMillis", m.PauseMillis, "slow", m.Slow, "frozen", m.Frozen,
 		"silent_old", m.SilentOld, "cold", m.Cold, "truncate", m.Truncate, "cross", m.Cross, "crash", m.Crash, "endless", m.Endless)
 	if drainingChanged {
 		s.announceSoon()
@@ -164,6 +170,9 @@
 
 func (s *Server) serveHealth(w http.ResponseWriter, r *http.Request) {
 	s.delayProbe(r.Context())
+	if s.rests(w) {
+		return
+	}
 	if !s.writeEndless(w) {
 		w.WriteHeader(http.StatusOK)
 	}
--- a/internal/stand/server/server.go
+++ b/internal/stand/server/server.go
@@ -34,10 +34,10 @@
 	defaultFallOverFor   = 500 * time.Millisecond
 	readHeaderTimeout    = 10 * time.Second
 	maxBodyBytes         = 1 << 20
-	retryAfterSeconds    = "1"
 	headerRequestID      = "X-Request-Id"
 	headerTimeout        = "X-Request-Timeout"
 	headerAttempt        = "X-Request-Attempt"
+	headerDraining       = "X-Draining"
 	headerIdempotencyKey = "Idempotency-Key"
 	headerCrash          = "X-Stand-Crash"
 	headerName           = "X-Stand-Name"
