poison: share at once that a suspect is answered all the time

Cause: an instance that learns of a crash of a request which it has seen answered just before shares that, but let it wait up to 0.1 s for other releases. A second crash within that time begins a quarantine, and each lasts for some three callers.

Why this works: such a release doesn't wait any more. In an outage only popular requests have any; those of a request's own answer wait as before.

--- a/internal/request/poison/share.go
+++ b/internal/request/poison/share.go
@@ -84,7 +84,8 @@
 			g.prove(now, r.Fingerprint, s, "answered at another instance")
 		}
 		if own := g.merge(now, r); len(own) > 0 {
-			answered = append(answered, Record{Fingerprint: r.Fingerprint, Answered: own, Left: suspectTime})
+			// The next crash would quarantine a request that others answer all the time.
+			answered = append(answered, Record{Fingerprint: r.Fingerprint, Answered: own, Left: quarantineTime})
 		}
 	}
 	g.mu.Unlock()
