poison: repeat a trial run that has shown nothing

A server error proves nothing, so a trial run that got one neither released the request nor was anything else tried before the next minute.

Why this works: while only the two crashes are known that began the quarantine, a trial run that neither released the request nor crashed a backend server is repeated after a second, three times at most.

TestTrialRunsOfQuarantinedRequest asked for a minute after a trial run with no result; it now asks for that after one that crashed a backend server, with the same times and number, and counts the repeats.

--- a/internal/dispatch/direct/crashserver_test.go
+++ b/internal/dispatch/direct/crashserver_test.go
@@ -289,6 +289,8 @@
 			return
 		case <-dropped:
 			return
+		case <-f.ctx.Done():
+			return
 		case <-time.After(work):
 		}
 		if crashes {
--- a/internal/dispatch/direct/crashsoak_test.go
+++ b/internal/dispatch/direct/crashsoak_test.go
@@ -69,6 +69,49 @@
 	}
 }
 
+// hideCrashes lets backend servers fail some requests while they run on, the callers of
+// requests that crash them leave early, and backend servers say that they leave or ask for
+// pauses, all at random.
+func (f *crashFleet) hideCrashes(random *rand.Rand, length time.Duration) {
+	ms := func(least, most int) time.Duration {
+		return time.Duration(least+random.IntN(most-least)) * time.Millisecond
+	}
+	f.crashAfter = ms(5, 300)
+	if random.IntN(2) == 0 {
+		f.fails = someFail(f, 1+random.IntN(4), 0.1+0.4*random.Float64(), []failure{serverError, reset}[random.IntN(2)])
+	}
+	if random.IntN(2) == 0 {
+		f.patience, f.worksOn = ms(30, 400), true
+	}
+	for at := time.Second; at < length; at += ms(500, 4000) {
+		s, rest := f.randomServer(random), ms(100, 5000)
+		leaves := random.IntN(3) == 0
+		time.AfterFunc(at, func() {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			if leaves {
+				s.leaving = true
+				return
+			}
+			s.restUntil = time.Now().Add(rest)
+		})
+	}
+}
+
+// TestHiddenCrashesUnderRandomEvents guards against the same as TestCrashesUnderRandomEvents
+// where backend servers fail requests and run on, callers leave before the crash, and
+// backend servers leave or ask for pauses in their answers.
+func TestHiddenCrashesUnderRandomEvents(t *testing.T) {
+	for seed := range *soakSeeds {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			soakCrashes(t, seed, func(f *crashFleet, length time.Duration) {
+				f.hideCrashes(rand.New(rand.NewPCG(seed, 28)), length)
+			})
+		})
+	}
+}
+
 // TestCrashesUnderRandomEvents guards against a request that crashes backend servers and
 // gets through, further attempts beyond their limits, and harmless requests that are
 // refused, where events come in series and overlap.
@@ -76,22 +119,30 @@
 	for seed := range *soakSeeds {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
-			synctest.Test(t, func(t *testing.T) {
-				f := newCrashFleet(siteCrashSize)
-				random := rand.New(rand.NewPCG(seed, 25))
-				if random.IntN(3) == 0 {
-					lateNews(f)
-				}
-				const length = 40 * time.Second
-				for at := time.Second; at < length; at += time.Duration(random.Int64N(int64(1500 * time.Millisecond))) {
-					event := crashSoakEvents[random.IntN(len(crashSoakEvents))]
-					details := rand.New(rand.NewPCG(seed, uint64(at)))
-					time.AfterFunc(at, func() { event(f, details) })
-				}
-				f.run(t, length, 100)
-				f.checkBudget(t)
-				f.checkHarmless(t, soakHarmless)
-			})
+			soakCrashes(t, seed, func(*crashFleet, time.Duration) {})
 		})
 	}
 }
+
+// soakCrashes plays a day of random events, to which the function adds others.
+func soakCrashes(t *testing.T, seed uint64, add func(f *crashFleet, length time.Duration)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := newCrashFleet(siteCrashSize)
+		random := rand.New(rand.NewPCG(seed, 25))
+		if random.IntN(3) == 0 {
+			lateNews(f)
+		}
+		const length = 40 * time.Second
+		add(f, length)
+		for at := time.Second; at < length; at += time.Duration(random.Int64N(int64(1500 * time.Millisecond))) {
+			event := crashSoakEvents[random.IntN(len(crashSoakEvents))]
+			details := rand.New(rand.NewPCG(seed, uint64(at)))
+			time.AfterFunc(at, func() { event(f, details) })
+		}
+		f.run(t, length, 100)
+		f.checkBudget(t)
+		f.checkHarmless(t, soakHarmless)
+		f.checkNotices(t)
+	})
+}
--- a/internal/request/poison/answers.go
+++ b/internal/request/poison/answers.go
@@ -1,6 +1,9 @@
 package poison
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// answerMemory is the least time for which a complete answer to a request is
@@ -58,3 +61,56 @@
 	a.begun = now
 	a.current, a.previous = map[uint64][]Software{}, a.current
 }
+
+// Answered records the answer a to f, which shows a complete run (see
+// snipefront.ShowsCompleteRun), and so that f does not crash each backend server with the
+// same software. Crashes of those don't count any more, at all instances. If no others are
+// left, f is released.
+func (g *Register) Answered(now time.Time, f uint64, a Answer) {
+	if g == nil {
+		return
+	}
+	software := a.Server.Software()
+	g.mu.Lock()
+	g.answers.add(now, f, software)
+	crashed := 0
+	if e := g.suspects[f]; e != nil {
+		crashed = len(e.crashed)
+	}
+	changed := g.prove(now, f, software, a.String())
+	g.mu.Unlock()
+	if changed {
+		g.share(Record{Fingerprint: f, Answered: []Software{software}, Left: RecordLifetime(crashed)})
+	}
+}
+
+// prove records that the software has answered f, and reports whether that changed what is
+// known of f. The lock is held.
+func (g *Register) prove(now time.Time, f uint64, software Software, why string) bool {
+	e := g.suspects[f]
+	if e == nil {
+		return false
+	}
+	left := WithoutSoftware(e.crashed, software)
+	if len(left) == 0 {
+		return g.release(now, f, why)
+	}
+	if len(left) == len(e.crashed) && slices.Contains(e.proven, software) {
+		return false
+	}
+	e.crashed, e.proven = left, addSoftware(e.proven, software)
+	g.report(now, EventProven, why, f, e)
+	return true
+}
+
+// Proven reports whether the software has answered f since f became a suspect, and hasn't
+// crashed since, so that f may run on it though it is quarantined.
+func (g *Register) Proven(f uint64, software Software) bool {
+	if g == nil || !g.active.Load() {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	e := g.suspects[f]
+	return e != nil && coveredBy(e.proven, software)
+}
--- a/internal/request/poison/events.go
+++ b/internal/request/poison/events.go
@@ -96,7 +96,7 @@
 
 // evidence returns what is known of the suspect.
 func (e *suspect) evidence(now time.Time) Evidence {
-	return Evidence{Crashed: append([]Server(nil), e.crashed...), Age: now.Sub(e.lastCrash), Left: e.expires.Sub(now), Proven: e.proven, Trials: e.trials}
+	return Evidence{Crashed: append([]Server(nil), e.crashed...), Age: now.Sub(e.lastCrash), Left: e.expires.Sub(now), Proven: e.proven, Trials: e.trials.granted}
 }
 
 // report counts and logs an event of the suspect f. The lock is held.
--- a/internal/request/poison/poison.go
+++ b/internal/request/poison/poison.go
@@ -117,9 +117,7 @@
 	expires time.Time
 	// lastCrash is when this instance learned of the last crash.
 	lastCrash time.Time
-	// trials counts the trial runs that were granted, the last one at lastTrial.
-	trials    int
-	lastTrial time.Time
+	trials    trialRuns
 }
 
 // identity identifies a backend server across its incarnations.
@@ -152,59 +150,6 @@
 	return snipefront.Refused(snipefront.ReasonQuarantined, left, "two backend servers crashed while this request was in flight; this resend was not run")
 }
 
-// Answered records the answer a to f, which shows a complete run (see
-// snipefront.ShowsCompleteRun), and so that f does not crash each backend server with the
-// same software. Crashes of those don't count any more, at all instances. If no others are
-// left, f is released.
-func (g *Register) Answered(now time.Time, f uint64, a Answer) {
-	if g == nil {
-		return
-	}
-	software := a.Server.Software()
-	g.mu.Lock()
-	g.answers.add(now, f, software)
-	crashed := 0
-	if e := g.suspects[f]; e != nil {
-		crashed = len(e.crashed)
-	}
-	changed := g.prove(now, f, software, a.String())
-	g.mu.Unlock()
-	if changed {
-		g.share(Record{Fingerprint: f, Answered: []Software{software}, Left: RecordLifetime(crashed)})
-	}
-}
-
-// prove records that the software has answered f, and reports whether that changed what is
-// known of f. The lock is held.
-func (g *Register) prove(now time.Time, f uint64, software Software, why string) bool {
-	e := g.suspects[f]
-	if e == nil {
-		return false
-	}
-	left := WithoutSoftware(e.crashed, software)
-	if len(left) == 0 {
-		return g.release(now, f, why)
-	}
-	if len(left) == len(e.crashed) && slices.Contains(e.proven, software) {
-		return false
-	}
-	e.crashed, e.proven = left, addSoftware(e.proven, software)
-	g.report(now, EventProven, why, f, e)
-	return true
-}
-
-// Proven reports whether the software has answered f since f became a suspect, and hasn't
-// crashed since, so that f may run on it though it is quarantined.
-func (g *Register) Proven(f uint64, software Software) bool {
-	if g == nil || !g.active.Load() {
-		return false
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	e := g.suspects[f]
-	return e != nil && coveredBy(e.proven, software)
-}
-
 // release ends the suspicion of f and reports whether there was one. The lock is held.
 func (g *Register) release(now time.Time, f uint64, why string) bool {
 	e := g.suspects[f]
@@ -268,6 +213,7 @@
 	e.crashed = append(e.crashed, s)
 	e.proven = slices.DeleteFunc(slices.Clone(e.proven), s.Software().covers)
 	e.lastCrash = now
+	e.trials.addCrash()
 	if left == 0 {
 		left = RecordLifetime(len(e.crashed))
 	}
--- a/internal/request/poison/poison_test.go
+++ b/internal/request/poison/poison_test.go
@@ -232,12 +232,29 @@
 
 // TestTrialRunsOfQuarantinedRequest guards against a harmless request that stays refused
 // after an outage, and against one that crashes backend servers and gets one trial run
-// after the other: each comes later than the last one, and there are three.
+// after the other: each comes later than the last one, and there are three. It also guards
+// against a harmless request that stays refused since its trial run met a backend server
+// that failed it, and showed nothing: the first is repeated three times.
 func TestTrialRunsOfQuarantinedRequest(t *testing.T) {
+	for name, test := range map[string]struct {
+		crashes bool
+		delays  []time.Duration
+	}{
+		"each crashes a backend server": {true, []time.Duration{200 * time.Millisecond, time.Minute, 10 * time.Minute}},
+		"none shows anything":           {false, []time.Duration{200 * time.Millisecond, time.Second, time.Second, time.Second, time.Minute, 10 * time.Minute}},
+	} {
+		t.Run(name, func(t *testing.T) { checkTrialRuns(t, test.delays, test.crashes) })
+	}
+}
+
+// checkTrialRuns checks that a quarantined request gets a trial run after each of the delays,
+// and no other. Each crashes a backend server if crashes is true.
+func checkTrialRuns(t *testing.T, delays []time.Duration, crashes bool) {
+	t.Helper()
 	g := quarantined(start)
 	g.Trials = true
 	now := start
-	for trial, delay := range []time.Duration{200 * time.Millisecond, time.Minute, 10 * time.Minute} {
+	for trial, delay := range delays {
 		if a, left := g.Admit(now, 1); a != poison.Quarantined || left < delay {
 			t.Fatalf("admission %d for %v, want a quarantine until trial run %d", a, left, trial+1)
 		}
@@ -247,6 +264,10 @@
 		now = now.Add(delay)
 		expectAdmission(t, g, now, 1, poison.Trial)
 		g.Merge(now, []poison.Record{{Fingerprint: 1, Trials: trial + 1, Left: time.Minute}})
+		if s := server("t", uint64(trial+1)); crashes {
+			g.ConnectionBroke(now, 1, s)
+			g.Crashed(now, s)
+		}
 		expectAdmission(t, g, now, 1, poison.Quarantined)
 	}
 	for range 100 {
--- a/internal/request/poison/share.go
+++ b/internal/request/poison/share.go
@@ -107,7 +107,7 @@
 		}
 	}
 	if e := g.suspects[r.Fingerprint]; e != nil {
-		e.addTrials(now, r.Trials)
+		e.trials.add(now, r.Trials)
 	}
 	if len(r.Crashed) == 0 {
 		return nil
@@ -123,5 +123,5 @@
 // record returns the record of the suspect f. The lock is held.
 func (g *Register) record(now time.Time, f uint64) Record {
 	e := g.suspects[f]
-	return Record{Fingerprint: f, Crashed: slices.Clone(e.crashed), Answered: e.proven, Trials: e.trials, Left: e.expires.Sub(now)}
+	return Record{Fingerprint: f, Crashed: slices.Clone(e.crashed), Answered: e.proven, Trials: e.trials.granted, Left: e.expires.Sub(now)}
 }
