--- a/internal/daemon/core/core.go
+++ b/internal/daemon/core/core.go
@@ -34,6 +34,10 @@
 	// lease is the time base of the log: the heartbeat interval is a 15th of it and the
 	// election timeout a 5th. No instance of such a fleet holds a lease.
 	lease = 4 * time.Second
+	// snapshotEntries and snapshotBytes are the minimum growth of the log between two
+	// snapshots: what a replica replays after a start while the whole fleet registers again.
+	snapshotEntries = 1024
+	snapshotBytes   = 256 << 10
 	// tryTimeout bounds one call to one control instance.
 	tryTimeout = 400 * time.Millisecond
 )
@@ -83,12 +87,16 @@
 		JoinOnly:  s.JoinOnly,
 		Leaseless: true,
 		Machine:   state,
-		Storage:   folder,
-		Saved:     saved,
-		Caller:    client,
-		Lease:     lease,
-		Random:    rand.Int64N,
-		Logger:    logger,
+
+		SnapshotEntries: snapshotEntries,
+		SnapshotBytes:   snapshotBytes,
+
+		Storage: folder,
+		Saved:   saved,
+		Caller:  client,
+		Lease:   lease,
+		Random:  rand.Int64N,
+		Logger:  logger,
 	}, nil
 }
 
