health: a notice outlives a change of the address; paused, withdrawn as the only words

What callers would have seen: a backend server that has said that it drains, and is registered at another address with the same incarnation, got requests again. Only a new incarnation ends what it has said.

--- a/internal/dispatch/cell/choose.go
+++ b/internal/dispatch/cell/choose.go
@@ -22,7 +22,7 @@
 // acceptsRequests reports whether s is neither draining nor expired, and has not asked for a
 // pause.
 func (s *server) acceptsRequests(now time.Time) bool {
-	return !s.announced.Draining && !s.withdrawn.rests(now) && now.Before(s.announced.Expires)
+	return !s.announced.Draining && !s.withdrawn.isActive(now) && now.Before(s.announced.Expires)
 }
 
 // pick returns the backend server for the next request, or nil. It uses a suspended one
--- a/internal/dispatch/cell/load.go
+++ b/internal/dispatch/cell/load.go
@@ -87,7 +87,7 @@
 		return "data centre out"
 	case s.announced.Draining || s.withdrawn.draining:
 		return "draining"
-	case s.withdrawn.rests(now):
+	case s.withdrawn.isActive(now):
 		return "paused"
 	case !now.Before(s.announced.Expires):
 		return "announcement lapsed"
--- a/internal/dispatch/cell/notice.go
+++ b/internal/dispatch/cell/notice.go
@@ -12,7 +12,7 @@
 	// returnSpread is the largest share of a pause by which a caller is asked to come back
 	// later than its end, so that not all come at the same moment.
 	returnSpread = 0.25
-	// maxWithdrawn bounds the backend servers that are remembered as draining or resting
+	// maxWithdrawn bounds the backend servers that are remembered as draining or paused
 	// after their announcements have expired.
 	maxWithdrawn = 256
 )
@@ -24,8 +24,8 @@
 	pausedUntil time.Time
 }
 
-// rests reports whether the backend server accepts no requests at now.
-func (w withdrawal) rests(now time.Time) bool { return w.draining || now.Before(w.pausedUntil) }
+// isActive reports whether the backend server accepts no requests at now for what it has said.
+func (w withdrawal) isActive(now time.Time) bool { return w.draining || now.Before(w.pausedUntil) }
 
 // Hear records what an answer of b says of it. That lasts for the incarnation of b.
 func (c *Cell) Hear(now time.Time, b snipefront.BackendServer, n notice.Notice) {
@@ -56,7 +56,7 @@
 
 // remember keeps what s has said beyond the end of its announcements. The lock is held.
 func (c *Cell) remember(now time.Time, s *server) {
-	if !s.withdrawn.rests(now) {
+	if !s.withdrawn.isActive(now) {
 		return
 	}
 	if c.withdrawn == nil {
--- a/internal/dispatch/health/notice.go
+++ b/internal/dispatch/health/notice.go
@@ -35,7 +35,7 @@
 	}
 }
 
-// pause lets t rest until the given time. The lock is held.
+// pause pauses t until the given time. The lock is held.
 func (t *Target) pause(until time.Time) {
 	if until.After(t.pausedUntil) {
 		t.pausedUntil = until
@@ -43,9 +43,9 @@
 	t.resuming, t.resumeSent = true, false
 }
 
-// isResting reports whether t may not receive a request at now: during a pause, and after it
+// isPaused reports whether t may not receive a request at now: during a pause, and after it
 // until the first request has been answered. The lock is held.
-func (t *Target) isResting(now time.Time) bool {
+func (t *Target) isPaused(now time.Time) bool {
 	return now.Before(t.pausedUntil) || t.resuming && t.resumeSent
 }
 
@@ -80,19 +80,20 @@
 	}
 }
 
-// withdrawal identifies the incarnation of a backend server at an address.
+// withdrawal identifies the incarnation of a backend server.
 type withdrawal struct {
-	name, address string
-	incarnation   uint64
+	name        string
+	incarnation uint64
 }
 
 // withdrawnState is the state of a backend server that has left the view.
 type withdrawnState struct {
 	*state
-	since time.Time
+	address string
+	since   time.Time
 }
 
-// keepWithdrawn keeps the states of the targets of old that drain or rest and are not in
+// keepWithdrawn keeps the states of the targets of old that drain or are paused and are not in
 // next: the fleet may lose them and register them again, with the same incarnation.
 func (s *Set) keepWithdrawn(now time.Time, old, next *targets) {
 	for key, w := range s.withdrawn {
@@ -110,15 +111,29 @@
 		if s.withdrawn == nil {
 			s.withdrawn = map[withdrawal]withdrawnState{}
 		}
-		s.withdrawn[keyOf(t.Server.Name, t.Server.Address, t.Server.Incarnation)] = withdrawnState{state: t.state, since: now}
+		s.withdrawn[withdrawal{t.Server.Name, t.Server.Incarnation}] = withdrawnState{state: t.state, address: t.Server.Address, since: now}
 	}
 }
 
-func keyOf(name, address string, incarnation uint64) withdrawal {
-	return withdrawal{name: name, address: address, incarnation: incarnation}
+// restoreNotice gives t, which has a new state, what its incarnation has said before: at the
+// address of previous, which may be nil, or before it left the view.
+func (s *Set) restoreNotice(t, previous *Target) {
+	w, ok := s.withdrawn[withdrawal{t.Server.Name, t.Server.Incarnation}]
+	if !ok && previous != nil && previous.Server.Incarnation == t.Server.Incarnation && t.Server.Incarnation != 0 {
+		w, ok = withdrawnState{state: previous.state, address: previous.Server.Address}, true
+	}
+	switch {
+	case !ok:
+	case w.address == t.Server.Address:
+		t.state = w.state
+	default:
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		t.draining, t.pausedUntil, t.resuming = w.draining, w.pausedUntil, w.resuming
+	}
 }
 
-// isWithdrawn reports whether t drains or rests.
+// isWithdrawn reports whether t drains or is paused.
 func (t *Target) isWithdrawn(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/dispatch/health/set.go
+++ b/internal/dispatch/health/set.go
@@ -138,9 +138,7 @@
 	}
 	if previous == nil || previous.Server.Incarnation != n.Incarnation || previous.Server.Address != n.Address {
 		t.state = &state{coldUntil: coldUntil(now, n)}
-		if w, ok := s.withdrawn[keyOf(n.Name, n.Address, n.Incarnation)]; ok {
-			t.state = w.state
-		}
+		s.restoreNotice(t, previous)
 		return t
 	}
 	t.state = previous.state
--- a/internal/dispatch/health/target.go
+++ b/internal/dispatch/health/target.go
@@ -158,7 +158,7 @@
 func (t *Target) Available(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return !now.Before(t.retryAt) && !t.isResting(now)
+	return !now.Before(t.retryAt) && !t.isPaused(now)
 }
 
 // HeardAt returns when the last load probe was sent that t has answered, or the zero time.
@@ -209,7 +209,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	cold := t.isCold(now)
-	if t.isResting(now) || cold && !t.coldTokens.HasToken(now, rate, coldBurst) || !t.quota.Take(now, t.urgency(p)) {
+	if t.isPaused(now) || cold && !t.coldTokens.HasToken(now, rate, coldBurst) || !t.quota.Take(now, t.urgency(p)) {
 		return false
 	}
 	t.resumeSent = t.resuming
--- a/internal/stand/server/handle.go
+++ b/internal/stand/server/handle.go
@@ -28,7 +28,7 @@
 		w.Header().Set(headerAttempt, id)
 	}
 	s.awaitUnfrozen(r.Context().Done())
-	if s.rests(w) {
+	if s.withdraws(w) {
 		return
 	}
 	if s.stopping.Load() {
@@ -142,9 +142,9 @@
 	http.Error(w, "fallen over", http.StatusInternalServerError)
 }
 
-// rests says in the header of an answer what the mode tells. If that is a pause, it also
+// withdraws says in the header of an answer what the mode tells. If that is a pause, it also
 // refuses the request and returns true.
-func (s *Server) rests(w http.ResponseWriter) bool {
+func (s *Server) withdraws(w http.ResponseWriter) bool {
 	m := s.currentMode()
 	if m.Leaving {
 		w.Header().Set(headerDraining, "1")
--- a/internal/stand/server/mode.go
+++ b/internal/stand/server/mode.go
@@ -170,7 +170,7 @@
 
 func (s *Server) serveHealth(w http.ResponseWriter, r *http.Request) {
 	s.delayProbe(r.Context())
-	if s.rests(w) {
+	if s.withdraws(w) {
 		return
 	}
 	if !s.writeEndless(w) {
