--- a/internal/dispatch/cell/cell.go
+++ b/internal/dispatch/cell/cell.go
@@ -47,7 +47,7 @@
 	// superseded holds the earlier announcements of backend servers that have changed
 	// their address, until Expire returns them.
 	superseded []snipefront.BackendServer
-	// withdrawn holds what backend servers had said before their announcements ended, by name.
+	// withdrawn holds the notices of backend servers whose announcements have expired, by name.
 	withdrawn map[string]withdrawal
 	// order lists the backend servers in the order of their first announcements.
 	order []*server
@@ -70,7 +70,7 @@
 	inFlight  int
 	// lastContact is when it last answered, was last probed, or started.
 	lastContact time.Time
-	// withdrawn is what the incarnation has said in its answers.
+	// withdrawn holds the notices of the incarnation.
 	withdrawn withdrawal
 }
 
--- a/internal/dispatch/cell/notice.go
+++ b/internal/dispatch/cell/notice.go
@@ -9,25 +9,25 @@
 )
 
 const (
-	// returnSpread is the largest share of a pause by which a caller is asked to come back
-	// later than its end, so that not all come at the same moment.
+	// returnSpread is the largest share by which Retry-After exceeds the time until the first
+	// pause ends, so that callers do not all resend at the same moment.
 	returnSpread = 0.25
 	// maxWithdrawn bounds the backend servers that are remembered as draining or paused
 	// after their announcements have expired.
 	maxWithdrawn = 256
 )
 
-// withdrawal is what an incarnation of a backend server has said in its answers.
+// withdrawal holds the notices of an incarnation of a backend server.
 type withdrawal struct {
 	incarnation uint64
 	draining    bool
 	pausedUntil time.Time
 }
 
-// isActive reports whether the backend server accepts no requests at now for what it has said.
+// isActive reports whether the notices keep requests from the backend server at now.
 func (w withdrawal) isActive(now time.Time) bool { return w.draining || now.Before(w.pausedUntil) }
 
-// Hear records what an answer of b says of it. That lasts for the incarnation of b.
+// Hear records the notice of an answer of b. It holds for the incarnation of b.
 func (c *Cell) Hear(now time.Time, b snipefront.BackendServer, n notice.Notice) {
 	if n == (notice.Notice{}) {
 		return
@@ -54,7 +54,7 @@
 	c.grantWaiters(time.Now())
 }
 
-// remember keeps what s has said beyond the end of its announcements. The lock is held.
+// remember keeps the notices of s, whose announcements have expired. The lock is held.
 func (c *Cell) remember(now time.Time, s *server) {
 	if !s.withdrawn.isActive(now) {
 		return
@@ -67,8 +67,8 @@
 	}
 }
 
-// recall returns what the incarnation b had said before its announcements ended. The lock is
-// held.
+// recall returns the notices of the incarnation b from before its announcements expired. The
+// lock is held.
 func (c *Cell) recall(b snipefront.BackendServer) withdrawal {
 	w := c.withdrawn[b.Name]
 	delete(c.withdrawn, b.Name)
@@ -78,9 +78,9 @@
 	return w
 }
 
-// comeBack returns the time after which a caller may come back where no backend server
-// accepts its request: when the first pause ends, and a little later.
-func (c *Cell) comeBack(now time.Time) time.Duration {
+// retryAfter returns the Retry-After of a request that no backend server accepts: a little
+// more than the time until the first pause ends, or retryLater if none is paused.
+func (c *Cell) retryAfter(now time.Time) time.Duration {
 	first := time.Duration(0)
 	for _, s := range c.order {
 		left := s.withdrawn.pausedUntil.Sub(now)
--- a/internal/dispatch/cell/slot.go
+++ b/internal/dispatch/cell/slot.go
@@ -132,7 +132,7 @@
 // noBackendServer returns the refusal of a request that no backend server accepts. The lock
 // is held.
 func (c *Cell) noBackendServer(now time.Time) *snipefront.Error {
-	return snipefront.Refused(snipefront.ReasonNoBackendServer, c.comeBack(now), "no backend server of the cell accepts the request")
+	return snipefront.Refused(snipefront.ReasonNoBackendServer, c.retryAfter(now), "no backend server of the cell accepts the request")
 }
 
 // await waits until w gets a slot, is refused, is canceled or expires.
--- a/internal/dispatch/cells/cells.go
+++ b/internal/dispatch/cells/cells.go
@@ -71,7 +71,7 @@
 	return list
 }
 
-// Hear records what an answer of b says of it.
+// Hear records the notice of an answer of b.
 func (s *Set) Hear(now time.Time, b snipefront.BackendServer, n notice.Notice) {
 	if d := s.Get(snipefront.Cell{Service: b.Service, DataCentre: b.DataCentre}); d != nil {
 		d.Cell.Hear(now, b, n)
--- a/internal/dispatch/direct/checks.go
+++ b/internal/dispatch/direct/checks.go
@@ -17,15 +17,16 @@
 	// doubles with each check.
 	minCheckInterval = 25 * time.Millisecond
 	maxCheckInterval = 200 * time.Millisecond
-	// maxCheckTime bounds the time for which a target is followed after the last attempt
-	// whose connection ended.
+	// maxCheckTime bounds the time for which a target is checked after its last attempt whose
+	// connection ended.
 	maxCheckTime = 4 * time.Second
 )
 
-// Checks follows targets on which a request may still run although its connection has
-// ended, because its caller left, its deadline passed or the connection broke. It probes
-// them until they have been heard from after the request must have ended, or accept no
-// new connection: then they have crashed. Set the exported fields before Run.
+// Checks detects crashes of targets that may still run a request whose connection has
+// ended: its caller left, its deadline passed or the connection broke. It probes such a
+// target until the target answers a probe that was sent after the request must have ended,
+// or until it accepts no new connection, which means that it has crashed. Set the exported
+// fields before Run.
 type Checks struct {
 	Targets *health.Set
 	Link    Link
@@ -39,14 +40,14 @@
 	signal chan struct{}
 
 	mu sync.Mutex
-	// followed holds the targets by name.
+	// followed holds the targets that are checked, by name.
 	followed map[string]*followed
 }
 
-// followed is a target with the times of its checks.
+// followed is a target that is checked.
 type followed struct {
 	target *health.Target
-	// until is the time after which the target is not followed any more.
+	// until is the time after which the target is not checked any more.
 	until time.Time
 	// next is the time of the next check, and interval the time from it to the one after.
 	next     time.Time
@@ -60,7 +61,7 @@
 	})
 }
 
-// add follows t from now on.
+// add starts the checks of t, or starts them anew.
 func (k *Checks) add(t *health.Target) {
 	if k == nil {
 		return
@@ -138,7 +139,7 @@
 	return due
 }
 
-// drop ends the following of t, unless another incarnation has taken its place.
+// drop ends the checks of t, unless they have been started for another incarnation.
 func (k *Checks) drop(t *health.Target) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -147,7 +148,7 @@
 	}
 }
 
-// check checks t and reports whether nothing is left to find out.
+// check checks t once and reports whether no further check is needed.
 func (k *Checks) check(ctx context.Context, t *health.Target) (done bool) {
 	key := t.Server.CrashKey()
 	if current, _ := k.Targets.Current(t.Server.Name); current == nil || current.Server.Incarnation != t.Server.Incarnation || !k.Poison.MayCrash(key) {
@@ -161,7 +162,7 @@
 	if k.Link.Up(ctx, t) || ctx.Err() != nil {
 		return false
 	}
-	k.Logger.Info("backend server crashed after the connections of requests had ended; they are suspects", "server", t.Server.Name, "incarnation", t.Server.Incarnation)
+	k.Logger.Info("backend server crashed after the connections of its requests had ended; these are suspects", "server", t.Server.Name, "incarnation", t.Server.Incarnation)
 	k.Poison.Crashed(time.Now(), key)
 	return true
 }
--- a/internal/dispatch/direct/choose.go
+++ b/internal/dispatch/direct/choose.go
@@ -45,8 +45,8 @@
 	// load is the number of running and waiting requests divided by that of slots,
 	// over all targets that were compared and report their load.
 	load float64
-	// pauseWait is the time until the first target may be used again, if all are away and one
-	// at least has asked for a pause, and zero otherwise.
+	// pauseWait is the Retry-After of the call if all targets are unavailable and at least one
+	// is paused, and zero otherwise.
 	pauseWait time.Duration
 	// choices is the number of choices that it took to find the target.
 	choices int
@@ -77,7 +77,7 @@
 			return best, true
 		}
 		if wait, all := d.pauseWait(now, c.Service); all {
-			d.Logger.Info("all targets are away", "request", c.ID, "route", c.Route, "service", c.Service, "wait", wait)
+			d.Logger.Info("all targets are unavailable or paused", "request", c.ID, "route", c.Route, "service", c.Service, "wait", wait)
 			return choice{pauseWait: wait}, false
 		}
 		if wait, limited := d.quotaWait(now, c, base, avoid); limited && now.Add(wait).Add(base).After(c.Goal) {
--- a/internal/dispatch/direct/direct.go
+++ b/internal/dispatch/direct/direct.go
@@ -49,8 +49,7 @@
 	Poison *poison.Register
 	// Trials grants trial runs of quarantined requests. Nil grants none.
 	Trials Trials
-	// Checks follows targets that may crash by a request whose connection has ended. Nil
-	// follows none.
+	// Checks detects crashes by requests whose connection has ended. Nil detects none.
 	Checks  *Checks
 	Counter Counter
 	// Attempts counts requests and attempts by their cause.
--- a/internal/dispatch/direct/errors.go
+++ b/internal/dispatch/direct/errors.go
@@ -60,7 +60,7 @@
 		return snipefront.Refused(snipefront.ReasonNoBackendServer, retryAfter, "no backend server takes requests")
 	}
 	if last.pauseWait > 0 {
-		return snipefront.Refused(snipefront.ReasonPaused, last.pauseWait, "all backend servers have asked for a pause or are unreachable")
+		return snipefront.Refused(snipefront.ReasonPaused, last.pauseWait, "all backend servers are paused or unreachable")
 	}
 	if last.quotaWait > 0 {
 		return snipefront.Refused(snipefront.ReasonRateLimit, max(retryAfter, last.quotaWait), "the rate limits of all backend servers are used up")
--- a/internal/dispatch/direct/paused.go
+++ b/internal/dispatch/direct/paused.go
@@ -5,13 +5,12 @@
 	"time"
 )
 
-// returnSpread is the largest share of a wait for paused targets by which a caller is asked
-// to come back later than the first of them, so that not all come at the same moment.
+// returnSpread is the largest share by which Retry-After exceeds the time until the first
+// paused target is available, so that callers do not all resend at the same moment.
 const returnSpread = 0.25
 
-// pauseWait returns the time after which a caller may come back if all targets of the
-// service are away and one at least has asked for a pause, and reports whether that is so.
-// It is a little longer than the time until the first of them may be used again.
+// pauseWait returns the Retry-After of a call if all targets of the service are unavailable
+// and at least one of them is paused, and reports whether that is so.
 func (d *Dispatcher) pauseWait(now time.Time, service string) (wait time.Duration, all bool) {
 	var first time.Duration
 	paused := false
@@ -19,7 +18,7 @@
 		if t.Available(now) {
 			return 0, false
 		}
-		left := t.AwayLeft(now)
+		left := t.UnavailableFor(now)
 		if first == 0 || left < first {
 			first = left
 		}
--- a/internal/dispatch/health/notice.go
+++ b/internal/dispatch/health/notice.go
@@ -57,9 +57,9 @@
 	return t.pausedUntil.Sub(now)
 }
 
-// AwayLeft returns the time until t may be chosen again, after a pause or a backoff. It is
+// UnavailableFor returns the time until t may be chosen again after a pause or a backoff,
 // at least one millisecond.
-func (t *Target) AwayLeft(now time.Time) time.Duration {
+func (t *Target) UnavailableFor(now time.Time) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return max(t.pausedUntil.Sub(now), t.retryAt.Sub(now), time.Millisecond)
@@ -115,7 +115,7 @@
 	}
 }
 
-// restoreNotice gives t, which has a new state, what its incarnation has said before: at the
+// restoreNotice gives t, which has a new state, what its incarnation said before: at the
 // address of previous, which may be nil, or before it left the view.
 func (s *Set) restoreNotice(t, previous *Target) {
 	w, ok := s.withdrawn[withdrawal{t.Server.Name, t.Server.Incarnation}]
--- a/internal/dispatch/link/link.go
+++ b/internal/dispatch/link/link.go
@@ -103,8 +103,8 @@
 	return a
 }
 
-// hear returns a function that takes over what the head of an answer of t says of t. An
-// answer of another backend server at the same address says nothing of t.
+// hear returns a function that records the notice of an answer of t. It ignores answers of
+// another backend server at the same address.
 func (l *Link) hear(t *health.Target) func(status int, h http.Header) {
 	return func(status int, h http.Header) {
 		if name := h.Get(l.Fields.Server); status == http.StatusMisdirectedRequest || name != "" && name != t.Server.Name {
--- a/internal/dispatch/notice/notice.go
+++ b/internal/dispatch/notice/notice.go
@@ -1,5 +1,6 @@
-// Package notice parses what the header of an answer says of its backend server, whatever
-// the answer is: that it drains, or wants nothing from this instance for a time.
+// Package notice parses the parts of an answer's header that describe the backend server
+// rather than the answer: that it drains, or asks this instance to send no requests for a
+// time. Any answer may have them.
 package notice
 
 import (
@@ -22,11 +23,11 @@
 	maxPauseSpread = time.Second
 )
 
-// Notice is what an answer says of its backend server.
+// Notice is what the header of an answer says about its backend server.
 type Notice struct {
 	// Draining is true if the backend server accepts no new requests any more.
 	Draining bool
-	// Pause is the time for which it wants nothing from this instance.
+	// Pause is the time for which this instance should send it no requests.
 	Pause time.Duration
 }
 
--- a/internal/dispatch/sender/sender.go
+++ b/internal/dispatch/sender/sender.go
@@ -73,8 +73,8 @@
 	// a tenth of a second.
 	OverdueFloor time.Duration
 
-	// Heard is called with what an answer of b says of b, or why that can't be used. It may be
-	// nil.
+	// Heard is called with the notice of an answer of b, if it has one, and with the error of
+	// notice.Parse. It may be nil.
 	Heard func(b snipefront.BackendServer, n notice.Notice, err error)
 
 	upstreams sync.Map
@@ -179,7 +179,7 @@
 	return s.readAnswer(c.server, resp, c.service.RefusalStatuses)
 }
 
-// hear takes over what the head of an answer of b says of b.
+// hear passes the notice of an answer of b to Heard.
 func (s *Sender) hear(b snipefront.BackendServer, status int, h http.Header) {
 	if s.Heard == nil {
 		return
--- a/internal/request/poison/crash.go
+++ b/internal/request/poison/crash.go
@@ -10,8 +10,8 @@
 type brokenConn struct {
 	fingerprint uint64
 	server      Server
-	// runsUntil is the time until which server may still run the request. A sign of life
-	// from after that time shows that the request hasn't crashed it.
+	// runsUntil is the time until which server may still run the request. If it answers
+	// anything after that time, the request has not crashed it.
 	runsUntil time.Time
 	expires   time.Time
 }
@@ -75,8 +75,8 @@
 	return slices.ContainsFunc(g.broken[s.identity()], func(b brokenConn) bool { return b.server.isSame(s) })
 }
 
-// Heard records that the incarnation s gave a sign of life at the given time, so that the
-// requests which it could run only before have not crashed it.
+// Heard records that the incarnation s was running at the given time. The requests that it
+// could run only until then have not crashed it.
 func (g *Register) Heard(at time.Time, s Server) {
 	if g == nil || !g.active.Load() {
 		return
--- a/internal/request/poison/events.go
+++ b/internal/request/poison/events.go
@@ -30,8 +30,8 @@
 	EventExpired Event = "expired"
 	// EventEvicted is a suspect that was dropped for lack of space.
 	EventEvicted Event = "evicted"
-	// EventUntied is a crash of a backend server that no request of this instance is tied
-	// to.
+	// EventUntied is a crash of a backend server on which no request of this instance was in
+	// flight.
 	EventUntied Event = "untied"
 )
 
@@ -109,8 +109,7 @@
 	}
 }
 
-// reportUntied reports that s crashed, and that no request of this instance is tied to
-// that.
+// reportUntied reports that s crashed with no request of this instance in flight.
 func (g *Register) reportUntied(s Server) {
 	if g.Counter != nil {
 		g.Counter.Suspect(EventUntied)
--- a/internal/request/poison/trial.go
+++ b/internal/request/poison/trial.go
@@ -12,22 +12,22 @@
 	// trialMargin is added to the time after which a resend may run as a trial: the instance
 	// that receives it may have learned of the last crash later than this one.
 	trialMargin = 100 * time.Millisecond
-	// repeatDelay is the time after which the first trial run is repeated if it has neither
-	// released the request nor crashed its backend server: that may have answered with a
-	// server error, or refused the request.
+	// repeatDelay is the time after which the first trial run is repeated if it was
+	// inconclusive: it neither released the request nor crashed its backend server, which may
+	// have answered with a server error.
 	repeatDelay = time.Second
-	// maxRepeats is how often.
+	// maxRepeats bounds the repeats of the first trial run.
 	maxRepeats = 3
 )
 
-// trialRuns is what is known of the trial runs of a suspect.
+// trialRuns counts the trial runs of a suspect.
 type trialRuns struct {
-	// granted counts them, the last one at last.
+	// granted is the number of trial runs that were granted, and last when the last one was.
 	granted int
 	last    time.Time
-	// crashed counts those after which a backend server crashed, the last of which was that
-	// with the number crashedBy.
-	crashed, crashedBy int
+	// crashed is the number of trial runs after which a backend server crashed, and
+	// lastCrashed the number of the last of these, counted from 1.
+	crashed, lastCrashed int
 }
 
 // add records that n trial runs were granted in all.
@@ -39,24 +39,23 @@
 
 // addCrash records that a backend server crashed.
 func (r *trialRuns) addCrash() {
-	if r.granted > r.crashedBy {
+	if r.granted > r.lastCrashed {
 		r.crashed++
-		r.crashedBy = r.granted
+		r.lastCrashed = r.granted
 	}
 }
 
-// delay returns the time from the last crash or trial run to the next one, or false if there
-// is none. As long as only the crashes are known that began the quarantine, few is true, and a
-// trial run that has shown nothing is repeated soon.
-func (r *trialRuns) delay(few bool) (time.Duration, bool) {
-	open := r.granted - r.crashedBy
-	if few {
-		if open > 0 && open <= maxRepeats {
+// delay returns the time from the last crash or trial run to the next trial run, or false if
+// there is none. If mayRepeat is true, inconclusive trial runs are repeated soon.
+func (r *trialRuns) delay(mayRepeat bool) (time.Duration, bool) {
+	inconclusive := r.granted - r.lastCrashed
+	if mayRepeat {
+		if inconclusive > 0 && inconclusive <= maxRepeats {
 			return repeatDelay, true
 		}
-		open = max(0, open-maxRepeats)
+		inconclusive = max(0, inconclusive-maxRepeats)
 	}
-	if next := r.crashed + open; next < len(trialDelays) {
+	if next := r.crashed + inconclusive; next < len(trialDelays) {
 		return trialDelays[next], true
 	}
 	return 0, false
@@ -68,6 +67,7 @@
 	if expires := now.Add(quarantineTime); expires.After(e.expires) {
 		e.expires = expires
 	}
+	// Beyond the crashes that began the quarantine, each further run may end one more.
 	delay, ok := e.trials.delay(len(e.crashed) <= crashLimit)
 	if !ok {
 		return Quarantined, quarantineTime
--- a/internal/stand/server/handle.go
+++ b/internal/stand/server/handle.go
@@ -142,8 +142,8 @@
 	http.Error(w, "fallen over", http.StatusInternalServerError)
 }
 
-// withdraws says in the header of an answer what the mode tells. If that is a pause, it also
-// refuses the request and returns true.
+// withdraws sets the header fields of the mode that any answer has. If the mode asks for a
+// pause, it also refuses the request and returns true.
 func (s *Server) withdraws(w http.ResponseWriter) bool {
 	m := s.currentMode()
 	if m.Leaving {
@@ -158,8 +158,8 @@
 	return true
 }
 
-// refuse answers a request that has not run and will not run. It asks for no pause: a server
-// that is full now has room again within milliseconds.
+// refuse answers a request that has not run and will not run. It sets no Retry-After: a full
+// server has a free slot again within milliseconds.
 func refuse(w http.ResponseWriter) {
 	http.Error(w, "not run", http.StatusServiceUnavailable)
 }
--- a/internal/stand/server/mode.go
+++ b/internal/stand/server/mode.go
@@ -20,11 +20,10 @@
 	Shed bool
 	// Draining refuses each request and announces that the server is draining.
 	Draining bool
-	// Leaving says in all answers that the server drains, while its announcements say that it
-	// doesn't.
+	// Leaving reports in all answers that the server is draining, but not in its announcements.
 	Leaving bool
-	// PauseMillis refuses each request, those to the probe path included, and asks for a pause
-	// of so many milliseconds. Zero means that the server doesn't.
+	// PauseMillis refuses each request, including probes, with a Retry-After of that many
+	// milliseconds. Zero refuses none.
 	PauseMillis int
 	// Slow multiplies the service times. Zero means 1.
 	Slow float64
