submit: a report that a backend server drains is never dropped

What callers would have seen: with 256 other reports waiting (rate limits, in an outage of the control quorum), the report that a backend server drains was dropped. No further answer brings it again, so other instances send there until its heartbeat says so, or for good.

TestDrainingIsSubmittedAfterOutage failed before. Such reports are bounded by the number of backend servers.

--- a/internal/request/submit/reports.go
+++ b/internal/request/submit/reports.go
@@ -14,7 +14,8 @@
 
 const (
 	// maxPendingReports bounds the reports that wait to be submitted. Further ones are
-	// dropped; the next answers of their backend servers bring them again.
+	// dropped; the next answers of their backend servers bring them again. That a backend
+	// server drains is never dropped, since nothing more is sent to it.
 	maxPendingReports = 256
 	// reportInterval is the least time between two reports of one kind of one backend
 	// server that this instance submits, since a limit may change with each answer.
@@ -74,7 +75,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := subject{server: server, kind: c.Kind()}
-	if _, ok := r.pending[s]; !ok && len(r.pending) >= maxPendingReports {
+	if _, ok := r.pending[s]; !ok && len(r.pending) >= maxPendingReports && c.Draining == nil {
 		return
 	}
 	r.pending[s] = c
--- a/internal/request/submit/reports_test.go
+++ b/internal/request/submit/reports_test.go
@@ -88,3 +88,39 @@
 		stop()
 	})
 }
+
+// outage is a Submitter that has lost the control quorum for some time.
+type outage struct {
+	submitter
+	end time.Time
+}
+
+// Submit implements submit.Submitter.
+func (o outage) Submit(ctx context.Context, command []byte) ([]byte, error) {
+	if time.Now().Before(o.end) {
+		return failing{}.Submit(ctx, command)
+	}
+	return o.submitter.Submit(ctx, command)
+}
+
+// TestDrainingIsSubmittedAfterOutage guards against a backend server that has said to one
+// instance that it drains, and gets requests from the others for good: the control quorum was
+// lost when it said so, many other reports waited, and no further answer tells it again.
+func TestDrainingIsSubmittedAfterOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := outage{make(submitter, 1000), time.Now().Add(5 * time.Second)}
+		r, stop := startReports(t, s)
+		for i := range 300 {
+			r.ShareLimit(serverNamed(fmt.Sprint("s", i)), limitOf(1), quota.Answer)
+		}
+		r.ShareDraining(serverNamed("leaving"))
+		time.Sleep(15 * time.Minute)
+		stop()
+		for len(s.submitter) > 0 {
+			if c := <-s.submitter; c.Draining != nil && c.Draining.Server == "leaving" && c.Draining.Incarnation == 3 {
+				return
+			}
+		}
+		t.Error("the report was never submitted")
+	})
+}
