poison, notice: one place for the spread of Retry-After, one bound of software; the package comment in plain words

The two forms of dispatch computed the Retry-After of paused backend servers by the same line, and the log and the register bounded the software of a suspect by constants of their own. No change of what the code does.

--- a/internal/control/fleet/suspect.go
+++ b/internal/control/fleet/suspect.go
@@ -9,10 +9,6 @@
 // maxSuspects is the number of suspects that are kept.
 const maxSuspects = 256
 
-// maxAnswered is the number of versions or services that are kept as having answered a
-// suspect.
-const maxAnswered = 8
-
 // suspect ends the suspicion of the request of c if c says so, and adds the crashed backend
 // servers of c. It reports whether that changed the state.
 func (s *State) suspect(index uint64, c Suspect) bool {
@@ -55,7 +51,7 @@
 		return false
 	}
 	v.Answered = append(withoutAnswer(v.Answered, software), Answered{Software: software, Index: index})
-	v.Answered = v.Answered[max(0, len(v.Answered)-maxAnswered):]
+	v.Answered = v.Answered[max(0, len(v.Answered)-poison.MaxSoftware):]
 	v.Crashed, v.Index = left, index
 	return true
 }
--- a/internal/dispatch/cell/notice.go
+++ b/internal/dispatch/cell/notice.go
@@ -1,21 +1,15 @@
 package cell
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"github.com/snipefront/snipefront"
 	"github.com/snipefront/snipefront/internal/dispatch/notice"
 )
 
-const (
-	// returnSpread is the largest share by which Retry-After exceeds the time until the first
-	// pause ends, so that callers do not all resend at the same moment.
-	returnSpread = 0.25
-	// maxWithdrawn bounds the backend servers that are remembered as draining or paused
-	// after their announcements have expired.
-	maxWithdrawn = 256
-)
+// maxWithdrawn bounds the backend servers that are remembered as draining or paused after
+// their announcements have expired.
+const maxWithdrawn = 256
 
 // withdrawal holds the notices of an incarnation of a backend server.
 type withdrawal struct {
@@ -91,5 +85,5 @@
 	if first == 0 {
 		return retryLater
 	}
-	return first + time.Duration(returnSpread*rand.Float64()*float64(first))
+	return notice.RetryAfter(first)
 }
--- a/internal/dispatch/direct/paused.go
+++ b/internal/dispatch/direct/paused.go
@@ -1,13 +1,10 @@
 package direct
 
 import (
-	"math/rand/v2"
 	"time"
-)
 
-// returnSpread is the largest share by which Retry-After exceeds the time until the first
-// paused target is available, so that callers do not all resend at the same moment.
-const returnSpread = 0.25
+	"github.com/snipefront/snipefront/internal/dispatch/notice"
+)
 
 // pauseWait returns the Retry-After of a call if all targets of the service are unavailable
 // and at least one of them is paused, and reports whether that is so.
@@ -27,5 +24,5 @@
 	if !paused {
 		return 0, false
 	}
-	return max(first, retryAfter) + time.Duration(returnSpread*rand.Float64()*float64(first)), true
+	return notice.RetryAfter(max(first, retryAfter)), true
 }
--- a/internal/dispatch/notice/notice.go
+++ b/internal/dispatch/notice/notice.go
@@ -21,6 +21,9 @@
 	// maxPauseSpread the longest such time. Many instances may be asked at the same moment.
 	pauseSpread    = 0.25
 	maxPauseSpread = time.Second
+	// returnSpread is the largest share by which Retry-After exceeds the time until the first
+	// pause ends, so that callers do not all resend at the same moment.
+	returnSpread = 0.25
 )
 
 // Notice is what the header of an answer says about its backend server.
@@ -38,6 +41,12 @@
 	ErrPauseTooLong    = errors.New("pause over the limit")
 )
 
+// RetryAfter returns the Retry-After of a request that is refused because of pauses, the
+// first of which ends after the given time.
+func RetryAfter(first time.Duration) time.Duration {
+	return first + time.Duration(returnSpread*rand.Float64()*float64(first))
+}
+
 // Parse parses the notice of an answer with the given status and header, in which the named
 // field is 1 if the backend server drains. It returns a notice also beside an error, which
 // only concerns the pause.
--- a/internal/request/poison/poison.go
+++ b/internal/request/poison/poison.go
@@ -1,27 +1,26 @@
-// Package poison keeps a request that crashes backend servers from being run again.
+// Package poison quarantines requests that crash the backend servers which run them.
 //
-// A request that was in flight on a backend server when it crashed is a suspect: it,
-// or another one in flight there, may be the cause. What tells them apart is what happens
-// to the request itself: one that crashes each backend server that runs it never runs to
-// its end. So an answer that shows a complete run, at any instance, releases a suspect, and
-// one just before a crash dismisses that crash; a server error, which a backend server may
-// give in place of a run, shows nothing, and no answer shows anything of other software; a request that was in flight on two crashed
-// backend servers, with no answer in between, is quarantined for a time. How many other
-// backend servers crash, and when, changes nothing. A popular request that was in flight
-// on many of them in an outage is answered by the others at the same time.
+// A request that was in flight on a backend server when it crashed is a suspect. Usually
+// several requests were in flight, and only one of them was the cause. A request that
+// crashes each backend server never runs to its end, so an answer that shows a complete run
+// is evidence against it being the cause. It counts for backend servers with the same
+// software only. Such an answer, at any instance, cancels the crashes recorded for the
+// request, and crashes just after it are dismissed. A server error is no evidence, since a
+// backend server may send it in place of running the request. Two crashes without such an
+// answer quarantine the request for a time, regardless of how many other backend servers
+// crash meanwhile. A popular request that was in flight on many backend servers in an outage
+// is not quarantined, because other backend servers answer it at the same time.
 //
-// A harmless request can be so unlucky, too: in flight on one backend server of an outage,
-// and retried to another. So a quarantined request gets a few trial runs, each granted to
-// one instance of the fleet and later than the one before: an outage is over by then, and a
-// request that crashes backend servers ends one more each time.
+// A harmless request may be in flight on two crashed backend servers by chance, for example
+// if it was retried in an outage. So a quarantined request gets a few trial runs, each
+// granted to one instance of the fleet and later than the previous one.
 //
-// With cells, a suspect runs on a backend server without another suspect, so that the next
-// crash tells them apart: of several suspects at most one is in flight on the second
-// backend server.
+// With cells, a suspect does not share a backend server with another suspect, so that at
+// most one of several suspects is in flight on the next backend server that crashes.
 //
-// A backend server counts as crashed if a connection to it broke, or went silent, and it
-// then accepts no new one, announces a new incarnation, or leaves the fleet without a word.
-// One that drains or deregisters ends as planned. The caller passes the time in.
+// A backend server has crashed if a connection to it broke, or went silent, and it then
+// accepts no new connection, announces a new incarnation, or leaves the fleet without
+// draining or deregistering. The caller passes the time in.
 package poison
 
 import (
--- a/internal/request/poison/software.go
+++ b/internal/request/poison/software.go
@@ -10,21 +10,21 @@
 	Version string `json:",omitempty"`
 }
 
-// maxSoftware bounds the software that is recorded for one request.
-const maxSoftware = 8
+// MaxSoftware bounds the software that is recorded for one request.
+const MaxSoftware = 8
 
 // covers reports whether s and o may be the same software.
 func (s Software) covers(o Software) bool {
 	return s.Service == o.Service && (s.Version == o.Version || s.Version == "" || o.Version == "")
 }
 
-// addSoftware returns list with s added, without the oldest ones above maxSoftware.
+// addSoftware returns list with s added, without the oldest ones above MaxSoftware.
 func addSoftware(list []Software, s Software) []Software {
 	if slices.Contains(list, s) {
 		return list
 	}
 	list = append(slices.Clone(list), s)
-	return list[max(0, len(list)-maxSoftware):]
+	return list[max(0, len(list)-MaxSoftware):]
 }
 
 // coveredBy reports whether any software of list covers s.
