lookup, locate: callers are spread over all instances, and one directory a data centre answers them

Where a data centre has three control instances or more, all three are lost with it.

Change: control/lookup chooses by consistent hashing (control/ring) over the caller's address. A caller gets instances of its own data centre; where that is lost, out of service or has less than half of the instances that it should have, others of its region in place of the missing. What it should have is what it had in the last ten minutes, in the proportion that the others still have. A new role, locate, one process a data centre on a machine of the control quorum, follows the fleet without being registered and answers look-ups. The positions of control/owner come from control/ring, too; they are the same as before.

Weighed: rendezvous over the caller (equal shares, but an answer costs a hash of each instance); a ring drawn anew with each change (even shares, but callers lose connections).

Left: callers that keep addresses of the lost zone for 2 to 6 s, and the second that they give the lost directory.

--- a/internal/control/follow/follow.go
+++ b/internal/control/follow/follow.go
@@ -43,7 +43,8 @@
 // Follower keeps a view of the fleet up to date and this instance registered. Set the
 // exported fields before Run.
 type Follower struct {
-	// Self is the first registration of this instance.
+	// Self is the first registration of this instance. If it has no name, the instance
+	// isn't registered. The control instances of its data centre are preferred.
 	Self fleet.Instance
 	// Seeds returns the peer addresses of some control instances. It is called again
 	// whenever all known ones have failed.
--- a/internal/control/keeper/keeper.go
+++ b/internal/control/keeper/keeper.go
@@ -12,7 +12,6 @@
 import (
 	"context"
 	"log/slog"
-	"slices"
 	"sync"
 	"time"
 
@@ -168,9 +167,13 @@
 // Watch implements peers.Watcher. It waits for a change for maxWait at most.
 func (k *Keeper) Watch(ctx context.Context, w peers.Watch) (peers.Update, error) {
 	w.Instance.Keeper = k.Self.Name
-	k.recordWatch(w.Instance)
+	if !w.Unregistered() {
+		k.recordWatch(w.Instance)
+	}
 	if err := k.awaitChange(ctx, w); err != nil {
-		k.recordDisconnect(w.Instance)
+		if !w.Unregistered() {
+			k.recordDisconnect(w.Instance)
+		}
 		return peers.Update{}, err
 	}
 	d := k.State.DeltaSince(w.Held)
@@ -205,33 +208,6 @@
 // hasLeader reports whether this instance knows a leader of the control quorum.
 func (k *Keeper) hasLeader() bool { return k.Log.Leadership().Leader != "" }
 
-// CallerAddresses returns the caller addresses of the instances in a data centre that
-// accept requests. If there are fewer than two, it returns those in the region, and if
-// there are again fewer than two, those in all regions.
-func (k *Keeper) CallerAddresses(region, dataCentre string) []string {
-	var inDataCentre, inRegion, all []string
-	for _, n := range k.State.Instances() {
-		if !n.Ready || n.Control {
-			continue
-		}
-		all = append(all, n.CallerAddress)
-		if n.Region == region {
-			inRegion = append(inRegion, n.CallerAddress)
-		}
-		if n.DataCentre == dataCentre {
-			inDataCentre = append(inDataCentre, n.CallerAddress)
-		}
-	}
-	for _, list := range [][]string{inDataCentre, inRegion} {
-		if len(list) >= minCallerAddresses {
-			all = list
-			break
-		}
-	}
-	slices.Sort(all)
-	return all
-}
-
 // ControlAddressIn returns the address at which a control instance in a data centre
 // serves backend servers and operators. The field CallerAddress of a control
 // instance holds this address. ControlAddressIn prefers this instance, and returns an
@@ -248,10 +224,6 @@
 	return ""
 }
 
-// minCallerAddresses is the number of addresses in a data centre or region below
-// which CallerAddresses adds others, so that callers have another instance if one fails.
-const minCallerAddresses = 2
-
 // propose proposes c and returns its result. It returns ErrUncommitted if the control
 // quorum does not confirm the commit.
 func (k *Keeper) propose(ctx context.Context, c fleet.Command) (fleet.Result, error) {
--- a/internal/control/owner/owner.go
+++ b/internal/control/owner/owner.go
@@ -7,11 +7,11 @@
 package owner
 
 import (
-	"hash/fnv"
 	"slices"
 	"sort"
 
 	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/control/ring"
 )
 
 // Rank returns the instances that may own c, the owner first. The second one
@@ -23,7 +23,7 @@
 	}
 	scores := make(map[string]uint64, len(list))
 	for _, n := range list {
-		scores[n.Name] = score(c, n.Name)
+		scores[n.Name] = ring.Position(c.Service, c.DataCentre, n.Name)
 	}
 	sort.Slice(list, func(i, j int) bool {
 		a, b := scores[list[i].Name], scores[list[j].Name]
@@ -60,19 +60,3 @@
 	}
 	return in
 }
-
-func score(c snipefront.Cell, name string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(c.Service + "\x00" + c.DataCentre + "\x00" + name))
-	return mix(h.Sum64())
-}
-
-// mix spreads the bits of x, since FNV alone ranks similar names alike.
-func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	x ^= x >> 33
-	return x
-}
--- /dev/null
+++ b/internal/control/ring/ring.go
@@ -0,0 +1,141 @@
+// Package ring maps keys to nodes by consistent hashing.
+//
+// Each node has points on a ring of 64-bit positions, and a key uses the nodes whose
+// points follow its own position. A node that leaves moves only the keys that used it,
+// and a node that returns gets the same keys back. Positions depend on nothing but the
+// names, so all processes agree without a message.
+package ring
+
+import (
+	"cmp"
+	"hash/fnv"
+	"io"
+	"slices"
+	"sort"
+)
+
+// pointsPerNode is the number of points of each node. The more there are, the more equal
+// are the shares of the nodes.
+const pointsPerNode = 32
+
+// Ring is a set of nodes. It is immutable; its zero value has no node.
+type Ring struct {
+	// nodes are sorted and unique.
+	nodes []string
+	// points are sorted by position.
+	points []point
+}
+
+// point is one of the points of a node. Its name is a pointer, so that rings share it and
+// a point is small.
+type point struct {
+	position uint64
+	name     *string
+}
+
+// Position returns the position of a key that consists of parts.
+func Position(parts ...string) uint64 {
+	h := fnv.New64a()
+	for i, p := range parts {
+		if i > 0 {
+			_, _ = h.Write([]byte{0})
+		}
+		_, _ = io.WriteString(h, p)
+	}
+	return mix(h.Sum64())
+}
+
+// mix spreads the bits of x, since FNV alone gives similar names similar positions.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	x ^= x >> 33
+	return x
+}
+
+// Size returns the number of nodes.
+func (r Ring) Size() int { return len(r.nodes) }
+
+// With returns a ring of the nodes, in any order and each once. It reuses the points of r.
+func (r Ring) With(nodes []string) Ring {
+	nodes = slices.Sorted(slices.Values(nodes))
+	if slices.Equal(nodes, r.nodes) {
+		return r
+	}
+	var added []point
+	for _, n := range nodes {
+		if !contains(r.nodes, n) {
+			added = append(added, pointsOf(n)...)
+		}
+	}
+	slices.SortFunc(added, comparePoints)
+	removed := map[string]bool{}
+	for _, n := range r.nodes {
+		if !contains(nodes, n) {
+			removed[n] = true
+		}
+	}
+	return Ring{nodes: nodes, points: r.merge(added, removed, len(nodes)*pointsPerNode)}
+}
+
+// merge returns the points of r, without those of the nodes removed, and the points added,
+// which must be sorted: size points altogether.
+func (r Ring) merge(added []point, removed map[string]bool, size int) []point {
+	merged := make([]point, 0, size)
+	for _, p := range r.points {
+		if len(removed) > 0 && removed[*p.name] {
+			continue
+		}
+		for len(added) > 0 && comparePoints(added[0], p) < 0 {
+			merged, added = append(merged, added[0]), added[1:]
+		}
+		merged = append(merged, p)
+	}
+	return append(merged, added...)
+}
+
+func contains(sorted []string, n string) bool {
+	_, ok := slices.BinarySearch(sorted, n)
+	return ok
+}
+
+// pointsOf returns the points of a node, in no particular order.
+func pointsOf(node string) []point {
+	list := make([]point, pointsPerNode)
+	x := Position(node)
+	for i := range list {
+		x = mix(x + 1)
+		list[i] = point{position: x, name: &node}
+	}
+	return list
+}
+
+func comparePoints(a, b point) int {
+	if c := cmp.Compare(a.position, b.position); c != 0 {
+		return c
+	}
+	return cmp.Compare(*a.name, *b.name)
+}
+
+// Append appends to list the nodes that follow position, without those that list has
+// already, until it has size entries or all nodes. It returns the result.
+func (r Ring) Append(list []string, position uint64, size int) []string {
+	has := make(map[string]bool, size)
+	for _, n := range list {
+		has[n] = true
+	}
+	first := sort.Search(len(r.points), func(i int) bool { return r.points[i].position >= position })
+	for i := range r.points {
+		if len(list) >= size {
+			break
+		}
+		name := *r.points[(first+i)%len(r.points)].name
+		if !has[name] {
+			has[name] = true
+			list = append(list, name)
+		}
+	}
+	return list
+}
--- a/internal/rpc/peers/watch.go
+++ b/internal/rpc/peers/watch.go
@@ -14,7 +14,8 @@
 // Watch is a request of an instance to a control instance, its keeper. It renews the
 // registration of the instance and waits for a change of the fleet.
 type Watch struct {
-	// Instance is the registration of the instance that watches, without its Keeper.
+	// Instance is the registration of the instance that watches, without its Keeper. It
+	// has no name if the instance only follows the fleet and isn't to be registered.
 	Instance fleet.Instance
 	// Held is the index of the last change that the instance has applied.
 	Held uint64
@@ -22,6 +23,9 @@
 	Wait time.Duration
 }
 
+// Unregistered reports whether the instance that watches is not to be registered.
+func (w Watch) Unregistered() bool { return w.Instance.Name == "" }
+
 // Update is the answer to a Watch.
 type Update struct {
 	// Current is false if the control instance knows no leader or is behind
