follow, keeper: an instance that restarts after its clock was set back is registered at once; no decision by the wall clock

Cause: an incarnation was the wall clock of the start, and the state refuses a lower one under the same name. The watches of the new process also kept the registration of the old one alive, for good. A follower that finds an earlier process in its view with a higher one takes the next number; a control instance does so for itself. A keeper no longer takes the watches of an outranked process for those of the registered one, so that with an edge of an earlier build the old registration expires. The rule of the replicated state is the same, so that control instances of both builds apply the same log alike.

Weighed: a durable counter (edges have no disk), the index of the quorum's log (the state would apply a registration otherwise than earlier builds do), a random identity ordered by the quorum (the quorum can't tell a late registration from a new process).

--- a/fleet.go
+++ b/fleet.go
@@ -45,7 +45,8 @@
 	DataCentre string
 	// Address is host:port for requests.
 	Address string
-	// Incarnation differs after each start of the backend server.
+	// Incarnation is higher after each start of the backend server, which chooses it. An
+	// announcement with a lower one is late, and ignored.
 	Incarnation uint64
 	// Slots is the maximum number of requests that it runs at once when warm. At
 	// least 1.
--- a/internal/control/follow/follow.go
+++ b/internal/control/follow/follow.go
@@ -44,7 +44,8 @@
 // exported fields before Run.
 type Follower struct {
 	// Self is the first registration of this instance. If it has no name, the instance
-	// isn't registered. The control instances of its data centre are preferred.
+	// isn't registered. The control instances of its data centre are preferred. Its
+	// incarnation is raised if an earlier process is registered with a higher one.
 	Self fleet.Instance
 	// Seeds returns the peer addresses of some control instances. It is called again
 	// whenever all known ones have failed.
@@ -129,6 +130,20 @@
 	return f.self
 }
 
+// outrank raises the incarnation of this instance above that of a process that ran before
+// under its name, if the view still has its registration and that is higher.
+func (f *Follower) outrank() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := f.registration()
+	old, ok := f.view.Instances[n.Name]
+	if !ok || old.Incarnation <= n.Incarnation {
+		return
+	}
+	f.Logger.Info("replacing the registration of an earlier process", "instance", n.Name, "earlier", old.Incarnation, "incarnation", old.Incarnation+1)
+	n.Incarnation = old.Incarnation + 1
+}
+
 // Run keeps the view up to date until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	f.failed = map[string]failure{}
@@ -218,6 +233,7 @@
 		return
 	}
 	f.view = f.view.Apply(d)
+	f.outrank()
 	f.Publish(f.view, d)
 }
 
--- a/internal/control/keeper/expire.go
+++ b/internal/control/keeper/expire.go
@@ -77,10 +77,17 @@
 
 // recordWatch records that an instance watches, and queues its registration if State
 // lacks it. While no leader is known, recordWatch queues nothing: the watching instance
-// then moves to another control instance.
+// then moves to another control instance. It does nothing for an instance under whose
+// name a higher incarnation is registered: that one must expire, unless the instance
+// replaces it.
 func (k *Keeper) recordWatch(n fleet.Instance) {
 	k.init()
-	known := k.isRegistered(n)
+	old, known := k.State.Instance(n.Name)
+	if known && old.Incarnation > n.Incarnation {
+		return
+	}
+	n.Index = old.Index
+	known = known && old == n
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.watches[n.Name] = time.Now()
@@ -150,7 +157,7 @@
 	if !k.hasLeader() {
 		return
 	}
-	k.join(ctx, k.Self)
+	k.join(ctx, k.self())
 	v := k.State.View()
 	lostSince := k.lostSinceFunc(now)
 	for _, n := range v.Instances {
@@ -168,6 +175,18 @@
 	k.dropStale(v)
 }
 
+// self returns the registration of this instance. Its incarnation is above that of an
+// earlier process that is registered under its name.
+func (k *Keeper) self() fleet.Instance {
+	n := k.Self
+	n.Incarnation = max(n.Incarnation, k.raised)
+	if old, ok := k.State.Instance(n.Name); ok && old.Incarnation > n.Incarnation {
+		k.raised = old.Incarnation + 1
+		n.Incarnation = k.raised
+	}
+	return n
+}
+
 // lostSinceFunc returns a function that reports whether this instance acts in place of
 // the named keeper, because that keeper is lost (unresponsive, or no member of the
 // quorum), and when a scan of this instance first found it lost. The function records
--- a/internal/control/keeper/keeper.go
+++ b/internal/control/keeper/keeper.go
@@ -79,6 +79,9 @@
 	heartbeats     map[string]heartbeat
 	// watches holds the time at which each instance last watched.
 	watches map[string]time.Time
+	// raised is the incarnation of this instance if the one in Self is too low, or zero.
+	// Only Run uses it.
+	raised uint64
 	// lostKeepers holds, by name, the time at which a scan first found a keeper
 	// unresponsive or no member of the quorum. Only Run uses it.
 	lostKeepers map[string]time.Time
--- a/internal/daemon/module/lifecycle.go
+++ b/internal/daemon/module/lifecycle.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
@@ -175,6 +176,5 @@
 	return b
 }
 
-// incarnation returns a number that is higher at each later start of a process, unless
-// the wall clock was set back.
-func incarnation() uint64 { return uint64(time.Now().UnixNano()) }
+// incarnation returns a random number, which differs at each start of a process.
+func incarnation() uint64 { return rand.Uint64() }
--- a/internal/dispatch/pool/head.go
+++ b/internal/dispatch/pool/head.go
@@ -70,7 +70,7 @@
 		return nil, headError(err)
 	}
 	e.Begun = true
-	timer := time.AfterFunc(headTimeout, func() { _ = c.SetReadDeadline(time.Unix(1, 0)) })
+	timer := time.AfterFunc(headTimeout, func() { _ = c.SetReadDeadline(time.Now()) })
 	defer timer.Stop()
 	for n := 1; n <= len(answerPrefix); n++ {
 		b, err := c.reader.Peek(n)
--- a/internal/entry/admin/admin.go
+++ b/internal/entry/admin/admin.go
@@ -196,7 +196,8 @@
 	ctx, cancel := context.WithTimeout(req.Context(), controlTimeout)
 	defer cancel()
 	var r state.ConfigResult
-	if err := a.Control.Propose(ctx, state.Command{UnixMillis: time.Now().UnixMilli(), Config: c}, &r); err != nil {
+	at := time.Now().UnixMilli() //nolint:forbidigo // only the history shows it
+	if err := a.Control.Propose(ctx, state.Command{UnixMillis: at, Config: c}, &r); err != nil {
 		w.Header().Set("Retry-After", "1")
 		writeError(w, http.StatusServiceUnavailable, "the change may or may not be accepted; send it again with the same ChangeID: "+err.Error())
 		return
--- a/internal/request/claim/claim.go
+++ b/internal/request/claim/claim.go
@@ -80,7 +80,7 @@
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
 	var result state.ClaimResult
-	if err := f.Proposer.Propose(ctx, state.Command{UnixMillis: time.Now().UnixMilli(), Claim: c}, &result); err != nil {
+	if err := f.Proposer.Propose(ctx, state.Command{Claim: c}, &result); err != nil {
 		f.release(ctx, c)
 		return nil, &snipefront.Error{
 			Reason:     snipefront.ReasonClaimUnavailable,
@@ -143,7 +143,7 @@
 func (f *Filter) proposeUntilApplied(ctx context.Context, s *state.Settle) error {
 	for {
 		var result state.SettleResult
-		err := f.Proposer.Propose(ctx, state.Command{UnixMillis: time.Now().UnixMilli(), Settle: s}, &result)
+		err := f.Proposer.Propose(ctx, state.Command{Settle: s}, &result)
 		if err == nil {
 			return nil
 		}
--- a/internal/request/route/hints.go
+++ b/internal/request/route/hints.go
@@ -21,21 +21,22 @@
 type hint struct {
 	free   atomic.Int64
 	queued atomic.Int64
-	// updated is the time of the last report, in nanoseconds since the Unix epoch.
-	updated atomic.Int64
+	// updated is the time of the last report, or nil before the first.
+	updated atomic.Pointer[time.Time]
 }
 
 // update records the counts reported at the instant now.
 func (h *hint) update(now time.Time, free, queued int) {
 	h.free.Store(int64(free))
 	h.queued.Store(int64(queued))
-	h.updated.Store(now.UnixNano())
+	h.updated.Store(&now)
 }
 
 // available returns the number of free slots minus the number of queued requests, or 1
 // if there is no recent report.
 func (h *hint) available(now time.Time) int {
-	if now.UnixNano()-h.updated.Load() > int64(hintLifetime) {
+	updated := h.updated.Load()
+	if updated == nil || now.Sub(*updated) > hintLifetime {
 		return 1
 	}
 	return int(h.free.Load() - h.queued.Load())
--- a/internal/rpc/peers/client.go
+++ b/internal/rpc/peers/client.go
@@ -177,7 +177,7 @@
 		v, _ = links.LoadOrStore(address, newLink(address, maxBytes, dial))
 	}
 	l := v.(*link)
-	l.lastUsed.Store(time.Now().UnixNano())
+	l.touch(time.Now())
 	return l
 }
 
@@ -193,7 +193,7 @@
 	for _, links := range []*sync.Map{&c.peerLinks, &c.controlLinks} {
 		links.Range(func(address, v any) bool {
 			l := v.(*link)
-			if now.Sub(time.Unix(0, l.lastUsed.Load())) < unusedTimeout {
+			if now.Sub(*l.lastUsed.Load()) < unusedTimeout {
 				kept++
 				return true
 			}
--- a/internal/rpc/peers/link.go
+++ b/internal/rpc/peers/link.go
@@ -48,8 +48,8 @@
 	header http.Header
 	// gzipHeader is the HTTP header of every call that accepts a compressed answer.
 	gzipHeader http.Header
-	// lastUsed is the time of the last call, in nanoseconds of Unix time.
-	lastUsed atomic.Int64
+	// lastUsed is the time of the last call.
+	lastUsed atomic.Pointer[time.Time]
 	// checkMu is held during a check.
 	checkMu sync.Mutex
 	// unreachable is true if the last check got no answer from the address.
@@ -65,6 +65,7 @@
 	}
 	l.gzipHeader = l.header.Clone()
 	l.gzipHeader.Set(acceptHeader, acceptGzip)
+	l.touch(time.Now())
 	url := "http://" + address
 	l.peer = wire.NewPeerProtobufClient(url, l)
 	l.control = wire.NewControlProtobufClient(url, l)
@@ -72,6 +73,9 @@
 	return l
 }
 
+// touch records a call at the instant now.
+func (l *link) touch(now time.Time) { l.lastUsed.Store(&now) }
+
 // transport returns a transport whose connections are opened by dial. If single is true,
 // each of them carries only one request.
 func transport(single bool, dial writes.Dial) *http.Transport {
--- a/internal/stand/caller/caller.go
+++ b/internal/stand/caller/caller.go
@@ -191,7 +191,7 @@
 	r := &run{
 		caller:        c,
 		log:           c.Log,
-		id:            fmt.Sprintf("%x", time.Now().UnixNano()),
+		id:            fmt.Sprintf("%x", rand.Uint64()),
 		jobs:          make(chan job, maxWaiting),
 		addressClient: &http.Client{Transport: &http.Transport{MaxConnsPerHost: len(c.Services), MaxIdleConnsPerHost: 1}},
 		client: &http.Client{
--- a/internal/stand/server/server.go
+++ b/internal/stand/server/server.go
@@ -174,7 +174,7 @@
 			s.ColdSlow = 1
 		}
 		if s.Incarnation == 0 {
-			s.Incarnation = uint64(time.Now().UnixNano())
+			s.Incarnation = uint64(time.Now().UnixNano()) //nolint:forbidigo // stored nowhere, and grows with each start but for a clock step
 		}
 		if s.Log == nil {
 			s.Log = slog.New(slog.DiscardHandler)
--- a/internal/stand/timing/timing.go
+++ b/internal/stand/timing/timing.go
@@ -72,6 +72,7 @@
 	defer client.CloseIdleConnections()
 	random := rand.New(rand.NewPCG(1, 2))
 	var calls sync.WaitGroup
+	session := rand.Uint64()
 	start := time.Now()
 	at := start
 	n := 0
@@ -80,7 +81,7 @@
 		at = at.Add(time.Duration(gap * float64(time.Second)))
 		time.Sleep(time.Until(at))
 		t := list[n%len(list)]
-		key := fmt.Sprintf("%d-%d", start.UnixNano(), n)
+		key := fmt.Sprintf("%x-%d", session, n)
 		began := time.Now()
 		calls.Go(func() { t.call(ctx, client, m.Method, key, began, began.Sub(start) > warmUp) })
 	}
