--- a/internal/dispatch/direct/load_test.go
+++ b/internal/dispatch/direct/load_test.go
@@ -162,11 +162,13 @@
 
 // TestImpatientCallers runs at about one and a half times the capacity while a third
 // of the callers resend immediately, up to four times. It guards against resends
-// that take the capacity from the other callers.
+// that take the capacity from the other callers. The share varies from run to run, so that
+// it needs many runs.
 func TestImpatientCallers(t *testing.T) {
 	p := statusPattern(phase{6 * time.Second, 60})
 	impatient := statusCallers
 	impatient.impatient, impatient.retries = true, 4
+	p.runs = 24
 	p.callers[0].share = 2
 	p.callers = append(p.callers, impatient)
 	r := p.run(t)
