locate: callers are spread over all instances beside the owners, and get two data centres

Cause: the instances beside the owners were the first by name. Change: a consistent hash of the caller's address chooses them, from a ring that is kept with the view, and one of another data centre comes first where the owners have one only. An answer takes no walk over all instances.

--- a/internal/control/ring/ring.go
+++ b/internal/control/ring/ring.go
@@ -10,16 +10,19 @@
 	"cmp"
 	"hash/fnv"
 	"io"
+	"iter"
 	"slices"
 	"sort"
 )
 
-// pointsPerNode is the number of points of each node. The more there are, the more equal
-// are the shares of the nodes.
-const pointsPerNode = 32
+// defaultPoints is the number of points of each node where a ring names none.
+const defaultPoints = 32
 
 // Ring is a set of nodes. It is immutable; its zero value has no node.
 type Ring struct {
+	// Points is the number of points of each node, or zero for the default. The more there
+	// are, the more equal are the shares of the nodes, and the more memory the ring takes.
+	Points int
 	// nodes are sorted and unique.
 	nodes []string
 	// points are sorted by position.
@@ -67,7 +70,7 @@
 	var added []point
 	for _, n := range nodes {
 		if !contains(r.nodes, n) {
-			added = append(added, pointsOf(n)...)
+			added = append(added, r.pointsOf(n)...)
 		}
 	}
 	slices.SortFunc(added, comparePoints)
@@ -77,7 +80,7 @@
 			removed[n] = true
 		}
 	}
-	return Ring{nodes: nodes, points: r.merge(added, removed, len(nodes)*pointsPerNode)}
+	return Ring{Points: r.Points, nodes: nodes, points: r.merge(added, removed, len(nodes)*r.pointsPerNode())}
 }
 
 // merge returns the points of r, without those of the nodes removed, and the points added,
@@ -101,9 +104,11 @@
 	return ok
 }
 
+func (r Ring) pointsPerNode() int { return cmp.Or(r.Points, defaultPoints) }
+
 // pointsOf returns the points of a node, in no particular order.
-func pointsOf(node string) []point {
-	list := make([]point, pointsPerNode)
+func (r Ring) pointsOf(node string) []point {
+	list := make([]point, r.pointsPerNode())
 	x := Position(node)
 	for i := range list {
 		x = mix(x + 1)
@@ -119,23 +124,42 @@
 	return cmp.Compare(*a.name, *b.name)
 }
 
+// From returns the nodes in the order in which they follow position, each once.
+func (r Ring) From(position uint64) iter.Seq[string] {
+	return func(yield func(string) bool) {
+		seen := map[string]bool{}
+		first := sort.Search(len(r.points), func(i int) bool { return r.points[i].position >= position })
+		for i := range r.points {
+			if len(seen) == len(r.nodes) {
+				return
+			}
+			name := *r.points[(first+i)%len(r.points)].name
+			if seen[name] {
+				continue
+			}
+			seen[name] = true
+			if !yield(name) {
+				return
+			}
+		}
+	}
+}
+
 // Append appends to list the nodes that follow position, without those that list has
 // already, until it has size entries or all nodes. It returns the result.
 func (r Ring) Append(list []string, position uint64, size int) []string {
-	has := make(map[string]bool, size)
-	for _, n := range list {
-		has[n] = true
+	if len(list) >= size {
+		return list
 	}
-	first := sort.Search(len(r.points), func(i int) bool { return r.points[i].position >= position })
-	for i := range r.points {
+	had := list
+	for name := range r.From(position) {
+		if slices.Contains(had, name) {
+			continue
+		}
+		list = append(list, name)
 		if len(list) >= size {
 			break
 		}
-		name := *r.points[(first+i)%len(r.points)].name
-		if !has[name] {
-			has[name] = true
-			list = append(list, name)
-		}
 	}
 	return list
 }
--- a/internal/entry/locate/locate.go
+++ b/internal/entry/locate/locate.go
@@ -2,20 +2,33 @@
 //
 // The owners of the service's cells come first, since a request that arrives at the
 // owner of its cell needs no second hop. The answer spans at least two data centres if the
-// fleet does, so that a caller with a cached answer survives the loss of one.
+// fleet does, so that a caller with a cached answer survives the loss of one. A consistent
+// hash of the caller chooses the instances beside the owners, so that callers are spread
+// over all of them and keep theirs.
 package locate
 
 import (
 	"encoding/json"
+	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/snipefront/snipefront"
 	"github.com/snipefront/snipefront/internal/control/member"
+	"github.com/snipefront/snipefront/internal/control/ring"
 )
 
-// minAddresses is the fewest addresses in an answer, if the fleet has as many.
-const minAddresses = 2
+// minAddresses and minDataCentres are the fewest addresses and data centres in an answer, if
+// the fleet has as many.
+const (
+	minAddresses   = 2
+	minDataCentres = 2
+	// ringPoints is the number of points of each instance on the ring that chooses the
+	// instances beside the owners. A caller gets one or two, so that unequal distances
+	// between points show fully.
+	ringPoints = 256
+)
 
 // Owners returns the owners of the cells of a service.
 type Owners interface {
@@ -31,6 +44,18 @@
 	Owners Owners
 	// Lifetime is how long a caller may cache the answer.
 	Lifetime time.Duration
+
+	// serving holds the instances of the last view that was used.
+	serving atomic.Pointer[serving]
+}
+
+// serving holds the instances of a view that are in data centres in service.
+type serving struct {
+	view *member.View
+	// ring holds their names.
+	ring        ring.Ring
+	instances   map[string]snipefront.Instance
+	dataCentres map[string]bool
 }
 
 // Address is one address of an answer.
@@ -49,7 +74,7 @@
 		http.Error(w, "unknown service", http.StatusNotFound)
 		return
 	}
-	list := h.addresses(time.Now(), v, service)
+	list := h.addresses(time.Now(), v, service, callerName(r))
 	if len(list) == 0 {
 		w.Header().Set("Retry-After", "1")
 		http.Error(w, "no instance is known yet", http.StatusServiceUnavailable)
@@ -63,7 +88,17 @@
 	}{list, h.Lifetime.Milliseconds(), v.Config.Revision})
 }
 
-func (h *Handler) addresses(now time.Time, v *member.View, service string) []Address {
+// callerName returns the IP address of the caller, which keeps it while its port changes
+// with each connection.
+func callerName(r *http.Request) string {
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return r.RemoteAddr
+	}
+	return host
+}
+
+func (h *Handler) addresses(now time.Time, v *member.View, service, caller string) []Address {
 	var list []Address
 	byAddress := map[string]int{}
 	owners, free := h.Owners.RankedOwners(now, service)
@@ -76,14 +111,49 @@
 		byAddress[o.CallerAddress] = len(list)
 		list = append(list, Address{Address: o.CallerAddress, DataCentre: o.DataCentre, Weight: weight})
 	}
+	return h.servingIn(v).complete(list, ring.Position(caller))
+}
+
+// servingIn returns the instances of v in data centres in service.
+func (h *Handler) servingIn(v *member.View) *serving {
+	old := h.serving.Load()
+	if old == nil {
+		old = &serving{ring: ring.Ring{Points: ringPoints}}
+	}
+	if old.view == v {
+		return old
+	}
+	s := &serving{view: v, instances: map[string]snipefront.Instance{}, dataCentres: map[string]bool{}}
+	var names []string
 	for _, n := range v.Epoch.Instances {
-		if len(list) >= minAddresses {
+		if !v.Config.DataCentresOut[n.DataCentre] {
+			names = append(names, n.Name)
+			s.instances[n.Name] = n
+			s.dataCentres[n.DataCentre] = true
+		}
+	}
+	s.ring = old.ring.With(names)
+	h.serving.Store(s)
+	return s
+}
+
+// complete appends instances to list until it has minAddresses and spans two data centres,
+// or as many as there are.
+func (s *serving) complete(list []Address, position uint64) []Address {
+	listed, dataCentres := map[string]bool{}, map[string]bool{}
+	for _, a := range list {
+		listed[a.Address], dataCentres[a.DataCentre] = true, true
+	}
+	for name := range s.ring.From(position) {
+		spans := len(dataCentres) >= min(minDataCentres, len(s.dataCentres))
+		if spans && len(list) >= minAddresses {
 			break
 		}
-		if _, ok := byAddress[n.CallerAddress]; ok || v.Config.DataCentresOut[n.DataCentre] {
+		n := s.instances[name]
+		if listed[n.CallerAddress] || !spans && dataCentres[n.DataCentre] {
 			continue
 		}
-		byAddress[n.CallerAddress] = len(list)
+		dataCentres[n.DataCentre] = true
 		list = append(list, Address{Address: n.CallerAddress, DataCentre: n.DataCentre, Weight: 1})
 	}
 	return list
