paths: each instance begins a weighted split at a random turn

Cause: smooth weighted round robin begins with the service of the highest weight, at each of the instances. With many instances and few requests at each, all first requests go there. Change: a splitter skips a random number of turns before the first request of a route. Any consecutive requests are split as closely as before. Weighed: a random service for each request (right on average, but off by chance at one instance), a golden-ratio sequence (even, but up to three requests off at one instance).

--- a/internal/request/paths/paths_test.go
+++ b/internal/request/paths/paths_test.go
@@ -77,8 +77,8 @@
 	}
 }
 
-// TestSplitFollowsTheWeights checks that after every ten requests the split equals the
-// weights.
+// TestSplitFollowsTheWeights checks that of any ten consecutive requests the split equals
+// the weights.
 func TestSplitFollowsTheWeights(t *testing.T) {
 	rt := route("r", "x.example", "/p/")
 	rt.Split = []snipefront.ServiceWeight{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}
--- a/internal/request/paths/split.go
+++ b/internal/request/paths/split.go
@@ -1,19 +1,26 @@
 package paths
 
 import (
+	"math/rand/v2"
 	"sync"
 
 	"github.com/snipefront/snipefront"
 )
 
+// maxSkipped bounds the turns that a Splitter skips before the first request of a route.
+const maxSkipped = 1000
+
 // Splitter distributes the requests of each route over its services by smooth weighted
 // round robin, so that any number of consecutive requests is split as close to the
-// weights as whole numbers allow. Its zero value is ready to use.
+// weights as whole numbers allow. It begins at a random turn, so that the first requests of
+// many instances are split by the weights, too. Its zero value is ready to use.
 type Splitter struct {
 	mu sync.Mutex
 	// credit holds the current weight of each service of a route, by the names of the
 	// route and the service.
 	credit map[[2]string]float64
+	// begun holds the names of the routes that have had a request.
+	begun map[string]bool
 }
 
 // Next returns the service for the next request of rt.
@@ -24,8 +31,19 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.credit == nil {
-		s.credit = map[[2]string]float64{}
+		s.credit, s.begun = map[[2]string]float64{}, map[string]bool{}
+	}
+	if !s.begun[rt.Name] {
+		s.begun[rt.Name] = true
+		for range rand.IntN(maxSkipped) {
+			s.turn(rt)
+		}
 	}
+	return s.turn(rt)
+}
+
+// turn returns the service whose turn it is. The lock is held.
+func (s *Splitter) turn(rt *snipefront.Route) string {
 	total, best, highest := 0.0, -1, 0.0
 	for i, v := range rt.Split {
 		if v.Weight <= 0 {
@@ -50,6 +68,7 @@
 	for k := range s.credit {
 		if !names[k[0]] {
 			delete(s.credit, k)
+			delete(s.begun, k[0])
 		}
 	}
 }
