core, driver: failing test of a control instance whose disk was full; a test of faulty disks

TestProcessEndsWhenItsDiskIsFull: a replica whose disk refuses a write stops until the process restarts, which nothing makes it do.

--- a/internal/quorum/driver/fleet_test.go
+++ b/internal/quorum/driver/fleet_test.go
@@ -28,7 +28,9 @@
 	saved  disk.Saved
 	bytes  int64
 	fail   bool
-	staged raft.Snapshot
+	// stalledUntil is the time until which Save waits for the disk.
+	stalledUntil time.Time
+	staged       raft.Snapshot
 	// snapshotBytes and entryBytes are the bytes written for snapshots and for entries.
 	snapshotBytes, entryBytes int64
 	// stageDelay is the time that Stage takes.
@@ -40,6 +42,7 @@
 func (m *memoryStorage) Save(h *raft.HardState, entries []raft.Entry) error {
 	m.event()
 	defer m.event()
+	time.Sleep(m.stallLeft())
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.fail {
@@ -97,6 +100,19 @@
 	return m.saved.Hard
 }
 
+// stall lets the disk answer nothing for the given time.
+func (m *memoryStorage) stall(length time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.stalledUntil = time.Now().Add(length)
+}
+
+func (m *memoryStorage) stallLeft() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return time.Until(m.stalledUntil)
+}
+
 func (m *memoryStorage) failWrites() {
 	m.mu.Lock()
 	m.fail = true
@@ -240,6 +256,9 @@
 	return nil
 }
 
+// callerTimeout is the time without an answer after which callers propose a change again.
+const callerTimeout = time.Second
+
 // changeConfig proposes a change of the configuration until it gets a result.
 func (g *group) changeConfig(id string, version uint64) state.ConfigResult {
 	c := state.Diff(nil, version, []state.File{{Name: id, Content: []byte(`{}`)}})
@@ -250,7 +269,9 @@
 	}
 	for range 100 {
 		var r state.ConfigResult
-		text, err := g.waitForLeader().Propose(g.t.Context(), b)
+		ctx, cancel := context.WithTimeout(g.t.Context(), callerTimeout)
+		text, err := g.waitForLeader().Propose(ctx, b)
+		cancel()
 		if err == nil && state.Decode(text, &r) == nil {
 			return r
 		}
