core, disk: a control instance whose disk has refused a write ends its process once the disk takes writes again

Cause: a replica whose storage failed stops until its process restarts, and nothing made it restart. The disks of three of five control instances, full one after the other, ended the control quorum for good; what was accepted could not be read. Change: once its replica has stopped, a control instance checks its folder each 0.2 s with a write and a sync, and ends with status 1 when that works. The next process starts from what the disk holds. Weighed: ending at once (12 ends in place of 3 for the same faults, each of which failed again at its first write); a new replica within the process (the keeper and the calls in flight would have to change over to it).

--- a/internal/daemon/core/core.go
+++ b/internal/daemon/core/core.go
@@ -16,6 +16,7 @@
 	"go.uber.org/fx"
 
 	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/clock/timer"
 	"github.com/snipefront/snipefront/internal/control/access"
 	"github.com/snipefront/snipefront/internal/control/fleet"
 	"github.com/snipefront/snipefront/internal/control/keeper"
@@ -38,6 +39,10 @@
 	// snapshots: what a replica replays after a start while the whole fleet registers again.
 	snapshotEntries = 1024
 	snapshotBytes   = 256 << 10
+	// exitFailure is the exit status of a process whose replica of the log has failed.
+	exitFailure = 1
+	// checkInterval is the time between checks of the folder of a replica that has failed.
+	checkInterval = 200 * time.Millisecond
 	// tryTimeout bounds one call to one control instance.
 	tryTimeout = 400 * time.Millisecond
 )
@@ -65,7 +70,7 @@
 	return fx.Options(
 		fx.NopLogger,
 		fx.Supply(s, logger),
-		fx.Provide(newState, newClient, newLog, newControlClient, newKeeper, newPeerServer, stats.New),
+		fx.Provide(newState, newClient, newFolder, newLog, newControlClient, newKeeper, newPeerServer, stats.New),
 		fx.Invoke(registerHooks),
 	)
 }
@@ -74,8 +79,9 @@
 
 func newClient() *peers.Client { return &peers.Client{} }
 
-func newLog(s Settings, state *fleet.State, client *peers.Client, logger *slog.Logger) (*driver.Log, error) {
-	folder := &disk.Folder{Path: s.DataFolder}
+func newFolder(s Settings) *disk.Folder { return &disk.Folder{Path: s.DataFolder} }
+
+func newLog(s Settings, folder *disk.Folder, state *fleet.State, client *peers.Client, logger *slog.Logger) (*driver.Log, error) {
 	saved, err := folder.Open()
 	if err != nil {
 		return nil, errors.Wrap(err, "open log")
@@ -123,8 +129,25 @@
 	return &peers.Server{Log: replica, Steps: replica.Deliver, Watcher: k}
 }
 
+// endWithLog ends the process, as failed, if the replica of the log stops before ctx ends and
+// once the folder takes writes again. A replica whose storage failed no longer knows what
+// its disk contains; the next process reads it.
+func endWithLog(ctx context.Context, replica *driver.Log, folder *disk.Folder, process fx.Shutdowner) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-replica.Stopped():
+	}
+	for timer.Sleep(ctx, checkInterval) {
+		if folder.Check() == nil {
+			return process.Shutdown(fx.ExitCode(exitFailure))
+		}
+	}
+	return nil
+}
+
 // registerHooks starts and stops the control instance with the fx application.
-func registerHooks(f fx.Lifecycle, s Settings, replica *driver.Log, k *keeper.Keeper, server *peers.Server, client *peers.Client, counters *stats.Stats, logger *slog.Logger) {
+func registerHooks(f fx.Lifecycle, process fx.Shutdowner, s Settings, folder *disk.Folder, replica *driver.Log, k *keeper.Keeper, server *peers.Server, client *peers.Client, counters *stats.Stats, logger *slog.Logger) {
 	g := &serve.Group{Logger: logger}
 	ctx, cancel := context.WithCancel(context.Background())
 	f.Append(fx.Hook{
@@ -145,6 +168,7 @@
 				return err
 			}
 			g.Go(ctx, "log", replica.Run)
+			g.Go(ctx, "log end", func(ctx context.Context) error { return endWithLog(ctx, replica, folder, process) })
 			g.Go(ctx, "keeper", k.Run)
 			g.Go(ctx, "client", client.Run)
 			logger.Info("started", "instance", s.Self.Name, "dataCentre", s.Self.DataCentre, "seeds", s.Seeds, "joinOnly", s.JoinOnly)
--- a/internal/daemon/core/core_test.go
+++ b/internal/daemon/core/core_test.go
@@ -6,7 +6,9 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"path/filepath"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,29 +19,37 @@
 	"github.com/snipefront/snipefront/internal/control/keeper"
 	"github.com/snipefront/snipefront/internal/daemon/core"
 	"github.com/snipefront/snipefront/internal/quorum/disk"
-	"github.com/snipefront/snipefront/internal/quorum/driver"
-	"github.com/snipefront/snipefront/internal/quorum/raft"
 )
 
 // awaitTimeout bounds a wait for a condition. Only a test that hangs reaches it.
 const awaitTimeout = 30 * time.Second
 
+// fullTime is how long a disk is full.
+const fullTime = 500 * time.Millisecond
+
 var errNoSpace = errors.New("no space left on device")
 
-// fullDisk is the storage of a replica whose disk takes no more bytes once full is closed.
-type fullDisk struct {
-	driver.Storage
-	full <-chan struct{}
+// fullDisk is a disk that takes no bytes while full is set.
+type fullDisk struct{ full atomic.Bool }
+
+// create implements disk.Folder.Create.
+func (d *fullDisk) create(path string) (disk.File, error) {
+	file, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o600)
+	return &fullFile{File: file, disk: d}, err
 }
 
-// Save implements driver.Storage.
-func (d *fullDisk) Save(h *raft.HardState, entries []raft.Entry) error {
-	select {
-	case <-d.full:
-		return errNoSpace
-	default:
-		return d.Storage.Save(h, entries)
+// fullFile is a file on a fullDisk.
+type fullFile struct {
+	*os.File
+	disk *fullDisk
+}
+
+// Write implements disk.File.
+func (f *fullFile) Write(b []byte) (int, error) {
+	if f.disk.full.Load() {
+		return 0, errNoSpace
 	}
+	return f.File.Write(b)
 }
 
 // freeAddress returns an address of loopback that is free.
@@ -83,16 +93,16 @@
 	}
 }
 
-// TestProcessEndsWhenItsDiskIsFull guards against a control instance that stays without its
-// replica of the log once its disk has refused a write, though the disk works again: each
-// such fault would leave the control quorum one replica less. The process must end, and
-// the next one must have what was accepted.
-func TestProcessEndsWhenItsDiskIsFull(t *testing.T) {
-	keepers, full := make(chan *keeper.Keeper, 1), make(chan struct{})
+// TestProcessEndsAfterItsDiskWasFull guards against a control instance that stays without
+// its replica of the log once its disk has refused a write, though the disk works again:
+// each such fault would leave the control quorum one replica less. The process must end,
+// though not while the next one couldn't write either, and that must have what was accepted.
+func TestProcessEndsAfterItsDiskWasFull(t *testing.T) {
+	keepers, d := make(chan *keeper.Keeper, 1), &fullDisk{}
 	s := settings(t, filepath.Join(t.TempDir(), "data"), keepers)
-	app := fx.New(core.Options(s, slog.New(slog.DiscardHandler)), fx.Decorate(func(l *driver.Log) *driver.Log {
-		l.Storage = &fullDisk{Storage: l.Storage, full: full}
-		return l
+	app := fx.New(core.Options(s, slog.New(slog.DiscardHandler)), fx.Decorate(func(f *disk.Folder) *disk.Folder {
+		f.Create = d.create
+		return f
 	}))
 	ended := app.Wait()
 	if err := app.Start(t.Context()); err != nil {
@@ -100,30 +110,52 @@
 	}
 	k := <-keepers
 	configure(t, k, 7)
-	close(full)
-	d, err := fleet.NewDocument(8, []byte("8"))
-	if err != nil {
-		t.Fatal(err)
+	d.full.Store(true)
+	if refused, err := fleet.NewDocument(8, []byte("8")); err != nil || k.Configure(t.Context(), refused) == nil {
+		t.Error("a change is accepted that the disk has refused, or can't be encoded:", err)
 	}
-	if k.Configure(t.Context(), d) == nil {
-		t.Error("a change is accepted that the disk has refused")
+	select {
+	case <-ended:
+		t.Error("the process ends while its disk is full")
+	case <-time.After(fullTime):
 	}
+	d.full.Store(false)
 	select {
 	case signal := <-ended:
 		if signal.ExitCode == 0 {
 			t.Error("the process ends with status 0, want a failure")
 		}
 	case <-time.After(awaitTimeout):
-		t.Error("the process doesn't end")
+		t.Error("the process doesn't end once its disk works again")
 	}
 	if err := app.Stop(context.Background()); err != nil {
 		t.Log("stop:", err)
 	}
-	saved, err := (&disk.Folder{Path: s.DataFolder}).Open()
-	if err != nil {
+	s.JoinOnly = true
+	checkConfiguration(t, s, keepers, 7)
+}
+
+// checkConfiguration starts a control instance and checks that it returns the configuration
+// of the given version.
+func checkConfiguration(t *testing.T, s core.Settings, keepers <-chan *keeper.Keeper, version uint64) {
+	t.Helper()
+	app := fx.New(core.Options(s, slog.New(slog.DiscardHandler)))
+	if err := app.Start(t.Context()); err != nil {
 		t.Fatal(err)
 	}
-	if len(saved.Entries)+int(saved.Snapshot.Index) == 0 {
-		t.Error("the next process has nothing of what was accepted")
+	t.Cleanup(func() {
+		if err := app.Stop(context.Background()); err != nil {
+			t.Error(err)
+		}
+	})
+	k := <-keepers
+	for begun := time.Now(); time.Since(begun) < awaitTimeout; time.Sleep(10 * time.Millisecond) {
+		if d, err := k.Configuration(t.Context()); err == nil {
+			if d.Version != version {
+				t.Errorf("the next process returns version %d, want %d", d.Version, version)
+			}
+			return
+		}
 	}
+	t.Error("the next process returns no configuration")
 }
--- a/internal/quorum/disk/disk.go
+++ b/internal/quorum/disk/disk.go
@@ -44,6 +44,9 @@
 	prefix      = "log-"
 	rewriteName = "next.tmp"
 	stagedName  = "draft.tmp"
+	checkName   = "check.tmp"
+	// checkBytes is the length of the file that Check writes.
+	checkBytes = 4 << 10
 	// maxUnsyncedBytes is the maximum number of bytes that Stage writes between two
 	// syncs, which bounds the time that a concurrent Save waits for the disk.
 	maxUnsyncedBytes = 1 << 20
@@ -192,6 +195,19 @@
 	return f.replace(file, stagedName, f.stagedBytes+int64(len(b)))
 }
 
+// Check returns an error if the folder takes no writes. It may run concurrently with all
+// other methods, and works after a failed Save, too.
+func (f *Folder) Check() error {
+	path := filepath.Join(f.Path, checkName)
+	file, err := f.create(path)
+	if err != nil {
+		return errors.Wrap(err, "create file")
+	}
+	defer func() { _ = os.Remove(path) }() // a file that stays is replaced by the next check
+	defer file.Close()
+	return writeSync(file, make([]byte, checkBytes))
+}
+
 // Bytes returns the length of the log file.
 func (f *Folder) Bytes() int64 { return f.bytes }
 
--- a/internal/quorum/disk/disk_test.go
+++ b/internal/quorum/disk/disk_test.go
@@ -231,7 +231,13 @@
 	if f.Save(nil, []raft.Entry{entry(1, 1)}) == nil {
 		t.Fatal("saved without a sync")
 	}
+	if f.Check() == nil {
+		t.Fatal("the folder takes writes, says the check of one that doesn't")
+	}
 	fail = false
+	if err := f.Check(); err != nil {
+		t.Fatalf("the check of a folder that takes writes again: %v", err)
+	}
 	if f.Save(nil, []raft.Entry{entry(1, 1)}) == nil || f.Compact(raft.HardState{}, raft.Snapshot{}, nil) == nil {
 		t.Fatal("saved after a failure")
 	}
--- a/internal/quorum/driver/driver.go
+++ b/internal/quorum/driver/driver.go
@@ -317,6 +317,13 @@
 	return errors.Wrap(l.Storage.Close(), "close log storage")
 }
 
+// Stopped returns a channel that is closed once the replica has stopped, since the storage
+// failed or the context of Run ended.
+func (l *Log) Stopped() <-chan struct{} {
+	l.init()
+	return l.stopped
+}
+
 func (l *Log) init() {
 	l.once.Do(func() {
 		l.proposals = make(chan proposal, queueLength)
--- a/internal/quorum/driver/fleet_test.go
+++ b/internal/quorum/driver/fleet_test.go
@@ -24,10 +24,10 @@
 
 // memoryStorage is a driver.Storage in memory whose writes can be made to fail.
 type memoryStorage struct {
-	mu     sync.Mutex
-	saved  disk.Saved
-	bytes  int64
-	fail   bool
+	mu    sync.Mutex
+	saved disk.Saved
+	bytes int64
+	fail  bool
 	// stalledUntil is the time until which Save waits for the disk.
 	stalledUntil time.Time
 	staged       raft.Snapshot
