--- a/internal/control/fleet/fleet.go
+++ b/internal/control/fleet/fleet.go
@@ -27,6 +27,9 @@
 type State struct {
 	mu   sync.RWMutex
 	data data
+	// urgent is the index of the last log entry that quarantined a request, or zero if
+	// none has since the last Restore.
+	urgent uint64
 	// changed is closed and replaced at each change.
 	changed chan struct{}
 }
@@ -113,7 +116,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.data = d
+	s.data, s.urgent = d, 0
 	s.init()
 	s.notify()
 	return nil
@@ -134,6 +137,15 @@
 	return s.data.Index
 }
 
+// UrgentIndex returns the index of the last log entry that quarantined a request: readers
+// that have not applied it may send the request on to another backend server. It is zero
+// if there is none, or none since the state was restored.
+func (s *State) UrgentIndex() uint64 {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.urgent
+}
+
 // Document returns the configuration in force.
 func (s *State) Document() Document {
 	s.mu.RLock()
--- a/internal/control/fleet/suspect.go
+++ b/internal/control/fleet/suspect.go
@@ -36,6 +36,9 @@
 			changed = true
 		}
 	}
+	if known.Index == index && len(known.Crashed) >= poison.CrashLimit {
+		s.urgent = index
+	}
 	return changed
 }
 
--- a/internal/control/keeper/keeper.go
+++ b/internal/control/keeper/keeper.go
@@ -30,9 +30,9 @@
 	maxWait = time.Second
 	// leaderCheckInterval is the time between checks that a leader is still known.
 	leaderCheckInterval = 250 * time.Millisecond
-	// batchDelay is the time for which the answer to a Watch is delayed after a change,
-	// so that it includes the changes that follow immediately.
-	batchDelay = 20 * time.Millisecond
+	// batchInterval is the least time between a Watch and its answer with changes, so that
+	// one answer includes all changes that follow one another immediately.
+	batchInterval = 20 * time.Millisecond
 )
 
 // Log reports the state of the replicated log.
@@ -185,20 +185,29 @@
 
 // awaitChange waits until the index of State differs from the one that the watching
 // instance has applied. It returns early after w.Wait or maxWait, or if no leader is
-// known.
+// known. An instance that has applied a state gets the next one after batchInterval at
+// the earliest, but for a change that is urgent; later changes are answered at once.
 func (k *Keeper) awaitChange(ctx context.Context, w peers.Watch) error {
+	gathered := time.NewTimer(batchInterval)
+	defer gathered.Stop()
 	expired := time.NewTimer(min(w.Wait, maxWait))
 	defer expired.Stop()
 	checks := time.NewTicker(leaderCheckInterval)
 	defer checks.Stop()
+	gathering := w.Held > 0
 	for {
 		changed := k.State.Changed()
-		if k.State.Index() != w.Held || !k.hasLeader() {
+		index := k.State.Index()
+		if !k.hasLeader() || index < w.Held {
+			return nil
+		}
+		if index > w.Held && (!gathering || k.State.UrgentIndex() > w.Held) {
 			return nil
 		}
 		select {
 		case <-changed:
-			time.Sleep(batchDelay)
+		case <-gathered.C:
+			gathering = false
 		case <-checks.C:
 		case <-expired.C:
 			return nil
--- a/internal/request/poison/events.go
+++ b/internal/request/poison/events.go
@@ -123,7 +123,7 @@
 // quarantine, reports this, too. The lock is held.
 func (g *Register) reportCrash(now time.Time, event Event, f uint64, e *suspect, s Server) {
 	g.report(now, event, s.Name, f, e)
-	if len(e.crashed) == crashLimit {
+	if len(e.crashed) == CrashLimit {
 		g.report(now, EventQuarantined, "second crash", f, e)
 	}
 }
--- a/internal/request/poison/poison.go
+++ b/internal/request/poison/poison.go
@@ -42,8 +42,8 @@
 	// stays a suspect, and how long a broken connection may still be recognized as part of a
 	// crash.
 	suspectTime = time.Minute
-	// crashLimit is the number of crashed backend servers that quarantine a request.
-	crashLimit = 2
+	// CrashLimit is the number of crashed backend servers that quarantine a request.
+	CrashLimit = 2
 	// maxCrashed bounds the crashed backend servers that are recorded for a suspect.
 	maxCrashed = 8
 	// maxEntries bounds the suspects and the ended backend servers, and maxBroken the broken
@@ -135,7 +135,7 @@
 	switch {
 	case e == nil || !now.Before(e.expires):
 		return Clear, 0
-	case len(e.crashed) < crashLimit:
+	case len(e.crashed) < CrashLimit:
 		return Alone, 0
 	case g.Trials:
 		return e.admitTrial(now)
@@ -226,7 +226,7 @@
 // RecordLifetime returns how long the record of a request that was in flight on the
 // given number of crashed backend servers is valid.
 func RecordLifetime(crashed int) time.Duration {
-	if crashed < crashLimit {
+	if crashed < CrashLimit {
 		return suspectTime
 	}
 	return quarantineTime
--- a/internal/request/poison/share.go
+++ b/internal/request/poison/share.go
@@ -102,7 +102,7 @@
 	left := min(r.Left, quarantineTime)
 	for _, s := range r.Crashed {
 		isNew := g.addCrash(now, r.Fingerprint, s, EventLearned, left)
-		if e := g.suspects[r.Fingerprint]; isNew && len(e.crashed) >= crashLimit && len(r.Crashed) < crashLimit {
+		if e := g.suspects[r.Fingerprint]; isNew && len(e.crashed) >= CrashLimit && len(r.Crashed) < CrashLimit {
 			e.expires = now.Add(quarantineTime)
 		}
 	}
--- a/internal/request/poison/trial.go
+++ b/internal/request/poison/trial.go
@@ -78,7 +78,7 @@
 		e.expires = expires
 	}
 	// Beyond the crashes that began the quarantine, each further run may end one more.
-	delay, ok := e.trials.delay(len(e.crashed) <= crashLimit)
+	delay, ok := e.trials.delay(len(e.crashed) <= CrashLimit)
 	if !ok {
 		return Quarantined, quarantineTime
 	}
