keeper: changes that follow one another go out each 50 ms

Cause: while all instances of a large fleet register, the edges apply a view for nearly every change, 10 to 15 thousand a second over 528 instances.

--- a/internal/control/keeper/keeper.go
+++ b/internal/control/keeper/keeper.go
@@ -32,7 +32,7 @@
 	leaderCheckInterval = 250 * time.Millisecond
 	// batchInterval is the least time between a Watch and its answer with changes, so that
 	// one answer includes all changes that follow one another immediately.
-	batchInterval = 20 * time.Millisecond
+	batchInterval = 50 * time.Millisecond
 )
 
 // Log reports the state of the replicated log.
