--- a/internal/entry/proxy/proxy_test.go
+++ b/internal/entry/proxy/proxy_test.go
@@ -37,13 +37,19 @@
 
 var fields = snipefront.HeaderFields{RequestID: "Id", Remaining: "Remaining", Expected: "Expected"}
 
-func newProxy(t *testing.T, s *sender) *proxy.Proxy {
+func newProxy(t *testing.T, s proxy.Sender) *proxy.Proxy {
+	t.Helper()
+	return newSplitProxy(t, s, snipefront.ServiceWeight{Service: "a", Weight: 1})
+}
+
+// newSplitProxy returns a proxy whose route goes to the services a and b by weight.
+func newSplitProxy(t *testing.T, s proxy.Sender, split ...snipefront.ServiceWeight) *proxy.Proxy {
 	t.Helper()
 	table, err := paths.NewTable(&snipefront.Routing{
-		Services: map[string]snipefront.ServiceProfile{"a": {}},
+		Services: map[string]snipefront.ServiceProfile{"a": {}, "b": {}},
 		Routes: []snipefront.Route{{
 			Name: "r", Host: "x.example", Prefix: "/p/", Idempotent: true, Timeout: 800 * time.Millisecond, Goal: 300 * time.Millisecond,
-			Attempts: 2, Split: []snipefront.ServiceWeight{{Service: "a", Weight: 1}},
+			Attempts: 2, Split: split,
 		}},
 	})
 	if err != nil {
@@ -150,3 +156,38 @@
 		t.Errorf("without a configuration the response is %+v, want status 503 with Retry-After", a)
 	}
 }
+
+// rejecting counts the calls of each service, and rejects those of one.
+type rejecting struct {
+	service string
+	calls   map[string]int
+}
+
+// Serve implements proxy.Sender.
+func (s *rejecting) Serve(_ context.Context, c *direct.Call) (*snipefront.Response, error) {
+	s.calls[c.Service]++
+	if c.Service == s.service {
+		return nil, snipefront.Refused(snipefront.ReasonOverload, time.Second, "no room")
+	}
+	return &snipefront.Response{Status: http.StatusOK, Header: http.Header{}}, nil
+}
+
+// TestSplitHoldsWhileOnePartRejects guards against requests that are moved to another part
+// of a route by weight, or held back, while one part rejects all or has no room.
+func TestSplitHoldsWhileOnePartRejects(t *testing.T) {
+	const requests = 300
+	for _, rejects := range []string{"", "a", "b"} {
+		s := &rejecting{service: rejects, calls: map[string]int{}}
+		p := newSplitProxy(t, s, snipefront.ServiceWeight{Service: "a", Weight: 80}, snipefront.ServiceWeight{Service: "b", Weight: 20})
+		answered := map[int]int{}
+		for range requests {
+			answered[p.Handle(t.Context(), request(t, "/p/1")).Status]++
+		}
+		if a, b := s.calls["a"], s.calls["b"]; a != requests*8/10 || b != requests*2/10 {
+			t.Errorf("while %q rejects, a gets %d requests and b %d, want 240 and 60", rejects, a, b)
+		}
+		if n := answered[http.StatusServiceUnavailable]; n != s.calls[rejects] {
+			t.Errorf("while %q rejects, %d requests are refused, want %d", rejects, n, s.calls[rejects])
+		}
+	}
+}
