owner, ring: the owner of a cell is found without sorting all instances

Cause: owner.Of ranked all instances of a data centre to take the first, for each cold backend server at each choice, and each hash was made by an allocated hasher. Change: one pass, and the same FNV hash written out. The positions are the same, which TestPositionsStay keeps.

--- a/internal/control/owner/owner.go
+++ b/internal/control/owner/owner.go
@@ -23,7 +23,7 @@
 	}
 	scores := make(map[string]uint64, len(list))
 	for _, n := range list {
-		scores[n.Name] = ring.Position(c.Service, c.DataCentre, n.Name)
+		scores[n.Name] = score(c, n)
 	}
 	sort.Slice(list, func(i, j int) bool {
 		a, b := scores[list[i].Name], scores[list[j].Name]
@@ -32,13 +32,32 @@
 	return list
 }
 
-// Of returns the owner of c, and false if the epoch has no instance.
+// Of returns the owner of c, and false if the epoch has no instance. It is the first of
+// Rank, without the order of the others.
 func Of(e snipefront.Epoch, c snipefront.Cell) (snipefront.Instance, bool) {
-	list := Rank(e, c)
-	if len(list) == 0 {
-		return snipefront.Instance{}, false
+	best, found := first(e.Instances, c, func(n snipefront.Instance) bool { return n.DataCentre == c.DataCentre })
+	if found {
+		return best, true
 	}
-	return list[0], true
+	return first(e.Instances, c, func(snipefront.Instance) bool { return true })
+}
+
+// first returns the instance with the highest score for c of those that may own it.
+func first(list []snipefront.Instance, c snipefront.Cell, mayOwn func(snipefront.Instance) bool) (best snipefront.Instance, found bool) {
+	highest := uint64(0)
+	for _, n := range list {
+		if !mayOwn(n) {
+			continue
+		}
+		if s := score(c, n); !found || s > highest || s == highest && n.Name < best.Name {
+			best, highest, found = n, s, true
+		}
+	}
+	return best, found
+}
+
+func score(c snipefront.Cell, n snipefront.Instance) uint64 {
+	return ring.Position(c.Service, c.DataCentre, n.Name)
 }
 
 // DataCentres returns the data centres that have or had instances, sorted.
--- a/internal/control/ring/ring.go
+++ b/internal/control/ring/ring.go
@@ -8,8 +8,6 @@
 
 import (
 	"cmp"
-	"hash/fnv"
-	"io"
 	"iter"
 	"slices"
 	"sort"
@@ -18,6 +16,12 @@
 // defaultPoints is the number of points of each node where a ring names none.
 const defaultPoints = 32
 
+// The parameters of the 64-bit FNV-1a hash.
+const (
+	fnvOffset = 14695981039346656037
+	fnvPrime  = 1099511628211
+)
+
 // Ring is a set of nodes. It is immutable; its zero value has no node.
 type Ring struct {
 	// Points is the number of points of each node, or zero for the default. The more there
@@ -38,14 +42,16 @@
 
 // Position returns the position of a key that consists of parts.
 func Position(parts ...string) uint64 {
-	h := fnv.New64a()
+	h := uint64(fnvOffset)
 	for i, p := range parts {
 		if i > 0 {
-			_, _ = h.Write([]byte{0})
+			h *= fnvPrime // a zero byte between two parts
+		}
+		for j := range len(p) {
+			h = (h ^ uint64(p[j])) * fnvPrime
 		}
-		_, _ = io.WriteString(h, p)
 	}
-	return mix(h.Sum64())
+	return mix(h)
 }
 
 // mix spreads the bits of x, since FNV alone gives similar names similar positions.
--- a/internal/control/ring/ring_test.go
+++ b/internal/control/ring/ring_test.go
@@ -65,6 +65,19 @@
 	}
 }
 
+// TestPositionsStay guards against positions that differ from those of earlier builds, with
+// which instances agree on the owner of a cell.
+func TestPositionsStay(t *testing.T) {
+	for want, parts := range map[uint64][]string{
+		7630737896463178563:  {"s", "dc1", "10.1.0.31:8548"},
+		17280346270528514342: {""},
+	} {
+		if got := ring.Position(parts...); got != want {
+			t.Errorf("the position of %q is %d, want %d", parts, got, want)
+		}
+	}
+}
+
 // TestPositionDependsOnPartsAndBounds guards against parts that run together.
 func TestPositionDependsOnPartsAndBounds(t *testing.T) {
 	if ring.Position("ab", "c") == ring.Position("a", "bc") {
