keeper: an instance that has watched again stays, when its earlier watch is found broken

Cause, found while reading: a broken watch makes its instance expire after 0.5 s, whether or not the instance has watched again since on another connection. An instance interrupts its watch when it becomes ready, so the end of the first call may be noticed after the second has begun, and the instance then leaves the fleet, and callers' lists, until its next watch. Change: the end of a watch counts only if no other has begun since. TestInstanceThatWatchesAgainStays failed before.

--- a/internal/control/keeper/clock_test.go
+++ b/internal/control/keeper/clock_test.go
@@ -118,3 +118,35 @@
 		}
 	})
 }
+
+// TestInstanceThatWatchesAgainStays guards against an instance that is removed since its last
+// watch was broken off, though it has watched again on a new connection before that was
+// noticed.
+func TestInstanceThatWatchesAgainStays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		k, _ := newKeeper()
+		run(t, k)
+		w := peers.Watch{Wait: time.Second, Instance: instance(5)}
+		if _, err := k.Watch(t.Context(), w); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(100 * time.Millisecond)
+		w.Held = k.State.Index()
+		broken, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(20*time.Millisecond, cancel)
+		first, second := make(chan error, 1), make(chan error, 1)
+		go func() { _, err := k.Watch(broken, w); first <- err }()
+		time.Sleep(10 * time.Millisecond)
+		go func() { _, err := k.Watch(t.Context(), w); second <- err }()
+		if <-first == nil {
+			t.Error("the broken watch returned no error")
+		}
+		time.Sleep(900 * time.Millisecond)
+		if _, ok := k.State.Instance("e"); !ok {
+			t.Error("the instance is removed while it watches")
+		}
+		if err := <-second; err != nil {
+			t.Error(err)
+		}
+	})
+}
--- a/internal/control/keeper/expire.go
+++ b/internal/control/keeper/expire.go
@@ -75,12 +75,12 @@
 	return true
 }
 
-// recordWatch records that an instance watches, and queues its registration if State
+// recordWatch records that an instance watches at the instant now, and queues its registration if State
 // lacks it. While no leader is known, recordWatch queues nothing: the watching instance
 // then moves to another control instance. It does nothing for an instance under whose
 // name a higher incarnation is registered: that one must expire, unless the instance
 // replaces it.
-func (k *Keeper) recordWatch(n fleet.Instance) {
+func (k *Keeper) recordWatch(now time.Time, n fleet.Instance) {
 	k.init()
 	old, known := k.State.Instance(n.Name)
 	if known && old.Incarnation > n.Incarnation {
@@ -90,7 +90,7 @@
 	known = known && old == n
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.watches[n.Name] = time.Now()
+	k.watches[n.Name] = now
 	if known || !k.hasLeader() {
 		return
 	}
@@ -117,12 +117,15 @@
 	return joins
 }
 
-// recordDisconnect records that the connection of a watching instance broke, so that
-// the instance expires after disconnectTimeout.
-func (k *Keeper) recordDisconnect(n fleet.Instance) {
+// recordDisconnect records that the connection of an instance broke that has watched since
+// begun, so that the instance expires after disconnectTimeout. It does nothing if the
+// instance has watched again since, on another connection.
+func (k *Keeper) recordDisconnect(begun time.Time, n fleet.Instance) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.watches[n.Name] = time.Now().Add(disconnectTimeout - instanceTimeout)
+	if k.watches[n.Name].Equal(begun) {
+		k.watches[n.Name] = time.Now().Add(disconnectTimeout - instanceTimeout)
+	}
 }
 
 // join proposes the registration n unless State has it, or may not have applied it yet.
--- a/internal/control/keeper/keeper.go
+++ b/internal/control/keeper/keeper.go
@@ -170,13 +170,12 @@
 // Watch implements peers.Watcher. It waits for a change for maxWait at most.
 func (k *Keeper) Watch(ctx context.Context, w peers.Watch) (peers.Update, error) {
 	w.Instance.Keeper = k.Self.Name
+	begun := time.Now()
 	if !w.Unregistered() {
-		k.recordWatch(w.Instance)
+		k.recordWatch(begun, w.Instance)
 	}
 	if err := k.awaitChange(ctx, w); err != nil {
-		if !w.Unregistered() {
-			k.recordDisconnect(w.Instance)
-		}
+		k.recordDisconnect(begun, w.Instance)
 		return peers.Update{}, err
 	}
 	d := k.State.DeltaSince(w.Held)
