--- a/internal/control/lookup/lookup.go
+++ b/internal/control/lookup/lookup.go
@@ -9,6 +9,7 @@
 
 import (
 	"math"
+	"net"
 	"sync/atomic"
 	"time"
 
@@ -33,6 +34,16 @@
 	DataCentre string
 }
 
+// CallerName returns the name of a caller by the address (host:port) that it calls from: the
+// host, which it keeps while the port changes with each connection.
+func CallerName(remoteAddress string) string {
+	host, _, err := net.SplitHostPort(remoteAddress)
+	if err != nil {
+		return remoteAddress
+	}
+	return host
+}
+
 // Table holds the instances that accept requests. Set the exported field before use. All
 // methods are safe for concurrent use, but for Update, which must not be called twice at
 // the same time.
--- a/internal/entry/locate/locate.go
+++ b/internal/entry/locate/locate.go
@@ -9,12 +9,12 @@
 
 import (
 	"encoding/json"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
 
 	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/control/lookup"
 	"github.com/snipefront/snipefront/internal/control/member"
 	"github.com/snipefront/snipefront/internal/control/ring"
 )
@@ -74,7 +74,7 @@
 		http.Error(w, "unknown service", http.StatusNotFound)
 		return
 	}
-	list := h.addresses(time.Now(), v, service, callerName(r))
+	list := h.addresses(time.Now(), v, service, lookup.CallerName(r.RemoteAddr))
 	if len(list) == 0 {
 		w.Header().Set("Retry-After", "1")
 		http.Error(w, "no instance is known yet", http.StatusServiceUnavailable)
@@ -88,16 +88,6 @@
 	}{list, h.Lifetime.Milliseconds(), v.Config.Revision})
 }
 
-// callerName returns the IP address of the caller, which keeps it while its port changes
-// with each connection.
-func callerName(r *http.Request) string {
-	host, _, err := net.SplitHostPort(r.RemoteAddr)
-	if err != nil {
-		return r.RemoteAddr
-	}
-	return host
-}
-
 func (h *Handler) addresses(now time.Time, v *member.View, service, caller string) []Address {
 	var list []Address
 	byAddress := map[string]int{}
