--- a/review/stand/deployment.go
+++ b/review/stand/deployment.go
@@ -177,7 +177,9 @@
 	service string
 	slots   int
 	work    time.Duration
-	routes  []route
+	// hidesLoad is true if the servers don't tell their load.
+	hidesLoad bool
+	routes    []route
 }
 
 // begin starts all processes and the servers of l, sends the first configuration, and waits until
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -31,7 +31,7 @@
 func main() { os.Exit(run(os.Args[1:])) }
 
 func run(args []string) int {
-	cases := map[string]play{"order": staleOrder, "stop": plannedStops, "upload": longUploads, "pipeline": pipelinedStops}
+	cases := map[string]play{"order": staleOrder, "stop": plannedStops, "upload": longUploads, "pipeline": pipelinedStops, "cold": coldAgain}
 	if len(args) != 2 || cases[args[0]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: stand CASE RECORD")
 		return exitFailed
--- a/review/stand/server.go
+++ b/review/stand/server.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,7 +16,9 @@
 
 const (
 	heartbeatInterval = 1500 * time.Millisecond
-	serversPerZone    = 2
+	// crashTime is the time after which a crashed server is back.
+	crashTime      = 2 * time.Second
+	serversPerZone = 2
 	// queueLength is the number of requests that wait for a slot at a server.
 	queueLength = 4
 )
@@ -40,10 +43,18 @@
 	address string
 	slots   int
 	work    time.Duration
-	born    int64
+	born    atomic.Int64
+	http    atomic.Pointer[http.Server]
+	// down is true from a crash until the next start.
+	down atomic.Bool
+
+	// hidesLoad is true if the server does not tell its load.
+	hidesLoad bool
 
 	running, waiting atomic.Int64
 	slot             chan struct{}
+	// coldUntil is when the server is warm again.
+	coldUntil atomic.Pointer[time.Time]
 
 	mu       sync.Mutex
 	arrivals []*arrival
@@ -57,20 +68,12 @@
 			n := z*serversPerZone + i
 			s := &server{
 				p: p, name: fmt.Sprintf("i-%s-%s-%d", l.service, zone, i), zone: zone, service: l.service, slots: l.slots, work: l.work,
-				address: p.address(100+n, serverPort), born: 1_700_000_000_000 + int64(n), slot: make(chan struct{}, l.slots),
+				address: p.address(100+n, serverPort), slot: make(chan struct{}, l.slots), hidesLoad: l.hidesLoad,
 			}
-			var c net.ListenConfig
-			listener, err := c.Listen(ctx, "tcp", s.address)
-			if err != nil {
+			s.born.Store(1_700_000_000_000)
+			if err := s.listen(ctx); err != nil {
 				return nil, err
 			}
-			h := &http.Server{Handler: s, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 10 * time.Second}
-			go func() {
-				if err := h.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-					p.rec.line("server %s: %v", s.name, err)
-				}
-			}()
-			context.AfterFunc(ctx, func() { h.Close() })
 			go s.beat(ctx)
 			list = append(list, s)
 		}
@@ -78,13 +81,52 @@
 	return list, nil
 }
 
+// listen starts to serve at the address of s, until ctx ends or s crashes.
+func (s *server) listen(ctx context.Context) error {
+	var c net.ListenConfig
+	l, err := c.Listen(ctx, "tcp", s.address)
+	if err != nil {
+		return err
+	}
+	h := &http.Server{Handler: s, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 10 * time.Second}
+	s.http.Store(h)
+	go func() {
+		if err := h.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			s.p.rec.line("server %s: %v", s.name, err)
+		}
+	}()
+	context.AfterFunc(ctx, func() { h.Close() })
+	return nil
+}
+
+// crash closes all connections of s. It is back after crashTime as a new incarnation, cold.
+func (s *server) crash(ctx context.Context) {
+	if !s.down.CompareAndSwap(false, true) {
+		return
+	}
+	s.p.rec.line("server %s: crashes", s.name)
+	s.http.Load().Close()
+	time.AfterFunc(crashTime, func() {
+		until := time.Now().Add(warmUp)
+		s.coldUntil.Store(&until)
+		s.born.Add(1)
+		if err := s.listen(ctx); err != nil {
+			s.p.rec.line("server %s: %v", s.name, err)
+		}
+		s.down.Store(false)
+	})
+}
+
 // beat sends heartbeats until ctx ends.
 func (s *server) beat(ctx context.Context) {
 	controls := s.p.controls()
 	next, own := 0, ""
 	for seq := 1; ctx.Err() == nil; seq++ {
-		body := fmt.Sprintf(`{"address":%q,"born":%d,"information":{"service":%q,"version":"v1","zone":%q,"slots":%d},"status":{"state":"ready","seq":%d,"warmupRemainingS":0}}`,
-			s.address, s.born, s.service, s.zone, s.slots, seq)
+		for s.down.Load() && ctx.Err() == nil {
+			time.Sleep(10 * time.Millisecond)
+		}
+		body := fmt.Sprintf(`{"address":%q,"born":%d,"information":{"service":%q,"version":"v1","zone":%q,"slots":%d},"status":{"state":"ready","seq":%d,"warmupRemainingS":%.3f}}`,
+			s.address, s.born.Load(), s.service, s.zone, s.slots, seq, s.coldFor().Seconds())
 		for range len(controls) + 1 {
 			to := own
 			if to == "" {
@@ -133,9 +175,14 @@
 
 // ServeHTTP implements http.Handler.
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set("Server-Load", fmt.Sprintf("%d,%d,%d,100", s.running.Load(), s.waiting.Load(), s.slots))
+	if !s.hidesLoad {
+		w.Header().Set("Server-Load", fmt.Sprintf("%d,%d,%d,100", s.running.Load(), s.waiting.Load(), s.slots))
+	}
 	if r.URL.Path == "/health" {
 		w.Header().Set("Instance-Id", s.name)
+		if left := s.coldFor(); left > 0 {
+			w.Header().Set("Warmup-Remaining", strconv.FormatInt(left.Milliseconds(), 10))
+		}
 		return
 	}
 	if want := r.Header.Get("Expected-Instance"); want != "" && want != s.name {
@@ -150,6 +197,10 @@
 	}
 	from, _, _ := net.SplitHostPort(r.RemoteAddr) // the server sets it
 	a := s.arrive(id, from)
+	if s.isOverwhelmed() {
+		s.crash(context.WithoutCancel(r.Context()))
+		return
+	}
 	w.Header().Set("Attempt-Id", id)
 	if s.waiting.Load() >= queueLength {
 		w.Header().Set("Not-Executed", "1")
@@ -182,6 +233,33 @@
 	fmt.Fprintf(w, "answer of %s to %s", s.name, id)
 }
 
+// coldFor returns how long the server stays cold.
+func (s *server) coldFor() time.Duration {
+	until := s.coldUntil.Load()
+	if until == nil {
+		return 0
+	}
+	return max(0, time.Until(*until))
+}
+
+// isOverwhelmed reports whether s is cold and has got crashRequests within a second.
+func (s *server) isOverwhelmed() bool {
+	if s.coldFor() == 0 {
+		return false
+	}
+	from := time.Now().Add(-time.Second)
+	if began := s.coldUntil.Load().Add(-warmUp); began.After(from) {
+		from = began
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for i := len(s.arrivals) - 1; i >= 0 && s.arrivals[i].at.After(from); i-- {
+		n++
+	}
+	return n >= crashRequests
+}
+
 func (s *server) arrive(id, from string) *arrival {
 	a := &arrival{id: id, server: s, from: from, at: time.Now()}
 	s.mu.Lock()
