pipe, edge: a request whose connection ends without an answer leaves a line and a count

An edge now logs each request that it read and could not answer, with the cause, counts them in snipefront_unanswered_total, and says at the end of a planned stop what is still in flight. TestUnansweredRequestIsReported does not compile without it. No decision changes.

--- a/internal/daemon/edge/build.go
+++ b/internal/daemon/edge/build.go
@@ -71,7 +71,7 @@
 }
 
 func newServer(px *proxy.Proxy, logger *slog.Logger) *pipe.Server {
-	return &pipe.Server{Handler: px, Limits: px.Limits, Logger: logger}
+	return &pipe.Server{Handler: px, Observer: px, Limits: px.Limits, Logger: logger}
 }
 
 // parts are the components of an Edge that fx builds.
--- a/internal/daemon/edge/edge.go
+++ b/internal/daemon/edge/edge.go
@@ -230,4 +230,14 @@
 	for e.server.CloseIdle() > 0 && time.Since(start) < time.Duration(drainShare*float64(e.settings.Grace)) {
 		time.Sleep(drainPollInterval)
 	}
+	e.reportCutOff()
+}
+
+// reportCutOff records the requests that the stop leaves without an answer.
+func (e *Edge) reportCutOff() {
+	pending := e.server.Pending()
+	for _, r := range pending {
+		e.proxy.CutOff(r)
+	}
+	e.logger.Info("requests in flight at the end of the stop", "instance", e.settings.Self.Name, "count", len(pending))
 }
--- a/internal/entry/pipe/conn.go
+++ b/internal/entry/pipe/conn.go
@@ -8,6 +8,7 @@
 	"math"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -32,8 +33,9 @@
 	reader  *bufio.Reader
 
 	mu sync.Mutex
-	// pending is the number of requests whose answer is not written completely.
-	pending int
+	// pending holds the requests whose answer is not written completely, in the order
+	// of their answers.
+	pending []*Request
 	// closing is true once the connection closes after the pending answers. No
 	// further request is admitted, so the caller can safely resend it elsewhere.
 	closing bool
@@ -41,7 +43,7 @@
 
 // exchange is a request with a channel for its answer.
 type exchange struct {
-	request *http.Request
+	request *Request
 	answer  chan Answer
 }
 
@@ -83,10 +85,10 @@
 		if err != nil {
 			return c.answerError(err, exchanges)
 		}
-		if !c.admit(r.Close) {
+		if !c.admit(r, r.Close) {
 			return true
 		}
-		x := exchange{request: r.Request, answer: make(chan Answer, 1)}
+		x := exchange{request: r, answer: make(chan Answer, 1)}
 		go func() { x.answer <- c.server.Handler.Handle(ctx, r) }()
 		exchanges <- x
 		if r.Close {
@@ -95,16 +97,16 @@
 	}
 }
 
-// admit counts a request as pending and reports whether it did. It does not if the
-// connection is closing. If last is true, no request is admitted after this one.
-func (c *conn) admit(last bool) bool {
+// admit makes r pending and reports whether it did. It does not if the connection is
+// closing. If last is true, no request is admitted after this one.
+func (c *conn) admit(r *Request, last bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closing {
 		return false
 	}
 	c.closing = last
-	c.pending++
+	c.pending = append(c.pending, r)
 	return true
 }
 
@@ -113,17 +115,25 @@
 func (c *conn) isLast(closes bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.pending == 1 && (closes || c.server.draining.Load()) {
+	if len(c.pending) == 1 && (closes || c.server.draining.Load()) {
 		c.closing = true
 	}
-	return c.closing && c.pending == 1
+	return c.closing && len(c.pending) == 1
 }
 
-// finish counts an answer that has been written, or can't be any more.
+// finish removes the first pending request, whose answer has been written, or can't be
+// any more.
 func (c *conn) finish() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.pending--
+	c.pending = c.pending[1:]
+}
+
+// unanswered returns the pending requests.
+func (c *conn) unanswered() []*Request {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.pending)
 }
 
 // closeIfIdle closes the connection if it has no pending request, and reports whether
@@ -131,7 +141,7 @@
 func (c *conn) closeIfIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.pending > 0 || c.closing {
+	if len(c.pending) > 0 || c.closing {
 		return false
 	}
 	c.closing = true
@@ -197,7 +207,7 @@
 func (c *conn) hasPending() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.pending > 0
+	return len(c.pending) > 0
 }
 
 // setReadTimeout bounds the next reads. Zero means no timeout.
@@ -225,8 +235,8 @@
 		status = http.StatusRequestTimeout
 	}
 	c.server.Logger.Info("cannot read a request; answering with an error and closing the connection", "status", status, "error", err, "caller", c.RemoteAddr())
-	x := exchange{request: &http.Request{Method: http.MethodGet}, answer: make(chan Answer, 1)}
-	if !c.admit(true) {
+	x := exchange{request: &Request{Request: &http.Request{Method: http.MethodGet}, Read: time.Now()}, answer: make(chan Answer, 1)}
+	if !c.admit(x.request, true) {
 		return true
 	}
 	x.answer <- Answer{Status: status, Close: true}
@@ -243,20 +253,23 @@
 		a := <-x.answer
 		if open {
 			open = c.writeAnswer(x.request, a)
+		} else {
+			c.server.unanswered(x.request, net.ErrClosed)
 		}
+		c.finish()
 	}
 }
 
 // writeAnswer writes one answer and reports whether another may follow.
-func (c *conn) writeAnswer(r *http.Request, a Answer) bool {
-	defer c.finish()
+func (c *conn) writeAnswer(r *Request, a Answer) bool {
 	last := c.isLast(a.Close)
 	_ = c.SetWriteDeadline(time.Now().Add(writeTimeout)) // fails only if the connection is closed
-	b := net.Buffers{formatHead(r, a, last)}
+	b := net.Buffers{formatHead(r.Request, a, last)}
 	if len(a.Body) > 0 && r.Method != http.MethodHead {
 		b = append(b, a.Body)
 	}
 	if _, err := b.WriteTo(c.Conn); err != nil {
+		c.server.unanswered(r, err)
 		c.Close()
 		return false
 	}
--- a/internal/entry/pipe/pipe.go
+++ b/internal/entry/pipe/pipe.go
@@ -55,9 +55,18 @@
 	Handle(ctx context.Context, r *Request) Answer
 }
 
+// Observer is told of requests that get no answer.
+type Observer interface {
+	// Unanswered is called for a request that was read and whose answer could not be
+	// written completely, because of err.
+	Unanswered(r *Request, err error)
+}
+
 // Server serves callers. Set the exported fields before Serve.
 type Server struct {
 	Handler Handler
+	// Observer may be nil.
+	Observer Observer
 	// Limits returns the limits for the next request.
 	Limits func() snipefront.CallerLimits
 	Logger *slog.Logger
@@ -127,6 +136,24 @@
 	return busy
 }
 
+// Pending returns the requests that were read and whose answers are not written
+// completely.
+func (s *Server) Pending() []*Request {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []*Request
+	for c := range s.conns {
+		list = append(list, c.unanswered()...)
+	}
+	return list
+}
+
+func (s *Server) unanswered(r *Request, err error) {
+	if s.Observer != nil {
+		s.Observer.Unanswered(r, err)
+	}
+}
+
 // closeAll closes all connections.
 func (s *Server) closeAll() {
 	s.mu.Lock()
--- a/internal/entry/pipe/pipe_test.go
+++ b/internal/entry/pipe/pipe_test.go
@@ -29,12 +29,18 @@
 
 // serve starts a server and returns it with a client connection to it.
 func serve(t *testing.T, h handler) (*pipe.Server, net.Conn) {
+	t.Helper()
+	return serveObserved(t, h, nil)
+}
+
+// serveObserved is serve for a server with the observer o.
+func serveObserved(t *testing.T, h handler, o pipe.Observer) (*pipe.Server, net.Conn) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &pipe.Server{Handler: h, Limits: func() snipefront.CallerLimits { return limits }, Logger: slog.New(slog.NewTextHandler(io.Discard, nil))}
+	s := &pipe.Server{Handler: h, Observer: o, Limits: func() snipefront.CallerLimits { return limits }, Logger: slog.New(slog.NewTextHandler(io.Discard, nil))}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- s.Serve(ctx, l) }()
@@ -159,6 +165,42 @@
 	}
 }
 
+// unanswered is an observer that sends each request without an answer to a channel.
+type unanswered chan *pipe.Request
+
+// Unanswered implements pipe.Observer.
+func (u unanswered) Unanswered(r *pipe.Request, _ error) { u <- r }
+
+// TestUnansweredRequestIsReported guards against a request that ends without an answer and
+// without a trace: that of a caller that has closed its connection, and that of an instance
+// which still runs it.
+func TestUnansweredRequestIsReported(t *testing.T) {
+	begun, release := make(chan struct{}), make(chan struct{})
+	seen := make(unanswered, 1)
+	s, c := serveObserved(t, func(ctx context.Context, r *pipe.Request) pipe.Answer {
+		close(begun)
+		<-release
+		a := echo(ctx, r)
+		a.Body = make([]byte, 16<<20)
+		return a
+	}, seen)
+	fmt.Fprint(c, "GET /1 HTTP/1.1\r\nHost: x\r\n\r\n")
+	<-begun
+	if list := s.Pending(); len(list) != 1 || list[0].URL.Path != "/1" {
+		t.Errorf("%d requests are pending, want /1", len(list))
+	}
+	c.Close()
+	close(release)
+	select {
+	case r := <-seen:
+		if r.URL.Path != "/1" {
+			t.Errorf("%s is reported, want /1", r.URL.Path)
+		}
+	case <-time.After(testTimeout):
+		t.Error("timed out: the request was not reported")
+	}
+}
+
 // TestDrainAnswersAdmittedRequests guards against a drain that loses requests. Each
 // admitted request must get its answer, the last answer must close the connection, and
 // no request may be admitted after it.
--- a/internal/entry/proxy/proxy.go
+++ b/internal/entry/proxy/proxy.go
@@ -32,6 +32,8 @@
 type Counter interface {
 	Answered(service string, status int, taken time.Duration)
 	Refused(service string, e *snipefront.Error)
+	// Unanswered counts a request whose connection ended before its answer.
+	Unanswered(cause string)
 }
 
 // Proxy implements pipe.Handler. Set the exported fields before use.
@@ -116,6 +118,24 @@
 	return pipe.Answer{Status: response.Status, Header: h, Body: response.Body}
 }
 
+// The causes of a request without an answer, for Counter and logs.
+const (
+	causeConnection = "connection"
+	causeStop       = "stop"
+)
+
+// Unanswered implements pipe.Observer.
+func (p *Proxy) Unanswered(r *pipe.Request, err error) { p.unanswered(r, causeConnection, err) }
+
+// CutOff records that this instance stops before it has answered r.
+func (p *Proxy) CutOff(r *pipe.Request) { p.unanswered(r, causeStop, nil) }
+
+func (p *Proxy) unanswered(r *pipe.Request, cause string, err error) {
+	p.Counter.Unanswered(cause)
+	p.Logger.Info("request has got no answer; its connection ended", "request", r.Header.Get(p.Fields.RequestID), "host", r.Host,
+		"cause", cause, "taken", time.Since(r.Read), "error", err)
+}
+
 // call returns the call for r on its route rt.
 func (p *Proxy) call(r *pipe.Request, id string, rt *snipefront.Route) *direct.Call {
 	h := header.EndToEnd(r.Header)
--- a/internal/entry/proxy/proxy_test.go
+++ b/internal/entry/proxy/proxy_test.go
@@ -34,6 +34,7 @@
 
 func (discardCounter) Answered(string, int, time.Duration) {}
 func (discardCounter) Refused(string, *snipefront.Error)   {}
+func (discardCounter) Unanswered(string)                   {}
 
 var fields = snipefront.HeaderFields{RequestID: "Id", Remaining: "Remaining", Expected: "Expected"}
 
--- a/internal/observe/stats/stats.go
+++ b/internal/observe/stats/stats.go
@@ -23,6 +23,7 @@
 	denied   *prometheus.CounterVec
 	probes   *prometheus.CounterVec
 	latency  *prometheus.HistogramVec
+	cut      *prometheus.CounterVec
 	unshared prometheus.Counter
 	suspects *prometheus.CounterVec
 	control  *prometheus.CounterVec
@@ -67,6 +68,10 @@
 			Help:    "Time from the request's arrival to its answer, by service.",
 			Buckets: prometheus.ExponentialBuckets(0.0005, 2, 14),
 		}, []string{"service"}),
+		cut: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "snipefront_unanswered_total",
+			Help: "Requests that were read and whose connection ended before their answer, by cause: connection or stop.",
+		}, []string{"cause"}),
 		unshared: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "snipefront_suspects_unshared_total",
 			Help: "Requests in flight on a crashed backend server that were not shared with an instance.",
@@ -86,7 +91,7 @@
 		Buckets: prometheus.ExponentialBuckets(0.001, 2, 12),
 	}, []string{"kind", "committed"})
 	s.registry.MustRegister(s.changes)
-	s.registry.MustRegister(s.answers, s.refusals, s.retries, s.requests, s.attempts, s.denied, s.probes, s.latency, s.unshared, s.suspects, s.control)
+	s.registry.MustRegister(s.answers, s.refusals, s.retries, s.requests, s.attempts, s.denied, s.probes, s.latency, s.cut, s.unshared, s.suspects, s.control)
 	s.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return s
 }
@@ -115,6 +120,9 @@
 	s.refusals.WithLabelValues(service, string(e.Reason), e.Verdict.String()).Inc()
 }
 
+// Unanswered counts a request that was read and whose connection ended before its answer.
+func (s *Stats) Unanswered(cause string) { s.cut.WithLabelValues(cause).Inc() }
+
 // Probed counts a probe of a backend server.
 func (s *Stats) Probed(service string, answered bool) {
 	s.probes.WithLabelValues(service, strconv.FormatBool(answered)).Inc()
