pipe: the end of a planned stop closes its connections although the listener is closed

Cause: Serve gave up its watch of the context when it returned from its accept loop, before it waited for the connections. CloseListener ends that loop, so that nothing closed the connections afterwards. Class: a clean-up that ends before what it cleans up.

Evidence: TestServeEndsAfterListenerIsClosed timed out before. Serve now waits for the connections first, so that the watch lasts as long as they do. The same was looked for in serve.Group and module.Lifecycle: net/http's servers are shut down by calls that don't depend on their accept loops.

--- a/internal/entry/pipe/pipe.go
+++ b/internal/entry/pipe/pipe.go
@@ -78,18 +78,18 @@
 	active   sync.WaitGroup
 }
 
-// Serve accepts connections on l until l is closed or ctx ends. The end of ctx also
-// closes all connections. Serve returns once the last connection has ended.
+// Serve accepts connections on l until CloseListener is called or ctx ends. The end of ctx
+// also closes all connections. Serve returns once the last connection has ended.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
 	s.mu.Lock()
 	s.listener = l
 	s.mu.Unlock()
-	defer s.active.Wait()
 	stop := context.AfterFunc(ctx, func() {
 		l.Close()
 		s.closeAll()
 	})
 	defer stop()
+	defer s.active.Wait()
 	for {
 		c, err := l.Accept()
 		switch {
--- /dev/null
+++ b/internal/entry/pipe/stop_test.go
@@ -0,0 +1,62 @@
+package pipe_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/entry/pipe"
+)
+
+// TestServeEndsAfterListenerIsClosed guards against a stop that waits for its connections
+// for ever: the end of the context must close them, too, if the listener was closed before.
+func TestServeEndsAfterListenerIsClosed(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	patient := limits
+	patient.IdleTimeout = time.Hour
+	s := &pipe.Server{Handler: handler(echo), Limits: func() snipefront.CallerLimits { return patient }, Logger: slog.New(slog.NewTextHandler(io.Discard, nil))}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- s.Serve(ctx, l) }()
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if _, err := io.WriteString(c, "GET /1 HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	read(t, bufio.NewReader(c))
+	s.CloseListener()
+	awaitClosed(t, l.Addr())
+	cancel()
+	select {
+	case err := <-ended:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(testTimeout):
+		t.Error("timed out: Serve still waits for an idle connection")
+	}
+}
+
+// awaitClosed waits until nothing accepts connections at a.
+func awaitClosed(t *testing.T, a net.Addr) {
+	t.Helper()
+	for end := time.Now().Add(testTimeout); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		c, err := net.Dial(a.Network(), a.String())
+		if err != nil {
+			return
+		}
+		c.Close()
+	}
+	t.Error("the listener is still open")
+}
