pipe: a stopping instance admits no request behind a pending one

The requests ran, and their connection ended with the process.

Cause: an answer closed the connection of a draining instance only if no other request was pending at that moment. With pipelining that may never be so, and each further request was admitted. Class: a drain that waits for a pause in the work in place of taking no more.

Evidence: TestDrainAdmitsNoRequestBehindPendingOne failed before ('/2 was admitted behind a pending request'). Now nothing is admitted behind a pending request once the instance drains, and the answer to the last admitted one closes the connection, also if that answer was being written when the drain began. What was sent behind it counts as not read by the users' pages, and callers send it again.

--- a/internal/entry/pipe/conn.go
+++ b/internal/entry/pipe/conn.go
@@ -97,15 +97,20 @@
 	}
 }
 
-// admit makes r pending and reports whether it did. It does not if the connection is
-// closing. If last is true, no request is admitted after this one.
+// admit makes r pending and reports whether it did. If last is true, no request is
+// admitted after this one. None is admitted once the connection is closing, nor behind a
+// pending one while the server drains: its caller sends it again elsewhere.
 func (c *conn) admit(r *Request, last bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	draining := c.server.Draining()
+	if draining && len(c.pending) > 0 {
+		c.closing = true
+	}
 	if c.closing {
 		return false
 	}
-	c.closing = last
+	c.closing = last || draining
 	c.pending = append(c.pending, r)
 	return true
 }
@@ -115,18 +120,19 @@
 func (c *conn) isLast(closes bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.pending) == 1 && (closes || c.server.draining.Load()) {
+	if len(c.pending) == 1 && (closes || c.server.Draining()) {
 		c.closing = true
 	}
 	return c.closing && len(c.pending) == 1
 }
 
 // finish removes the first pending request, whose answer has been written, or can't be
-// any more.
-func (c *conn) finish() {
+// any more. It reports whether the connection closes now.
+func (c *conn) finish() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.pending = c.pending[1:]
+	return c.closing && len(c.pending) == 0
 }
 
 // unanswered returns the pending requests.
@@ -256,11 +262,14 @@
 		} else {
 			c.server.unanswered(x.request, net.ErrClosed)
 		}
-		c.finish()
+		if c.finish() && open {
+			c.linger()
+			open = false
+		}
 	}
 }
 
-// writeAnswer writes one answer and reports whether another may follow.
+// writeAnswer writes one answer and reports whether the connection is still open.
 func (c *conn) writeAnswer(r *Request, a Answer) bool {
 	last := c.isLast(a.Close)
 	_ = c.SetWriteDeadline(time.Now().Add(writeTimeout)) // fails only if the connection is closed
@@ -273,10 +282,7 @@
 		c.Close()
 		return false
 	}
-	if last {
-		c.linger()
-	}
-	return !last
+	return true
 }
 
 // linger closes the connection for writing, and after lingerTime entirely, so that the
--- a/internal/entry/pipe/pipe.go
+++ b/internal/entry/pipe/pipe.go
@@ -106,8 +106,8 @@
 	}
 }
 
-// Drain closes each connection as soon as its pending requests are answered. An idle
-// connection stays open until its next request is answered.
+// Drain closes each connection as soon as the requests that it has admitted are answered.
+// An idle connection stays open until its next request is answered.
 func (s *Server) Drain() { s.draining.Store(true) }
 
 // Draining reports whether Drain was called.
--- a/internal/entry/pipe/stop_test.go
+++ b/internal/entry/pipe/stop_test.go
@@ -60,3 +60,41 @@
 	}
 	t.Error("the listener is still open")
 }
+
+// TestDrainAdmitsNoRequestBehindPendingOne guards against a caller that pipelines and so
+// keeps its connection to a stopping instance to the end: what it sent last ran and was
+// never answered. A request behind a pending one must not run, and the answer to the
+// pending one must close the connection, so that the caller sends the other elsewhere.
+func TestDrainAdmitsNoRequestBehindPendingOne(t *testing.T) {
+	begun, release := make(chan string, 2), make(chan struct{})
+	s, c := serve(t, func(ctx context.Context, r *pipe.Request) pipe.Answer {
+		begun <- r.URL.Path
+		<-release
+		return echo(ctx, r)
+	})
+	ask(t, c, "/1")
+	<-begun
+	s.Drain()
+	ask(t, c, "/2")
+	select {
+	case path := <-begun:
+		t.Errorf("%s was admitted behind a pending request", path)
+	case <-time.After(100 * time.Millisecond):
+	}
+	close(release)
+	b := bufio.NewReader(c)
+	if r, _ := read(t, b); r.Header.Get("Path") != "/1" || !r.Close {
+		t.Errorf("got the answer of %s (close %v), want that of /1 (close true)", r.Header.Get("Path"), r.Close)
+	}
+	if _, err := b.ReadByte(); err != io.EOF {
+		t.Errorf("after the last answer: got %v, want EOF", err)
+	}
+}
+
+// ask sends a request without a body.
+func ask(t *testing.T, c net.Conn, path string) {
+	t.Helper()
+	if _, err := io.WriteString(c, "GET "+path+" HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+}
