pipe: a request that doesn't come in time cancels no pending one, and gets 408

What callers saw: nothing reported; found while looking for requests that end without an answer. A caller that pipelines and stalls in the head of a request lost the answers to the earlier ones, which run: their contexts were canceled, and the backend servers' connections closed.

Cause: once the head timed out, the connection was read on, to drop what comes, with the same expired deadline. That read ended at once and counted as the end of the caller. Besides, net/textproto drops the error behind a part of a line, so that the late request got 400, after which no caller tries again, in place of 408.

Evidence: TestUnreadableRequestCancelsNoPendingOne failed before ('the request was canceled'; 'got status 400, want 408'). The deadline is lifted before the connection is read on, and the error of the connection itself decides over the status.

--- a/internal/entry/pipe/conn.go
+++ b/internal/entry/pipe/conn.go
@@ -28,6 +28,8 @@
 type conn struct {
 	net.Conn
 	server *Server
+	// source keeps the error of the last read.
+	source source
 	// limited bounds the bytes that reader reads for the header of a request.
 	limited io.LimitedReader
 	reader  *bufio.Reader
@@ -41,6 +43,19 @@
 	closing bool
 }
 
+// source is a reader that keeps its last error. The line reader of net/textproto drops the
+// error behind a part of a line.
+type source struct {
+	io.Reader
+	err error
+}
+
+// Read implements io.Reader.
+func (s *source) Read(b []byte) (n int, err error) {
+	n, s.err = s.Reader.Read(b)
+	return n, s.err
+}
+
 // exchange is a request with a channel for its answer.
 type exchange struct {
 	request *Request
@@ -58,7 +73,8 @@
 	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	defer c.Close()
-	c.limited = io.LimitedReader{R: c.Conn}
+	c.source.Reader = c.Conn
+	c.limited = io.LimitedReader{R: &c.source}
 	c.reader = bufio.NewReaderSize(&c.limited, readBufferBytes)
 	exchanges := make(chan exchange, maxPipelined)
 	writerDone := make(chan struct{})
@@ -69,6 +85,7 @@
 	if c.readRequests(ctx, exchanges) {
 		// The caller is still connected: read and drop what it sends until the last
 		// answer is written and the connection is closed.
+		c.setReadTimeout(0)
 		_, _ = io.Copy(io.Discard, c.Conn)
 	}
 	cancel()
@@ -165,10 +182,13 @@
 	c.setReadTimeout(l.HeaderTimeout)
 	c.limited.N = int64(l.HeaderBytes) + maxReadAheadBytes
 	r, err := http.ReadRequest(c.reader)
-	if err != nil && c.limited.N <= 0 {
+	switch {
+	case err == nil:
+	case c.limited.N <= 0:
 		return nil, errHeaderTooLarge
-	}
-	if err != nil {
+	case c.source.err != nil:
+		return nil, errors.Wrap(c.source.err, "read request")
+	default:
 		return nil, errors.Wrap(err, "read request")
 	}
 	c.limited.N = math.MaxInt64
--- a/internal/entry/pipe/pipe_test.go
+++ b/internal/entry/pipe/pipe_test.go
@@ -30,17 +30,18 @@
 // serve starts a server and returns it with a client connection to it.
 func serve(t *testing.T, h handler) (*pipe.Server, net.Conn) {
 	t.Helper()
-	return serveObserved(t, h, nil)
+	return serveLimited(t, h, nil, limits)
 }
 
-// serveObserved is serve for a server with the observer o.
-func serveObserved(t *testing.T, h handler, o pipe.Observer) (*pipe.Server, net.Conn) {
+// serveLimited is serve for a server with the observer o, which may be nil, and the limits of
+// callers.
+func serveLimited(t *testing.T, h handler, o pipe.Observer, of snipefront.CallerLimits) (*pipe.Server, net.Conn) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &pipe.Server{Handler: h, Observer: o, Limits: func() snipefront.CallerLimits { return limits }, Logger: slog.New(slog.NewTextHandler(io.Discard, nil))}
+	s := &pipe.Server{Handler: h, Observer: o, Limits: func() snipefront.CallerLimits { return of }, Logger: slog.New(slog.NewTextHandler(io.Discard, nil))}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- s.Serve(ctx, l) }()
@@ -177,13 +178,13 @@
 func TestUnansweredRequestIsReported(t *testing.T) {
 	begun, release := make(chan struct{}), make(chan struct{})
 	seen := make(unanswered, 1)
-	s, c := serveObserved(t, func(ctx context.Context, r *pipe.Request) pipe.Answer {
+	s, c := serveLimited(t, func(ctx context.Context, r *pipe.Request) pipe.Answer {
 		close(begun)
 		<-release
 		a := echo(ctx, r)
 		a.Body = make([]byte, 16<<20)
 		return a
-	}, seen)
+	}, seen, limits)
 	fmt.Fprint(c, "GET /1 HTTP/1.1\r\nHost: x\r\n\r\n")
 	<-begun
 	if list := s.Pending(); len(list) != 1 || list[0].URL.Path != "/1" {
--- a/internal/entry/pipe/stop_test.go
+++ b/internal/entry/pipe/stop_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -98,3 +99,33 @@
 		t.Fatal(err)
 	}
 }
+
+// TestUnreadableRequestCancelsNoPendingOne guards against a pending request that is canceled,
+// and so lost, since the one behind it did not come in time.
+func TestUnreadableRequestCancelsNoPendingOne(t *testing.T) {
+	hasty := limits
+	hasty.HeaderTimeout = 50 * time.Millisecond
+	begun, release := make(chan struct{}), make(chan struct{})
+	_, c := serveLimited(t, func(ctx context.Context, r *pipe.Request) pipe.Answer {
+		close(begun)
+		select {
+		case <-release:
+		case <-ctx.Done():
+			t.Error("the request was canceled")
+		}
+		return echo(ctx, r)
+	}, nil, hasty)
+	ask(t, c, "/1")
+	<-begun
+	if _, err := io.WriteString(c, "GET /2 HT"); err != nil {
+		t.Fatal(err)
+	}
+	time.AfterFunc(4*hasty.HeaderTimeout, func() { close(release) })
+	b := bufio.NewReader(c)
+	if r, _ := read(t, b); r.Header.Get("Path") != "/1" {
+		t.Errorf("got the answer of %q, want that of /1", r.Header.Get("Path"))
+	}
+	if r, _ := read(t, b); r.StatusCode != http.StatusRequestTimeout || !r.Close {
+		t.Errorf("got status %d (close %v), want %d (close true)", r.StatusCode, r.Close, http.StatusRequestTimeout)
+	}
+}
