pipe: a planned stop closes no connection on which a request is being read

What callers saw: a caller whose body was under way when the stop closed idle connections (4.2 s after SIGTERM with a grace period of 6 s) lost its request without an answer; unread bytes made the close a reset.

Class: a state that begins when it is first looked at, not when it arises.

Evidence: TestRequestBeingReadIsNotCutOff failed before ('the connection was closed while a request was being read'). A request counts from its first byte until it is admitted or dropped. TestAnswerBeingWrittenIsNotCutOff shares the connection of the new test; it checks what it did.

--- a/internal/entry/pipe/conn.go
+++ b/internal/entry/pipe/conn.go
@@ -41,6 +41,8 @@
 	// closing is true once the connection closes after the pending answers. No
 	// further request is admitted, so the caller can safely resend it elsewhere.
 	closing bool
+	// reading is true from the first byte of a request until it is admitted or dropped.
+	reading bool
 }
 
 // source is a reader that keeps its last error. The line reader of net/textproto drops the
@@ -120,6 +122,7 @@
 func (c *conn) admit(r *Request, last bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.reading = false
 	draining := c.server.Draining()
 	if draining && len(c.pending) > 0 {
 		c.closing = true
@@ -159,12 +162,13 @@
 	return slices.Clone(c.pending)
 }
 
-// closeIfIdle closes the connection if it has no pending request, and reports whether
-// it did. A connection that closes after its last answer does so by itself.
+// closeIfIdle closes the connection if it has no pending request and none is being read,
+// and reports whether it did. A connection that closes after its last answer does so by
+// itself.
 func (c *conn) closeIfIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.pending) > 0 || c.closing {
+	if len(c.pending) > 0 || c.closing || c.reading {
 		return false
 	}
 	c.closing = true
@@ -179,6 +183,7 @@
 	if err := c.awaitRequest(l.IdleTimeout); err != nil {
 		return nil, err
 	}
+	c.beginReading()
 	c.setReadTimeout(l.HeaderTimeout)
 	c.limited.N = int64(l.HeaderBytes) + maxReadAheadBytes
 	r, err := http.ReadRequest(c.reader)
@@ -230,6 +235,12 @@
 	}
 }
 
+func (c *conn) beginReading() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = true
+}
+
 func (c *conn) hasPending() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/entry/pipe/pipe.go
+++ b/internal/entry/pipe/pipe.go
@@ -122,8 +122,8 @@
 	}
 }
 
-// CloseIdle closes the connections without pending requests and returns the number
-// of the others.
+// CloseIdle closes the connections on which no request is pending or being read, and
+// returns the number of the others.
 func (s *Server) CloseIdle() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/entry/pipe/pipe_test.go
+++ b/internal/entry/pipe/pipe_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -253,13 +252,7 @@
 // as idle while the last answer on it is being written: the request has run, and its
 // caller gets no answer.
 func TestAnswerBeingWrittenIsNotCutOff(t *testing.T) {
-	// A write to an end of net.Pipe waits until the other end is read.
-	near, far := net.Pipe()
-	l := oneConn{conns: make(chan net.Conn, 1)}
-	l.conns <- near
-	s := &pipe.Server{Handler: handler(echo), Limits: func() snipefront.CallerLimits { return limits }, Logger: slog.New(slog.NewTextHandler(io.Discard, nil))}
-	ended := make(chan error, 1)
-	go func() { ended <- s.Serve(context.Background(), l) }()
+	s, far := serveOnPipe(t, handler(echo))
 	fmt.Fprint(far, "GET /1 HTTP/1.1\r\nHost: x\r\n\r\n")
 	b := bufio.NewReaderSize(far, 1)
 	first, err := b.ReadByte()
@@ -274,9 +267,4 @@
 	if r, err := http.ReadResponse(whole, nil); err != nil || r.Header.Get("Path") != "/1" {
 		t.Errorf("the answer is %v, %v; want the whole one", r, err)
 	}
-	far.Close()
-	close(l.conns)
-	if err := <-ended; err != nil && !errors.Is(err, net.ErrClosed) {
-		t.Error(err)
-	}
 }
--- a/internal/entry/pipe/stop_test.go
+++ b/internal/entry/pipe/stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"log/slog"
 	"net"
@@ -100,6 +101,50 @@
 	}
 }
 
+// TestRequestBeingReadIsNotCutOff guards against a planned stop that takes a connection for
+// idle while a request is being read, and closes it: its caller has sent the whole request
+// and gets no answer.
+func TestRequestBeingReadIsNotCutOff(t *testing.T) {
+	s, c := serveOnPipe(t, handler(echo))
+	// A write returns once it has been read, and the second one is read for the request
+	// that the first one began.
+	for _, part := range []string{"POST /1 HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\n", "hel"} {
+		if _, err := io.WriteString(c, part); err != nil {
+			t.Fatal(err)
+		}
+	}
+	s.Drain()
+	if s.CloseIdle() == 0 {
+		t.Fatal("the connection was closed while a request was being read")
+	}
+	if _, err := io.WriteString(c, "lo"); err != nil {
+		t.Fatal(err)
+	}
+	if r, text := read(t, bufio.NewReader(c)); text != "hello" || !r.Close {
+		t.Errorf("the answer is %q (close %v), want hello (close true)", text, r.Close)
+	}
+}
+
+// serveOnPipe starts a server with one connection, and returns it with the other end of that.
+// A write to either end waits until the other end has read all of it.
+func serveOnPipe(t *testing.T, h pipe.Handler) (*pipe.Server, net.Conn) {
+	t.Helper()
+	near, far := net.Pipe()
+	l := oneConn{conns: make(chan net.Conn, 1)}
+	l.conns <- near
+	s := &pipe.Server{Handler: h, Limits: func() snipefront.CallerLimits { return limits }, Logger: slog.New(slog.NewTextHandler(io.Discard, nil))}
+	ended := make(chan error, 1)
+	go func() { ended <- s.Serve(context.Background(), l) }()
+	t.Cleanup(func() {
+		far.Close()
+		close(l.conns)
+		if err := <-ended; err != nil && !errors.Is(err, net.ErrClosed) {
+			t.Error(err)
+		}
+	})
+	return s, far
+}
+
 // TestUnreadableRequestCancelsNoPendingOne guards against a pending request that is canceled,
 // and so lost, since the one behind it did not come in time.
 func TestUnreadableRequestCancelsNoPendingOne(t *testing.T) {
