pipe: callers that read slowly get the whole of their last answer, and of a long one

What callers saw: a connection that closes behind its last answer was closed 300 ms after that was handed to the kernel, read or not. Where the caller had sent anything meanwhile, the close was a reset, and what it had not read was gone: a request that ran, with its connection ended without an answer. And an answer was cut off after 10 s although its caller was reading it.

Cause: both times a fixed time stood for the caller's progress. Class: a timeout on the whole where one on progress is meant.

Evidence: TestSlowCallerGetsLastAnswer ('connection reset by peer') and TestSteadyCallerGetsLongAnswer ('cut off after 327680 bytes') failed before. The connection is now closed for writing at once and read until the caller closes it, 10 s at most; the deadline of a write covers 64 KiB of the answer.

--- a/internal/entry/pipe/conn.go
+++ b/internal/entry/pipe/conn.go
@@ -302,13 +302,11 @@
 
 // writeAnswer writes one answer and reports whether the connection is still open.
 func (c *conn) writeAnswer(r *Request, a Answer) bool {
-	last := c.isLast(a.Close)
-	_ = c.SetWriteDeadline(time.Now().Add(writeTimeout)) // fails only if the connection is closed
-	b := net.Buffers{formatHead(r.Request, a, last)}
-	if len(a.Body) > 0 && r.Method != http.MethodHead {
-		b = append(b, a.Body)
+	body := a.Body
+	if r.Method == http.MethodHead {
+		body = nil
 	}
-	if _, err := b.WriteTo(c.Conn); err != nil {
+	if err := c.write(formatHead(r.Request, a, c.isLast(a.Close)), body); err != nil {
 		c.server.unanswered(r, err)
 		c.Close()
 		return false
@@ -316,8 +314,28 @@
 	return true
 }
 
-// linger closes the connection for writing, and after lingerTime entirely, so that the
-// caller gets the last answer. Meanwhile the reading goroutine drops what it sends.
+// write writes the head and the body of an answer. It fails if the caller takes no further
+// part of it in time.
+func (c *conn) write(head, body []byte) error {
+	b := net.Buffers{head}
+	for {
+		n := min(len(body), writeChunkBytes)
+		if n > 0 {
+			b = append(b, body[:n])
+		}
+		_ = c.SetWriteDeadline(time.Now().Add(c.server.writeTimeout())) // fails only if the connection is closed
+		if _, err := b.WriteTo(c.Conn); err != nil {
+			return err
+		}
+		body = body[n:]
+		if len(body) == 0 {
+			return nil
+		}
+	}
+}
+
+// linger closes the connection for writing, and after lingerTime entirely, unless the
+// caller has closed it by then. Meanwhile the reading goroutine drops what it sends.
 func (c *conn) linger() {
 	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		_ = w.CloseWrite() // fails only if the connection is closed
--- a/internal/entry/pipe/pipe.go
+++ b/internal/entry/pipe/pipe.go
@@ -25,11 +25,15 @@
 	// maxPipelined is how many requests of one connection may wait for an earlier
 	// answer.
 	maxPipelined = 32
-	// lingerTime is how long a connection is still read after the last answer. Closing
-	// it while bytes arrive would send a reset, and the caller could lose the answer.
-	lingerTime = 300 * time.Millisecond
-	// writeTimeout bounds the writing of one answer.
-	writeTimeout = 10 * time.Second
+	// lingerTime is how long a connection is still read after the last answer, unless the
+	// caller closes it. Closing it while bytes arrive would send a reset, and a caller that
+	// reads slowly could lose the answer.
+	lingerTime = 10 * time.Second
+	// writeChunkBytes is the part of an answer that a caller must take within
+	// Server.WriteTimeout, in bytes.
+	writeChunkBytes = 64 << 10
+	// defaultWriteTimeout is the WriteTimeout of a Server that sets none.
+	defaultWriteTimeout = 10 * time.Second
 )
 
 // Request is a request with its complete body.
@@ -69,7 +73,10 @@
 	Observer Observer
 	// Limits returns the limits for the next request.
 	Limits func() snipefront.CallerLimits
-	Logger *slog.Logger
+	// WriteTimeout is the time in which a caller must take the next part of an answer.
+	// Zero means ten seconds.
+	WriteTimeout time.Duration
+	Logger       *slog.Logger
 
 	draining atomic.Bool
 	mu       sync.Mutex
@@ -154,6 +161,13 @@
 	}
 }
 
+func (s *Server) writeTimeout() time.Duration {
+	if s.WriteTimeout > 0 {
+		return s.WriteTimeout
+	}
+	return defaultWriteTimeout
+}
+
 // closeAll closes all connections.
 func (s *Server) closeAll() {
 	s.mu.Lock()
