proxy, edge: an instance that stops refuses what may outlast its stop

Cause: a stopping instance took each request until its listener closed, whatever that needed. Class: work is accepted without a look at the time that is left for it.

Fix: the stop has an end (0.93 of the grace period), and a request is taken only if it is over by then: at its deadline, or, in the first half of the stop, in which most callers still hold the address, if twice the slowest recent answer of its route fits. All others get a 503 (reason stopping, not run, Retry-After) before their body is read. What is in flight at the end all the same is canceled and answered; what is still being read is refused.

TestStoppingInstanceRefusesWhatOutlastsIt, TestCutOffAnswersRequests and TestRefusalComesBeforeBody do not compile on the code before.

Weighed: refusing all from SIGTERM on costs each caller a try while the directories still name the instance; closing the listener earlier does nothing for kept connections.

--- a/internal/daemon/edge/edge.go
+++ b/internal/daemon/edge/edge.go
@@ -35,11 +35,13 @@
 	// logLimitsInterval is the time between two log lines of one backend server that names
 	// a rate limit.
 	logLimitsInterval = time.Second
-	// closeListenerShare and drainShare are shares of the grace period. After the first,
-	// the listener is closed; after the second, the instance stops even if requests are
-	// in flight.
+	// closeListenerShare, drainShare and cutOffShare are shares of the grace period. After
+	// the first, the listener is closed; after the second, the requests that are still in
+	// flight are ended; after the third, the instance stops although answers to these are
+	// not written.
 	closeListenerShare = 0.7
 	drainShare         = 0.93
+	cutOffShare        = 0.97
 	// drainPollInterval is how often a stop checks whether requests are in flight.
 	drainPollInterval = 20 * time.Millisecond
 )
@@ -217,20 +219,31 @@
 }
 
 // drain announces that the instance accepts no more requests, closes connections as their
-// requests are answered, and waits for the requests in flight. The listener stays open
-// for a part of the grace period, since callers may have cached the address. drain ends
-// before the grace period does.
+// requests are answered, and waits for the requests in flight. It refuses requests that may
+// last longer than itself. The listener stays open for a part of the grace period, since
+// callers may have cached the address. drain ends before the grace period does.
 func (e *Edge) drain() {
 	e.logger.Info("stopping", "instance", e.settings.Self.Name, "grace", e.settings.Grace)
+	start := time.Now()
+	at := func(share float64) time.Time {
+		return start.Add(time.Duration(share * float64(e.settings.Grace)))
+	}
+	e.proxy.Stop(start, at(drainShare))
 	e.server.Drain()
 	e.follower.SetReady(false)
-	start := time.Now()
-	time.Sleep(time.Duration(closeListenerShare * float64(e.settings.Grace)))
+	time.Sleep(time.Until(at(closeListenerShare)))
 	e.server.CloseListener()
-	for e.server.CloseIdle() > 0 && time.Since(start) < time.Duration(drainShare*float64(e.settings.Grace)) {
+	e.awaitIdle(at(drainShare))
+	e.reportCutOff()
+	e.server.CutOff()
+	e.awaitIdle(at(cutOffShare))
+}
+
+// awaitIdle closes idle connections until there is none left, or until the given time.
+func (e *Edge) awaitIdle(until time.Time) {
+	for e.server.CloseIdle() > 0 && time.Now().Before(until) {
 		time.Sleep(drainPollInterval)
 	}
-	e.reportCutOff()
 }
 
 // reportCutOff records the requests that the stop leaves without an answer.
--- a/internal/entry/pipe/conn.go
+++ b/internal/entry/pipe/conn.go
@@ -43,6 +43,8 @@
 	closing bool
 	// reading is true from the first byte of a request until it is admitted or dropped.
 	reading bool
+	// stopped is true once no further request is read.
+	stopped bool
 }
 
 // source is a reader that keeps its last error. The line reader of net/textproto drops the
@@ -67,12 +69,18 @@
 var (
 	errHeaderTooLarge = errors.New("request header exceeds the size limit")
 	errBodyTooLarge   = errors.New("request body exceeds the size limit")
+	errStopping       = errors.New("instance stops before the request is read")
 )
 
-// serve serves the connection until it is closed. The end of ctx alone neither closes
-// the connection nor cancels its requests.
+// refusal is the error of a request that is refused before its body is read.
+type refusal struct{ answer Answer }
+
+// Error implements error.
+func (r *refusal) Error() string { return "request refused with status " + statusLine(r.answer.Status) }
+
+// serve serves the connection until it is closed. The end of ctx cancels its requests.
 func (c *conn) serve(ctx context.Context) {
-	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer c.Close()
 	c.source.Reader = c.Conn
@@ -183,7 +191,9 @@
 	if err := c.awaitRequest(l.IdleTimeout); err != nil {
 		return nil, err
 	}
-	c.beginReading()
+	if !c.beginReading() {
+		return nil, errStopping
+	}
 	c.setReadTimeout(l.HeaderTimeout)
 	c.limited.N = int64(l.HeaderBytes) + maxReadAheadBytes
 	r, err := http.ReadRequest(c.reader)
@@ -200,6 +210,9 @@
 	if r.ContentLength > l.BodyBytes {
 		return nil, errBodyTooLarge
 	}
+	if a, refused := c.server.Handler.Refuse(r); refused {
+		return nil, &refusal{answer: a}
+	}
 	if strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
 		if _, err := io.WriteString(c.Conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return nil, io.EOF
@@ -235,10 +248,29 @@
 	}
 }
 
-func (c *conn) beginReading() {
+// beginReading records that a request is being read. It reports false if no further one
+// may be.
+func (c *conn) beginReading() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reading = true
+	return !c.stopped
+}
+
+// stopReading refuses the request that is being read, and each further one.
+func (c *conn) stopReading() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stopped = true
+	if c.reading {
+		_ = c.SetReadDeadline(time.Now()) // fails only if the connection is closed
+	}
+}
+
+func (c *conn) isStopped() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.stopped
 }
 
 func (c *conn) hasPending() bool {
@@ -247,8 +279,14 @@
 	return len(c.pending) > 0
 }
 
-// setReadTimeout bounds the next reads. Zero means no timeout.
+// setReadTimeout bounds the next reads, unless stopReading has ended them. Zero means no
+// timeout.
 func (c *conn) setReadTimeout(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.stopped && c.reading {
+		return
+	}
 	var t time.Time
 	if d > 0 {
 		t = time.Now().Add(d)
@@ -256,31 +294,45 @@
 	_ = c.SetReadDeadline(t) // fails only if the connection is closed, and then the next read fails too
 }
 
-// answerError answers a request that could not be read. It returns false if the caller
-// has disconnected, and true otherwise.
+// answerError answers a request that could not be read, and closes the connection behind
+// it. It returns false if the caller has disconnected, and true otherwise.
 func (c *conn) answerError(err error, exchanges chan<- exchange) bool {
-	var netErr net.Error
-	status := http.StatusBadRequest
-	switch {
-	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed):
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) {
 		return false
-	case errors.Is(err, errHeaderTooLarge):
-		status = http.StatusRequestHeaderFieldsTooLarge
-	case errors.Is(err, errBodyTooLarge):
-		status = http.StatusRequestEntityTooLarge
-	case errors.As(err, &netErr) && netErr.Timeout():
-		status = http.StatusRequestTimeout
 	}
-	c.server.Logger.Info("cannot read a request; answering with an error and closing the connection", "status", status, "error", err, "caller", c.RemoteAddr())
+	a := c.errorAnswer(err)
+	c.server.Logger.Info("request not read; answering it and closing the connection", "status", a.Status, "error", err, "caller", c.RemoteAddr())
 	x := exchange{request: &Request{Request: &http.Request{Method: http.MethodGet}, Read: time.Now()}, answer: make(chan Answer, 1)}
 	if !c.admit(x.request, true) {
 		return true
 	}
-	x.answer <- Answer{Status: status, Close: true}
+	x.answer <- a
 	exchanges <- x
 	return true
 }
 
+// errorAnswer returns the answer to a request that could not be read because of err.
+func (c *conn) errorAnswer(err error) Answer {
+	var netErr net.Error
+	var refused *refusal
+	a := Answer{Status: http.StatusBadRequest, Close: true}
+	switch {
+	case errors.As(err, &refused):
+		a = refused.answer
+		a.Close = true
+	case errors.Is(err, errStopping), c.isStopped():
+		a.Status = http.StatusServiceUnavailable
+		a.Header = http.Header{"Retry-After": {stopRetryAfter}}
+	case errors.Is(err, errHeaderTooLarge):
+		a.Status = http.StatusRequestHeaderFieldsTooLarge
+	case errors.Is(err, errBodyTooLarge):
+		a.Status = http.StatusRequestEntityTooLarge
+	case errors.As(err, &netErr) && netErr.Timeout():
+		a.Status = http.StatusRequestTimeout
+	}
+	return a
+}
+
 // writeAnswers writes the answers in the order of exchanges until one of them closes
 // the connection, or a write fails. It waits for the remaining answers without writing
 // them.
--- a/internal/entry/pipe/pipe.go
+++ b/internal/entry/pipe/pipe.go
@@ -32,6 +32,9 @@
 	// writeChunkBytes is the part of an answer that a caller must take within
 	// Server.WriteTimeout, in bytes.
 	writeChunkBytes = 64 << 10
+	// stopRetryAfter is the Retry-After value, in seconds, of a request that isn't read
+	// since the instance stops.
+	stopRetryAfter = "0.02"
 	// defaultWriteTimeout is the WriteTimeout of a Server that sets none.
 	defaultWriteTimeout = 10 * time.Second
 )
@@ -54,8 +57,12 @@
 	Close bool
 }
 
-// Handler answers requests. Handle is called concurrently.
+// Handler answers requests. Its methods are called concurrently.
 type Handler interface {
+	// Refuse returns the answer to a request that is refused before its body is read, and
+	// reports whether it is.
+	Refuse(r *http.Request) (Answer, bool)
+	// Handle returns the answer to a request that was read. It returns soon once ctx ends.
 	Handle(ctx context.Context, r *Request) Answer
 }
 
@@ -81,18 +88,24 @@
 	draining atomic.Bool
 	mu       sync.Mutex
 	listener net.Listener
-	conns    map[*conn]bool
-	active   sync.WaitGroup
+	// cancel cancels all requests.
+	cancel context.CancelFunc
+	conns  map[*conn]bool
+	active sync.WaitGroup
 }
 
 // Serve accepts connections on l until CloseListener is called or ctx ends. The end of ctx
-// also closes all connections. Serve returns once the last connection has ended.
+// also cancels all requests and closes all connections. Serve returns once the last
+// connection has ended.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	requests, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
 	s.mu.Lock()
-	s.listener = l
+	s.listener, s.cancel = l, cancel
 	s.mu.Unlock()
 	stop := context.AfterFunc(ctx, func() {
 		l.Close()
+		cancel()
 		s.closeAll()
 	})
 	defer stop()
@@ -101,7 +114,7 @@
 		c, err := l.Accept()
 		switch {
 		case err == nil:
-			s.serveConn(ctx, c)
+			s.serveConn(requests, c)
 		case errors.Is(err, net.ErrClosed):
 			return nil
 		case isTemporary(err):
@@ -129,6 +142,19 @@
 	}
 }
 
+// CutOff cancels the requests in flight and refuses those that are still being read. Their
+// answers close the connections.
+func (s *Server) CutOff() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.cancel != nil {
+		s.cancel()
+	}
+	for c := range s.conns {
+		c.stopReading()
+	}
+}
+
 // CloseIdle closes the connections on which no request is pending or being read, and
 // returns the number of the others.
 func (s *Server) CloseIdle() int {
--- a/internal/entry/pipe/pipe_test.go
+++ b/internal/entry/pipe/pipe_test.go
@@ -21,6 +21,9 @@
 
 type handler func(ctx context.Context, r *pipe.Request) pipe.Answer
 
+// Refuse implements pipe.Handler.
+func (h handler) Refuse(*http.Request) (pipe.Answer, bool) { return pipe.Answer{}, false }
+
 // Handle implements pipe.Handler.
 func (h handler) Handle(ctx context.Context, r *pipe.Request) pipe.Answer { return h(ctx, r) }
 
--- a/internal/entry/pipe/stop_test.go
+++ b/internal/entry/pipe/stop_test.go
@@ -225,3 +225,53 @@
 		}
 	}
 }
+
+// TestCutOffAnswersRequests guards against a stop that ends with requests in flight and gives
+// their callers no answer at all: one that runs, and one that is still being read.
+func TestCutOffAnswersRequests(t *testing.T) {
+	begun := make(chan struct{})
+	s, c := serve(t, func(ctx context.Context, _ *pipe.Request) pipe.Answer {
+		close(begun)
+		<-ctx.Done()
+		return pipe.Answer{Status: http.StatusGatewayTimeout}
+	})
+	ask(t, c, "/1")
+	<-begun
+	s.Drain()
+	s.CutOff()
+	if r, _ := read(t, bufio.NewReader(c)); r.StatusCode != http.StatusGatewayTimeout || !r.Close {
+		t.Errorf("the request that ran: status %d (close %v), want %d (close true)", r.StatusCode, r.Close, http.StatusGatewayTimeout)
+	}
+
+	s, far := serveOnPipe(t, handler(echo))
+	for _, part := range []string{"POST /1 HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\n", "hel"} {
+		if _, err := io.WriteString(far, part); err != nil {
+			t.Fatal(err)
+		}
+	}
+	s.Drain()
+	s.CutOff()
+	if r, _ := read(t, bufio.NewReader(far)); r.StatusCode != http.StatusServiceUnavailable || r.Header.Get("Retry-After") == "" || !r.Close {
+		t.Errorf("the request that was being read: status %d (close %v), want %d with Retry-After (close true)", r.StatusCode, r.Close, http.StatusServiceUnavailable)
+	}
+}
+
+// refuser refuses each request.
+type refuser struct{ handler }
+
+// Refuse implements pipe.Handler.
+func (refuser) Refuse(*http.Request) (pipe.Answer, bool) {
+	return pipe.Answer{Status: http.StatusServiceUnavailable}, true
+}
+
+// TestRefusalComesBeforeBody guards against a request that can't be served and is refused
+// only once its caller has sent the whole of a long body.
+func TestRefusalComesBeforeBody(t *testing.T) {
+	_, far := serveOnPipe(t, refuser{echo})
+	if _, err := io.WriteString(far, "POST /1 HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	if r, _ := read(t, bufio.NewReader(far)); r.StatusCode != http.StatusServiceUnavailable || !r.Close {
+		t.Errorf("status %d (close %v), want %d (close true)", r.StatusCode, r.Close, http.StatusServiceUnavailable)
+	}
+}
--- a/internal/entry/proxy/proxy.go
+++ b/internal/entry/proxy/proxy.go
@@ -46,6 +46,9 @@
 	table atomic.Pointer[paths.Table]
 	split paths.Splitter
 	waits waits
+	// stopping is nil until Stop.
+	stopping atomic.Pointer[stop]
+	slowest  slowest
 }
 
 // SetTable makes t the routes in use and drops the state of routes that t does not have.
@@ -54,6 +57,7 @@
 	names := t.Names()
 	p.split.Forget(names)
 	p.waits.forget(names)
+	p.slowest.forget(names)
 }
 
 // Table returns the routes in use, or nil if there is no configuration yet.
@@ -102,6 +106,9 @@
 		p.Logger.Info("no route for the host and the path; answering with 404", "request", id, "host", r.Host, "path", r.URL.EscapedPath(), "version", t.Routing.Version)
 		return p.refuse("", id, snipefront.Rejected(snipefront.ReasonUnknownService, http.StatusNotFound, "no route for this host and path"))
 	}
+	if a, refused := p.Refuse(r.Request); refused {
+		return a
+	}
 	c := p.call(r, id, rt)
 	response, err := p.Sender.Serve(ctx, c)
 	if err != nil {
@@ -109,6 +116,7 @@
 	}
 	taken := time.Since(r.Read)
 	p.Counter.Answered(c.Service, response.Status, taken)
+	p.slowest.observe(time.Now(), rt.Name, taken)
 	if taken > rt.Goal {
 		p.Logger.Info("response later than the latency goal", "request", id, "route", rt.Name, "service", c.Service,
 			"server", response.BackendServer, "status", response.Status, "taken", taken, "version", t.Routing.Version)
@@ -145,8 +153,7 @@
 	h["Host"] = []string{r.Host}
 	timeout := rt.Timeout
 	var waited time.Duration
-	if ms, err := strconv.ParseFloat(r.Header.Get(p.Fields.Remaining), 64); err == nil && ms >= 0 {
-		remaining := time.Duration(ms * float64(time.Millisecond))
+	if remaining, ok := p.remaining(r.Request); ok {
 		waited = p.waits.waited(rt.Name, remaining)
 		timeout = min(timeout, remaining)
 	}
@@ -170,6 +177,12 @@
 	return c
 }
 
+// remaining returns how long the caller of r will wait, and reports whether it says so.
+func (p *Proxy) remaining(r *http.Request) (time.Duration, bool) {
+	ms, err := strconv.ParseFloat(r.Header.Get(p.Fields.Remaining), 64)
+	return time.Duration(ms * float64(time.Millisecond)), err == nil && ms >= 0
+}
+
 // problem is the body of an error response of this instance.
 type problem struct {
 	Reason  snipefront.Reason
--- /dev/null
+++ b/internal/entry/proxy/stop_test.go
@@ -0,0 +1,69 @@
+package proxy_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/entry/pipe"
+)
+
+// TestStoppingInstanceRefusesWhatOutlastsIt guards against requests that an instance takes
+// during its planned stop although they may last longer than the rest of it: they run, and
+// end without an answer. The route has a timeout of 800 ms.
+func TestStoppingInstanceRefusesWhatOutlastsIt(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// since is how long the stop has lasted, and left how long it still lasts.
+		since, left time.Duration
+		remaining   string
+		// slowest is what the slowest answer of the route has taken; zero is no answer.
+		slowest time.Duration
+		refused bool
+	}{
+		{name: "over in time", left: 5 * time.Second},
+		{name: "may outlast the stop", left: 500 * time.Millisecond, refused: true},
+		{name: "its caller waits no longer", left: 500 * time.Millisecond, remaining: "100"},
+		{name: "its caller waits for long", left: 500 * time.Millisecond, remaining: "5000", refused: true},
+		{name: "quick route", left: 500 * time.Millisecond, slowest: 10 * time.Millisecond},
+		{name: "slow route", left: 500 * time.Millisecond, slowest: 400 * time.Millisecond, refused: true},
+		{name: "quick route, late", since: 5 * time.Second, left: 500 * time.Millisecond, slowest: 10 * time.Millisecond, refused: true},
+		{name: "after the end", since: 5 * time.Second, left: -time.Second, remaining: "100", refused: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := &sender{response: &snipefront.Response{Status: http.StatusOK}}
+			p := newProxy(t, s)
+			if c.slowest > 0 {
+				r := request(t, "/p/1")
+				r.Read = r.Read.Add(-c.slowest)
+				p.Handle(t.Context(), r)
+				s.call = nil
+			}
+			now := time.Now()
+			p.Stop(now.Add(-c.since), now.Add(c.left))
+			r := request(t, "/p/1", "Remaining: "+c.remaining)
+			early, refused := p.Refuse(r.Request)
+			if refused != c.refused {
+				t.Errorf("refused before its body is read: %v, want %v", refused, c.refused)
+			}
+			a := p.Handle(t.Context(), r)
+			if sent := s.call != nil; sent == c.refused {
+				t.Errorf("sent to a backend server: %v, want %v", sent, !c.refused)
+			}
+			if c.refused {
+				checkRefusal(t, early)
+				checkRefusal(t, a)
+			}
+		})
+	}
+}
+
+// checkRefusal checks that a says that the request has not run, and when to send it again.
+func checkRefusal(t *testing.T, a pipe.Answer) {
+	t.Helper()
+	if a.Status != http.StatusServiceUnavailable || a.Header.Get("Retry-After") == "" || a.Header.Get("Id") != "7" || !strings.Contains(string(a.Body), "not-run") {
+		t.Errorf("got status %d, header %v and body %s, want a refusal with the id and Retry-After", a.Status, a.Header, a.Body)
+	}
+}
