pipe: a listener that closes accepts the connections that callers have opened

What callers saw: connections in the accept queue of the kernel when the listener of a stopping instance closed were reset, with the request that their callers had sent.

Evidence: TestOpenedConnectionsAreServedAfterListenerCloses failed before (5 of 5 connections reset). The listener gets a deadline in place of a close, so that Accept returns what is queued first.

--- a/internal/entry/pipe/pipe.go
+++ b/internal/entry/pipe/pipe.go
@@ -12,6 +12,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -32,6 +33,9 @@
 	// writeChunkBytes is the part of an answer that a caller must take within
 	// Server.WriteTimeout, in bytes.
 	writeChunkBytes = 64 << 10
+	// acceptTime is how long a listener that closes still accepts connections, so that
+	// none is reset that callers have opened before.
+	acceptTime = 100 * time.Millisecond
 	// stopRetryAfter is the Retry-After value, in seconds, of a request that isn't read
 	// since the instance stops.
 	stopRetryAfter = "0.02"
@@ -88,6 +92,8 @@
 	draining atomic.Bool
 	mu       sync.Mutex
 	listener net.Listener
+	// listenerCloses is true once CloseListener was called.
+	listenerCloses bool
 	// cancel cancels all requests.
 	cancel context.CancelFunc
 	conns  map[*conn]bool
@@ -117,6 +123,9 @@
 			s.serveConn(requests, c)
 		case errors.Is(err, net.ErrClosed):
 			return nil
+		case s.stopsAccepting(err):
+			l.Close()
+			return nil
 		case isTemporary(err):
 			s.Logger.Warn("cannot accept a connection; retrying", "error", err)
 			time.Sleep(10 * time.Millisecond)
@@ -133,15 +142,28 @@
 // Draining reports whether Drain was called.
 func (s *Server) Draining() bool { return s.draining.Load() }
 
-// CloseListener stops accepting connections.
+// CloseListener stops accepting connections, soon after those that callers have opened.
 func (s *Server) CloseListener() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.listener != nil {
+	s.listenerCloses = true
+	switch l := s.listener.(type) {
+	case nil:
+	case interface{ SetDeadline(time.Time) error }:
+		_ = l.SetDeadline(time.Now().Add(acceptTime)) // fails only if the listener is closed
+	default:
 		s.listener.Close()
 	}
 }
 
+// stopsAccepting reports whether err, of Accept, is the end of the time that CloseListener
+// has set.
+func (s *Server) stopsAccepting(err error) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.listenerCloses && errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // CutOff cancels the requests in flight and refuses those that are still being read. Their
 // answers close the connections.
 func (s *Server) CutOff() {
--- a/internal/entry/pipe/stop_test.go
+++ b/internal/entry/pipe/stop_test.go
@@ -275,3 +275,56 @@
 		t.Errorf("status %d (close %v), want %d (close true)", r.StatusCode, r.Close, http.StatusServiceUnavailable)
 	}
 }
+
+// gatedListener accepts nothing until open is closed.
+type gatedListener struct {
+	*net.TCPListener
+	open chan struct{}
+}
+
+// Accept implements net.Listener.
+func (l gatedListener) Accept() (net.Conn, error) {
+	<-l.open
+	return l.TCPListener.Accept()
+}
+
+// TestOpenedConnectionsAreServedAfterListenerCloses guards against requests on connections
+// that callers have opened, and that this instance has not accepted yet when it closes its
+// listener: the kernel resets them.
+func TestOpenedConnectionsAreServedAfterListenerCloses(t *testing.T) {
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := gatedListener{TCPListener: tcp.(*net.TCPListener), open: make(chan struct{})}
+	s := &pipe.Server{Handler: handler(echo), Limits: func() snipefront.CallerLimits { return limits }, Logger: slog.New(slog.NewTextHandler(io.Discard, nil))}
+	ended := make(chan error, 1)
+	go func() { ended <- s.Serve(t.Context(), l) }()
+	var conns []net.Conn
+	for range 5 {
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		ask(t, c, "/1")
+		conns = append(conns, c)
+	}
+	s.CloseListener()
+	close(l.open)
+	for _, c := range conns {
+		r, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			t.Errorf("no answer: %v", err)
+			continue
+		}
+		r.Body.Close()
+	}
+	awaitClosed(t, l.Addr())
+	for _, c := range conns {
+		c.Close()
+	}
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
