health: a backend server that doesn't tell its load is probed before it can be overloaded

Cause: an answer to a probe that has no load figures counted for a second, whatever an instance sent in that time. Class: a lifetime in seconds for knowledge that ages with use.

Fix: once an instance has sent its part of a warm-up's rate since that answer (the rate by the number of instances), a further probe is due. No request waits for it; the answer in hand serves until it comes.

Evidence: TestTargetWithoutLoadReportsIsProbedBeforeItIsOverloaded failed before (1 probe, 'counts as warm').

--- a/internal/dispatch/health/health_test.go
+++ b/internal/dispatch/health/health_test.go
@@ -241,3 +241,34 @@
 		}
 	})
 }
+
+// TestTargetWithoutLoadReportsIsProbedBeforeItIsOverloaded guards against a backend server
+// that doesn't report its load, becomes cold again and gets requests as a warm one does for
+// as long as the last answer to a probe counts: it crashes. Before this instance has sent
+// more than its part of a warm-up, it must have started a further probe, for which requests
+// don't wait.
+func TestTargetWithoutLoadReportsIsProbedBeforeItIsOverloaded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, target := newSet("e1", func(*fleet.Server) {})
+		p := &countingProber{report: health.Report{Healthy: true}}
+		target.Refresh(t.Context(), p, always)
+		// Three instances share the four requests per second of a warm-up.
+		for range 2 {
+			target.Reserve(time.Now(), 0, health.Priority{})
+		}
+		p.report.Cold = 2 * time.Second
+		begun := time.Now()
+		target.Refresh(t.Context(), p, always)
+		if waited := time.Since(begun); waited > 0 {
+			t.Errorf("a choice waited %v for the probe", waited)
+		}
+		synctest.Wait()
+		time.Sleep(20 * time.Millisecond)
+		if n := p.probes.Load(); n != 2 {
+			t.Errorf("%d probes after the part of a warm-up was sent, want 2", n)
+		}
+		if !target.Snapshot(time.Now()).Cold {
+			t.Error("the target counts as warm")
+		}
+	})
+}
--- a/internal/dispatch/health/set.go
+++ b/internal/dispatch/health/set.go
@@ -245,9 +245,17 @@
 // ConnectionShare returns this instance's equal share of the connections that t accepts
 // from all instances together, and false if that number is unlimited.
 func (s *Set) ConnectionShare(t *Target) (share int, limited bool) {
-	c := s.current.Load()
-	if c == nil || t.Profile.Connections <= 0 {
+	if s.current.Load() == nil || t.Profile.Connections <= 0 {
 		return 0, false
 	}
-	return t.Profile.Connections / max(1, len(c.edges.Instances)), true
+	return t.Profile.Connections / s.instances(), true
+}
+
+// instances returns the number of instances that accept requests, at least one.
+func (s *Set) instances() int {
+	c := s.current.Load()
+	if c == nil {
+		return 1
+	}
+	return max(1, len(c.edges.Instances))
 }
--- a/internal/dispatch/health/target.go
+++ b/internal/dispatch/health/target.go
@@ -279,11 +279,13 @@
 
 // Refresh probes t unless its load report is fresh, it has asked for a pause, its rate limit leaves no request for
 // a probe, or mayProbe, which is called just before a probe, returns false. Concurrent calls share one probe. Refresh returns when
-// the probe has ended or ctx is done; ctx does not end the probe.
+// the probe has ended or ctx is done; ctx does not end the probe. It doesn't wait for a probe that is due while the
+// report is fresh.
 func (t *Target) Refresh(ctx context.Context, prober Prober, mayProbe func() bool) {
 	t.mu.Lock()
 	done := t.probing
-	if t.isFresh() || time.Now().Before(t.pausedUntil) || done == nil && (!t.quota.AllowsProbe(time.Now()) || !mayProbe()) {
+	fresh := t.isFresh()
+	if fresh && !t.isProbeDue() || time.Now().Before(t.pausedUntil) || done == nil && (!t.quota.AllowsProbe(time.Now()) || !mayProbe()) {
 		t.mu.Unlock()
 		return
 	}
@@ -294,6 +296,9 @@
 		go t.probe(prober, done)
 	}
 	t.mu.Unlock()
+	if fresh {
+		return
+	}
 	select {
 	case <-done:
 	case <-ctx.Done():
@@ -307,6 +312,16 @@
 	return age < reportLifetime || !t.report.Known && !t.report.At.IsZero() && age < noLoadLifetime
 }
 
+// isProbeDue reports whether this instance has sent its part of a warm-up since a report
+// without load figures. Such a report is reused for long, and t may have become cold since.
+// The caller must hold the lock.
+func (t *Target) isProbeDue() bool {
+	if t.report.Known || t.Profile.WarmUpRate <= 0 {
+		return false
+	}
+	return float64(t.sentSinceReport*t.set.instances()) >= t.Profile.WarmUpRate
+}
+
 // probe probes t, records the result and closes done. An answer that names another
 // backend server counts as a failure, since that one has taken the address of t.
 func (t *Target) probe(prober Prober, done chan struct{}) {
