writes, sender: a connection opened for an earlier request does not count as new

What callers saw: a request that is not idempotent was sent over a half-open connection and lost: "may-have-run broken_answer EOF" after the whole time of the attempt.

Cause: http.Transport opens a connection for each request that waits and gives a request the first that is free. A connection whose opening began for a request that another one served becomes free later, and is handed to whatever waits then: to the second try of a request whose first, idle connection had been refused. httptrace says of it "reused, not idle", so the tracker took it for a proven one, however long ago it was opened. Closing the idle connections between the tries doesn't help, since it is not idle yet.

Fix: a connection keeps the time at which its opening began and at which bytes last arrived, and the tracker compares these with the start of the attempt, in place of the idle time of httptrace. After an idle connection was refused, all connections are retired, so that nothing that was being opened before can be delivered to the second try. Connections in use then are closed after their answers, instead of kept.

--- a/internal/dispatch/sender/sender.go
+++ b/internal/dispatch/sender/sender.go
@@ -130,7 +130,9 @@
 		if !idle || n == maxTries {
 			return a
 		}
-		c.transport.CloseIdleConnections()
+		// A connection that is still being opened for another request would be handed to
+		// the next try.
+		c.upstream.Retire(c.transport)
 	}
 }
 
--- a/internal/rpc/writes/writes.go
+++ b/internal/rpc/writes/writes.go
@@ -9,6 +9,10 @@
 // is written only when the reader has consumed everything that arrived before and
 // waits for more. An answer that arrives before that byte belongs to another request,
 // and the connection is sealed.
+//
+// A connection knows how long it has been silent. The idle time of httptrace does not
+// tell that: a connection that was opened for another request, and is handed over while
+// this one waits, counts there as not idle, however long ago it was opened.
 package writes
 
 import (
@@ -32,21 +36,26 @@
 // Wrap wraps dial, so that a Tracker can track the connections that it opens.
 func Wrap(dial Dial) Dial {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		begun := time.Now()
 		c, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		return newConn(c), nil
+		return newConn(c, begun), nil
 	}
 }
 
 // Tracker tracks the connection of one request. Set the exported field before
 // calling With.
 type Tracker struct {
-	// MaxIdle is the maximum time for which a reused connection may have been idle.
-	// One that was idle for longer is sealed. Zero sets no limit.
+	// MaxIdle is the maximum time since a connection last received anything, or else
+	// since its opening began. One that was silent for longer is sealed, unless its
+	// opening began after the call of With. Zero sets no limit.
 	MaxIdle time.Duration
 
+	// start is the time of the call of With.
+	start time.Time
+
 	conn           atomic.Pointer[conn]
 	idleTooLong    atomic.Bool
 	sawUnsolicited atomic.Bool
@@ -54,6 +63,7 @@
 
 // With returns a context for the request that t tracks.
 func (t *Tracker) With(ctx context.Context) context.Context {
+	t.start = time.Now()
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn:              t.gotConn,
 		GotFirstResponseByte: t.gotFirstByte,
@@ -86,7 +96,7 @@
 	}
 	c.reset()
 	t.conn.Store(c)
-	if t.MaxIdle > 0 && i.Reused && i.IdleTime > t.MaxIdle {
+	if t.MaxIdle > 0 && c.begun.Before(t.start) && c.silence() > t.MaxIdle {
 		t.idleTooLong.Store(true)
 		c.seal()
 	}
@@ -102,6 +112,9 @@
 type conn struct {
 	net.Conn
 
+	// begun is the time at which its opening began.
+	begun time.Time
+
 	mu sync.Mutex
 	// changed is signaled when a field below changes.
 	changed *sync.Cond
@@ -109,19 +122,22 @@
 	sealed  bool
 	// reading is true during a call of Read.
 	reading bool
+	// heard is the time at which bytes last arrived. It is zero before the first.
+	heard time.Time
 }
 
-func newConn(c net.Conn) *conn {
-	n := &conn{Conn: c}
+func newConn(c net.Conn, begun time.Time) *conn {
+	n := &conn{Conn: c, begun: begun}
 	n.changed = sync.NewCond(&n.mu)
 	return n
 }
 
 // Read implements net.Conn.
 func (c *conn) Read(b []byte) (int, error) {
-	c.setReading(true)
-	defer c.setReading(false)
-	return c.Conn.Read(b)
+	c.startRead()
+	n, err := c.Conn.Read(b)
+	c.endRead(n)
+	return n, err
 }
 
 // Write implements net.Conn. It fails once the connection is sealed.
@@ -153,13 +169,35 @@
 	return true
 }
 
-func (c *conn) setReading(r bool) {
+func (c *conn) startRead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = true
+	c.changed.Broadcast()
+}
+
+// endRead records the end of a call of Read that returned n bytes.
+func (c *conn) endRead(n int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reading = r
+	c.reading = false
+	if n > 0 {
+		c.heard = time.Now()
+	}
 	c.changed.Broadcast()
 }
 
+// silence returns the time since the last bytes arrived or, if none did, since the
+// opening of the connection began.
+func (c *conn) silence() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.heard.IsZero() {
+		return time.Since(c.begun)
+	}
+	return time.Since(c.heard)
+}
+
 // reset starts a new request on the connection.
 func (c *conn) reset() {
 	c.mu.Lock()
