pool: a connection that was put back unused doesn't count as proven

What callers may see: a request that is not idempotent is sent over a half-open connection and lost.

Cause: Put took the time at which a connection was put back for that of its last answer. Link puts a connection back without having sent anything if the backend server has left or asked for a pause, so one that had been silent for seconds became proven for another second, and was kept beyond the idle timeout of the backend server.

Fix: a connection keeps the time of its last answer, which only an answer sets.

Evidence: TestConnectionPutBackUnusedIsNotProven failed before ("a connection whose last answer came over 1.1s ago counts as proven") and passes.

--- a/internal/dispatch/pool/exchange.go
+++ b/internal/dispatch/pool/exchange.go
@@ -147,6 +147,7 @@
 	_ = resp.Body.Close()
 	e.Response = resp
 	e.Answer = body
+	c.heard = time.Now()
 	c.idleTimeout = idleTimeoutOf(resp.Header.Get("Keep-Alive"))
 	return !resp.Close, nil
 }
--- a/internal/dispatch/pool/pool.go
+++ b/internal/dispatch/pool/pool.go
@@ -43,11 +43,12 @@
 type Conn struct {
 	net.Conn
 	// Reused is true if the connection has carried a request before.
-	Reused   bool
-	address  string
-	limit    *headLimit
-	reader   *bufio.Reader
-	lastUsed time.Time
+	Reused  bool
+	address string
+	limit   *headLimit
+	reader  *bufio.Reader
+	// heard is the time of its last answer or, before the first, of its opening.
+	heard time.Time
 	// idleTimeout is the time for which the connection may be idle.
 	idleTimeout time.Duration
 }
@@ -61,7 +62,7 @@
 		if c == nil {
 			return p.Dial(ctx, address)
 		}
-		idle := now.Sub(c.lastUsed)
+		idle := now.Sub(c.heard)
 		if idle < c.idleTimeout && (!proven || idle < provenFor) && c.isUsable() {
 			return c, nil
 		}
@@ -72,7 +73,6 @@
 // Put adds c to the idle connections, or closes it if there are maxIdle to its address.
 func (p *Pool) Put(c *Conn, maxIdle int) {
 	c.Reused = true
-	c.lastUsed = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.idle == nil {
@@ -104,7 +104,7 @@
 	for address, list := range p.idle {
 		var kept []*Conn
 		for _, c := range list {
-			if now.Sub(c.lastUsed) < c.idleTimeout {
+			if now.Sub(c.heard) < c.idleTimeout {
 				kept = append(kept, c)
 				continue
 			}
@@ -117,7 +117,7 @@
 	}
 }
 
-// pop removes and returns the most recently used connection to address. It returns
+// pop removes and returns the connection to address that was put back last. It returns
 // nil if there is none.
 func (p *Pool) pop(address string) *Conn {
 	p.mu.Lock()
@@ -139,7 +139,10 @@
 		return nil, errors.Wrap(err, "dial")
 	}
 	limit := &headLimit{r: c, left: -1}
-	return &Conn{Conn: c, address: address, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes), idleTimeout: defaultIdleTimeout}, nil
+	return &Conn{
+		Conn: c, address: address, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes),
+		heard: time.Now(), idleTimeout: defaultIdleTimeout,
+	}, nil
 }
 
 // isUsable reports whether the connection is open and has no unread bytes. It peeks at
