pool, link: no connection carries a request twice, so that the copy of a refusal isn't believed

What callers saw, as another operator reports: "not run, try again" for requests that a backend server had run or was running, or such a request ran at a second one. Here it takes a caller that sends a request again under its id, a request without an id, or a backend server that takes over the address of another and is sent what that one refused.

Cause: an answer is told by the id that it echoes, which is that of the caller's request. Sent again over the same kept connection, the request has the same id, so the copy of its earlier refusal passed for the answer. A request without an id took any answer without one. Of an answer that names two ids only the first was looked at.

Fix: a connection keeps the ids of what it has carried, and is not used for the same request again. It carries 512 requests at most, which bounds the ids. A request without an id gets a connection of its own. All ids of an answer must be that of the request.

Within one call a second sending goes to another backend server by its name, so only the name, not the address, kept it off the same connection.

--- a/internal/dispatch/link/link.go
+++ b/internal/dispatch/link/link.go
@@ -63,7 +63,7 @@
 
 // Send implements direct.Link.
 func (l *Link) Send(ctx context.Context, c *direct.Call, t *health.Target) direct.Attempt {
-	conn, err := l.Pool.Get(ctx, t.Server.Address, !c.Idempotent)
+	conn, err := l.Pool.GetFor(ctx, t.Server.Address, !c.Idempotent, c.ID)
 	if err != nil {
 		return direct.Attempt{Verdict: snipefront.NotRun, Reason: snipefront.ReasonConnect, Err: err, Outcome: health.Unreachable}
 	}
--- a/internal/dispatch/pool/exchange.go
+++ b/internal/dispatch/pool/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -30,7 +31,8 @@
 	// Method is that of the request.
 	Method string
 	// IDField and ID are the name and the value of the header field that the answer
-	// must echo. An empty IDField accepts any answer.
+	// must echo. An empty IDField accepts any answer. A connection isn't reused after a
+	// request with an empty ID.
 	IDField string
 	ID      string
 	// MaxBytes is the maximum length of the body of the answer, in bytes.
@@ -61,9 +63,10 @@
 // Do sends e on c and reads the answer. It reports whether c can be reused, and
 // closes c if not. When ctx ends before the answer, Do closes c and fails.
 func (e *Exchange) Do(ctx context.Context, c *Conn) (reusable bool, err error) {
+	mayReuse := e.IDField == "" || c.carry(e.ID)
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	defer func() {
-		if !stop() {
+		if !stop() || !mayReuse {
 			reusable = false
 		}
 		if !reusable {
@@ -118,7 +121,7 @@
 		if err != nil {
 			return false, err
 		}
-		if e.IDField == "" || e.Response.Header.Get(e.IDField) == e.ID {
+		if e.IDField == "" || echoes(e.Response.Header.Values(e.IDField), e.ID) {
 			return reusable && c.reader.Buffered() == 0, nil
 		}
 		if !reusable {
@@ -129,6 +132,12 @@
 	return false, ErrMismatch
 }
 
+// echoes reports whether the ids of an answer name the request with the id and no other.
+func echoes(ids []string, id string) bool {
+	isOther := func(v string) bool { return v != id }
+	return !slices.ContainsFunc(ids, isOther) && (len(ids) > 0 || id == "")
+}
+
 // readOne reads the next answer with a status of 200 or more, whatever its request.
 func (e *Exchange) readOne(c *Conn) (reusable bool, err error) {
 	resp, err := e.readHead(c)
--- a/internal/dispatch/pool/pool.go
+++ b/internal/dispatch/pool/pool.go
@@ -3,13 +3,17 @@
 //
 // A connection is reused only after a complete answer to its own request, while no
 // further byte has arrived on it, and well before the backend server would close it.
+// It carries no request twice, so that a copy of an answer to the first sending, above all of
+// a refusal, can't be taken for the answer to the second. The ids of requests tell them apart.
 // A request counts as not run only if no byte of it was sent.
 package pool
 
 import (
 	"bufio"
 	"context"
+	"hash/maphash"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -31,6 +35,9 @@
 	// provenFor is the time after its last answer for which an idle connection is
 	// proven, that is, assumed to work.
 	provenFor = time.Second
+	// maxRequests is the maximum number of requests that a connection carries. It bounds
+	// the ids that are kept.
+	maxRequests = 512
 )
 
 // Pool holds the idle connections by address. Its zero value is ready to use.
@@ -51,14 +58,36 @@
 	heard time.Time
 	// idleTimeout is the time for which the connection may be idle.
 	idleTimeout time.Duration
+	// carried holds the hashes of the ids of all requests that it has carried.
+	carried []uint64
 }
 
+// hashSeed is the seed of the hashes of ids.
+var hashSeed = maphash.MakeSeed()
+
+func hashOf(id string) uint64 { return maphash.String(hashSeed, id) }
+
 // Get returns an idle connection to address or opens one. If proven is true, it reuses
 // only a connection that was idle for less than a second.
 func (p *Pool) Get(ctx context.Context, address string, proven bool) (*Conn, error) {
+	return p.get(ctx, address, proven, func(*Conn) bool { return true })
+}
+
+// GetFor is Get for the request with the id. It reuses no connection that has carried that
+// request, and none at all if the id is empty.
+func (p *Pool) GetFor(ctx context.Context, address string, proven bool, id string) (*Conn, error) {
+	if id == "" {
+		return p.Dial(ctx, address)
+	}
+	h := hashOf(id)
+	return p.get(ctx, address, proven, func(c *Conn) bool { return !slices.Contains(c.carried, h) })
+}
+
+// get is Get among the connections that may be reused.
+func (p *Pool) get(ctx context.Context, address string, proven bool, may func(c *Conn) bool) (*Conn, error) {
 	now := time.Now()
 	for {
-		c := p.pop(address)
+		c := p.pop(address, may)
 		if c == nil {
 			return p.Dial(ctx, address)
 		}
@@ -117,18 +146,26 @@
 	}
 }
 
-// pop removes and returns the connection to address that was put back last. It returns
-// nil if there is none.
-func (p *Pool) pop(address string) *Conn {
+// pop removes and returns the connection to address that was put back last, of those that
+// may be reused. It returns nil if there is none.
+func (p *Pool) pop(address string, may func(c *Conn) bool) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
+	for i := len(list) - 1; i >= 0; i-- {
+		if c := list[i]; may(c) {
+			p.idle[address] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
-	return c
+	return nil
+}
+
+// carry records that the request with the id is sent on c. It reports whether c may be
+// reused after that.
+func (c *Conn) carry(id string) bool {
+	c.carried = append(c.carried, hashOf(id))
+	return id != "" && len(c.carried) < maxRequests
 }
 
 // Dial opens a connection to address.
