sender: a refusal that may be a copy of an earlier one isn't believed

What callers may see, with cells: "not run, try again" for a request that a backend server runs, or a second run.

Cause: a backend server need not echo the id of the attempt. One that doesn't and writes a refusal once more on a kept connection had the copy taken for the answer to the next request there. Of an answer that names two ids only the first was looked at.

Fix: the refusal of a request that must not be repeated counts only with the id of its attempt, or as the first answer on its connection; otherwise the verdict is may-have-run. So that such requests can still be refused at backend servers without echoes, they each get a new connection there, which costs its opening and nothing else. Requests that may be repeated keep what they had: a second run of these does no harm.

TestNoTransparentRetryOnReusedConnection needs a POST on a kept connection. Its backend server therefore echoes the id now; what it checks is unchanged.

--- a/internal/dispatch/sender/sender.go
+++ b/internal/dispatch/sender/sender.go
@@ -3,7 +3,9 @@
 //
 // A connection carries one request at a time. An attempt has the verdict NotRun only
 // if no connection was established, if the connection was sealed before the first
-// byte was written, or if the answer has one of the refusal statuses of the service.
+// byte was written, or if the answer has one of the refusal statuses of the service. The
+// refusal of a request that is not idempotent must echo the id of the attempt or be the
+// first answer on its connection: another may be a copy of an earlier refusal.
 // The standard transport retries some requests by itself when a reused connection
 // fails. Every request therefore has a body that cannot be rewound, which prevents
 // such a retry.
@@ -21,6 +23,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -118,21 +121,25 @@
 	// ends the attempt if it succeeds.
 	guarded bool
 
-	upstream  *conns.Conns
+	upstream *upstream
+	// shared is the transport of the current connections of upstream.
+	shared *http.Transport
+	// transport is the one that sends the request.
 	transport *http.Transport
 }
 
 func (s *Sender) send(ctx context.Context, c *call) Attempt {
 	c.upstream = s.upstream(c.server)
 	for n := 1; ; n++ {
-		c.transport = c.upstream.Transport()
+		c.shared = c.upstream.Transport()
+		c.transport = c.upstream.transportFor(c.request, c.shared)
 		a, idle := s.try(ctx, c)
 		if !idle || n == maxTries {
 			return a
 		}
 		// A connection that is still being opened for another request would be handed to
 		// the next try.
-		c.upstream.Retire(c.transport)
+		c.upstream.Retire(c.shared)
 	}
 }
 
@@ -178,7 +185,15 @@
 	if err != nil {
 		return failedAttempt(t, err)
 	}
-	return s.readAnswer(c.server, resp, c.service.RefusalStatuses)
+	echoes := takeEcho(resp)
+	c.upstream.anonymous.Store(!echoes)
+	if !slices.Contains(c.service.RefusalStatuses, resp.StatusCode) {
+		return s.readAnswer(c.server, resp)
+	}
+	if !echoes && !t.Fresh() && !c.request.Idempotent {
+		return failedAttempt(t, errUncertain)
+	}
+	return refusedAttempt(c.server, resp)
 }
 
 // hear passes the notice of an answer of b to Heard.
@@ -191,18 +206,24 @@
 	}
 }
 
-// isMismatched reports whether resp echoes the id of another attempt than req. It
-// removes the id from the header.
+// isMismatched reports whether resp echoes the id of another attempt than req.
 func isMismatched(req *http.Request, resp *http.Response) bool {
-	id := resp.Header.Get(AttemptHeader)
+	id := req.Header.Get(AttemptHeader)
+	return slices.ContainsFunc(resp.Header.Values(AttemptHeader), func(v string) bool { return v != "" && v != id })
+}
+
+// takeEcho removes the id of the attempt from the header of resp and reports whether there
+// was one.
+func takeEcho(resp *http.Response) bool {
+	echoes := resp.Header.Get(AttemptHeader) != ""
 	resp.Header.Del(AttemptHeader)
-	return id != "" && id != req.Header.Get(AttemptHeader)
+	return echoes
 }
 
 // CloseIdle closes the idle connections to b.
 func (s *Sender) CloseIdle(b snipefront.BackendServer) {
 	if u, ok := s.upstreams.LoadAndDelete(b.Address); ok {
-		u.(*conns.Conns).CloseIdle()
+		u.(*upstream).CloseIdle()
 	}
 }
 
@@ -225,19 +246,18 @@
 	return snipefront.ReasonConnect
 }
 
-// readAnswer reads the complete answer. A status in refusals means that b did not run the
-// request.
-func (s *Sender) readAnswer(b snipefront.BackendServer, resp *http.Response, refusals []int) Attempt {
-	for _, st := range refusals {
-		if resp.StatusCode == st {
-			_, _ = io.CopyN(io.Discard, resp.Body, maxHeaderBytes)
-			return Attempt{
-				Verdict: snipefront.NotRun,
-				Reason:  snipefront.ReasonShed,
-				Err:     errors.Errorf("backend server %s refused with status %d", b.Name, st),
-			}
-		}
+// refusedAttempt returns the attempt that b refused with resp without running the request.
+func refusedAttempt(b snipefront.BackendServer, resp *http.Response) Attempt {
+	_, _ = io.CopyN(io.Discard, resp.Body, maxHeaderBytes)
+	return Attempt{
+		Verdict: snipefront.NotRun,
+		Reason:  snipefront.ReasonShed,
+		Err:     errors.Errorf("backend server %s refused with status %d", b.Name, resp.StatusCode),
 	}
+}
+
+// readAnswer reads the complete answer.
+func (s *Sender) readAnswer(b snipefront.BackendServer, resp *http.Response) Attempt {
 	body, err := s.readBody(resp)
 	if err != nil {
 		return Attempt{Reason: readReason(err), Err: err}
@@ -252,6 +272,7 @@
 	errNoLength   = errors.New("answer without a length cannot be known to be whole")
 	errSwitch     = errors.New("answer switches the protocol")
 	errMismatched = errors.New("answer to another request")
+	errUncertain  = errors.New("refusal without the id of the attempt, which may be that of an earlier request")
 )
 
 func readReason(err error) snipefront.Reason {
--- a/internal/dispatch/sender/sender_test.go
+++ b/internal/dispatch/sender/sender_test.go
@@ -24,9 +24,9 @@
 		{"get", http.MethodGet, "", ""},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			f := serve(t, func(n int, _ *http.Request, _ []byte) (string, bool) {
+			f := serve(t, func(n int, r *http.Request, body []byte) (string, bool) {
 				if n == 1 {
-					return completeAnswer, true
+					return echo(r, body), true
 				}
 				return "", false
 			})
--- a/internal/dispatch/sender/upstream.go
+++ b/internal/dispatch/sender/upstream.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/snipefront/snipefront"
@@ -27,13 +28,32 @@
 	checkTimeout = 250 * time.Millisecond
 )
 
+// upstream holds the connections to one backend server.
+type upstream struct {
+	conns.Conns
+	// anonymous is true if the last answer did not echo the id of its attempt.
+	anonymous atomic.Bool
+	// oneRequest uses each connection for one request only.
+	oneRequest *http.Transport
+}
+
 // upstream returns the connections to b.
-func (s *Sender) upstream(b snipefront.BackendServer) *conns.Conns {
+func (s *Sender) upstream(b snipefront.BackendServer) *upstream {
 	if u, ok := s.upstreams.Load(b.Address); ok {
-		return u.(*conns.Conns)
+		return u.(*upstream)
+	}
+	u, _ := s.upstreams.LoadOrStore(b.Address, &upstream{Conns: conns.Conns{New: newTransport}, oneRequest: newTransport(true)})
+	return u.(*upstream)
+}
+
+// transportFor returns the transport for r, where shared is that of the current connections.
+// Unless answers echo the id of their attempt, a refusal on a kept connection may be a copy
+// of an earlier one. A request that must not be repeated then gets a connection of its own.
+func (u *upstream) transportFor(r *snipefront.Request, shared *http.Transport) *http.Transport {
+	if !r.Idempotent && u.anonymous.Load() {
+		return u.oneRequest
 	}
-	u, _ := s.upstreams.LoadOrStore(b.Address, &conns.Conns{New: newTransport})
-	return u.(*conns.Conns)
+	return shared
 }
 
 // newTransport returns a transport for one backend server. If oneRequest is true, it uses
@@ -52,7 +72,7 @@
 }
 
 // overdue returns the time after which an answer to r is overdue.
-func (s *Sender) overdue(u *conns.Conns, r *snipefront.Request) time.Duration {
+func (s *Sender) overdue(u *upstream, r *snipefront.Request) time.Duration {
 	floor := s.OverdueFloor
 	if floor == 0 {
 		floor = defaultOverdueFloor
@@ -74,7 +94,7 @@
 		if !s.Check(ctx, c.server, c.service) {
 			return nil
 		}
-		c.upstream.Retire(c.transport)
+		c.upstream.Retire(c.shared)
 		return conns.ErrHalfOpen
 	}
 	return conns.Watch(s.overdue(c.upstream, c.request), check, cancel)
--- a/internal/rpc/writes/writes.go
+++ b/internal/rpc/writes/writes.go
@@ -58,6 +58,7 @@
 
 	conn           atomic.Pointer[conn]
 	idleTooLong    atomic.Bool
+	fresh          atomic.Bool
 	sawUnsolicited atomic.Bool
 }
 
@@ -83,6 +84,12 @@
 	return t.idleTooLong.Load()
 }
 
+// Fresh reports whether nothing had arrived on the connection before the request got it,
+// so that it has carried no other request that was answered.
+func (t *Tracker) Fresh() bool {
+	return t.fresh.Load()
+}
+
 // Unsolicited reports whether the answer arrived before any byte of the request was
 // written. If so, it is the answer to another request.
 func (t *Tracker) Unsolicited() bool {
@@ -96,6 +103,7 @@
 	}
 	c.reset()
 	t.conn.Store(c)
+	t.fresh.Store(c.isFresh())
 	if t.MaxIdle > 0 && c.begun.Before(t.start) && c.silence() > t.MaxIdle {
 		t.idleTooLong.Store(true)
 		c.seal()
@@ -198,6 +206,13 @@
 	return time.Since(c.heard)
 }
 
+// isFresh reports whether no byte has arrived.
+func (c *conn) isFresh() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.heard.IsZero()
+}
+
 // reset starts a new request on the connection.
 func (c *conn) reset() {
 	c.mu.Lock()
