--- a/fleet.go
+++ b/fleet.go
@@ -35,6 +35,13 @@
 	DataCentre string
 }
 
+const (
+	// MaxSlots bounds the slots that a backend server may announce.
+	MaxSlots = 10_000
+	// MaxWarmUp bounds the time for which a backend server may say that it stays cold.
+	MaxWarmUp = time.Hour
+)
+
 // BackendServer is a backend server, as described by its own announcement.
 type BackendServer struct {
 	// Name is unique in its cell.
@@ -48,8 +55,8 @@
 	// Incarnation is higher after each start of the backend server, which chooses it. An
 	// announcement with a lower one is late, and ignored.
 	Incarnation uint64
-	// Slots is the maximum number of requests that it runs at once when warm. At
-	// least 1.
+	// Slots is the maximum number of requests that it runs at once when warm, 1 to
+	// MaxSlots.
 	Slots int
 	// Draining is true if it accepts no new requests.
 	Draining bool
--- a/internal/entry/enroll/enroll.go
+++ b/internal/entry/enroll/enroll.go
@@ -31,8 +31,6 @@
 	maxBodyBytes = 4 << 10
 	// maxNameBytes bounds the names of the backend server, service and data centre.
 	maxNameBytes = 63
-	// maxSlots bounds the slots of a backend server.
-	maxSlots = 10000
 	// forwardTimeout bounds forwarding an announcement to the instances.
 	forwardTimeout = time.Second
 )
@@ -166,8 +164,8 @@
 			return errors.Errorf("announcement: %s must have 1 to %d bytes", f.name, maxNameBytes)
 		}
 	}
-	if a.Slots < 1 || a.Slots > maxSlots {
-		return errors.Errorf("announcement: Slots is %d, want 1 to %d", a.Slots, maxSlots)
+	if a.Slots < 1 || a.Slots > snipefront.MaxSlots {
+		return errors.Errorf("announcement: Slots is %d, want 1 to %d", a.Slots, snipefront.MaxSlots)
 	}
 	host, port, err := net.SplitHostPort(a.Address)
 	if err != nil || net.ParseIP(host) == nil {
