keeper, fleet: one odd heartbeat doesn't take a true backend server away for good

Cause: a heartbeat with a higher incarnation or sequence outranks all lower ones for as long as it is registered, and any heartbeat under the name kept the registration from expiring (recordHeartbeat renewed it whatever its incarnation). So the true server's own heartbeats kept the odd registration alive. Draining holds for the incarnation, also where the odd entry said it, and a deregistration of an incarnation that never was kept out all lower ones. What callers saw: servers without requests, at a wrong address or draining for as long as they ran; a draining or a deregistration that was acknowledged and ignored; the same for a backend server whose clock was set back before its restart.

Only heartbeats of the registered incarnation renew it, so that the odd one expires after 20 s. Chosen: the keeper of a registration hears its heartbeats, so it alone may know that it is silent. Heartbeats of an outranked incarnation that go on for 6 s, four at least with growing sequence and no gap over 4 s, while what outranks them is silent for 6 s, replace it by one command. It names the registrations that it replaces, so nothing that changed meanwhile is undone. A late heartbeat after a partition is one, or several at once, and the incarnation after it sends its own: TestLateHeartbeatsReplaceNothing, and all earlier tests are unchanged. All instants are of the steady clock, and the state machine sees none. Draining counts in any order within an incarnation. Draining by an answer (DrainingFinal) and a deregistration of the very incarnation are never ended. What can't be recorded, since a higher incarnation holds the name, isn't acknowledged (503). Earlier logs apply the same way: the new fields are missing there. A control instance of an earlier build ignores a takeover.

--- a/internal/control/fleet/command.go
+++ b/internal/control/fleet/command.go
@@ -47,6 +47,24 @@
 type Draining struct {
 	Server      string
 	Incarnation uint64
+	// Heartbeat is true if a heartbeat said so, and false for an answer.
+	Heartbeat bool `json:",omitempty"`
+}
+
+// Takeover lets a Register replace registrations that outrank it, since its backend server
+// goes on sending heartbeats and they don't. Neither the deregistration of a later incarnation
+// nor earlier heartbeats that said draining hold against it.
+type Takeover struct {
+	// Replaces holds the registrations that outrank it. One that has changed meanwhile is
+	// not replaced.
+	Replaces []Rank `json:",omitempty"`
+}
+
+// Rank identifies one state of a registration.
+type Rank struct {
+	Server      string
+	Incarnation uint64
+	Sequence    uint64
 }
 
 // Result is the result of applying a Command.
@@ -70,8 +88,13 @@
 	// ColdMillis is the remaining warm-up, in milliseconds, when this registration
 	// was sent. It is zero for a backend server that is warm.
 	ColdMillis int64 `json:",omitempty"`
+	// DrainingFinal is true if the backend server has said in an answer that it drains. No
+	// heartbeat of the incarnation ends that. It is in no Register.
+	DrainingFinal bool `json:",omitempty"`
 	// Keeper names the control instance that receives its heartbeats.
 	Keeper string
+	// Takeover may be set in a Register. It is never part of the state.
+	Takeover *Takeover `json:",omitempty"`
 	// Expired is true in a Deregister if heartbeats are missing, and false if the
 	// backend server deregistered itself.
 	Expired bool `json:",omitempty"`
--- a/internal/control/fleet/fleet.go
+++ b/internal/control/fleet/fleet.go
@@ -66,6 +66,8 @@
 	Incarnation uint64 `json:",omitempty"`
 	// Drained is the incarnation of a backend server that drained when it was removed.
 	Drained uint64 `json:",omitempty"`
+	// DrainedFinal is true if it has said so in an answer.
+	DrainedFinal bool `json:",omitempty"`
 }
 
 // Document is a configuration as the operator sent it.
@@ -161,6 +163,19 @@
 	return v, ok
 }
 
+// ServersAt returns the backend servers that are registered with the address.
+func (s *State) ServersAt(address string) []Server {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	var list []Server
+	for _, n := range s.data.Servers {
+		if n.Address == address {
+			list = append(list, n)
+		}
+	}
+	return list
+}
+
 // Instance returns the named instance and reports whether it is registered.
 func (s *State) Instance(name string) (Instance, bool) {
 	s.mu.RLock()
--- a/internal/control/keeper/expire.go
+++ b/internal/control/keeper/expire.go
@@ -56,23 +56,17 @@
 		k.pendingJoins = map[string]fleet.Instance{}
 		k.committedJoins = map[string]committedJoin{}
 		k.heartbeats = map[string]heartbeat{}
+		k.contenders = map[string]contender{}
 		k.watches = map[string]time.Time{}
 		k.lostKeepers = map[string]time.Time{}
 	})
 }
 
-// recordHeartbeat records a heartbeat and reports true. It reports false, and records
-// nothing, if the last recorded heartbeat has the same incarnation and a higher sequence.
-func (k *Keeper) recordHeartbeat(now time.Time, n fleet.Server) bool {
-	k.init()
+// recordHeartbeat records that the heartbeat n was received at the instant now.
+func (k *Keeper) recordHeartbeat(now time.Time, n fleet.Server) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	old, ok := k.heartbeats[n.Name]
-	if ok && old.incarnation == n.Incarnation && old.sequence > n.Sequence {
-		return false
-	}
 	k.heartbeats[n.Name] = heartbeat{at: now, incarnation: n.Incarnation, sequence: n.Sequence}
-	return true
 }
 
 // recordWatch records that an instance watches at the instant now, and queues its registration if State
@@ -257,8 +251,8 @@
 }
 
 // dropStale drops recorded watches and heartbeats that are older than serverTimeout and
-// whose instance or backend server is not in v, and committed registrations that are
-// older than applyTimeout.
+// whose instance or backend server is not in v, contenders that are silent, and committed
+// registrations that are older than applyTimeout.
 func (k *Keeper) dropStale(v fleet.View) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -267,6 +261,11 @@
 			delete(k.heartbeats, n)
 		}
 	}
+	for n, c := range k.contenders {
+		if time.Since(c.last) > maxHeartbeatGap {
+			delete(k.contenders, n)
+		}
+	}
 	for n, c := range k.committedJoins {
 		if time.Since(c.at) > applyTimeout {
 			delete(k.committedJoins, n)
--- a/internal/control/keeper/keeper.go
+++ b/internal/control/keeper/keeper.go
@@ -76,7 +76,9 @@
 	// committedJoins holds the last committed registrations, by instance, for as long
 	// as State may not have applied them.
 	committedJoins map[string]committedJoin
-	heartbeats     map[string]heartbeat
+	// heartbeats holds the last heartbeat of each backend server that nothing outranks.
+	heartbeats map[string]heartbeat
+	contenders map[string]contender
 	// watches holds the time at which each instance last watched.
 	watches map[string]time.Time
 	// raised is the incarnation of this instance if the one in Self is too low, or zero.
@@ -104,6 +106,9 @@
 	// ErrUnknownService means that a heartbeat names a service that the configuration
 	// lacks.
 	ErrUnknownService = errors.New("service is not configured")
+	// ErrOutranked means that a backend server leaves under whose name a later incarnation
+	// is registered, so that its leaving can't be recorded.
+	ErrOutranked = errors.New("a later incarnation is registered")
 	// ErrUncommitted means that the commit of a change was not confirmed. The change
 	// may still be applied.
 	ErrUncommitted = errors.New("no answer from the control quorum")
@@ -143,23 +148,46 @@
 // replicated. Once it returns nil, the change is durable.
 func (k *Keeper) Heartbeat(ctx context.Context, n fleet.Server) error {
 	n.Keeper = k.Self.Name
-	if !k.recordHeartbeat(time.Now(), n) {
-		return nil
-	}
+	now := time.Now()
+	k.init()
 	old, ok := k.State.Server(n.Name)
-	if ok && isUnchanged(old, n) {
-		return nil
+	if ok && k.isLate(old, n) {
+		return k.hearLate(ctx, now, old, n)
+	}
+	k.recordHeartbeat(now, n)
+	agreed := true
+	if !ok || !isUnchanged(old, n) {
+		var err error
+		if agreed, err = k.register(ctx, n); err != nil {
+			return err
+		}
 	}
+	if !agreed || ok && deniesDraining(old, n) {
+		_, err := k.contend(ctx, now, n)
+		return err
+	}
+	k.dropContender(n.Name)
+	return nil
+}
+
+// register proposes n as the registration. It reports whether the state took it.
+func (k *Keeper) register(ctx context.Context, n fleet.Server) (bool, error) {
 	r, err := k.propose(ctx, fleet.Command{Register: &n})
-	if err == nil && r.Changed {
-		k.Logger.Info("backend server registered", "server", n.Name, "service", n.Service, "address", n.Address,
-			"incarnation", n.Incarnation, "draining", n.Draining, "coldMillis", n.ColdMillis, "sequence", n.Sequence)
+	if err != nil || !r.Changed {
+		return false, err
 	}
-	return err
+	k.Logger.Info("backend server registered", "server", n.Name, "service", n.Service, "address", n.Address,
+		"incarnation", n.Incarnation, "draining", n.Draining, "coldMillis", n.ColdMillis, "sequence", n.Sequence)
+	return true, nil
 }
 
-// Deregister removes a backend server that has deregistered itself or expired.
+// Deregister removes a backend server that has deregistered itself or expired. It returns
+// ErrOutranked if a later incarnation is registered.
 func (k *Keeper) Deregister(ctx context.Context, n fleet.Server) error {
+	old, ok := k.State.Server(n.Name)
+	if ok && n.Incarnation != 0 && n.Incarnation < old.Incarnation {
+		return ErrOutranked
+	}
 	r, err := k.propose(ctx, fleet.Command{Deregister: &n})
 	if err == nil && r.Changed {
 		k.Logger.Info("backend server deregistered", "server", n.Name, "expired", n.Expired)
