health: warm-ups and load reports out of range are ignored, and a cold state ends

Cause: a number too large was taken for what it says. Warmup-Remaining of 10^300 ms or Inf made a backend server cold for 292 years on arm64 (the conversion saturates; on x86-64 it gives a negative time, not tried here), and a registration with such a warm-up, as earlier builds took, is cold as long. The sum of running and waiting requests overflows with a number near 2^63, so that a full server looks idle. What callers saw: a backend server that gets a few requests per second, or too many. Why this works: each number has a bound before it is converted or added, the warm-up that of heartbeats (snipefront.MaxWarmUp, an hour); a registration's warm-up is bounded where its end is computed.

--- a/internal/dispatch/health/report.go
+++ b/internal/dispatch/health/report.go
@@ -17,6 +17,13 @@
 	"github.com/snipefront/snipefront/internal/dispatch/quota"
 )
 
+const (
+	// maxLoadCount bounds the numbers of running and of waiting requests in a load report.
+	maxLoadCount = 1_000_000
+	// maxPacePercent bounds the slowdown factor in a load report, in percent.
+	maxPacePercent = 1_000_000
+)
+
 // Report is the load report of a backend server: its answer to a load probe.
 type Report struct {
 	// At is when the probe was sent. Zero means that none was answered yet.
@@ -41,12 +48,12 @@
 }
 
 // ParseReport parses a load report from the status and the header of the answer to
-// a load probe that was sent at the given time. Header fields that are missing or
-// malformed leave their part of the report unset.
+// a load probe that was sent at the given time. Header fields that are missing, malformed
+// or out of range leave their part of the report unset.
 func ParseReport(f snipefront.HeaderFields, status int, h http.Header, at time.Time) Report {
 	r := Report{At: at, Healthy: status == http.StatusOK, Server: h.Get(f.Server)}
 	r.parseLoad(h.Get(f.Load))
-	if ms, err := strconv.ParseFloat(h.Get(f.Cold), 64); err == nil && ms > 0 {
+	if ms, err := strconv.ParseFloat(h.Get(f.Cold), 64); err == nil && ms > 0 && ms <= float64(snipefront.MaxWarmUp.Milliseconds()) {
 		r.Cold = time.Duration(ms * float64(time.Millisecond))
 	}
 	return r
@@ -60,9 +67,10 @@
 		return
 	}
 	var n [4]int
+	largest := [len(n)]int{maxLoadCount, maxLoadCount, snipefront.MaxSlots, maxPacePercent}
 	for i, p := range parts[:min(len(parts), len(n))] {
 		v, err := strconv.Atoi(strings.TrimSpace(p))
-		if err != nil || v < 0 {
+		if err != nil || v < 0 || v > largest[i] {
 			return
 		}
 		n[i] = v
--- a/internal/dispatch/health/set.go
+++ b/internal/dispatch/health/set.go
@@ -150,8 +150,11 @@
 	return t
 }
 
+// coldUntil returns the end of the warm-up of n, which is registered since now. An earlier
+// build may have registered a longer one than snipefront.MaxWarmUp.
 func coldUntil(now time.Time, n fleet.Server) time.Time {
-	return now.Add(time.Duration(n.ColdMillis) * time.Millisecond)
+	millis := min(n.ColdMillis, snipefront.MaxWarmUp.Milliseconds())
+	return now.Add(time.Duration(millis) * time.Millisecond)
 }
 
 // Candidates returns the targets of a service that accept requests. The caller must
