proxy: a caller's remaining time over an hour is ignored

Cause: any number was taken for the time that a caller waits, and converted without a bound. On x86-64 the conversion of a number too large gives a negative time, with which the request would be refused at once (not tried on this machine, where it saturates). The estimate of how long callers have waited took it for the usual time, so that the next callers' requests counted as late. What callers saw: latency goals that had passed 292 years before their requests, so these came last where slots or rate limits are short. Why this works: a time over an hour, like text that names none, leaves the route's timeout and goal in force.

--- a/internal/entry/proxy/proxy.go
+++ b/internal/entry/proxy/proxy.go
@@ -21,6 +21,8 @@
 const (
 	// retryAfterNoConfig is the Retry-After time until this instance has a configuration.
 	retryAfterNoConfig = 250 * time.Millisecond
+	// maxRemaining bounds the time for which a caller may say that it waits.
+	maxRemaining = time.Hour
 )
 
 // Sender sends a call to a backend server and returns the response.
@@ -145,8 +147,7 @@
 	h["Host"] = []string{r.Host}
 	timeout := rt.Timeout
 	var waited time.Duration
-	if ms, err := strconv.ParseFloat(r.Header.Get(p.Fields.Remaining), 64); err == nil && ms >= 0 {
-		remaining := time.Duration(ms * float64(time.Millisecond))
+	if remaining, ok := parseRemaining(r.Header.Get(p.Fields.Remaining)); ok {
 		waited = p.waits.waited(rt.Name, remaining)
 		timeout = min(timeout, remaining)
 	}
@@ -170,6 +171,16 @@
 	return c
 }
 
+// parseRemaining parses the time for which a caller waits, in milliseconds. It returns false
+// if the text names none, or one over maxRemaining.
+func parseRemaining(text string) (time.Duration, bool) {
+	ms, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(ms >= 0 && ms <= float64(maxRemaining.Milliseconds())) {
+		return 0, false
+	}
+	return time.Duration(ms * float64(time.Millisecond)), true
+}
+
 // problem is the body of an error response of this instance.
 type problem struct {
 	Reason  snipefront.Reason
