quota, pool: numbers too large in answers name no rate limit and no idle timeout

Cause: an idle timeout in Keep-Alive near 2^63 s overflowed, so that its connections were closed after 0.25 s; a rate limit of 10^300 was shared with all instances. What callers saw: a new connection for most requests to such a backend server. Why this works: a bound before the conversion; a limit over 10^9 requests per second is unreadable, as other text is.

--- a/internal/dispatch/pool/exchange.go
+++ b/internal/dispatch/pool/exchange.go
@@ -169,7 +169,8 @@
 			continue
 		}
 		if s, err := strconv.Atoi(v); err == nil && s > 0 {
-			return min(defaultIdleTimeout, max(time.Duration(s)*time.Second-idleMargin, idleMargin/4))
+			timeout := time.Duration(min(s, maxIdleSeconds)) * time.Second
+			return min(defaultIdleTimeout, max(timeout-idleMargin, idleMargin/4))
 		}
 	}
 	return defaultIdleTimeout
--- a/internal/dispatch/pool/pool.go
+++ b/internal/dispatch/pool/pool.go
@@ -25,6 +25,8 @@
 	// defaultIdleTimeout is the time for which an idle connection is kept if the
 	// backend server does not announce a shorter one.
 	defaultIdleTimeout = 8 * time.Second
+	// maxIdleSeconds bounds the idle timeout that a backend server names, in seconds.
+	maxIdleSeconds = 3600
 	// idleMargin is how long before the idle timeout of the backend server an idle
 	// connection is closed.
 	idleMargin = time.Second
--- a/internal/dispatch/quota/parse.go
+++ b/internal/dispatch/quota/parse.go
@@ -10,8 +10,11 @@
 	"github.com/snipefront/snipefront"
 )
 
-// ErrUnreadable means that an answer names a limit that is no decimal number of at least
-// zero. It shows neither a limit nor that there is none.
+// maxPerSecond bounds a rate limit, in requests per second.
+const maxPerSecond = 1e9
+
+// ErrUnreadable means that an answer names a limit that is no number from zero to
+// maxPerSecond. It shows neither a limit nor that there is none.
 var ErrUnreadable = errors.New("unreadable rate limit")
 
 // Statement is what an answer says of the limit. The zero value says nothing.
@@ -27,7 +30,7 @@
 	var l snipefront.RateLimit
 	for _, text := range values {
 		v, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
-		if err != nil || math.IsNaN(v) || math.IsInf(v, 0) || v < 0 {
+		if err != nil || math.IsNaN(v) || v < 0 || v > maxPerSecond {
 			return Statement{}, errors.WithMessagef(ErrUnreadable, "%.40q", text)
 		}
 		if !l.Named || v < l.PerSecond {
