fleet, follow: an entry that can't be decoded is left out, and the others hold

No build writes such an entry today, since the same types encode it; another build may. What callers would see: instances that follow the fleet no more. A replica that has applied the entry from its log has refused the whole command, so that it lacks the entry, too.

--- a/internal/control/fleet/delta.go
+++ b/internal/control/fleet/delta.go
@@ -22,6 +22,8 @@
 	// changed.
 	Out      *[]string `json:",omitempty"`
 	Suspects []Suspect `json:",omitempty"`
+	// Unreadable is the number of entries that were left out when the delta was decoded.
+	Unreadable int `json:"-"`
 }
 
 // DeltaSince returns what changed after the index applied, or the whole state if
--- a/internal/control/follow/follow.go
+++ b/internal/control/follow/follow.go
@@ -232,6 +232,9 @@
 	if d.Index <= f.view.Index {
 		return
 	}
+	if d.Unreadable > 0 {
+		f.Logger.Warn("entries of the fleet can't be read; the others are applied", "entries", d.Unreadable, "index", d.Index)
+	}
 	f.view = f.view.Apply(d)
 	f.outrank()
 	f.Publish(f.view, d)
