--- a/internal/entry/proxy/proxy.go
+++ b/internal/entry/proxy/proxy.go
@@ -21,6 +21,8 @@
 const (
 	// retryAfterNoConfig is the Retry-After time until this instance has a configuration.
 	retryAfterNoConfig = 250 * time.Millisecond
+	// maxRemaining bounds the time for which a caller may say that it waits.
+	maxRemaining = time.Hour
 )
 
 // Sender sends a call to a backend server and returns the response.
@@ -153,7 +155,7 @@
 	h["Host"] = []string{r.Host}
 	timeout := rt.Timeout
 	var waited time.Duration
-	if remaining, ok := p.remaining(r.Request); ok {
+	if remaining, ok := parseRemaining(r.Header.Get(p.Fields.Remaining)); ok {
 		waited = p.waits.waited(rt.Name, remaining)
 		timeout = min(timeout, remaining)
 	}
@@ -177,10 +179,14 @@
 	return c
 }
 
-// remaining returns how long the caller of r will wait, and reports whether it says so.
-func (p *Proxy) remaining(r *http.Request) (time.Duration, bool) {
-	ms, err := strconv.ParseFloat(r.Header.Get(p.Fields.Remaining), 64)
-	return time.Duration(ms * float64(time.Millisecond)), err == nil && ms >= 0
+// parseRemaining parses the time for which a caller waits, in milliseconds. It returns false
+// if the text names none, or one over maxRemaining.
+func parseRemaining(text string) (time.Duration, bool) {
+	ms, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(ms >= 0 && ms <= float64(maxRemaining.Milliseconds())) {
+		return 0, false
+	}
+	return time.Duration(ms * float64(time.Millisecond)), true
 }
 
 // problem is the body of an error response of this instance.
--- a/internal/entry/proxy/stop.go
+++ b/internal/entry/proxy/stop.go
@@ -59,7 +59,7 @@
 	}
 	now := time.Now()
 	timeout := rt.Timeout
-	if remaining, ok := p.remaining(r); ok {
+	if remaining, ok := parseRemaining(r.Header.Get(p.Fields.Remaining)); ok {
 		timeout = min(timeout, remaining)
 	}
 	if s.takes(now, now.Add(timeout), p.slowest.of(now, rt.Name)) {
