calls, module: with cells, too, a stopping instance refuses what may outlast its stop

What was in flight at the end was cut off without an answer.

The end of the stop is known from its context; a request whose deadline is later is refused (reason stopping, 503, Retry-After), with the verdict may-have-run where it has a key, as for an instance that isn't ready. TestStoppingInstanceRefusesWhatOutlastsIt in entry/calls does not compile on the code before.

--- a/internal/entry/calls/calls.go
+++ b/internal/entry/calls/calls.go
@@ -32,6 +32,9 @@
 	maxTimeout = 10 * time.Minute
 	// retryAfterNotReady is the Retry-After time until this instance knows the services.
 	retryAfterNotReady = time.Second
+	// retryAfterStopping is the Retry-After time of a request that may outlast the planned
+	// stop of this instance.
+	retryAfterStopping = 20 * time.Millisecond
 	// maxKeyBytes is the length of the longest idempotency key.
 	maxKeyBytes = 256
 )
@@ -49,6 +52,9 @@
 	Config func() *snipefront.Config
 	// Ready reports whether Config is known to be in force.
 	Ready func() bool
+	// StopEnd returns the end of the planned stop of this instance, or the zero time if it
+	// doesn't stop. It may be nil.
+	StopEnd func() time.Time
 	// MaxBodyBytes is the size of the largest request body.
 	MaxBodyBytes int64
 	Counter      Counter
--- a/internal/entry/calls/read.go
+++ b/internal/entry/calls/read.go
@@ -22,7 +22,7 @@
 	name := firstSegment(target)
 	s, ok := h.Config().Services[name]
 	if !ok && !h.Ready() {
-		return nil, h.unready(req)
+		return nil, unserved(req, snipefront.ReasonNoLease, retryAfterNotReady, "this instance does not know the services yet")
 	}
 	if !ok {
 		return nil, snipefront.Rejected(snipefront.ReasonUnknownService, http.StatusNotFound, "no service is configured for the first segment of the path")
@@ -36,6 +36,9 @@
 		return nil, err
 	}
 	deadline := arrived.Add(timeout)
+	if h.stopsBefore(deadline) {
+		return nil, unserved(req, snipefront.ReasonStopping, retryAfterStopping, "this instance stops before the deadline of the request")
+	}
 	body, err := h.readBody(w, req, deadline)
 	if err != nil {
 		return nil, err
@@ -81,10 +84,20 @@
 	return s
 }
 
-// unready returns the refusal of a request that arrives before this instance knows the
-// services. If it has an idempotency key, an earlier request with that key may have run.
-func (h *Handler) unready(req *http.Request) error {
-	e := snipefront.Refused(snipefront.ReasonNoLease, retryAfterNotReady, "this instance does not know the services yet")
+// stopsBefore reports whether a planned stop of this instance ends before the deadline of a
+// request, which may then end without an answer.
+func (h *Handler) stopsBefore(deadline time.Time) bool {
+	if h.StopEnd == nil {
+		return false
+	}
+	end := h.StopEnd()
+	return !end.IsZero() && deadline.After(end)
+}
+
+// unserved returns the refusal of a request that this instance can't serve, whatever it asks
+// for. If it has an idempotency key, an earlier request with that key may have run.
+func unserved(req *http.Request, reason snipefront.Reason, retryAfter time.Duration, detail string) error {
+	e := snipefront.Refused(reason, retryAfter, detail)
 	if req.Header.Get(IdempotencyKeyHeader) != "" {
 		e.Verdict = snipefront.MayHaveRun
 	}
