--- a/internal/config/intent/kinds.go
+++ b/internal/config/intent/kinds.go
@@ -29,7 +29,6 @@
 	maxDeadline        = 10 * time.Minute
 	defaultColdLimit   = 1
 	defaultWarmUp      = time.Second
-	maxWarmUp          = time.Hour
 	maxColdLimit       = 10_000
 	defaultRetryBudget = 0.1
 	defaultHedgeBudget = 0.05
@@ -72,8 +71,8 @@
 		fmt.Sprintf("a duration from %v to %v", minDeadline, maxDeadline))
 	d.Require(f.ColdLimit >= 1 && f.ColdLimit <= maxColdLimit, "ColdLimit", f.ColdLimit,
 		fmt.Sprintf("a whole number from 1 to %d", maxColdLimit))
-	d.Require(f.WarmUp >= 0 && f.WarmUp <= maxWarmUp, "WarmUp", f.WarmUp,
-		fmt.Sprintf("a duration from 0s to %v", maxWarmUp))
+	d.Require(f.WarmUp >= 0 && f.WarmUp <= snipefront.MaxWarmUp, "WarmUp", f.WarmUp,
+		fmt.Sprintf("a duration from 0s to %v", snipefront.MaxWarmUp))
 	d.Require(isShare(f.RetryBudget), "RetryBudget", f.RetryBudget, shareExpected)
 	d.Require(isShare(f.HedgeBudget), "HedgeBudget", f.HedgeBudget, shareExpected)
 	checkStatuses(d, f.RefusalStatuses)
