pipe, bound: requests take no more memory than their instance has

Cause: each body was read whole into a buffer that doubles, up to 128 MiB and a copy for a body of 64 MiB, and nothing bounded their sum over all connections. An idle connection also kept the body of its last request, since the list of pending requests kept its first element. Callers saw connections that ended without an answer when their instance was killed for its memory, with all that it had in flight.

An instance now shares out the memory that the settings name. A body takes the memory for its announced length before it is read; one of unknown length grows step by step. A long body counts until the garbage collector has freed it, so no path can forget to return it, and garbage is bounded as well; a body that waits has it collected. Short requests count with their headers and have a reserve. What has no memory left is refused unread: 503, not-run, Retry-After, connection closed, a log line with the id. An upload that has stopped, or is too slow for its timeout, ends with 408 when another one needs its memory. The collector's limit follows from the same setting.

Tests of rpc/bound: a body that alone is over Memory.Limit now fails with ErrTooBig, since no wait helps, and a copy counts while a buffer grows; so the limits in the two earlier tests are larger, and what was free after reading is awaited, since it counts until it is collected. The rest is as strict.

Seen failing with the mechanism taken out: no bound on long bodies (TestHeldBodyCountsUntilItIsFreed, TestEndlessBodiesStayWithinMemory, TestLongBodiesStayWithinMemory), on short ones (TestShortBodiesKeepTheirReserve, TestPipelinedShortBodiesStayWithinMemory), content kept after handling (TestKeptConnectionHoldsNoBody), no end of slow uploads (TestUploadThatStopsGivesItsMemoryUp), no collection (TestGarbageOfEarlierBodiesIsCollected), no spare part (TestBodiesReadInPartDoNotBlockEachOther).

--- a/internal/daemon/edge/build.go
+++ b/internal/daemon/edge/build.go
@@ -19,7 +19,6 @@
 	"github.com/snipefront/snipefront/internal/observe/tally"
 	"github.com/snipefront/snipefront/internal/request/poison"
 	"github.com/snipefront/snipefront/internal/request/submit"
-	"github.com/snipefront/snipefront/internal/rpc/bound"
 	"github.com/snipefront/snipefront/internal/rpc/peers"
 )
 
@@ -28,7 +27,7 @@
 	return fx.Options(
 		fx.NopLogger,
 		fx.Supply(s, logger),
-		fx.Provide(stats.New, newTally, newRetries, newProbes, newTargets, newPool, newSuspects, newLink, newChecks, newDispatcher, newProxy, newServer, newEdge),
+		fx.Provide(stats.New, newTally, newMemory, newRetries, newProbes, newTargets, newPool, newSuspects, newLink, newChecks, newDispatcher, newProxy, newServer, newEdge),
 		fx.Invoke(registerHooks),
 	)
 }
@@ -51,8 +50,8 @@
 
 func newPool() *pool.Pool { return &pool.Pool{} }
 
-func newLink(s Settings, targets *health.Set, connections *pool.Pool, counters *stats.Stats, logger *slog.Logger) *link.Link {
-	return &link.Link{Pool: connections, Memory: &bound.Memory{Limit: link.MaxMemory}, Targets: targets, Fields: s.Fields, Counter: counters, Logger: logger}
+func newLink(s Settings, m memory, targets *health.Set, connections *pool.Pool, counters *stats.Stats, logger *slog.Logger) *link.Link {
+	return &link.Link{Pool: connections, Memory: m.answers, Targets: targets, Fields: s.Fields, Counter: counters, Logger: logger}
 }
 
 func newChecks(targets *health.Set, l *link.Link, probes *budget.Probes, suspects *poison.Register, logger *slog.Logger) *direct.Checks {
@@ -70,8 +69,8 @@
 	return &proxy.Proxy{Sender: d, Fields: s.Fields, Counter: counters, Logger: logger}
 }
 
-func newServer(px *proxy.Proxy, logger *slog.Logger) *pipe.Server {
-	return &pipe.Server{Handler: px, Observer: px, Limits: px.Limits, Logger: logger}
+func newServer(m memory, px *proxy.Proxy, logger *slog.Logger) *pipe.Server {
+	return &pipe.Server{Handler: px, Observer: px, Refuser: px, Bodies: m.requests, Limits: px.Limits, Logger: logger}
 }
 
 // parts are the components of an Edge that fx builds.
@@ -90,6 +89,7 @@
 	Retries    *budget.Retries
 	Probes     *budget.Probes
 	Stats      *stats.Stats
+	Memory     memory
 	Tally      *tally.Tally
 }
 
@@ -99,6 +99,8 @@
 		proxy: p.Proxy, server: p.Server, checks: p.Dispatcher.Checks, retries: p.Retries, probes: p.Probes, stats: p.Stats, tally: p.Tally,
 	}
 	e.group.Logger = p.Logger
+	p.Stats.ObserveBodies(stats.RequestBodies, p.Memory.requests.Used)
+	p.Stats.ObserveBodies(stats.AnswerBodies, p.Memory.answers.Used)
 	client := &peers.Client{}
 	e.replicator = &submit.Replicator{Submitter: &access.Client{Control: e.controlInstances, Caller: client}, Logger: p.Logger}
 	p.Suspects.Spread = e.replicator
--- a/internal/daemon/module/module.go
+++ b/internal/daemon/module/module.go
@@ -45,7 +45,7 @@
 const (
 	// maxAnswerBytes bounds the answer of a backend server, which is buffered.
 	maxAnswerBytes = 8 << 20
-	// maxAnswersMemory bounds the long answers that are read at the same time.
+	// maxAnswersMemory bounds the long answers that are held at the same time.
 	maxAnswersMemory = 32 << 20
 	// messageOverheadBytes is the space for the header of an answer and the
 	// framing of a message between instances.
@@ -108,7 +108,7 @@
 }
 
 func newSender() *sender.Sender {
-	return &sender.Sender{MaxAnswerBytes: maxAnswerBytes, Memory: &bound.Memory{Limit: maxAnswersMemory}}
+	return &sender.Sender{MaxAnswerBytes: maxAnswerBytes, Memory: &bound.Memory{Limit: maxAnswersMemory, Spare: maxAnswerBytes}}
 }
 
 func newState() *state.State { return &state.State{} }
--- a/internal/dispatch/link/link.go
+++ b/internal/dispatch/link/link.go
@@ -27,11 +27,8 @@
 	reusedConnTimeout = 60 * time.Millisecond
 	// maxReportBytes bounds the body of the answer to a load probe.
 	maxReportBytes = 64 << 10
-	// maxAnswerBytes bounds the body of the answer to a request.
-	maxAnswerBytes = 16 << 20
-	// MaxMemory is the limit of Link.Memory in an instance: that of all long answers which it
-	// reads at the same time, in bytes.
-	MaxMemory = 32 << 20
+	// MaxAnswerBytes bounds the body of the answer to a request.
+	MaxAnswerBytes = 16 << 20
 	// maxIdle is the maximum number of idle connections to one backend server.
 	maxIdle = 8
 )
@@ -52,7 +49,7 @@
 // Link implements direct.Link. Set the exported fields before use.
 type Link struct {
 	Pool *pool.Pool
-	// Memory bounds the bodies of the answers that are being read. Nil sets no bound.
+	// Memory bounds the bodies of the answers that are held. Nil sets no bound.
 	Memory *bound.Memory
 	// Targets holds the backend servers that accept requests.
 	Targets *health.Set
@@ -77,7 +74,7 @@
 	}
 	e := pool.Exchange{
 		Head: l.requestHead(c, t, time.Until(c.Deadline)), Body: c.Body, Method: c.Method,
-		IDField: l.Fields.RequestID, ID: c.ID, MaxBytes: maxAnswerBytes, Memory: l.Memory, Heard: l.hear(t),
+		IDField: l.Fields.RequestID, ID: c.ID, MaxBytes: MaxAnswerBytes, Memory: l.Memory, Heard: l.hear(t),
 	}
 	reusable, err := e.Do(ctx, conn)
 	if reusable {
--- a/internal/dispatch/pool/exchange.go
+++ b/internal/dispatch/pool/exchange.go
@@ -35,7 +35,7 @@
 	ID      string
 	// MaxBytes is the maximum length of the body of the answer, in bytes.
 	MaxBytes int64
-	// Memory bounds the bodies of all answers that are being read. It may be nil.
+	// Memory bounds the bodies of all answers that are held. It may be nil.
 	Memory *bound.Memory
 
 	// Heard is called with the head of each answer, those to other requests included, before
@@ -74,7 +74,7 @@
 	if err != nil {
 		return false, err
 	}
-	reusable, err = e.read(c)
+	reusable, err = e.read(ctx, c)
 	select {
 	case w := <-written:
 		e.Sent = w == nil
@@ -112,9 +112,9 @@
 
 // read reads the answer that echoes the request's id and discards answers to other
 // requests.
-func (e *Exchange) read(c *Conn) (reusable bool, err error) {
+func (e *Exchange) read(ctx context.Context, c *Conn) (reusable bool, err error) {
 	for range maxMismatched {
-		reusable, err = e.readOne(c)
+		reusable, err = e.readOne(ctx, c)
 		if err != nil {
 			return false, err
 		}
@@ -130,7 +130,7 @@
 }
 
 // readOne reads the next answer with a status of 200 or more, whatever its request.
-func (e *Exchange) readOne(c *Conn) (reusable bool, err error) {
+func (e *Exchange) readOne(ctx context.Context, c *Conn) (reusable bool, err error) {
 	resp, err := e.readHead(c)
 	if err != nil {
 		return false, err
@@ -138,7 +138,7 @@
 	if e.Heard != nil {
 		e.Heard(resp.StatusCode, resp.Header)
 	}
-	body, err := e.Memory.ReadBody(resp.Body, bodyLength(resp), e.MaxBytes)
+	body, err := e.Memory.ReadBody(ctx, resp.Body, bodyLength(resp), e.MaxBytes)
 	if err != nil {
 		// Closing the body alone would first read the rest of it.
 		c.Close()
--- a/internal/dispatch/sender/sender.go
+++ b/internal/dispatch/sender/sender.go
@@ -60,7 +60,7 @@
 type Sender struct {
 	// MaxAnswerBytes is the maximum length of the body of an answer, in bytes.
 	MaxAnswerBytes int64
-	// Memory bounds the bodies of all answers that are being read. Nil sets no bound.
+	// Memory bounds the bodies of all answers that are held. Nil sets no bound.
 	Memory *bound.Memory
 	// MayProbe spends one probe of the measuring budget and reports whether one was
 	// left. If it is nil, Check sends no probe and only opens a connection.
@@ -146,7 +146,7 @@
 	}
 	start := time.Now()
 	g := s.guard(ctx, cancel, c)
-	a := s.roundTrip(&tracker, c, req)
+	a := s.roundTrip(ctx, &tracker, c, req)
 	cancel(nil)
 	g.End()
 	if a.Response == nil && errors.Is(context.Cause(ctx), conns.ErrHalfOpen) {
@@ -163,7 +163,7 @@
 }
 
 // roundTrip sends req and reads the complete answer.
-func (s *Sender) roundTrip(t *writes.Tracker, c *call, req *http.Request) Attempt {
+func (s *Sender) roundTrip(ctx context.Context, t *writes.Tracker, c *call, req *http.Request) Attempt {
 	resp, err := c.transport.RoundTrip(req)
 	if err == nil {
 		defer resp.Body.Close()
@@ -176,7 +176,7 @@
 	if err != nil {
 		return failedAttempt(t, err)
 	}
-	return s.readAnswer(c.server, resp, c.service.RefusalStatuses)
+	return s.readAnswer(ctx, c.server, resp, c.service.RefusalStatuses)
 }
 
 // hear passes the notice of an answer of b to Heard.
@@ -225,7 +225,7 @@
 
 // readAnswer reads the complete answer. A status in refusals means that b did not run the
 // request.
-func (s *Sender) readAnswer(b snipefront.BackendServer, resp *http.Response, refusals []int) Attempt {
+func (s *Sender) readAnswer(ctx context.Context, b snipefront.BackendServer, resp *http.Response, refusals []int) Attempt {
 	for _, st := range refusals {
 		if resp.StatusCode == st {
 			_, _ = io.CopyN(io.Discard, resp.Body, maxHeaderBytes)
@@ -236,7 +236,7 @@
 			}
 		}
 	}
-	body, err := s.readBody(resp)
+	body, err := s.readBody(ctx, resp)
 	if err != nil {
 		return Attempt{Reason: readReason(err), Err: err}
 	}
@@ -263,7 +263,7 @@
 	}
 }
 
-func (s *Sender) readBody(resp *http.Response) ([]byte, error) {
+func (s *Sender) readBody(ctx context.Context, resp *http.Response) ([]byte, error) {
 	if resp.StatusCode < http.StatusOK {
 		return nil, errSwitch
 	}
@@ -273,7 +273,7 @@
 	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 		return nil, errNoLength
 	}
-	return s.Memory.ReadBody(resp.Body, resp.ContentLength, s.MaxAnswerBytes)
+	return s.Memory.ReadBody(ctx, resp.Body, resp.ContentLength, s.MaxAnswerBytes)
 }
 
 // maxIdle returns how long the connection for c may have been idle. Zero sets no
--- a/internal/entry/pipe/conn.go
+++ b/internal/entry/pipe/conn.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -81,15 +80,16 @@
 // connection.
 func (c *conn) readRequests(ctx context.Context, exchanges chan<- exchange) bool {
 	for {
-		r, err := c.readRequest()
+		r, err := c.readRequest(ctx)
 		if err != nil {
 			return c.answerError(err, exchanges)
 		}
 		if !c.admit(r, r.Close) {
+			c.server.release(r)
 			return true
 		}
 		x := exchange{request: r, answer: make(chan Answer, 1)}
-		go func() { x.answer <- c.server.Handler.Handle(ctx, r) }()
+		go func() { x.answer <- c.server.handle(ctx, r) }()
 		exchanges <- x
 		if r.Close {
 			return true
@@ -126,6 +126,7 @@
 func (c *conn) finish() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.server.release(c.pending[0])
 	c.pending = c.pending[1:]
 }
 
@@ -150,7 +151,7 @@
 }
 
 // readRequest reads one request with its body.
-func (c *conn) readRequest() (*Request, error) {
+func (c *conn) readRequest(ctx context.Context) (*Request, error) {
 	l := c.server.Limits()
 	c.limited.N = math.MaxInt64
 	if err := c.awaitRequest(l.IdleTimeout); err != nil {
@@ -165,26 +166,9 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "read request")
 	}
+	headerBytes := int64(l.HeaderBytes) + maxReadAheadBytes - c.limited.N
 	c.limited.N = math.MaxInt64
-	if r.ContentLength > l.BodyBytes {
-		return nil, errBodyTooLarge
-	}
-	if strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
-		if _, err := io.WriteString(c.Conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-			return nil, io.EOF
-		}
-	}
-	c.setReadTimeout(l.IdleTimeout)
-	var body bytes.Buffer
-	n, err := body.ReadFrom(io.LimitReader(r.Body, l.BodyBytes+1))
-	if err != nil {
-		return nil, errors.Wrap(err, "read body")
-	}
-	if n > l.BodyBytes {
-		return nil, errBodyTooLarge
-	}
-	c.setReadTimeout(0)
-	return &Request{Request: r, Content: body.Bytes(), Read: time.Now()}, nil
+	return c.readContent(ctx, r, headerBytes, l)
 }
 
 // awaitRequest waits for the first byte of a request, for up to the idle timeout. A
@@ -234,6 +218,9 @@
 	case errors.As(err, &netErr) && netErr.Timeout():
 		status = http.StatusRequestTimeout
 	}
+	if refused := (*memoryError)(nil); errors.As(err, &refused) {
+		return c.refuse(refused, exchanges)
+	}
 	c.server.Logger.Info("cannot read a request; answering with an error and closing the connection", "status", status, "error", err, "caller", c.RemoteAddr())
 	x := exchange{request: &Request{Request: &http.Request{Method: http.MethodGet}, Read: time.Now()}, answer: make(chan Answer, 1)}
 	if !c.admit(x.request, true) {
--- a/internal/entry/pipe/pipe.go
+++ b/internal/entry/pipe/pipe.go
@@ -19,6 +19,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/rpc/bound"
 )
 
 const (
@@ -35,10 +36,13 @@
 // Request is a request with its complete body.
 type Request struct {
 	*http.Request
-	// Content is the body.
+	// Content is the body, and nil once the request has been handled.
 	Content []byte
 	// Read is when the last byte of the request was read.
 	Read time.Time
+
+	// held is what the request takes of Server.Bodies, in bytes.
+	held int64
 }
 
 // Answer is the response to a request.
@@ -67,10 +71,16 @@
 	Handler Handler
 	// Observer may be nil.
 	Observer Observer
+	// Refuser answers requests that are refused unread. If it is nil, they get status 503
+	// alone.
+	Refuser Refuser
+	// Bodies bounds the requests of all connections. Nil sets no bound.
+	Bodies *bound.Memory
 	// Limits returns the limits for the next request.
 	Limits func() snipefront.CallerLimits
 	Logger *slog.Logger
 
+	uploads  uploads
 	draining atomic.Bool
 	mu       sync.Mutex
 	listener net.Listener
--- a/internal/entry/proxy/proxy.go
+++ b/internal/entry/proxy/proxy.go
@@ -21,6 +21,8 @@
 const (
 	// retryAfterNoConfig is the Retry-After time until this instance has a configuration.
 	retryAfterNoConfig = 250 * time.Millisecond
+	// retryAfterNoMemory is the Retry-After time of a request for which there is no memory.
+	retryAfterNoMemory = time.Second
 )
 
 // Sender sends a call to a backend server and returns the response.
--- a/internal/observe/stats/stats.go
+++ b/internal/observe/stats/stats.go
@@ -120,6 +120,21 @@
 	s.refusals.WithLabelValues(service, string(e.Reason), e.Verdict.String()).Inc()
 }
 
+// Kinds of bodies, for ObserveBodies.
+const (
+	RequestBodies = "request"
+	AnswerBodies  = "answer"
+)
+
+// ObserveBodies exports held, the bytes that bodies of the kind take now.
+func (s *Stats) ObserveBodies(kind string, held func() int64) {
+	s.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name:        "snipefront_body_bytes",
+		Help:        "Memory that is held for requests, and for answers until they are written, by kind: request or answer.",
+		ConstLabels: prometheus.Labels{"kind": kind},
+	}, func() float64 { return float64(held()) }))
+}
+
 // Unanswered counts a request that was read and whose connection ended before its answer.
 func (s *Stats) Unanswered(cause string) { s.cut.WithLabelValues(cause).Inc() }
 
--- a/internal/rpc/bound/bound.go
+++ b/internal/rpc/bound/bound.go
@@ -1,67 +1,53 @@
-// Package bound keeps what answers take in memory within limits, however much their
-// senders write.
+// Package bound keeps what the bodies of requests and answers take in memory within
+// limits, however much their senders write and however slowly their receivers read.
 package bound
 
 import (
+	"context"
 	"io"
-	"slices"
-	"sync/atomic"
 
 	"github.com/pkg/errors"
 )
 
 const (
-	// freeBytes is the length of a body up to which Memory does not count it. Short answers
-	// are read even while long ones take all of the memory.
-	freeBytes = 64 << 10
-	// firstBytes is the first size of the buffer of a body.
+	// ShortBytes is the length up to which a body is short. Long bodies leave memory for
+	// the short ones.
+	ShortBytes = 64 << 10
+	// firstBytes is the first size of the buffer of a body of unknown length.
 	firstBytes = 4 << 10
 )
 
 // Errors of ReadBody.
 var (
-	ErrTooBig   = errors.New("answer over the size limit")
-	ErrNoMemory = errors.New("long answers take all of the memory for them")
+	ErrTooBig   = errors.New("body over the size limit")
+	ErrNoMemory = errors.New("other bodies take all of the memory for them")
 )
 
-// Memory bounds the buffers of all bodies that are being read. A buffer that grows is
-// copied, so for a moment they take half more. Nil sets no bound.
-type Memory struct {
-	// Limit is the sum of the sizes of all buffers above freeBytes, in bytes.
-	Limit int64
-
-	used atomic.Int64
-}
-
 // ReadBody reads a body of the given length, or up to its end if length is negative. It
-// fails with ErrTooBig as soon as there are more than most bytes, and with ErrNoMemory if
-// Memory is used up. The buffer grows with what has arrived, whatever length promises.
-func (m *Memory) ReadBody(r io.Reader, length, most int64) ([]byte, error) {
+// fails with ErrTooBig as soon as there are more than most bytes, or more than Memory can
+// ever hold.
+//
+// It takes the memory for a known length before it reads, and else for what has arrived.
+// A long body waits for memory, and fails with ErrNoMemory if there is none in time. A
+// short one is not counted here.
+func (m *Memory) ReadBody(ctx context.Context, r io.Reader, length, most int64) ([]byte, error) {
 	if length > most {
 		return nil, ErrTooBig
 	}
-	var taken int64
-	defer func() { m.give(taken) }()
-	buf := make([]byte, 0, firstBytes)
+	size := length
+	if length < 0 {
+		size = min(firstBytes, most)
+	}
+	buf, err := m.allocate(ctx, size)
+	if err != nil {
+		return nil, err
+	}
 	for {
-		if len(buf) == cap(buf) {
-			size := min(2*int64(cap(buf)), most+1)
-			if size > freeBytes && !m.take(size-taken) {
-				return nil, ErrNoMemory
-			}
-			if size > freeBytes {
-				taken = size
-			}
-			buf = slices.Grow(buf, int(size)-len(buf))[:len(buf):size]
-		}
-		n, err := r.Read(buf[len(buf):cap(buf)])
-		buf = buf[:len(buf)+n]
+		buf, err = m.readSome(ctx, r, buf, most)
 		switch {
-		case int64(len(buf)) > most:
-			return nil, ErrTooBig
-		case err == io.EOF && length >= 0 && int64(len(buf)) < length:
+		case errors.Is(err, io.EOF) && length >= 0 && int64(len(buf)) < length:
 			return nil, io.ErrUnexpectedEOF
-		case err == io.EOF:
+		case errors.Is(err, io.EOF):
 			return buf, nil
 		case err != nil:
 			return nil, err
@@ -69,20 +55,49 @@
 	}
 }
 
-// take takes n bytes and reports whether they are left.
-func (m *Memory) take(n int64) bool {
-	if m == nil || m.used.Add(n) <= m.Limit {
-		return true
+// readSome reads once from r and appends it to buf, which grows if it is full and the
+// body goes on.
+func (m *Memory) readSome(ctx context.Context, r io.Reader, buf []byte, most int64) ([]byte, error) {
+	if len(buf) < cap(buf) {
+		n, err := r.Read(buf[len(buf):cap(buf)])
+		return buf[:len(buf)+n], err
+	}
+	var next [1]byte
+	n, err := r.Read(next[:])
+	if n == 0 {
+		return buf, err
 	}
-	m.used.Add(-n)
-	return false
+	if int64(len(buf)) == most {
+		return nil, ErrTooBig
+	}
+	larger, growErr := m.grow(ctx, int64(cap(buf)), most)
+	if growErr != nil {
+		return nil, growErr
+	}
+	larger = append(larger, buf...)
+	return append(larger, next[0]), err
 }
 
-func (m *Memory) give(n int64) {
-	if m != nil {
-		m.used.Add(-n)
+// grow returns an empty buffer that is larger than size bytes, for a body of unknown
+// length up to most. The body keeps the buffer with size bytes until it is copied.
+func (m *Memory) grow(ctx context.Context, size, most int64) ([]byte, error) {
+	larger := min(max(2*size, firstBytes), most)
+	if m == nil || larger <= ShortBytes {
+		return make([]byte, 0, larger), nil
+	}
+	if m.Spare < most {
+		return m.growWithin(ctx, size, larger)
 	}
+	return m.allocateOrSpare(ctx, larger)
 }
 
-// Used returns the bytes that the bodies being read take now.
-func (m *Memory) Used() int64 { return m.used.Load() }
+// growWithin is grow within Limit.
+func (m *Memory) growWithin(ctx context.Context, size, larger int64) ([]byte, error) {
+	if size > ShortBytes {
+		larger = min(larger, m.Limit-size)
+	}
+	if larger <= size {
+		return nil, ErrTooBig
+	}
+	return m.allocate(ctx, larger)
+}
--- a/reason.go
+++ b/reason.go
@@ -25,6 +25,7 @@
 	ReasonRetryBudget      Reason = "retry_budget"
 	ReasonRateLimit        Reason = "rate_limit"
 	ReasonPaused           Reason = "paused"
+	ReasonMemory           Reason = "memory"
 )
 
 // Reasons for retrying an attempt at another backend server or instance, or for ending
--- a/routing.go
+++ b/routing.go
@@ -82,6 +82,9 @@
 // per second that one backend server receives from all instances together.
 const DefaultProbeRate = 60.0
 
+// DefaultMemoryBytes is the memory of an instance if the settings state none, in bytes.
+const DefaultMemoryBytes int64 = 256e6
+
 // CallerLimits bounds the size of a caller's requests and the time to send them.
 type CallerLimits struct {
 	HeaderBytes   int
