pipe, proxy, edge: answers wait for memory, and are counted until written

Cause: only answers that were being read were bounded (32 MiB). One that was whole and waited for a slow caller, or behind an earlier answer of a pipelined connection, was not counted; one that found no memory failed at once, although its request had run. Callers saw 502 for requests that had run, or a connection without an answer when the instance was killed.

Short answers always pass, and count until they are written. While they fill their part, new requests are refused unread. While answers wait, requests of routes whose last answer was long are refused before they are sent on; other routes are served.

--- a/internal/daemon/edge/build.go
+++ b/internal/daemon/edge/build.go
@@ -65,12 +65,12 @@
 	}
 }
 
-func newProxy(s Settings, d *direct.Dispatcher, counters *stats.Stats, logger *slog.Logger) *proxy.Proxy {
-	return &proxy.Proxy{Sender: d, Fields: s.Fields, Counter: counters, Logger: logger}
+func newProxy(s Settings, m memory, d *direct.Dispatcher, counters *stats.Stats, logger *slog.Logger) *proxy.Proxy {
+	return &proxy.Proxy{Sender: d, Fields: s.Fields, Counter: counters, Answers: m.answers, Logger: logger}
 }
 
 func newServer(m memory, px *proxy.Proxy, logger *slog.Logger) *pipe.Server {
-	return &pipe.Server{Handler: px, Observer: px, Refuser: px, Bodies: m.requests, Limits: px.Limits, Logger: logger}
+	return &pipe.Server{Handler: px, Observer: px, Refuser: px, Bodies: m.requests, Answers: m.answers, Limits: px.Limits, Logger: logger}
 }
 
 // parts are the components of an Edge that fx builds.
--- a/internal/entry/pipe/body.go
+++ b/internal/entry/pipe/body.go
@@ -22,7 +22,8 @@
 	RefuseUnread(r *http.Request) Answer
 }
 
-// memoryError is the error of a request that is refused, since there is no memory for it.
+// memoryError is the error of a request that is refused, since there is no memory for it or
+// for its answer.
 type memoryError struct {
 	request *http.Request
 }
@@ -37,7 +38,7 @@
 		return nil, errBodyTooLarge
 	}
 	whole := &Request{Request: r, held: requestBytes + headerBytes + shortPart(r.ContentLength)}
-	if !c.server.hold(whole) {
+	if c.server.Answers.Full() || !c.server.hold(whole) {
 		return nil, &memoryError{request: r}
 	}
 	content, err := c.readBody(ctx, r, l)
@@ -99,18 +100,24 @@
 	return errors.Wrap(err, "read body")
 }
 
-// handle handles r. Its body ends then.
+// handle handles r. Its body ends then, and its answer is held until it is written.
 func (s *Server) handle(ctx context.Context, r *Request) Answer {
 	a := s.Handler.Handle(ctx, r)
 	r.Content = nil
 	s.Bodies.Collect()
+	if n := int64(cap(a.Body)); n <= bound.ShortBytes {
+		r.answerHeld = n
+		s.Answers.Add(n)
+	}
 	return a
 }
 
-// release returns what r holds.
+// release returns what r and its answer hold.
 func (s *Server) release(r *Request) {
 	r.Content = nil
 	s.Bodies.Drop(r.held)
+	s.Answers.Drop(r.answerHeld)
+	s.Answers.Collect()
 }
 
 // refuse answers the request of e and closes the connection behind the answer, since its
--- a/internal/entry/pipe/memory_test.go
+++ b/internal/entry/pipe/memory_test.go
@@ -246,3 +246,54 @@
 		t.Errorf("status %d without memory, want 503", r.StatusCode)
 	}
 }
+
+// TestAnswersForSlowCallersStayWithinMemory guards against answers that wait for callers
+// which don't read: they took an instance over its memory. While they take all of the
+// memory for answers, new requests are refused unread, and those that have run are answered.
+func TestAnswersForSlowCallersStayWithinMemory(t *testing.T) {
+	const pipelined = 16
+	m := &bound.Memory{Reserve: pipelined / 2 * bound.ShortBytes}
+	s := &pipe.Server{
+		Handler: handler(func(context.Context, *pipe.Request) pipe.Answer {
+			return pipe.Answer{Status: http.StatusOK, Body: make([]byte, bound.ShortBytes)}
+		}),
+		Answers: m, Limits: func() snipefront.CallerLimits { return limits }, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+	}
+	// A write to an end of net.Pipe waits until the other end is read.
+	l := oneConn{conns: make(chan net.Conn, 2)}
+	ended := make(chan error, 1)
+	go func() { ended <- s.Serve(t.Context(), l) }()
+	slow, slowEnd := net.Pipe()
+	l.conns <- slowEnd
+	for range pipelined {
+		fmt.Fprint(slow, "GET /1 HTTP/1.1\r\nHost: x\r\n\r\n")
+	}
+	for end := time.Now().Add(testTimeout); !m.Full(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("timed out: %d bytes are held for a caller that doesn't read", m.Used())
+		}
+	}
+	other, otherEnd := net.Pipe()
+	l.conns <- otherEnd
+	fmt.Fprint(other, "GET /2 HTTP/1.1\r\nHost: x\r\n\r\n")
+	if r, _ := read(t, bufio.NewReader(other)); r.StatusCode != http.StatusServiceUnavailable || !r.Close {
+		t.Errorf("a new request: status %d, closed %v, want 503 and true", r.StatusCode, r.Close)
+	}
+	b := bufio.NewReader(slow)
+	for n := range pipelined {
+		if r, text := read(t, b); r.StatusCode == http.StatusOK && len(text) != bound.ShortBytes || r.StatusCode != http.StatusOK && n < pipelined/2 {
+			t.Errorf("answer %d: status %d, %d bytes", n, r.StatusCode, len(text))
+		} else if r.Close {
+			break
+		}
+	}
+	slow.Close()
+	other.Close()
+	close(l.conns)
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+	if m.Used() != 0 {
+		t.Errorf("%d bytes are still held", m.Used())
+	}
+}
--- a/internal/entry/pipe/pipe.go
+++ b/internal/entry/pipe/pipe.go
@@ -41,8 +41,9 @@
 	// Read is when the last byte of the request was read.
 	Read time.Time
 
-	// held is what the request takes of Server.Bodies, in bytes.
-	held int64
+	// held is what the request takes of Server.Bodies, and answerHeld what its answer
+	// takes of Server.Answers, in bytes.
+	held, answerHeld int64
 }
 
 // Answer is the response to a request.
@@ -74,8 +75,9 @@
 	// Refuser answers requests that are refused unread. If it is nil, they get status 503
 	// alone.
 	Refuser Refuser
-	// Bodies bounds the requests of all connections. Nil sets no bound.
-	Bodies *bound.Memory
+	// Bodies bounds the requests of all connections, and Answers the answers until they are
+	// written. Nil sets no bound.
+	Bodies, Answers *bound.Memory
 	// Limits returns the limits for the next request.
 	Limits func() snipefront.CallerLimits
 	Logger *slog.Logger
--- a/internal/entry/proxy/proxy.go
+++ b/internal/entry/proxy/proxy.go
@@ -16,6 +16,7 @@
 	"github.com/snipefront/snipefront/internal/entry/header"
 	"github.com/snipefront/snipefront/internal/entry/pipe"
 	"github.com/snipefront/snipefront/internal/request/paths"
+	"github.com/snipefront/snipefront/internal/rpc/bound"
 )
 
 const (
@@ -43,11 +44,14 @@
 	Sender  Sender
 	Fields  snipefront.HeaderFields
 	Counter Counter
+	// Answers is the memory for answers. It may be nil.
+	Answers *bound.Memory
 	Logger  *slog.Logger
 
 	table atomic.Pointer[paths.Table]
 	split paths.Splitter
 	waits waits
+	sizes sizes
 }
 
 // SetTable makes t the routes in use and drops the state of routes that t does not have.
@@ -56,6 +60,7 @@
 	names := t.Names()
 	p.split.Forget(names)
 	p.waits.forget(names)
+	p.sizes.forget(names)
 }
 
 // Table returns the routes in use, or nil if there is no configuration yet.
@@ -104,11 +109,16 @@
 		p.Logger.Info("no route for the host and the path; answering with 404", "request", id, "host", r.Host, "path", r.URL.EscapedPath(), "version", t.Routing.Version)
 		return p.refuse("", id, snipefront.Rejected(snipefront.ReasonUnknownService, http.StatusNotFound, "no route for this host and path"))
 	}
+	if p.sizes.isLong(rt.Name) && p.Answers.Scarce() {
+		p.Logger.Info("earlier answers wait for memory; answering with 503", "request", id, "route", rt.Name, "held", p.Answers.Used())
+		return p.refuse("", id, noMemory())
+	}
 	c := p.call(r, id, rt)
 	response, err := p.Sender.Serve(ctx, c)
 	if err != nil {
 		return p.refuse(c.Service, id, snipefront.AsError(err))
 	}
+	p.sizes.record(rt.Name, len(response.Body))
 	taken := time.Since(r.Read)
 	p.Counter.Answered(c.Service, response.Status, taken)
 	if taken > rt.Goal {
