--- a/internal/entry/pipe/conn.go
+++ b/internal/entry/pipe/conn.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -73,7 +72,10 @@
 )
 
 // refusal is the error of a request that is refused before its body is read.
-type refusal struct{ answer Answer }
+type refusal struct {
+	request *http.Request
+	answer  Answer
+}
 
 // Error implements error.
 func (r *refusal) Error() string { return "request refused with status " + statusLine(r.answer.Status) }
@@ -108,15 +110,16 @@
 // connection.
 func (c *conn) readRequests(ctx context.Context, exchanges chan<- exchange) bool {
 	for {
-		r, err := c.readRequest()
+		r, err := c.readRequest(ctx)
 		if err != nil {
 			return c.answerError(err, exchanges)
 		}
 		if !c.admit(r, r.Close) {
+			c.server.release(r)
 			return true
 		}
 		x := exchange{request: r, answer: make(chan Answer, 1)}
-		go func() { x.answer <- c.server.Handler.Handle(ctx, r) }()
+		go func() { x.answer <- c.server.handle(ctx, r) }()
 		exchanges <- x
 		if r.Close {
 			return true
@@ -159,6 +162,7 @@
 func (c *conn) finish() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.server.release(c.pending[0])
 	c.pending = c.pending[1:]
 	return c.closing && len(c.pending) == 0
 }
@@ -185,7 +189,7 @@
 }
 
 // readRequest reads one request with its body.
-func (c *conn) readRequest() (*Request, error) {
+func (c *conn) readRequest(ctx context.Context) (*Request, error) {
 	l := c.server.Limits()
 	c.limited.N = math.MaxInt64
 	if err := c.awaitRequest(l.IdleTimeout); err != nil {
@@ -206,29 +210,12 @@
 	default:
 		return nil, errors.Wrap(err, "read request")
 	}
+	headerBytes := int64(l.HeaderBytes) + maxReadAheadBytes - c.limited.N
 	c.limited.N = math.MaxInt64
-	if r.ContentLength > l.BodyBytes {
-		return nil, errBodyTooLarge
-	}
 	if a, refused := c.server.Handler.Refuse(r); refused {
-		return nil, &refusal{answer: a}
-	}
-	if strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
-		if _, err := io.WriteString(c.Conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-			return nil, io.EOF
-		}
-	}
-	c.setReadTimeout(l.IdleTimeout)
-	var body bytes.Buffer
-	n, err := body.ReadFrom(io.LimitReader(r.Body, l.BodyBytes+1))
-	if err != nil {
-		return nil, errors.Wrap(err, "read body")
-	}
-	if n > l.BodyBytes {
-		return nil, errBodyTooLarge
+		return nil, &refusal{request: r, answer: a}
 	}
-	c.setReadTimeout(0)
-	return &Request{Request: r, Content: body.Bytes(), Read: time.Now()}, nil
+	return c.readContent(ctx, r, headerBytes, l)
 }
 
 // awaitRequest waits for the first byte of a request, for up to the idle timeout. A
@@ -300,9 +287,9 @@
 	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) {
 		return false
 	}
-	a := c.errorAnswer(err)
+	r, a := c.errorAnswer(err)
 	c.server.Logger.Info("request not read; answering it and closing the connection", "status", a.Status, "error", err, "caller", c.RemoteAddr())
-	x := exchange{request: &Request{Request: &http.Request{Method: http.MethodGet}, Read: time.Now()}, answer: make(chan Answer, 1)}
+	x := exchange{request: &Request{Request: r, Read: time.Now()}, answer: make(chan Answer, 1)}
 	if !c.admit(x.request, true) {
 		return true
 	}
@@ -311,15 +298,18 @@
 	return true
 }
 
-// errorAnswer returns the answer to a request that could not be read because of err.
-func (c *conn) errorAnswer(err error) Answer {
-	var netErr net.Error
+// errorAnswer returns the answer to a request that could not be read because of err, and
+// that request as far as it is known.
+func (c *conn) errorAnswer(err error) (*http.Request, Answer) {
 	var refused *refusal
+	if errors.As(err, &refused) {
+		a := refused.answer
+		a.Close = true
+		return refused.request, a
+	}
+	var netErr net.Error
 	a := Answer{Status: http.StatusBadRequest, Close: true}
 	switch {
-	case errors.As(err, &refused):
-		a = refused.answer
-		a.Close = true
 	case errors.Is(err, errStopping), c.isStopped():
 		a.Status = http.StatusServiceUnavailable
 		a.Header = http.Header{"Retry-After": {stopRetryAfter}}
@@ -330,7 +320,7 @@
 	case errors.As(err, &netErr) && netErr.Timeout():
 		a.Status = http.StatusRequestTimeout
 	}
-	return a
+	return &http.Request{Method: http.MethodGet}, a
 }
 
 // writeAnswers writes the answers in the order of exchanges until one of them closes
--- a/internal/entry/pipe/pipe.go
+++ b/internal/entry/pipe/pipe.go
@@ -20,6 +20,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/rpc/bound"
 )
 
 const (
@@ -46,10 +47,14 @@
 // Request is a request with its complete body.
 type Request struct {
 	*http.Request
-	// Content is the body.
+	// Content is the body, and nil once the request has been handled.
 	Content []byte
 	// Read is when the last byte of the request was read.
 	Read time.Time
+
+	// held is what the request takes of Server.Bodies, and answerHeld what its answer
+	// takes of Server.Answers, in bytes.
+	held, answerHeld int64
 }
 
 // Answer is the response to a request.
@@ -82,6 +87,12 @@
 	Handler Handler
 	// Observer may be nil.
 	Observer Observer
+	// Refuser answers requests that are refused unread. If it is nil, they get status 503
+	// alone.
+	Refuser Refuser
+	// Bodies bounds the requests of all connections, and Answers the answers until they are
+	// written. Nil sets no bound.
+	Bodies, Answers *bound.Memory
 	// Limits returns the limits for the next request.
 	Limits func() snipefront.CallerLimits
 	// WriteTimeout is the time in which a caller must take the next part of an answer.
@@ -89,6 +100,7 @@
 	WriteTimeout time.Duration
 	Logger       *slog.Logger
 
+	uploads  uploads
 	draining atomic.Bool
 	mu       sync.Mutex
 	listener net.Listener
--- a/internal/entry/proxy/proxy.go
+++ b/internal/entry/proxy/proxy.go
@@ -16,6 +16,7 @@
 	"github.com/snipefront/snipefront/internal/entry/header"
 	"github.com/snipefront/snipefront/internal/entry/pipe"
 	"github.com/snipefront/snipefront/internal/request/paths"
+	"github.com/snipefront/snipefront/internal/rpc/bound"
 )
 
 const (
@@ -23,6 +24,8 @@
 	retryAfterNoConfig = 250 * time.Millisecond
 	// maxRemaining bounds the time for which a caller may say that it waits.
 	maxRemaining = time.Hour
+	// retryAfterNoMemory is the Retry-After time of a request for which there is no memory.
+	retryAfterNoMemory = time.Second
 )
 
 // Sender sends a call to a backend server and returns the response.
@@ -43,6 +46,8 @@
 	Sender  Sender
 	Fields  snipefront.HeaderFields
 	Counter Counter
+	// Answers is the memory for answers. It may be nil.
+	Answers *bound.Memory
 	Logger  *slog.Logger
 
 	table atomic.Pointer[paths.Table]
@@ -51,6 +56,7 @@
 	// stopping is nil until Stop.
 	stopping atomic.Pointer[stop]
 	slowest  slowest
+	sizes    sizes
 }
 
 // SetTable makes t the routes in use and drops the state of routes that t does not have.
@@ -60,6 +66,7 @@
 	p.split.Forget(names)
 	p.waits.forget(names)
 	p.slowest.forget(names)
+	p.sizes.forget(names)
 }
 
 // Table returns the routes in use, or nil if there is no configuration yet.
@@ -111,11 +118,16 @@
 	if a, refused := p.Refuse(r.Request); refused {
 		return a
 	}
+	if p.sizes.isLong(rt.Name) && p.Answers.Scarce() {
+		p.Logger.Info("earlier answers wait for memory; answering with 503", "request", id, "route", rt.Name, "held", p.Answers.Used())
+		return p.refuse("", id, noMemory())
+	}
 	c := p.call(r, id, rt)
 	response, err := p.Sender.Serve(ctx, c)
 	if err != nil {
 		return p.refuse(c.Service, id, snipefront.AsError(err))
 	}
+	p.sizes.record(rt.Name, len(response.Body))
 	taken := time.Since(r.Read)
 	p.Counter.Answered(c.Service, response.Status, taken)
 	p.slowest.observe(time.Now(), rt.Name, taken)
--- a/reason.go
+++ b/reason.go
@@ -26,6 +26,7 @@
 	ReasonRateLimit        Reason = "rate_limit"
 	ReasonPaused           Reason = "paused"
 	ReasonStopping         Reason = "stopping"
+	ReasonMemory           Reason = "memory"
 )
 
 // Reasons for retrying an attempt at another backend server or instance, or for ending
