--- /dev/null
+++ b/internal/entry/pipe/write.go
@@ -0,0 +1,106 @@
+package pipe
+
+import (
+	"bytes"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// writeAnswers writes the answers in the order of exchanges until one of them closes
+// the connection, or a write fails. It waits for the remaining answers without writing
+// them.
+func (c *conn) writeAnswers(exchanges <-chan exchange) {
+	open := true
+	for x := range exchanges {
+		a := <-x.answer
+		if open {
+			open = c.writeAnswer(x.request, a)
+		} else {
+			c.server.unanswered(x.request, net.ErrClosed)
+		}
+		if c.finish() && open {
+			c.linger()
+			open = false
+		}
+	}
+}
+
+// writeAnswer writes one answer and reports whether the connection is still open.
+func (c *conn) writeAnswer(r *Request, a Answer) bool {
+	body := a.Body
+	if r.Method == http.MethodHead {
+		body = nil
+	}
+	if err := c.write(formatHead(r.Request, a, c.isLast(a.Close)), body); err != nil {
+		c.server.unanswered(r, err)
+		c.Close()
+		return false
+	}
+	return true
+}
+
+// write writes the head and the body of an answer. It fails if the caller takes no further
+// part of it in time.
+func (c *conn) write(head, body []byte) error {
+	b := net.Buffers{head}
+	for {
+		n := min(len(body), writeChunkBytes)
+		if n > 0 {
+			b = append(b, body[:n])
+		}
+		_ = c.SetWriteDeadline(time.Now().Add(c.server.writeTimeout())) // fails only if the connection is closed
+		if _, err := b.WriteTo(c.Conn); err != nil {
+			return err
+		}
+		body = body[n:]
+		if len(body) == 0 {
+			return nil
+		}
+	}
+}
+
+// linger closes the connection for writing, and after lingerTime entirely, unless the
+// caller has closed it by then. Meanwhile the reading goroutine drops what it sends.
+func (c *conn) linger() {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		_ = w.CloseWrite() // fails only if the connection is closed
+	}
+	time.AfterFunc(lingerTime, func() { c.Close() })
+}
+
+// formatHead returns the status line and header of a as they are sent. last says that
+// the connection is closed after a.
+func formatHead(r *http.Request, a Answer, last bool) []byte {
+	var b bytes.Buffer
+	b.Grow(512)
+	b.WriteString("HTTP/1.1 ")
+	b.WriteString(statusLine(a.Status))
+	b.WriteString("\r\n")
+	_ = a.Header.Write(&b) // writing to a Buffer never fails
+	bodiless := a.Status == http.StatusNoContent || a.Status == http.StatusNotModified
+	if !bodiless && r.Method != http.MethodHead {
+		writeLength(&b, len(a.Body))
+	}
+	if last {
+		b.WriteString("Connection: close\r\n")
+	}
+	b.WriteString("\r\n")
+	return b.Bytes()
+}
+
+// statusLine returns the code and the text of a status, as in "404 Not Found".
+func statusLine(status int) string {
+	text := http.StatusText(status)
+	if text == "" {
+		text = "Status"
+	}
+	return strconv.Itoa(status) + " " + text
+}
+
+func writeLength(b *bytes.Buffer, n int) {
+	b.WriteString("Content-Length: ")
+	b.WriteString(strconv.Itoa(n))
+	b.WriteString("\r\n")
+}
