keeper, fleet: an order that has waited for longer than its caller does isn't applied

Cause: an order to take a data centre out of service, or to return it, was proposed whenever an instance read it, and applied whatever came before. A frozen control instance reads old orders when it wakes, and one that freezes in the midst of an order goes on with it. What callers saw: requests in an evacuated zone, for good: a copy of an order that had been undone was applied behind the last one. Why this works: an order is not proposed if its connection is closed (20 ms are left to notice that), a second after it was read, or while the process has just stood still for half a second or more, as a tick each 50 ms shows (clock/stall; the steady clock counts a freeze). What is in flight between instances then carries the index of the last such change that was known when the order was received; if a later one was applied, it is stale and changes nothing, and the keeper proposes it again only while its caller waits.

--- a/internal/control/fleet/command.go
+++ b/internal/control/fleet/command.go
@@ -41,6 +41,10 @@
 type Serve struct {
 	DataCentre string
 	Out        bool
+	// Basis is the index of the last such change that was known when the order was
+	// received. A later one makes the command stale, and it changes nothing. It is nil in
+	// commands of earlier builds, which are never stale.
+	Basis *uint64 `json:",omitempty"`
 }
 
 // Draining says that an incarnation of a backend server drains.
@@ -71,6 +75,8 @@
 type Result struct {
 	// Changed is true if the command changed the state.
 	Changed bool `json:",omitempty"`
+	// Newer is the index of the change that made a Serve stale. It is zero unless it is stale.
+	Newer uint64 `json:",omitempty"`
 	// Document is the configuration in force. It is set for a Read only.
 	Document *Document `json:",omitempty"`
 	// Failure is the error message if the command has no field set or can't be
@@ -202,6 +208,9 @@
 	case c.Part != nil:
 		changed = s.part(index, *c.Part)
 	case c.Serve != nil:
+		if s.isStale(*c.Serve) {
+			return Result{Newer: s.data.OutIndex}
+		}
 		changed = s.serve(index, *c.Serve)
 	case c.Suspect != nil:
 		changed = s.suspect(index, *c.Suspect)
@@ -236,6 +245,11 @@
 	return true
 }
 
+// isStale reports whether c would change the state and its basis isn't the last change.
+func (s *State) isStale(c Serve) bool {
+	return c.Basis != nil && *c.Basis < s.data.OutIndex && s.data.Out[c.DataCentre] != c.Out
+}
+
 // serve takes a data centre out of service or returns it. It reports whether this
 // changed the state.
 func (s *State) serve(index uint64, c Serve) bool {
--- a/internal/control/fleet/fleet.go
+++ b/internal/control/fleet/fleet.go
@@ -139,6 +139,14 @@
 	return s.data.Index
 }
 
+// OutIndex returns the index of the log entry that last took a data centre out of service or
+// returned it.
+func (s *State) OutIndex() uint64 {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.data.OutIndex
+}
+
 // UrgentIndex returns the index of the last log entry that quarantined a request: readers
 // that have not applied it may send the request on to another backend server. It is zero
 // if there is none, or none since the state was restored.
--- a/internal/control/keeper/expire.go
+++ b/internal/control/keeper/expire.go
@@ -34,12 +34,14 @@
 // Run proposes registrations and removals until ctx ends.
 func (k *Keeper) Run(ctx context.Context) error {
 	k.init()
+	stallsEnded := make(chan error, 1)
+	go func() { stallsEnded <- k.stalls.Run(ctx) }()
 	scans := time.NewTicker(scanInterval)
 	defer scans.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			return nil
+			return <-stallsEnded
 		case <-k.joinSignal:
 			for _, n := range k.takePendingJoins() {
 				k.join(ctx, n)
--- a/internal/control/keeper/keeper.go
+++ b/internal/control/keeper/keeper.go
@@ -18,6 +18,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/clock/stall"
 	"github.com/snipefront/snipefront/internal/control/fleet"
 	"github.com/snipefront/snipefront/internal/rpc/peers"
 )
@@ -66,7 +67,8 @@
 	Counter Counter
 	Logger  *slog.Logger
 
-	once sync.Once
+	stalls stall.Detector
+	once   sync.Once
 	// joinSignal receives a value when pendingJoins gets an entry.
 	joinSignal chan struct{}
 
@@ -109,6 +111,9 @@
 	// ErrOutranked means that a backend server leaves under whose name a later incarnation
 	// is registered, so that its leaving can't be recorded.
 	ErrOutranked = errors.New("a later incarnation is registered")
+	// ErrCallerLeft means that an order has waited, or may have waited, for longer than its
+	// caller does, who has sent it to another instance since.
+	ErrCallerLeft = errors.New("the caller of the order has left")
 	// ErrUncommitted means that the commit of a change was not confirmed. The change
 	// may still be applied.
 	ErrUncommitted = errors.New("no answer from the control quorum")
@@ -134,15 +139,6 @@
 	return *r.Document, nil
 }
 
-// Serve takes a data centre out of service or returns it to service.
-func (k *Keeper) Serve(ctx context.Context, c fleet.Serve) error {
-	r, err := k.propose(ctx, fleet.Command{Serve: &c})
-	if err == nil {
-		k.Logger.Info("data centre service order accepted", "dataCentre", c.DataCentre, "out", c.Out, "changed", r.Changed)
-	}
-	return err
-}
-
 // Heartbeat records the heartbeat n of a backend server. It proposes n as the
 // registration unless a later heartbeat is known or n changes nothing that must be
 // replicated. Once it returns nil, the change is durable.
