--- a/internal/dispatch/sender/cut_test.go
+++ b/internal/dispatch/sender/cut_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -57,8 +58,30 @@
 	}
 }
 
+// TestProbeCutAtAnyByteFails guards against the answer to a probe that a backend server broke off
+// at any byte and that counts as healthy.
+func TestProbeCutAtAnyByteFails(t *testing.T) {
+	for name, w := range rawtcp.WholeAnswers("") {
+		if w.Method != http.MethodGet {
+			continue
+		}
+		for _, reset := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, reset %v", name, reset), func(t *testing.T) {
+				t.Parallel()
+				b := startCutting(t, w, reset)
+				s := newSender()
+				for n := range len(w.Text) {
+					if got, want := s.Probe(t.Context(), b, fmt.Sprintf("/health?cut=%d", n)), w.IsWhole(n, reset); got != want {
+						t.Errorf("%q counts as healthy: %v, want %v", w.Text[:n], got, want)
+					}
+				}
+			})
+		}
+	}
+}
+
 // startCutting starts a backend server that answers each PUT in full, echoing the id of the
-// attempt, and each other request with w, cut off.
+// attempt, and each other request with w, cut off as its query or its header says.
 func startCutting(t *testing.T, w rawtcp.Whole, reset bool) snipefront.BackendServer {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -70,6 +93,9 @@
 		if r.Method == http.MethodPut {
 			return "HTTP/1.1 200 OK\r\n" + sender.AttemptHeader + ": " + r.Header.Get(sender.AttemptHeader) + "\r\nContent-Length: 0\r\n\r\n"
 		}
+		if n, err := strconv.Atoi(r.URL.Query().Get("cut")); err == nil {
+			rawtcp.CutAt(r.Header, n)
+		}
 		return w.Text
 	}))
 	return snipefront.BackendServer{Name: "b", Address: l.Addr().String()}
