sender: an uncertain refusal fails no other request, and costs one request at most

And a backend server that echoes the id of the attempt in its answers, but not in its refusals, left every second refusal open.

Fix: the connections are retired in place of the seal, and a backend server counts as one without echoes from the first answer without an id on.

--- a/internal/dispatch/sender/refusal_test.go
+++ b/internal/dispatch/sender/refusal_test.go
@@ -111,3 +111,30 @@
 		}
 	}
 }
+
+// TestUncertainRefusalCostsOneRequest guards against a backend server whose refusals never echo
+// the id of the attempt, while its other answers do: each refusal of a request that must not be
+// repeated would leave open whether it ran. Nor may the connection of such a refusal fail
+// another request.
+func TestUncertainRefusalCostsOneRequest(t *testing.T) {
+	const rounds = 20
+	f := serve(t, func(_ int, r *http.Request, body []byte) (string, bool) {
+		if r.Method == http.MethodPut {
+			return echo(r, body), true
+		}
+		return refusal(""), true
+	})
+	s := newSender()
+	uncertain := 0
+	for range rounds {
+		if a := send(t, s, f, request(http.MethodPut, "x")); a.Verdict != snipefront.Ran {
+			t.Errorf("request that may be repeated: %+v", a)
+		}
+		if a := send(t, s, f, request(http.MethodPost, "x")); a.Verdict != snipefront.NotRun {
+			uncertain++
+		}
+	}
+	if uncertain > 1 {
+		t.Errorf("%d of %d refusals left open whether the request ran, want one at most", uncertain, rounds)
+	}
+}
--- a/internal/dispatch/sender/sender.go
+++ b/internal/dispatch/sender/sender.go
@@ -186,12 +186,15 @@
 		return failedAttempt(t, err)
 	}
 	echoes := takeEcho(resp)
-	c.upstream.anonymous.Store(!echoes)
+	if !echoes {
+		c.upstream.anonymous.Store(true)
+	}
 	if !slices.Contains(c.service.RefusalStatuses, resp.StatusCode) {
 		return s.readAnswer(c.server, resp)
 	}
 	if !echoes && !t.Fresh() && !c.request.Idempotent {
-		return failedAttempt(t, errUncertain)
+		c.upstream.Retire(c.shared)
+		return Attempt{Reason: snipefront.ReasonBrokenAnswer, Err: errUncertain}
 	}
 	return refusedAttempt(c.server, resp)
 }
--- a/internal/dispatch/sender/upstream.go
+++ b/internal/dispatch/sender/upstream.go
@@ -31,7 +31,7 @@
 // upstream holds the connections to one backend server.
 type upstream struct {
 	conns.Conns
-	// anonymous is true if the last answer did not echo the id of its attempt.
+	// anonymous is true once an answer did not echo the id of its attempt.
 	anonymous atomic.Bool
 	// oneRequest uses each connection for one request only.
 	oneRequest *http.Transport
@@ -47,8 +47,8 @@
 }
 
 // transportFor returns the transport for r, where shared is that of the current connections.
-// Unless answers echo the id of their attempt, a refusal on a kept connection may be a copy
-// of an earlier one. A request that must not be repeated then gets a connection of its own.
+// Unless all answers echo the id of their attempt, a refusal on a kept connection may be a
+// copy of an earlier one. A request that must not be repeated then gets a connection of its own.
 func (u *upstream) transportFor(r *snipefront.Request, shared *http.Transport) *http.Transport {
 	if !r.Idempotent && u.anonymous.Load() {
 		return u.oneRequest
