writes: the next request on a connection doesn't erase that the last one was sent

Cause: the transport hands a connection to the next request as soon as an answer without a body has arrived, before the caller of the first has looked at it. The next request reset what was known of the first, so that Wrote said that nothing had been written, and sealed the connection under the next request.

Fix: what was written is kept for each use of a connection, and only its current use can seal it.

--- a/internal/dispatch/sender/refusal_test.go
+++ b/internal/dispatch/sender/refusal_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 
@@ -138,3 +139,37 @@
 		t.Errorf("%d of %d refusals left open whether the request ran, want one at most", uncertain, rounds)
 	}
 }
+
+// TestAnswerOfAnotherShowsNoRun guards against a request that a backend server has read and that
+// is said not to have run: the refusal of another request comes in place of its answer, and the
+// connection carries the next request before that is noticed.
+func TestAnswerOfAnotherShowsNoRun(t *testing.T) {
+	const (
+		rounds  = 60
+		callers = 16
+	)
+	var received sync.Map
+	f := serve(t, func(_ int, r *http.Request, body []byte) (string, bool) {
+		if r.Method == http.MethodPut {
+			return echo(r, body), true
+		}
+		received.Store(string(body), true)
+		return refusal("other"), true
+	})
+	for round := range rounds {
+		// Connections are used once after such an answer, so each round has new ones.
+		s := newSender()
+		var all sync.WaitGroup
+		for c := range callers {
+			all.Go(func() {
+				send(t, s, f, request(http.MethodPut, "x"))
+				body := fmt.Sprintf("request %d of round %d", c, round)
+				a := send(t, s, f, request(http.MethodPost, body))
+				if _, ok := received.Load(body); ok && a.Verdict == snipefront.NotRun {
+					t.Errorf("%s was received and gave the verdict not-run", body)
+				}
+			})
+		}
+		all.Wait()
+	}
+}
--- a/internal/rpc/writes/writes.go
+++ b/internal/rpc/writes/writes.go
@@ -56,7 +56,7 @@
 	// start is the time of the call of With.
 	start time.Time
 
-	conn           atomic.Pointer[conn]
+	use            atomic.Pointer[use]
 	idleTooLong    atomic.Bool
 	fresh          atomic.Bool
 	sawUnsolicited atomic.Bool
@@ -72,10 +72,11 @@
 }
 
 // Wrote reports whether any byte of the request may have been written, and seals the
-// connection. After a result of false, no byte is ever written.
+// connection, unless that carries another request by now. After a result of false, no byte
+// is ever written.
 func (t *Tracker) Wrote() bool {
-	c := t.conn.Load()
-	return c != nil && c.seal()
+	u := t.use.Load()
+	return u != nil && u.seal()
 }
 
 // IdleTooLong reports whether the connection was idle for longer than MaxIdle. If so,
@@ -101,22 +102,29 @@
 	if !ok {
 		return
 	}
-	c.reset()
-	t.conn.Store(c)
+	u := c.startUse()
+	t.use.Store(u)
 	t.fresh.Store(c.isFresh())
 	if t.MaxIdle > 0 && c.begun.Before(t.start) && c.silence() > t.MaxIdle {
 		t.idleTooLong.Store(true)
-		c.seal()
+		u.seal()
 	}
 }
 
 func (t *Tracker) gotFirstByte() {
-	if c := t.conn.Load(); c != nil && c.sealUnwritten() {
+	if u := t.use.Load(); u != nil && u.sealUnwritten() {
 		t.sawUnsolicited.Store(true)
 	}
 }
 
-// conn records whether anything was written since the last call of reset.
+// use is the use of a connection by one request.
+type use struct {
+	conn *conn
+	// wrote is true once the request has written anything. The lock of conn guards it.
+	wrote bool
+}
+
+// conn records whether the request that uses it has written anything.
 type conn struct {
 	net.Conn
 
@@ -126,7 +134,9 @@
 	mu sync.Mutex
 	// changed is signaled when a field below changes.
 	changed *sync.Cond
-	wrote   bool
+	// current is the use by the latest request. The transport hands the connection to it as
+	// soon as the one before is answered.
+	current *use
 	sealed  bool
 	// reading is true during a call of Read.
 	reading bool
@@ -137,6 +147,7 @@
 func newConn(c net.Conn, begun time.Time) *conn {
 	n := &conn{Conn: c, begun: begun}
 	n.changed = sync.NewCond(&n.mu)
+	n.current = &use{conn: n}
 	return n
 }
 
@@ -167,13 +178,13 @@
 func (c *conn) startWrite() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for !c.wrote && !c.reading && !c.sealed {
+	for !c.current.wrote && !c.reading && !c.sealed {
 		c.changed.Wait()
 	}
 	if c.sealed {
 		return false
 	}
-	c.wrote = true
+	c.current.wrote = true
 	return true
 }
 
@@ -213,31 +224,45 @@
 	return c.heard.IsZero()
 }
 
-// reset starts a new request on the connection.
-func (c *conn) reset() {
+// startUse starts a new request on the connection.
+func (c *conn) startUse() *use {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.wrote = false
+	c.current = &use{conn: c}
+	return c.current
 }
 
-// seal prevents any further write and reports whether the request wrote anything.
-func (c *conn) seal() bool {
+// seal prevents any further write.
+func (c *conn) seal() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.sealLocked()
+}
+
+// sealLocked is seal for a caller that holds the lock.
+func (c *conn) sealLocked() {
 	c.sealed = true
 	c.changed.Broadcast()
-	return c.wrote
 }
 
-// sealUnwritten seals the connection if the request has written nothing, and reports
-// whether it did so.
-func (c *conn) sealUnwritten() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.wrote {
+// seal prevents any further write of the request and reports whether it wrote anything.
+func (u *use) seal() bool {
+	u.conn.mu.Lock()
+	defer u.conn.mu.Unlock()
+	if u.conn.current == u {
+		u.conn.sealLocked()
+	}
+	return u.wrote
+}
+
+// sealUnwritten seals the connection if the request uses it and has written nothing, and
+// reports whether it did so.
+func (u *use) sealUnwritten() bool {
+	u.conn.mu.Lock()
+	defer u.conn.mu.Unlock()
+	if u.wrote || u.conn.current != u {
 		return false
 	}
-	c.sealed = true
-	c.changed.Broadcast()
+	u.conn.sealLocked()
 	return true
 }
