calls, module: an instance with cells bounds its bodies the same way

Not seen by callers in the record; found by reading.

The heap of the process is limited only where MemoryBytes is set. A refusal of a request with an idempotency key is may-have-run, as before this instance is ready: an earlier sending may have run. What instances forward to each other stays bounded for each message only.

The lists of fields that two tests of the settings expect have the new one, and one of them a mistake in it.

--- a/internal/config/setup/setup.go
+++ b/internal/config/setup/setup.go
@@ -16,6 +16,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/snipefront/snipefront"
 	"github.com/snipefront/snipefront/internal/config/strict"
 )
 
@@ -33,6 +34,8 @@
 	maxLease          = time.Minute
 	minRenewsPerLease = 3
 	maxControlMembers = 9
+	// minBodies is how many of the longest bodies MemoryBytes must hold.
+	minBodies = 4
 )
 
 const logLevelExpected = "Debug, Info, Warn or Error"
@@ -69,6 +72,10 @@
 	MaxBodyBytes int64
 	// MaxHeaderBytes is the most bytes in the header of a request.
 	MaxHeaderBytes int
+	// MemoryBytes is the memory that the process may use, in bytes: at least 4 times
+	// MaxBodyBytes. Zero means as little as that, but at least the default, and leaves the
+	// heap of the process without a limit.
+	MemoryBytes int64
 	// Lease is how long a membership lease lasts: at least 3 times Renew and at
 	// most one minute.
 	Lease time.Duration
@@ -87,6 +94,14 @@
 	return l
 }
 
+// Memory returns the memory from which the bounds on bodies follow, in bytes.
+func (s *Settings) Memory() int64 {
+	if s.MemoryBytes > 0 {
+		return s.MemoryBytes
+	}
+	return max(snipefront.DefaultMemoryBytes, minBodies*s.MaxBodyBytes)
+}
+
 // IsControl reports whether the instance is a member of the control quorum.
 func (s *Settings) IsControl() bool {
 	for _, c := range s.Control {
@@ -181,6 +196,8 @@
 func (s *Settings) checkLimits(d *strict.Decoder) {
 	d.Require(s.MaxBodyBytes >= 1 && s.MaxBodyBytes <= maxMaxBodyBytes, "MaxBodyBytes", s.MaxBodyBytes,
 		fmt.Sprintf("1 to %d", maxMaxBodyBytes))
+	d.Require(s.MemoryBytes == 0 || s.MemoryBytes >= minBodies*s.MaxBodyBytes, "MemoryBytes", s.MemoryBytes,
+		fmt.Sprintf("at least %d times MaxBodyBytes (%d)", minBodies, s.MaxBodyBytes))
 	headerOK := s.MaxHeaderBytes >= minMaxHeaderBytes && s.MaxHeaderBytes <= maxMaxHeaderBytes
 	d.Require(headerOK, "MaxHeaderBytes", s.MaxHeaderBytes,
 		fmt.Sprintf("%d to %d", minMaxHeaderBytes, maxMaxHeaderBytes))
--- a/internal/config/setup/setup_test.go
+++ b/internal/config/setup/setup_test.go
@@ -23,12 +23,12 @@
 	"CallerAddress": "localhost:8080", "PeerAddress": "127.0.0.1:8081", "OperatorAddress": "127.0.0.1:8081",
 	"DataFolder": "data",
 	"Control": [{"Instance": "a1", "PeerAddress": "0.0.0.0:1"}, {"Instance": "a1", "Address": null}, 3],
-	"Lease": "1s", "Renew": "400ms", "MaxBodyBytes": 1.5, "MaxHeaderBytes": 0, "LogLevel": "Loud"
+	"Lease": "1s", "Renew": "400ms", "MaxBodyBytes": 1.5, "MaxHeaderBytes": 0, "MemoryBytes": 5, "LogLevel": "Loud"
 }`
 
 const wantProblems = `s.json: Field "Instance" is "a2", want the field only once
 s.json: Field "DataCentre" is "7", want a string
-s.json: Field "datacentre" is "dc1", want one of the fields Instance, DataCentre, CallerAddress, PeerAddress, OperatorAddress, DataFolder, Control, MaxBodyBytes, MaxHeaderBytes, Lease, Renew, LogLevel
+s.json: Field "datacentre" is "dc1", want one of the fields Instance, DataCentre, CallerAddress, PeerAddress, OperatorAddress, DataFolder, Control, MaxBodyBytes, MaxHeaderBytes, MemoryBytes, Lease, Renew, LogLevel
 s.json: Field "Control[1].Address" is "null", want one of the fields Instance, PeerAddress
 s.json: Field "Control[2]" is "3", want a JSON object
 s.json: Field "MaxBodyBytes" is "1.5", want a whole number
@@ -38,6 +38,7 @@
 s.json: Field "Control[1].PeerAddress" is "", want an IP address and port such as 127.0.0.1:8080
 s.json: Field "Control[1].Instance" is "a1", want an instance that Control does not list already
 s.json: Field "DataFolder" is "data", want no folder, since Control does not list this instance
+s.json: Field "MemoryBytes" is "5", want at least 4 times MaxBodyBytes (1048576)
 s.json: Field "MaxHeaderBytes" is "0", want 1024 to 1048576
 s.json: Field "Lease" is "1s", want 3 times Renew (400ms) to 1m0s
 s.json: Field "LogLevel" is "Loud", want Debug, Info, Warn or Error
--- a/internal/daemon/edge/build.go
+++ b/internal/daemon/edge/build.go
@@ -19,6 +19,7 @@
 	"github.com/snipefront/snipefront/internal/observe/tally"
 	"github.com/snipefront/snipefront/internal/request/poison"
 	"github.com/snipefront/snipefront/internal/request/submit"
+	"github.com/snipefront/snipefront/internal/rpc/bound"
 	"github.com/snipefront/snipefront/internal/rpc/peers"
 )
 
@@ -27,7 +28,7 @@
 	return fx.Options(
 		fx.NopLogger,
 		fx.Supply(s, logger),
-		fx.Provide(stats.New, newTally, newMemory, newRetries, newProbes, newTargets, newPool, newSuspects, newLink, newChecks, newDispatcher, newProxy, newServer, newEdge),
+		fx.Provide(stats.New, newTally, newBodies, newRetries, newProbes, newTargets, newPool, newSuspects, newLink, newChecks, newDispatcher, newProxy, newServer, newEdge),
 		fx.Invoke(registerHooks),
 	)
 }
@@ -48,10 +49,12 @@
 	return &poison.Register{Trials: true, Counter: counters, Logger: logger}
 }
 
+func newBodies(s Settings) bound.Bodies { return bound.Share(s.MemoryBytes, link.MaxAnswerBytes) }
+
 func newPool() *pool.Pool { return &pool.Pool{} }
 
-func newLink(s Settings, m memory, targets *health.Set, connections *pool.Pool, counters *stats.Stats, logger *slog.Logger) *link.Link {
-	return &link.Link{Pool: connections, Memory: m.answers, Targets: targets, Fields: s.Fields, Counter: counters, Logger: logger}
+func newLink(s Settings, bodies bound.Bodies, targets *health.Set, connections *pool.Pool, counters *stats.Stats, logger *slog.Logger) *link.Link {
+	return &link.Link{Pool: connections, Memory: bodies.Answers, Targets: targets, Fields: s.Fields, Counter: counters, Logger: logger}
 }
 
 func newChecks(targets *health.Set, l *link.Link, probes *budget.Probes, suspects *poison.Register, logger *slog.Logger) *direct.Checks {
@@ -65,12 +68,12 @@
 	}
 }
 
-func newProxy(s Settings, m memory, d *direct.Dispatcher, counters *stats.Stats, logger *slog.Logger) *proxy.Proxy {
-	return &proxy.Proxy{Sender: d, Fields: s.Fields, Counter: counters, Answers: m.answers, Logger: logger}
+func newProxy(s Settings, bodies bound.Bodies, d *direct.Dispatcher, counters *stats.Stats, logger *slog.Logger) *proxy.Proxy {
+	return &proxy.Proxy{Sender: d, Fields: s.Fields, Counter: counters, Answers: bodies.Answers, Logger: logger}
 }
 
-func newServer(m memory, px *proxy.Proxy, logger *slog.Logger) *pipe.Server {
-	return &pipe.Server{Handler: px, Observer: px, Refuser: px, Bodies: m.requests, Answers: m.answers, Limits: px.Limits, Logger: logger}
+func newServer(bodies bound.Bodies, px *proxy.Proxy, logger *slog.Logger) *pipe.Server {
+	return &pipe.Server{Handler: px, Observer: px, Refuser: px, Bodies: bodies.Requests, Answers: bodies.Answers, Limits: px.Limits, Logger: logger}
 }
 
 // parts are the components of an Edge that fx builds.
@@ -89,7 +92,7 @@
 	Retries    *budget.Retries
 	Probes     *budget.Probes
 	Stats      *stats.Stats
-	Memory     memory
+	Bodies     bound.Bodies
 	Tally      *tally.Tally
 }
 
@@ -99,8 +102,8 @@
 		proxy: p.Proxy, server: p.Server, checks: p.Dispatcher.Checks, retries: p.Retries, probes: p.Probes, stats: p.Stats, tally: p.Tally,
 	}
 	e.group.Logger = p.Logger
-	p.Stats.ObserveBodies(stats.RequestBodies, p.Memory.requests.Used)
-	p.Stats.ObserveBodies(stats.AnswerBodies, p.Memory.answers.Used)
+	p.Stats.ObserveBodies(stats.RequestBodies, p.Bodies.Requests.Used)
+	p.Stats.ObserveBodies(stats.AnswerBodies, p.Bodies.Answers.Used)
 	client := &peers.Client{}
 	e.replicator = &submit.Replicator{Submitter: &access.Client{Control: e.controlInstances, Caller: client}, Logger: p.Logger}
 	p.Suspects.Spread = e.replicator
--- a/internal/daemon/module/module.go
+++ b/internal/daemon/module/module.go
@@ -45,8 +45,6 @@
 const (
 	// maxAnswerBytes bounds the answer of a backend server, which is buffered.
 	maxAnswerBytes = 8 << 20
-	// maxAnswersMemory bounds the long answers that are held at the same time.
-	maxAnswersMemory = 32 << 20
 	// messageOverheadBytes is the space for the header of an answer and the
 	// framing of a message between instances.
 	messageOverheadBytes = 128 << 10
@@ -61,7 +59,7 @@
 		fx.NopLogger,
 		fx.Supply(s, sock, logger),
 		fx.Provide(
-			stats.New, newInstance, newControlMembers, newMeter, newClient, newSender, newSuspects, newBroadcaster, newState, newReplica, newLog, newLeader,
+			stats.New, newBodies, newInstance, newControlMembers, newMeter, newClient, newSender, newSuspects, newBroadcaster, newState, newReplica, newLog, newLeader,
 			newControlClient, newCells, newMember, newRouter, newClaimFilter, newCallHandler, newLocateHandler, newEnrollHandler,
 			newProber, newAdmin, newServer, newServers, newBackgroundLoops, newLifecycle,
 		),
@@ -107,8 +105,16 @@
 	return max(s.MaxBodyBytes, maxAnswerBytes) + int64(s.MaxHeaderBytes) + messageOverheadBytes
 }
 
-func newSender() *sender.Sender {
-	return &sender.Sender{MaxAnswerBytes: maxAnswerBytes, Memory: &bound.Memory{Limit: maxAnswersMemory, Spare: maxAnswerBytes}}
+// newBodies returns the bounds on bodies, which are among the metrics.
+func newBodies(s setup.Settings, counters *stats.Stats) bound.Bodies {
+	b := bound.Share(s.Memory(), maxAnswerBytes)
+	counters.ObserveBodies(stats.RequestBodies, b.Requests.Used)
+	counters.ObserveBodies(stats.AnswerBodies, b.Answers.Used)
+	return b
+}
+
+func newSender(bodies bound.Bodies) *sender.Sender {
+	return &sender.Sender{MaxAnswerBytes: maxAnswerBytes, Memory: bodies.Answers}
 }
 
 func newState() *state.State { return &state.State{} }
@@ -217,13 +223,15 @@
 
 // newCallHandler returns the handler for requests of callers, with the filters that a
 // request passes before it is routed.
-func newCallHandler(s setup.Settings, m *member.Member, claims *claim.Filter, suspects *poison.Register, router *route.Router, counters *stats.Stats) *calls.Handler {
+func newCallHandler(s setup.Settings, bodies bound.Bodies, m *member.Member, claims *claim.Filter, suspects *poison.Register, router *route.Router, counters *stats.Stats, logger *slog.Logger) *calls.Handler {
 	return &calls.Handler{
 		Next:         chain.Join(router, claims, &fanout.Filter{Register: suspects}),
 		Config:       func() *snipefront.Config { return m.View().Config },
 		Ready:        func() bool { return m.Lease.Held(time.Now()) },
 		MaxBodyBytes: s.MaxBodyBytes,
+		Bodies:       bodies,
 		Counter:      counters,
+		Logger:       logger,
 	}
 }
 
--- a/internal/entry/calls/calls.go
+++ b/internal/entry/calls/calls.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"encoding/json"
+	"log/slog"
 	"math"
 	"net/http"
 	"strconv"
@@ -16,6 +17,7 @@
 
 	"github.com/snipefront/snipefront"
 	"github.com/snipefront/snipefront/internal/entry/header"
+	"github.com/snipefront/snipefront/internal/rpc/bound"
 )
 
 // The header fields of requests and responses.
@@ -25,6 +27,7 @@
 	VerdictHeader        = "X-Snipefront-Verdict"
 	ReasonHeader         = "X-Snipefront-Reason"
 	BackendHeader        = "X-Snipefront-Backend"
+	RequestIDHeader      = "X-Request-Id"
 )
 
 const (
@@ -51,12 +54,22 @@
 	Ready func() bool
 	// MaxBodyBytes is the size of the largest request body.
 	MaxBodyBytes int64
-	Counter      Counter
+	// Bodies bounds the requests and answers that are held. Its parts may be nil.
+	Bodies  bound.Bodies
+	Counter Counter
+	// Logger may be nil.
+	Logger *slog.Logger
 }
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	arrived := time.Now()
+	held := heldBytes(req)
+	if h.Bodies.Answers.Full() || !h.Bodies.Requests.Hold(held) {
+		h.refuse(w, "unknown", h.noMemory(w, req))
+		return
+	}
+	defer h.Bodies.Requests.Drop(held)
 	r, err := h.read(w, arrived, req)
 	if err != nil {
 		h.refuse(w, "unknown", err)
@@ -68,7 +81,7 @@
 		return
 	}
 	h.Counter.Answered(r.Service, resp.Status, time.Since(arrived))
-	write(w, req.Method, resp)
+	h.write(w, req.Method, resp)
 }
 
 func (h *Handler) serve(ctx context.Context, r *snipefront.Request) (*snipefront.Response, error) {
@@ -91,6 +104,16 @@
 	}
 }
 
+// write sends a response and holds it until then.
+func (h *Handler) write(w http.ResponseWriter, method string, resp *snipefront.Response) {
+	if n := int64(cap(resp.Body)); n <= bound.ShortBytes {
+		h.Bodies.Answers.Add(n)
+		defer h.Bodies.Answers.Drop(n)
+	}
+	write(w, method, resp)
+	h.Bodies.Answers.Collect()
+}
+
 // write sends a response to a request with the given method. It adds no Content-Type if
 // the backend server sent none, and no Content-Length to the response to a HEAD request.
 func write(w http.ResponseWriter, method string, resp *snipefront.Response) {
--- a/internal/entry/calls/read.go
+++ b/internal/entry/calls/read.go
@@ -1,7 +1,6 @@
 package calls
 
 import (
-	"io"
 	"net/http"
 	"os"
 	"strconv"
@@ -11,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/rpc/bound"
 )
 
 // read reads and checks the whole request.
@@ -82,9 +82,14 @@
 }
 
 // unready returns the refusal of a request that arrives before this instance knows the
-// services. If it has an idempotency key, an earlier request with that key may have run.
+// services.
 func (h *Handler) unready(req *http.Request) error {
-	e := snipefront.Refused(snipefront.ReasonNoLease, retryAfterNotReady, "this instance does not know the services yet")
+	return unclaimed(req, snipefront.Refused(snipefront.ReasonNoLease, retryAfterNotReady, "this instance does not know the services yet"))
+}
+
+// unclaimed returns the refusal e of a request for which no claim was made. If it has an
+// idempotency key, an earlier request with that key may have run.
+func unclaimed(req *http.Request, e *snipefront.Error) error {
 	if req.Header.Get(IdempotencyKeyHeader) != "" {
 		e.Verdict = snipefront.MayHaveRun
 	}
@@ -102,7 +107,13 @@
 	// The error is ignored: a writer without a connection supports no deadlines.
 	c := http.NewResponseController(w)
 	_ = c.SetReadDeadline(deadline)
-	b, err := io.ReadAll(io.LimitReader(req.Body, h.MaxBodyBytes+1))
+	b, err := h.Bodies.Requests.ReadBody(req.Context(), req.Body, req.ContentLength, h.MaxBodyBytes)
+	switch {
+	case errors.Is(err, bound.ErrTooBig):
+		return nil, tooLarge()
+	case errors.Is(err, bound.ErrNoMemory):
+		return nil, h.noMemory(w, req)
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return nil, snipefront.Rejected(snipefront.ReasonDeadline, http.StatusRequestTimeout, "the body did not arrive in time")
 	}
@@ -110,9 +121,6 @@
 		return nil, snipefront.Rejected(snipefront.ReasonBadRequest, http.StatusBadRequest, "the body was cut short: "+err.Error())
 	}
 	_ = c.SetReadDeadline(time.Time{})
-	if int64(len(b)) > h.MaxBodyBytes {
-		return nil, tooLarge()
-	}
 	return b, nil
 }
 
--- a/internal/tool/inst/inst.go
+++ b/internal/tool/inst/inst.go
@@ -20,6 +20,7 @@
 	"github.com/snipefront/snipefront/internal/config/setup"
 	"github.com/snipefront/snipefront/internal/daemon/module"
 	"github.com/snipefront/snipefront/internal/observe/logfmt"
+	"github.com/snipefront/snipefront/internal/rpc/bound"
 	"github.com/snipefront/snipefront/internal/tool/demo"
 )
 
@@ -125,6 +126,9 @@
 	if err != nil {
 		return err
 	}
+	if s.MemoryBytes > 0 {
+		bound.LimitHeap(s.MemoryBytes)
+	}
 	logger := logfmt.New(stderr, s.Level())
 	app := fx.New(module.Options(s, sockets, logger), fx.StopTimeout(stopTimeout))
 	if err := app.Start(context.WithoutCancel(ctx)); err != nil {
