--- a/internal/entry/calls/read.go
+++ b/internal/entry/calls/read.go
@@ -1,7 +1,6 @@
 package calls
 
 import (
-	"io"
 	"net/http"
 	"os"
 	"strconv"
@@ -11,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/rpc/bound"
 )
 
 // read reads and checks the whole request.
@@ -22,7 +22,7 @@
 	name := firstSegment(target)
 	s, ok := h.Config().Services[name]
 	if !ok && !h.Ready() {
-		return nil, unserved(req, snipefront.ReasonNoLease, retryAfterNotReady, "this instance does not know the services yet")
+		return nil, unclaimed(req, snipefront.Refused(snipefront.ReasonNoLease, retryAfterNotReady, "this instance does not know the services yet"))
 	}
 	if !ok {
 		return nil, snipefront.Rejected(snipefront.ReasonUnknownService, http.StatusNotFound, "no service is configured for the first segment of the path")
@@ -37,7 +37,7 @@
 	}
 	deadline := arrived.Add(timeout)
 	if h.stopsBefore(deadline) {
-		return nil, unserved(req, snipefront.ReasonStopping, retryAfterStopping, "this instance stops before the deadline of the request")
+		return nil, unclaimed(req, snipefront.Refused(snipefront.ReasonStopping, retryAfterStopping, "this instance stops before the deadline of the request"))
 	}
 	body, err := h.readBody(w, req, deadline)
 	if err != nil {
@@ -94,10 +94,9 @@
 	return !end.IsZero() && deadline.After(end)
 }
 
-// unserved returns the refusal of a request that this instance can't serve, whatever it asks
-// for. If it has an idempotency key, an earlier request with that key may have run.
-func unserved(req *http.Request, reason snipefront.Reason, retryAfter time.Duration, detail string) error {
-	e := snipefront.Refused(reason, retryAfter, detail)
+// unclaimed returns the refusal e of a request for which no claim was made. If it has an
+// idempotency key, an earlier request with that key may have run.
+func unclaimed(req *http.Request, e *snipefront.Error) error {
 	if req.Header.Get(IdempotencyKeyHeader) != "" {
 		e.Verdict = snipefront.MayHaveRun
 	}
@@ -115,7 +114,13 @@
 	// The error is ignored: a writer without a connection supports no deadlines.
 	c := http.NewResponseController(w)
 	_ = c.SetReadDeadline(deadline)
-	b, err := io.ReadAll(io.LimitReader(req.Body, h.MaxBodyBytes+1))
+	b, err := h.Bodies.Requests.ReadBody(req.Context(), req.Body, req.ContentLength, h.MaxBodyBytes)
+	switch {
+	case errors.Is(err, bound.ErrTooBig):
+		return nil, tooLarge()
+	case errors.Is(err, bound.ErrNoMemory):
+		return nil, h.noMemory(w, req)
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return nil, snipefront.Rejected(snipefront.ReasonDeadline, http.StatusRequestTimeout, "the body did not arrive in time")
 	}
@@ -123,9 +128,6 @@
 		return nil, snipefront.Rejected(snipefront.ReasonBadRequest, http.StatusBadRequest, "the body was cut short: "+err.Error())
 	}
 	_ = c.SetReadDeadline(time.Time{})
-	if int64(len(b)) > h.MaxBodyBytes {
-		return nil, tooLarge()
-	}
 	return b, nil
 }
 
