link: the stand-in that refuses before the whole body reads it to the end

A close with bytes unread resets the connection, which may overtake the refusal after 50 ms on a busy machine.

--- a/internal/dispatch/link/refusal_test.go
+++ b/internal/dispatch/link/refusal_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -141,8 +142,8 @@
 		}
 		fmt.Fprint(c, answer)
 		_ = c.(*net.TCPConn).CloseWrite()
-		time.Sleep(50 * time.Millisecond)
-		c.Close()
+		// A close with bytes unread would reset the connection.
+		_, _ = io.Copy(io.Discard, c)
 	})
 }
 
