--- a/internal/dispatch/sender/sender.go
+++ b/internal/dispatch/sender/sender.go
@@ -72,6 +72,8 @@
 	// proven, that is, assumed to work. A request that is not idempotent is sent only
 	// on a proven or a new connection. Zero means one second.
 	ProvenFor time.Duration
+	// DialTimeout bounds opening a connection. Zero means a quarter of a second.
+	DialTimeout time.Duration
 	// OverdueFloor is the minimum time after which an answer is overdue. Zero means
 	// a tenth of a second.
 	OverdueFloor time.Duration
--- a/internal/dispatch/sender/upstream.go
+++ b/internal/dispatch/sender/upstream.go
@@ -13,11 +13,11 @@
 )
 
 const (
-	dialTimeout    = 250 * time.Millisecond
 	idleTimeout    = 30 * time.Second
 	maxIdlePerHost = 64
 	bufferBytes    = 16 << 10
 
+	defaultDialTimeout  = 250 * time.Millisecond
 	defaultOverdueFloor = 100 * time.Millisecond
 	// remainingDivisor delays when an answer to a request that is not idempotent is
 	// overdue: not before 1/remainingDivisor of the time left until the deadline has
@@ -42,7 +42,7 @@
 	if u, ok := s.upstreams.Load(b.Address); ok {
 		return u.(*upstream)
 	}
-	u, _ := s.upstreams.LoadOrStore(b.Address, &upstream{Conns: conns.Conns{New: newTransport}, oneRequest: newTransport(true)})
+	u, _ := s.upstreams.LoadOrStore(b.Address, &upstream{Conns: conns.Conns{New: s.newTransport}, oneRequest: s.newTransport(true)})
 	return u.(*upstream)
 }
 
@@ -58,7 +58,11 @@
 
 // newTransport returns a transport for one backend server. If oneRequest is true, it uses
 // each connection for one request only.
-func newTransport(oneRequest bool) *http.Transport {
+func (s *Sender) newTransport(oneRequest bool) *http.Transport {
+	dialTimeout := s.DialTimeout
+	if dialTimeout == 0 {
+		dialTimeout = defaultDialTimeout
+	}
 	return &http.Transport{
 		DisableKeepAlives:      oneRequest,
 		DialContext:            writes.Dialer(dialTimeout),
