stall: a stall counts from 0.9 s

What has waited for less still has its caller, who waits for a second; an instance that is short of a processor for half a second would have refused orders for a second without need.

--- a/internal/clock/stall/stall.go
+++ b/internal/clock/stall/stall.go
@@ -14,8 +14,9 @@
 const (
 	// interval is the time between two ticks.
 	interval = 50 * time.Millisecond
-	// minLength is the length from which a stall counts.
-	minLength = 500 * time.Millisecond
+	// minLength is the length from which a stall counts. Callers wait for a second, so what
+	// has waited for less still has its caller.
+	minLength = 900 * time.Millisecond
 	// settleTime is the time after a stall in which the process reads what has waited.
 	settleTime = time.Second
 )
--- a/internal/clock/stall/stall_test.go
+++ b/internal/clock/stall/stall_test.go
@@ -24,6 +24,10 @@
 		now = now.Add(50 * time.Millisecond)
 	}
 	check("while it runs", false)
+	now = now.Add(700 * time.Millisecond)
+	check("in a gap shorter than callers wait", false)
+	d.Tick(now)
+	check("after that gap", false)
 	now = now.Add(4 * time.Second)
 	check("before the first tick after 4 s", true)
 	d.Tick(now)
