drain: one gate for both entries, and a stop refuses no request of a service that answers soon

Both entries now ask the same gate, which was the edges' (entry/drain): a request is taken if its deadline is before the end of the stop or, in the first half of it, if twice the slowest recent answer of its workload fits.

--- a/internal/daemon/module/lifecycle.go
+++ b/internal/daemon/module/lifecycle.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -14,6 +13,7 @@
 	"github.com/snipefront/snipefront/internal/config/setup"
 	"github.com/snipefront/snipefront/internal/control/member"
 	"github.com/snipefront/snipefront/internal/dispatch/cells"
+	"github.com/snipefront/snipefront/internal/entry/calls"
 	"github.com/snipefront/snipefront/internal/request/claim"
 )
 
@@ -32,27 +32,6 @@
 	stopMargin = 2 * time.Second
 )
 
-// stopEnd is the time by which all callers must be answered in a planned stop.
-type stopEnd struct{ at atomic.Pointer[time.Time] }
-
-func newStopEnd() *stopEnd { return &stopEnd{} }
-
-// time returns the end, or the zero time before the stop.
-func (e *stopEnd) time() time.Time {
-	if t := e.at.Load(); t != nil {
-		return *t
-	}
-	return time.Time{}
-}
-
-// set begins a stop that ends with ctx.
-func (e *stopEnd) set(ctx context.Context) {
-	if t, ok := ctx.Deadline(); ok {
-		t = t.Add(-stopMargin)
-		e.at.Store(&t)
-	}
-}
-
 // Lifecycle starts and stops an instance.
 type Lifecycle struct {
 	settings setup.Settings
@@ -63,7 +42,7 @@
 	claims   *claim.Filter
 	servers  servers
 	loops    backgroundLoops
-	end      *stopEnd
+	callers  *calls.Handler
 
 	// cancel stops the background loops. Each sends its error, or nil, to loopErrs when
 	// it returns.
@@ -76,7 +55,7 @@
 }
 
 func newLifecycle(
-	s setup.Settings, sock Sockets, logger *slog.Logger, m *member.Member, cellSet *cells.Set, claims *claim.Filter, httpServers servers, loops backgroundLoops, end *stopEnd,
+	s setup.Settings, sock Sockets, logger *slog.Logger, m *member.Member, cellSet *cells.Set, claims *claim.Filter, httpServers servers, loops backgroundLoops, callers *calls.Handler,
 ) *Lifecycle {
 	return &Lifecycle{
 		settings:   s,
@@ -87,7 +66,7 @@
 		claims:     claims,
 		servers:    httpServers,
 		loops:      loops,
-		end:        end,
+		callers:    callers,
 		loopErrs:   make(chan error),
 		serverErrs: make(chan error),
 	}
@@ -110,10 +89,12 @@
 // Stop stops the instance as planned. The instance leaves the fleet, so that its cells
 // get other owners, serves callers until the addresses that they cache have expired,
 // completes the requests in flight and then releases its lease. ctx bounds the waits for
-// callers and requests; a request whose deadline is later is refused.
+// callers and requests; a request that may last longer is refused.
 func (lc *Lifecycle) Stop(ctx context.Context) error {
 	lc.logger.Info("stopping", "instance", lc.settings.Instance)
-	lc.end.set(ctx)
+	if end, ok := ctx.Deadline(); ok {
+		lc.callers.Stop(time.Now(), end.Add(-stopMargin))
+	}
 	lc.member.Leave()
 	lc.awaitAddressExpiry(ctx)
 	err := lc.servers.caller.Shutdown(ctx)
--- a/internal/daemon/module/module.go
+++ b/internal/daemon/module/module.go
@@ -61,7 +61,7 @@
 		fx.Provide(
 			stats.New, newBodies, newInstance, newControlMembers, newMeter, newClient, newSender, newSuspects, newBroadcaster, newState, newReplica, newLog, newLeader,
 			newControlClient, newCells, newMember, newRouter, newClaimFilter, newCallHandler, newLocateHandler, newEnrollHandler,
-			newProber, newAdmin, newServer, newServers, newBackgroundLoops, newStopEnd, newLifecycle,
+			newProber, newAdmin, newServer, newServers, newBackgroundLoops, newLifecycle,
 		),
 		fx.Invoke(func(l fx.Lifecycle, n *Lifecycle) {
 			l.Append(fx.Hook{OnStart: n.Start, OnStop: n.Stop})
@@ -223,12 +223,11 @@
 
 // newCallHandler returns the handler for requests of callers, with the filters that a
 // request passes before it is routed.
-func newCallHandler(s setup.Settings, end *stopEnd, bodies bound.Bodies, m *member.Member, claims *claim.Filter, suspects *poison.Register, router *route.Router, counters *stats.Stats, logger *slog.Logger) *calls.Handler {
+func newCallHandler(s setup.Settings, bodies bound.Bodies, m *member.Member, claims *claim.Filter, suspects *poison.Register, router *route.Router, counters *stats.Stats, logger *slog.Logger) *calls.Handler {
 	return &calls.Handler{
 		Next:         chain.Join(router, claims, &fanout.Filter{Register: suspects}),
 		Config:       func() *snipefront.Config { return m.View().Config },
 		Ready:        func() bool { return m.Lease.Held(time.Now()) },
-		StopEnd:      end.time,
 		MaxBodyBytes: s.MaxBodyBytes,
 		Bodies:       bodies,
 		Counter:      counters,
--- a/internal/entry/calls/calls.go
+++ b/internal/entry/calls/calls.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/entry/drain"
 	"github.com/snipefront/snipefront/internal/entry/header"
 	"github.com/snipefront/snipefront/internal/rpc/bound"
 )
@@ -35,9 +36,6 @@
 	maxTimeout = 10 * time.Minute
 	// retryAfterNotReady is the Retry-After time until this instance knows the services.
 	retryAfterNotReady = time.Second
-	// retryAfterStopping is the Retry-After time of a request that may outlast the planned
-	// stop of this instance.
-	retryAfterStopping = 20 * time.Millisecond
 	// maxKeyBytes is the length of the longest idempotency key.
 	maxKeyBytes = 256
 )
@@ -55,9 +53,6 @@
 	Config func() *snipefront.Config
 	// Ready reports whether Config is known to be in force.
 	Ready func() bool
-	// StopEnd returns the end of the planned stop of this instance, or the zero time if it
-	// doesn't stop. It may be nil.
-	StopEnd func() time.Time
 	// MaxBodyBytes is the size of the largest request body.
 	MaxBodyBytes int64
 	// Bodies bounds the requests and answers that are held. Its parts may be nil.
@@ -65,8 +60,14 @@
 	Counter Counter
 	// Logger may be nil.
 	Logger *slog.Logger
+
+	gate drain.Gate
 }
 
+// Stop begins a planned stop that ends at the given time. From now on, requests that may
+// not be answered by then are refused.
+func (h *Handler) Stop(now, end time.Time) { h.gate.Stop(now, end) }
+
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	arrived := time.Now()
@@ -86,7 +87,9 @@
 		h.refuse(w, r.Service, err)
 		return
 	}
-	h.Counter.Answered(r.Service, resp.Status, time.Since(arrived))
+	taken := time.Since(arrived)
+	h.Counter.Answered(r.Service, resp.Status, taken)
+	h.gate.Observe(time.Now(), r.Service, taken)
 	h.write(w, req.Method, resp)
 }
 
--- a/internal/entry/calls/read.go
+++ b/internal/entry/calls/read.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/entry/drain"
 	"github.com/snipefront/snipefront/internal/rpc/bound"
 )
 
@@ -36,8 +37,8 @@
 		return nil, err
 	}
 	deadline := arrived.Add(timeout)
-	if h.stopsBefore(deadline) {
-		return nil, unclaimed(req, snipefront.Refused(snipefront.ReasonStopping, retryAfterStopping, "this instance stops before the deadline of the request"))
+	if !h.gate.Admits(time.Now(), name, deadline) {
+		return nil, unclaimed(req, snipefront.Refused(snipefront.ReasonStopping, drain.RetryAfter, "this instance stops"))
 	}
 	body, err := h.readBody(w, req, deadline)
 	if err != nil {
@@ -84,16 +85,6 @@
 	return s
 }
 
-// stopsBefore reports whether a planned stop of this instance ends before the deadline of a
-// request, which may then end without an answer.
-func (h *Handler) stopsBefore(deadline time.Time) bool {
-	if h.StopEnd == nil {
-		return false
-	}
-	end := h.StopEnd()
-	return !end.IsZero() && deadline.After(end)
-}
-
 // unclaimed returns the refusal e of a request for which no claim was made. If it has an
 // idempotency key, an earlier request with that key may have run.
 func unclaimed(req *http.Request, e *snipefront.Error) error {
--- a/internal/entry/proxy/proxy.go
+++ b/internal/entry/proxy/proxy.go
@@ -13,6 +13,7 @@
 
 	"github.com/snipefront/snipefront"
 	"github.com/snipefront/snipefront/internal/dispatch/direct"
+	"github.com/snipefront/snipefront/internal/entry/drain"
 	"github.com/snipefront/snipefront/internal/entry/header"
 	"github.com/snipefront/snipefront/internal/entry/pipe"
 	"github.com/snipefront/snipefront/internal/request/paths"
@@ -53,10 +54,8 @@
 	table atomic.Pointer[paths.Table]
 	split paths.Splitter
 	waits waits
-	// stopping is nil until Stop.
-	stopping atomic.Pointer[stop]
-	slowest  slowest
-	sizes    sizes
+	gate  drain.Gate
+	sizes sizes
 }
 
 // SetTable makes t the routes in use and drops the state of routes that t does not have.
@@ -65,7 +64,7 @@
 	names := t.Names()
 	p.split.Forget(names)
 	p.waits.forget(names)
-	p.slowest.forget(names)
+	p.gate.Forget(names)
 	p.sizes.forget(names)
 }
 
@@ -130,7 +129,7 @@
 	p.sizes.record(rt.Name, len(response.Body))
 	taken := time.Since(r.Read)
 	p.Counter.Answered(c.Service, response.Status, taken)
-	p.slowest.observe(time.Now(), rt.Name, taken)
+	p.gate.Observe(time.Now(), rt.Name, taken)
 	if taken > rt.Goal {
 		p.Logger.Info("response later than the latency goal", "request", id, "route", rt.Name, "service", c.Service,
 			"server", response.BackendServer, "status", response.Status, "taken", taken, "version", t.Routing.Version)
