direct: no request is hedged while answers wait for memory

Cause: an answer that waits for memory is overdue, so an idempotent request was sent to a second backend server beside the first, and two answers waited. Not seen in the record; it follows from answers that wait.

TestNoRequestIsHedgedWhileAnswersWaitForMemory failed without the condition: "sent to [s2 s0] in 1.000281524s, want one attempt". An answer that waits still raises the estimate of its backend server's latency.

--- a/internal/daemon/edge/build.go
+++ b/internal/daemon/edge/build.go
@@ -61,10 +61,10 @@
 	return &direct.Checks{Targets: targets, Link: l, Probes: probes, Poison: suspects, Logger: logger}
 }
 
-func newDispatcher(targets *health.Set, l *link.Link, checks *direct.Checks, retries *budget.Retries, probes *budget.Probes, suspects *poison.Register, counters *stats.Stats, attempts *tally.Tally, logger *slog.Logger) *direct.Dispatcher {
+func newDispatcher(bodies bound.Bodies, targets *health.Set, l *link.Link, checks *direct.Checks, retries *budget.Retries, probes *budget.Probes, suspects *poison.Register, counters *stats.Stats, attempts *tally.Tally, logger *slog.Logger) *direct.Dispatcher {
 	return &direct.Dispatcher{
 		Targets: targets, Link: l, Poison: suspects, Counter: counters, Attempts: attempts, Logger: logger,
-		Retries: retries, Probes: probes, Checks: checks,
+		Retries: retries, Probes: probes, Checks: checks, Answers: bodies.Answers,
 	}
 }
 
--- a/internal/dispatch/direct/direct.go
+++ b/internal/dispatch/direct/direct.go
@@ -18,6 +18,7 @@
 	"github.com/snipefront/snipefront/internal/dispatch/health"
 	"github.com/snipefront/snipefront/internal/dispatch/quota"
 	"github.com/snipefront/snipefront/internal/request/poison"
+	"github.com/snipefront/snipefront/internal/rpc/bound"
 )
 
 // minAttemptTime is the minimum time that must be left until the deadline when an attempt
@@ -50,7 +51,10 @@
 	// Trials grants trial runs of quarantined requests. Nil grants none.
 	Trials Trials
 	// Checks detects crashes by requests whose connection has ended. Nil detects none.
-	Checks  *Checks
+	Checks *Checks
+	// Answers is the memory for answers. While one waits for it, no request is hedged: its own
+	// answer may be the one that waits. Nil has memory for all.
+	Answers *bound.Memory
 	Counter Counter
 	// Attempts counts requests and attempts by their cause.
 	Attempts snipefront.AttemptCounter
