sender: an answer that waits for memory is not half-open

Cause: an answer that waits for memory is overdue, a new connection works, and so the attempt of an instance with cells ended as on a half-open connection, although its request had run. Not seen in the record; it follows from answers that wait.

TestAnswerThatWaitsForMemoryIsNotHalfOpen failed without the condition: "may-have-run, attempt_late, connection is silent while a new one works". While answers wait, a connection that is half-open in truth is found only by the deadline.

--- a/internal/dispatch/sender/upstream.go
+++ b/internal/dispatch/sender/upstream.go
@@ -65,13 +65,14 @@
 }
 
 // guard starts the check for a half-open connection. If the answer is overdue and a
-// new connection works, it calls cancel with conns.ErrHalfOpen.
+// new connection works, it calls cancel with conns.ErrHalfOpen. While answers wait for
+// memory, the answer may be one of them, so nothing is checked.
 func (s *Sender) guard(ctx context.Context, cancel context.CancelCauseFunc, c *call) conns.Guard {
 	if !c.guarded {
 		return conns.Guard{}
 	}
 	check := func() error {
-		if !s.Check(ctx, c.server, c.service) {
+		if s.Memory.Scarce() || !s.Check(ctx, c.server, c.service) {
 			return nil
 		}
 		c.upstream.Retire(c.transport)
