pipe: a body is asked for within a time of its own

What callers could see: a request that waits for the status 100 before it sends its body, on a connection whose last answer was written longer ago than WriteTimeout, ended with a closed connection and no answer. A connection may be idle for longer than that.

Cause: the status 100 was written without a deadline of its own, so that the deadline of the answer before, which had passed, failed it at once.

Found by review. The status 100 is now written as an answer is, with the same time.

--- a/internal/entry/pipe/upload.go
+++ b/internal/entry/pipe/upload.go
@@ -2,12 +2,9 @@
 
 import (
 	"io"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"github.com/pkg/errors"
 )
 
 // stallTime is how long an upload may pause while others need its memory.
@@ -48,15 +45,14 @@
 func (u *upload) begun() bool { return !u.began.IsZero() }
 
 func (u *upload) begin() error {
+	if u.continues {
+		if err := u.conn.askForBody(); err != nil {
+			return err
+		}
+	}
 	u.began = time.Now()
 	u.conn.setReadTimeout(u.timeout)
 	u.conn.server.uploads.add(u)
-	if !u.continues {
-		return nil
-	}
-	if _, err := io.WriteString(u.conn.Conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-		return errors.Wrap(net.ErrClosed, "ask for the body")
-	}
 	return nil
 }
 
--- a/internal/entry/pipe/write.go
+++ b/internal/entry/pipe/write.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // writeAnswers writes the answers in the order of exchanges until one of them closes
@@ -61,6 +63,14 @@
 	}
 }
 
+// askForBody tells the caller to send the body of a request.
+func (c *conn) askForBody() error {
+	if err := c.write([]byte("HTTP/1.1 100 Continue\r\n\r\n"), nil); err != nil {
+		return errors.Wrap(net.ErrClosed, "ask for the body")
+	}
+	return nil
+}
+
 // linger closes the connection for writing, and after lingerTime entirely, unless the
 // caller has closed it by then. Meanwhile the reading goroutine drops what it sends.
 func (c *conn) linger() {
