pipe: a body isn't asked for inside an earlier answer

What callers could see: a request that waits for the status 100, sent behind another one, put 'HTTP/1.1 100 Continue' among the bytes of the body of the answer before, which then was another body than that of the backend server and was framed as whole, with the rest of the bytes left over as an answer of nobody.

Cause: the reading goroutine writes the status 100. A whole answer was one call of writev, which excludes other writes; since it is one call for each 64 KiB, and the status could come between two of them.

Evidence: TestBodyIsNotAskedForInsideAnswer failed before ('got another body, with the status 100 at byte 1572864'). Found by review. A lock is now held while an answer is written, so that the status comes between two answers.

--- a/internal/entry/pipe/ask_test.go
+++ b/internal/entry/pipe/ask_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"bufio"
+	"bytes"
+	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -19,6 +22,27 @@
 	}
 }
 
+// TestBodyIsNotAskedForInsideAnswer guards against a status 100 among the bytes of an earlier
+// answer, whose caller then gets another body than that of the backend server.
+func TestBodyIsNotAskedForInsideAnswer(t *testing.T) {
+	body := bytes.Repeat([]byte("a"), 16<<20)
+	_, c := serve(t, func(context.Context, *pipe.Request) pipe.Answer {
+		return pipe.Answer{Status: http.StatusOK, Body: body}
+	})
+	ask(t, c, "/1")
+	b := bufio.NewReader(c)
+	r, err := http.ReadResponse(b, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	askToSend(t, c, "/2")
+	time.Sleep(100 * time.Millisecond)
+	got, err := io.ReadAll(r.Body)
+	if err != nil || !bytes.Equal(got, body) {
+		t.Errorf("got another body (%v), with the status 100 at byte %d", err, bytes.Index(got, []byte("HTTP/1.1 100")))
+	}
+}
+
 // TestBodyIsAskedForLongAfterLastAnswer guards against a caller whose connection is closed
 // without an answer since the time for writing the answer before had passed.
 func TestBodyIsAskedForLongAfterLastAnswer(t *testing.T) {
--- a/internal/entry/pipe/conn.go
+++ b/internal/entry/pipe/conn.go
@@ -18,6 +18,8 @@
 	// limited bounds the bytes that reader reads for the header of a request.
 	limited io.LimitedReader
 	reader  *bufio.Reader
+	// writing is held while an answer is written.
+	writing sync.Mutex
 
 	mu sync.Mutex
 	// pending holds the requests whose answer is not written completely, in the order
--- a/internal/entry/pipe/write.go
+++ b/internal/entry/pipe/write.go
@@ -46,6 +46,8 @@
 // write writes the head and the body of an answer. It fails if the caller takes no further
 // part of it in time.
 func (c *conn) write(head, body []byte) error {
+	c.writing.Lock()
+	defer c.writing.Unlock()
 	b := net.Buffers{head}
 	for {
 		n := min(len(body), writeChunkBytes)
@@ -63,7 +65,7 @@
 	}
 }
 
-// askForBody tells the caller to send the body of a request.
+// askForBody tells the caller to send the body of a request, between two answers.
 func (c *conn) askForBody() error {
 	if err := c.write([]byte("HTTP/1.1 100 Continue\r\n\r\n"), nil); err != nil {
 		return errors.Wrap(net.ErrClosed, "ask for the body")
