pipe: a request sent after an answer that leaves its connection open gets an answer in a stop

What callers could see: in a planned stop, a request sent after the whole of the answer before, which didn't say that the connection closes, ended with the connection closed and no answer.

Cause: an answer is pending until the write of it has returned, which may be after its caller has read it and has sent the next request. If the drain began in between, that request was dropped as one behind a pending answer, which could no longer say that it is the last.

Evidence: TestRequestAfterAnswerThatStaysOpenIsAnswered failed before ('unexpected EOF'). A request is now dropped only if an answer that isn't begun will close the connection; this one is admitted, as any other on an idle connection, and its own answer closes.

--- a/internal/entry/pipe/conn.go
+++ b/internal/entry/pipe/conn.go
@@ -28,6 +28,8 @@
 	// closing is true once the connection closes after the pending answers. No
 	// further request is admitted, so the caller can safely resend it elsewhere.
 	closing bool
+	// staysOpen is true while an answer is written that doesn't close the connection.
+	staysOpen bool
 	// reading is true from the first byte of a request until it is admitted or dropped.
 	reading bool
 	// stopped is true once no further request is read.
@@ -89,13 +91,14 @@
 
 // admit makes r pending and reports whether it did. If last is true, no request is
 // admitted after this one. None is admitted once the connection is closing, nor behind a
-// pending one while the server drains: its caller sends it again elsewhere.
+// pending one while the server drains, if the answer to that can still say that the
+// connection closes: its caller sends it again elsewhere.
 func (c *conn) admit(r *Request, last bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reading = false
 	draining := c.server.Draining()
-	if draining && len(c.pending) > 0 {
+	if draining && len(c.pending) > 0 && !c.lastStaysOpen() {
 		c.closing = true
 	}
 	if c.closing {
@@ -114,9 +117,15 @@
 	if len(c.pending) == 1 && (closes || c.server.Draining()) {
 		c.closing = true
 	}
-	return c.closing && len(c.pending) == 1
+	last := c.closing && len(c.pending) == 1
+	c.staysOpen = !last
+	return last
 }
 
+// lastStaysOpen reports whether the answer to the only pending request is being written, and
+// doesn't close the connection.
+func (c *conn) lastStaysOpen() bool { return len(c.pending) == 1 && c.staysOpen }
+
 // finish removes the first pending request, whose answer has been written, or can't be
 // any more. It reports whether the connection closes now.
 func (c *conn) finish() bool {
@@ -124,6 +133,7 @@
 	defer c.mu.Unlock()
 	c.server.release(c.pending[0])
 	c.pending = c.pending[1:]
+	c.staysOpen = false
 	return c.closing && len(c.pending) == 0
 }
 
--- a/internal/entry/pipe/stop_test.go
+++ b/internal/entry/pipe/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -328,3 +329,26 @@
 		t.Error(err)
 	}
 }
+
+// TestRequestAfterAnswerThatStaysOpenIsAnswered guards against a request that gets no answer
+// although its caller has sent it after the whole answer before, which didn't close the
+// connection: the server had begun to drain before it recorded that this was written.
+func TestRequestAfterAnswerThatStaysOpenIsAnswered(t *testing.T) {
+	s, far := serveOnPipe(t, handler(echo))
+	ask(t, far, "/1")
+	b := bufio.NewReaderSize(far, 1)
+	first, err := b.ReadByte()
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Drain()
+	ask(t, far, "/2")
+	time.Sleep(100 * time.Millisecond)
+	whole := bufio.NewReader(io.MultiReader(bytes.NewReader([]byte{first}), b))
+	if r, _ := read(t, whole); r.Close {
+		t.Fatal("the first answer closes the connection")
+	}
+	if r, _ := read(t, whole); r.Header.Get("Path") != "/2" || !r.Close {
+		t.Errorf("got the answer of %s (close %v), want that of /2 (close true)", r.Header.Get("Path"), r.Close)
+	}
+}
