serve: a process ends once the calls in flight at its servers are answered

What callers could see: a call that was in flight at a control instance, a directory or an interface of an entry instance when that was stopped as planned (an order of the operator, a heartbeat, a look-up, a call between instances) ended with a closed connection, though the order may have been applied and its answer was ready moments later.

Cause: http.Server.Serve returns as soon as Shutdown begins. The group took that for the end of the server, so that the process ended while Shutdown still waited for the calls. shutdownTimeout never took effect.

Found by review. The server's task now ends when Shutdown has. Watches don't delay that by more than the check for a leader takes, since a replica that has stopped knows none.

--- a/internal/daemon/serve/serve.go
+++ b/internal/daemon/serve/serve.go
@@ -45,9 +45,9 @@
 	go func() { g.results <- result{name: name, err: f(ctx)} }()
 }
 
-// HTTP starts a server for h on address (host:port), which runs until ctx ends. It
-// returns an error if it can't listen. The name identifies the server in errors and log
-// messages.
+// HTTP starts a server for h on address (host:port), which runs until ctx ends and the calls
+// in flight are answered, or shutdownTimeout is over. It returns an error if it can't listen.
+// The name identifies the server in errors and log messages.
 func (g *Group) HTTP(ctx context.Context, name, address string, h http.Handler) error {
 	l, err := Listen(ctx, address)
 	if err != nil {
@@ -61,15 +61,19 @@
 		ErrorLog:          slog.NewLogLogger(g.Logger.Handler(), slog.LevelDebug),
 	}
 	g.Go(ctx, name, func(ctx context.Context) error {
+		ended := make(chan struct{})
 		stop := context.AfterFunc(ctx, func() {
+			defer close(ended)
 			shutdownCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
 			defer cancel()
 			if err := s.Shutdown(shutdownCtx); err != nil {
 				s.Close()
 			}
 		})
-		defer stop()
 		err := s.Serve(l)
+		if !stop() {
+			<-ended // Serve returns once Shutdown begins
+		}
 		if errors.Is(err, http.ErrServerClosed) {
 			return nil
 		}
