review/stand: a seeded soak of the programs of the deploy file

A case 'soak' beside those of the review, from the same platform, clients, operator and servers. The seed draws planned stops (with further signals before, in and after them), SIGHUP, freezes, kills, changes of settings and configuration, evacuations, and faults of servers and their connections, which overlap. The cases' checks and bounds are as they were.

--- a/review/stand/deployment.go
+++ b/review/stand/deployment.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -45,6 +46,8 @@
 	edges []*process
 	// locates has the directory of each zone.
 	locates []*process
+	// keep is true if the temporary folder, with the logs, stays.
+	keep bool
 }
 
 // process is one process on a machine.
@@ -55,6 +58,8 @@
 	ip   string
 	boot string
 
+	// hold belongs to whoever stops, starts or freezes the process while others may.
+	hold  sync.Mutex
 	cmd   *exec.Cmd
 	ended chan struct{}
 }
@@ -179,7 +184,9 @@
 	work    time.Duration
 	// hidesLoad is true if the servers don't tell their load.
 	hidesLoad bool
-	routes    []route
+	// troubled is true if a soak harms the servers.
+	troubled bool
+	routes   []route
 }
 
 // begin starts all processes and the servers of l, sends the first configuration, and waits until
@@ -192,7 +199,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := p.order(ctx, p.controls(), "/v1/configuration/replace", configuration(l.service, l.routes)); err != nil {
+	if err := p.order(ctx, p.controls(), "/v1/configuration/replace", configuration(1, l.service, l.routes)); err != nil {
 		return nil, err
 	}
 	return servers, p.awaitReady(ctx, 20*time.Second)
@@ -208,7 +215,7 @@
 	return nil
 }
 
-// endAll kills all processes and removes the temporary folder, unless KEEP is set.
+// endAll kills all processes and removes the temporary folder, unless it is to be kept or KEEP is set.
 func (p *platform) endAll() {
 	for _, x := range p.all() {
 		if x.cmd != nil {
@@ -216,7 +223,7 @@
 			<-x.ended
 		}
 	}
-	if os.Getenv("KEEP") == "" {
+	if os.Getenv("KEEP") == "" && !p.keep {
 		_ = os.RemoveAll(p.dir) // a folder that stays in the temporary folder does no harm
 	}
 }
@@ -252,18 +259,38 @@
 	_ = x.cmd.Process.Signal(s) // fails only if the process has ended
 }
 
-// restart stops the process as planned, with SIGKILL after the grace period, and starts it
-// again.
+// restart stops the process as planned and starts it again.
 func (x *process) restart(ctx context.Context) error {
+	x.terminate(nil)
+	time.Sleep(restartDelay)
+	return x.start(ctx)
+}
+
+// terminate stops the process as planned, with SIGKILL after the grace period. It sends the given
+// further signals meanwhile.
+func (x *process) terminate(further []lateSignal) {
+	killTime := time.Now().Add(grace)
 	x.signal(syscall.SIGTERM)
+	for _, v := range further {
+		select {
+		case <-x.ended:
+			return
+		case <-time.After(v.after):
+			x.signal(v.signal)
+		}
+	}
 	select {
 	case <-x.ended:
-	case <-time.After(grace):
+	case <-time.After(time.Until(killTime)):
 		x.signal(syscall.SIGKILL)
 		<-x.ended
 	}
-	time.Sleep(restartDelay)
-	return x.start(ctx)
+}
+
+// lateSignal is a signal that follows another one.
+type lateSignal struct {
+	signal syscall.Signal
+	after  time.Duration
 }
 
 // isReady asks the process for its readiness, as the platform does.
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -3,9 +3,11 @@
 // servers around them, as the users' pages describe these.
 //
 //	stand CASE RECORD
+//	stand soak RECORD
 //
 // The environment variable TROUBLE=0 leaves the disruption out. The exit status is 1 if the
-// rule was broken, 0 if it held, and 2 if the case could not run.
+// rule was broken, 0 if it held, and 2 if the case could not run. The variables of a soak are
+// SEED, LENGTH, such as 40s, and EDGES, the number of frontend machines.
 package main
 
 import (
@@ -31,7 +33,7 @@
 func main() { os.Exit(run(os.Args[1:])) }
 
 func run(args []string) int {
-	cases := map[string]play{"order": staleOrder, "stop": plannedStops, "upload": longUploads, "pipeline": pipelinedStops, "cold": coldAgain}
+	cases := map[string]play{"order": staleOrder, "stop": plannedStops, "upload": longUploads, "pipeline": pipelinedStops, "cold": coldAgain, "soak": soak}
 	if len(args) != 2 || cases[args[0]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: stand CASE RECORD")
 		return exitFailed
@@ -43,7 +45,11 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	ctx, cancel := context.WithTimeout(ctx, caseTimeout)
+	timeout := caseTimeout
+	if args[0] == "soak" {
+		timeout += soakOptions().length
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	broken, err := cases[args[0]](ctx, rec, os.Getenv("TROUBLE") != "0")
 	status := exitHeld
--- a/review/stand/operator.go
+++ b/review/stand/operator.go
@@ -64,13 +64,13 @@
 }
 
 // configuration returns the body of a configuration with one service.
-func configuration(service string, routes []route) string {
+func configuration(version int, service string, routes []route) string {
 	s := fmt.Sprintf(`{"name":%q,"healthPath":"/health","connectionLimit":220,"protocol":"h1","tls":false,"warmupS":3.0,"warmupPerS":3.7}`, service)
 	var h []string
 	for _, v := range routes {
 		h = append(h, fmt.Sprintf(`{"host":%q,"paths":[{"name":%q,"pathPrefix":%q,"kind":%q,"timeoutS":%g,"latencyGoalS":%g,"priority":1,"service":%q,"attempts":2}]}`,
 			v.host, v.name, v.prefix, v.kind, v.timeout, v.goal, service))
 	}
-	return fmt.Sprintf(`{"version":"r1","services":[%s],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeoutS":3,"idleTimeoutS":15},"hosts":[%s]}`,
-		s, strings.Join(h, ","))
+	return fmt.Sprintf(`{"version":"r%d","services":[%s],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeoutS":3,"idleTimeoutS":15},"hosts":[%s]}`,
+		version, s, strings.Join(h, ","))
 }
--- a/review/stand/pipeline.go
+++ b/review/stand/pipeline.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -72,24 +71,25 @@
 				time.Sleep(100 * time.Millisecond)
 				continue
 			}
-			c.pipeline(p.rec, tries, until)
+			c.pipeline(p.rec, tries, until, shortWork/inFlight, func() request {
+				return request{method: http.MethodGet, host: ledger, path: "/ledger/2", wait: 3 * time.Second}
+			})
 			c.Close()
 		}
 	}
 }
 
-// pipeline sends requests on c until the given time, inFlight of them at the same time, and
-// reads the answers. It returns when all are answered or the connection has ended.
-func (c *connection) pipeline(rec *record, tries *attempts, until time.Time) {
-	const wait = 3 * time.Second
-	r := request{method: http.MethodGet, host: ledger, path: "/ledger/2", wait: wait}
+// pipeline sends requests on c until the given time, gap apart, inFlight of them at the same time,
+// and reads the answers. It returns when all are answered or the connection has ended.
+func (c *connection) pipeline(rec *record, tries *attempts, until time.Time, gap time.Duration, draw func() request) {
 	var open []exchange
 	to, _, _ := net.SplitHostPort(c.RemoteAddr().String()) // an address of a connection is valid
 	send := func() error {
-		e := exchange{id: fmt.Sprintf("%016x", rand.Uint64()), to: to, kept: c.used, connected: true}
+		r := draw()
+		e := exchange{id: fmt.Sprintf("%016x", rand.Uint64()), to: to, kept: c.used, connected: true, asked: r, began: time.Now(), piped: true}
 		c.used = true
-		_ = c.SetDeadline(time.Now().Add(wait)) // fails only if the connection is closed
-		_, err := fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Remaining: %d\r\n\r\n", r.path, r.host, e.id, wait.Milliseconds())
+		_ = c.SetDeadline(time.Now().Add(r.wait)) // fails only if the connection is closed
+		_, err := fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Remaining: %d\r\n\r\n", r.path, r.host, e.id, r.wait.Milliseconds())
 		e.sent = time.Now()
 		open = append(open, e)
 		return err
@@ -100,38 +100,26 @@
 		for err == nil && len(open) < inFlight && time.Now().Before(until) {
 			if err = send(); err == nil {
 				// Requests follow one another, as those of one page do.
-				time.Sleep(shortWork / inFlight)
+				time.Sleep(gap)
 			}
 		}
 		if err != nil || len(open) == 0 {
 			break
 		}
 		var closes bool
-		open[0].status, closes, err = c.readAnswer()
+		closes, err = c.readAnswer(&open[0])
 		if err == nil {
-			tries.add(open[0].finish(rec, r))
+			tries.add(open[0].finish(rec, open[0].asked))
 			open = open[1:]
 		}
 		if closes {
 			// What was sent behind this answer counts as not read, and is sent again.
+			tries.skip(open)
 			return
 		}
 	}
 	for _, e := range open {
 		e.status, e.err = 0, err
-		tries.add(e.finish(rec, r))
+		tries.add(e.finish(rec, e.asked))
 	}
 }
-
-// readAnswer reads one answer and reports whether it closes the connection.
-func (c *connection) readAnswer() (status int, closes bool, err error) {
-	resp, err := http.ReadResponse(c.reader, &http.Request{Method: http.MethodGet})
-	if err != nil {
-		return 0, false, err
-	}
-	defer resp.Body.Close()
-	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-		return 0, false, err
-	}
-	return resp.StatusCode, resp.Close, nil
-}
--- a/review/stand/server.go
+++ b/review/stand/server.go
@@ -32,6 +32,12 @@
 	at   time.Time
 	// ran is true once the server has begun to work on it, and ended once it is done.
 	ran, ended bool
+	// got is what arrived, for a server of a soak.
+	got content
+	// broke is true if the server itself broke off, and aborted if its caller did.
+	broke, aborted bool
+	// until is when the server stopped to work on it, or zero.
+	until time.Time
 }
 
 // server is a sound backend server, as the users' pages describe it. It tells its load.
@@ -47,6 +53,8 @@
 	http    atomic.Pointer[http.Server]
 	// down is true from a crash until the next start.
 	down atomic.Bool
+	// trouble is what a soak has done to the server, or nil.
+	trouble *trouble
 
 	// hidesLoad is true if the server does not tell its load.
 	hidesLoad bool
@@ -69,6 +77,7 @@
 			s := &server{
 				p: p, name: fmt.Sprintf("i-%s-%s-%d", l.service, zone, i), zone: zone, service: l.service, slots: l.slots, work: l.work,
 				address: p.address(100+n, serverPort), slot: make(chan struct{}, l.slots), hidesLoad: l.hidesLoad,
+				trouble: l.trouble(),
 			}
 			s.born.Store(1_700_000_000_000)
 			if err := s.listen(ctx); err != nil {
@@ -88,7 +97,10 @@
 	if err != nil {
 		return err
 	}
-	h := &http.Server{Handler: s, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 10 * time.Second}
+	if s.trouble != nil {
+		l = wireListener{Listener: l, s: s}
+	}
+	h := &http.Server{Handler: s, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 10 * time.Second, ConnContext: withWire}
 	s.http.Store(h)
 	go func() {
 		if err := h.Serve(l); !errors.Is(err, http.ErrServerClosed) {
@@ -105,14 +117,21 @@
 		return
 	}
 	s.p.rec.line("server %s: crashes", s.name)
+	s.end(ctx, crashTime)
+}
+
+// end closes all connections of s, which is down. It is back after the given time as a new
+// incarnation, cold.
+func (s *server) end(ctx context.Context, after time.Duration) {
 	s.http.Load().Close()
-	time.AfterFunc(crashTime, func() {
+	time.AfterFunc(after, func() {
 		until := time.Now().Add(warmUp)
 		s.coldUntil.Store(&until)
 		s.born.Add(1)
 		if err := s.listen(ctx); err != nil {
 			s.p.rec.line("server %s: %v", s.name, err)
 		}
+		s.trouble.restart()
 		s.down.Store(false)
 	})
 }
@@ -125,8 +144,8 @@
 		for s.down.Load() && ctx.Err() == nil {
 			time.Sleep(10 * time.Millisecond)
 		}
-		body := fmt.Sprintf(`{"address":%q,"born":%d,"information":{"service":%q,"version":"v1","zone":%q,"slots":%d},"status":{"state":"ready","seq":%d,"warmupRemainingS":%.3f}}`,
-			s.address, s.born.Load(), s.service, s.zone, s.slots, seq, s.coldFor().Seconds())
+		body := fmt.Sprintf(`{"address":%q,"born":%d,"information":{"service":%q,"version":"v1","zone":%q,"slots":%d},"status":{"state":%q,"seq":%d,"warmupRemainingS":%.3f}}`,
+			s.address, s.born.Load(), s.service, s.zone, s.slots, s.trouble.state(), seq, s.coldFor().Seconds())
 		for range len(controls) + 1 {
 			to := own
 			if to == "" {
@@ -135,6 +154,7 @@
 			named, err := s.heartbeat(ctx, to, body)
 			if err == nil {
 				own = named
+				s.trouble.acknowledge(body)
 				break
 			}
 			own = ""
@@ -190,6 +210,10 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if s.trouble != nil {
+		s.serveTroubled(w, r)
+		return
+	}
 	id := r.Header.Get("Attempt-Id")
 	body, err := io.Copy(io.Discard, r.Body)
 	if err != nil {
@@ -202,24 +226,10 @@
 		return
 	}
 	w.Header().Set("Attempt-Id", id)
-	if s.waiting.Load() >= queueLength {
-		w.Header().Set("Not-Executed", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	s.waiting.Add(1)
-	select {
-	case s.slot <- struct{}{}:
-		s.waiting.Add(-1)
-	case <-r.Context().Done():
-		s.waiting.Add(-1)
+	if !s.enter(w, r) {
 		return
 	}
-	s.running.Add(1)
-	defer func() {
-		s.running.Add(-1)
-		<-s.slot
-	}()
+	defer s.leave()
 	s.update(a, func() { a.ran = true })
 	s.p.rec.line("server %s (%s): runs %s from %s, body of %d bytes", s.name, s.zone, id, from, body)
 	select {
@@ -233,6 +243,35 @@
 	fmt.Fprintf(w, "answer of %s to %s", s.name, id)
 }
 
+// enter waits for a slot. It refuses r if the queue is full, and reports whether s may run it.
+func (s *server) enter(w http.ResponseWriter, r *http.Request) bool {
+	if s.waiting.Load() >= queueLength {
+		refuse(w)
+		return false
+	}
+	s.waiting.Add(1)
+	defer s.waiting.Add(-1)
+	select {
+	case s.slot <- struct{}{}:
+		s.running.Add(1)
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+// leave frees the slot that enter took.
+func (s *server) leave() {
+	s.running.Add(-1)
+	<-s.slot
+}
+
+// refuse answers that the request was not run.
+func refuse(w http.ResponseWriter) {
+	w.Header().Set("Not-Executed", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
 // coldFor returns how long the server stays cold.
 func (s *server) coldFor() time.Duration {
 	until := s.coldUntil.Load()
