review/stand: heads that come slowly, own deadlines of resends, ends by SIGHUP, readiness after the faults

The soak sends heads in parts, counts a resend's deadline from the resend, tells an end by SIGHUP right after a start apart, and looks whether all edges are ready 15 s after the last fault.

--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -99,6 +99,8 @@
 	// chunked is true if the body is sent in chunks, and pace the time over which its parts are sent.
 	chunked bool
 	pace    time.Duration
+	// headPace is the time before each half of the head.
+	headPace time.Duration
 	// readPace is the time between the parts that a slow client reads.
 	readPace time.Duration
 	// leave is the time after which the client gives up, or zero.
@@ -142,7 +144,7 @@
 
 // write sends the head and the body of r.
 func (c *connection) write(head string, r request) error {
-	if r.chunked || r.pace > 0 {
+	if r.chunked || r.pace > 0 || r.headPace > 0 {
 		return c.writeParts(head, r)
 	}
 	if r.method == http.MethodPost {
--- a/review/stand/soak.go
+++ b/review/stand/soak.go
@@ -20,6 +20,8 @@
 	soakQuiet = connectWindow + 2*time.Second
 	// soakLength is the time in which faults come, if LENGTH says nothing.
 	soakLength = 40 * time.Second
+	// recovery is the time after which all instances serve again.
+	recovery = 15 * time.Second
 	// watchInterval is the time between two looks at the processes.
 	watchInterval  = 200 * time.Millisecond
 	callersPerEdge = 8
@@ -129,9 +131,10 @@
 	asking, stopAsking := context.WithDeadline(ctx, end.Add(soakQuiet))
 	defer stopAsking()
 	var clients, others sync.WaitGroup
+	long := 2 + int(s.seed%10)
 	for n := range callersPerEdge * s.options.edges {
 		c := &caller{p: s.p, tries: &s.tries, r: rand.New(rand.NewPCG(s.seed, uint64(n))), zone: n % len(s.p.zones),
-			patient: n%3 == 0, keeps: n%8 < 4, pipes: n%8 > 5}
+			patient: n%3 == 0, keeps: n%8 < 4, pipes: n%8 > 5, long: long}
 		clients.Go(func() { c.run(asking) })
 	}
 	others.Go(func() { s.watch(asking) })
@@ -140,6 +143,9 @@
 	if trouble {
 		s.inject(faulty)
 	}
+	if err := s.p.awaitReady(ctx, recovery); err != nil {
+		s.finding("RECOVER", "%v %v after the last fault", err, recovery)
+	}
 	clients.Wait()
 	others.Wait()
 	return ctx.Err()
--- a/review/stand/soakcheck.go
+++ b/review/stand/soakcheck.go
@@ -133,7 +133,7 @@
 		return "by the client", nil
 	case e.sent.IsZero():
 		return "before it was sent", nil
-	case e.ended.Sub(e.began) >= e.asked.limit-lossSlack:
+	case e.ended.Sub(e.began) >= min(e.asked.limit, e.asked.wait)-lossSlack:
 		return "at the timeout", nil
 	case c.isDisrupted(e.to, e.began.Add(-connectWindow), e.ended):
 		return "at a disruption", nil
--- a/review/stand/soakclient.go
+++ b/review/stand/soakclient.go
@@ -26,6 +26,8 @@
 	longWork   = 2200 * time.Millisecond
 	mostAnswer = 3 << 20
 	mostBody   = 400_000
+	// mostHeadPace is the longest time before each half of a head. The configuration allows 3 s for a head.
+	mostHeadPace = 1200 * time.Millisecond
 	// bodyParts is the number of parts of a slow upload.
 	bodyParts = 8
 	// readPart is the number of bytes that a slow reader takes at once.
@@ -90,11 +92,12 @@
 // writeParts sends the head and the body of r in parts.
 func (c *connection) writeParts(head string, r request) error {
 	if r.chunked {
-		head += "Transfer-Encoding: chunked\r\n\r\n"
-	} else {
-		head += fmt.Sprintf("Content-Length: %d\r\n\r\n", len(r.body))
+		head += "Transfer-Encoding: chunked\r\n"
+	} else if r.method == http.MethodPost {
+		head += fmt.Sprintf("Content-Length: %d\r\n", len(r.body))
 	}
-	if _, err := io.WriteString(c, head); err != nil {
+	head += "\r\n"
+	if err := c.writeHead(head, r.headPace); err != nil {
 		return err
 	}
 	for n := range bodyParts {
@@ -118,6 +121,17 @@
 	return err
 }
 
+// writeHead sends a head in two parts, with the given time before each.
+func (c *connection) writeHead(head string, pace time.Duration) error {
+	for _, part := range []string{head[:len(head)/2], head[len(head)/2:]} {
+		time.Sleep(pace)
+		if _, err := io.WriteString(c, part); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // caller is a client of a soak.
 type caller struct {
 	p     *platform
@@ -127,6 +141,8 @@
 	// patient is true if it keeps an answer of the directory three times as long as that says, keeps if
 	// it uses a connection until that ends, and pipes if it pipelines.
 	patient, keeps, pipes bool
+	// long is one in how many of its requests takes long.
+	long int
 
 	list   []string
 	until  time.Time
@@ -170,7 +186,7 @@
 // draw returns a request.
 func (c *caller) draw() request {
 	work := 10*time.Millisecond + draw(c.r, 890*time.Millisecond)
-	if c.r.IntN(10) == 0 {
+	if c.r.IntN(c.long) == 0 {
 		work = longWork
 	}
 	q := request{host: bookHost, wait: soakWait, size: c.upTo(5_000, 300_000, mostAnswer)}
@@ -184,6 +200,9 @@
 		q.method, q.path, q.limit, q.unsafe = http.MethodPost, demandPath(bookPrefix, work, q.size), bookTimeout, true
 		c.drawBody(&q)
 	}
+	if !c.pipes && c.r.IntN(10) == 0 {
+		q.headPace = draw(c.r, mostHeadPace)
+	}
 	if !c.pipes && c.r.IntN(25) == 0 {
 		q.leave = time.Millisecond + draw(c.r, time.Second)
 	}
--- a/review/stand/soakfault.go
+++ b/review/stand/soakfault.go
@@ -35,6 +35,8 @@
 const (
 	// mostFaultGap is the longest time between the begins of two faults.
 	mostFaultGap = 900 * time.Millisecond
+	// startTime is the time that a process takes to start.
+	startTime = 40 * time.Millisecond
 	// mostFreeze is the longest time for which a process stands still.
 	mostFreeze = 5 * time.Second
 	// catchUp is the time after which a process of the core that is back counts as such.
@@ -105,7 +107,7 @@
 	}
 	s.stop(ctx, x, r)
 	if r.IntN(3) == 0 {
-		time.Sleep(draw(r, 100*time.Millisecond))
+		time.Sleep(draw(r, startTime))
 		s.hup(x)
 	}
 	if r.IntN(4) == 0 {
@@ -123,12 +125,32 @@
 	case 1:
 		further = []lateSignal{{syscall.SIGHUP, draw(r, time.Second)}, {syscall.SIGHUP, draw(r, 3*time.Second)}}
 	}
+	s.look(ctx, x)
 	d := s.begin("planned stop", true, x)
 	x.terminate(further)
+	s.lookAtEnd(x)
 	s.startAgain(ctx, x)
 	s.finish(d)
 }
 
+// lookAtEnd looks how a process has ended that was to stop.
+func (s *soakRun) lookAtEnd(x *process) {
+	w, ok := x.cmd.ProcessState.Sys().(syscall.WaitStatus)
+	switch {
+	case ok && w.Signaled() && w.Signal() == syscall.SIGHUP:
+		s.finding("ENDS", "%s was ended by SIGHUP before %.3f", x.name, s.rec.seconds(time.Now()))
+	case ok && w.Signaled():
+		s.did("stop ended by " + w.Signal().String())
+	}
+}
+
+// did counts something that was done.
+func (s *soakRun) did(what string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tally[what]++
+}
+
 // hup sends SIGHUP to x.
 func (s *soakRun) hup(x *process) {
 	s.mu.Lock()
@@ -222,10 +244,12 @@
 	moods := []mood{refuses, silent, resets, closes, cutsBody, cutsHead, slow, repeats}
 	n := r.IntN(len(moods) + 6)
 	if n < len(moods) {
+		s.did("server " + string(moods[n]))
 		s.rec.line("server %s: %s for %v", b.name, moods[n], d)
 		b.trouble.set(moods[n], d)
 		return
 	}
+	s.did([]string{"server crashes", "server drains", "server cold", "connections reset", "connections silent", "connections slow"}[n-len(moods)])
 	switch n - len(moods) {
 	case 0:
 		b.trouble.breakOff(time.Now().Add(crashTime))
