--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -128,6 +128,9 @@
 	if err != nil {
 		e.err = err
 	}
+	if err == nil && r.limit > 0 && c.reader.Buffered() > 0 {
+		e.got.wrong = "bytes follow the answer"
+	}
 	e.left = gone()
 	return e.finish(rec, r), err == nil && !closes && !e.sent.IsZero()
 }
--- a/review/stand/deployment.go
+++ b/review/stand/deployment.go
@@ -62,6 +62,8 @@
 	hold  sync.Mutex
 	cmd   *exec.Cmd
 	ended chan struct{}
+	// endedAt is when the process ended, set before ended is closed.
+	endedAt time.Time
 }
 
 // newPlatform makes a deployment with a core machine and a directory in each zone, and
@@ -100,7 +102,7 @@
 	}
 	for i := range edges {
 		zone := zones[i%len(zones)]
-		edge, err := p.newProcess(fmt.Sprintf("frontend-%s-%d", zone, i), "edge", fmt.Sprintf("%s.%d", p.net, 40+i), zone, seeds, "frontend")
+		edge, err := p.newProcess(fmt.Sprintf("frontend-%s-%d", zone, i), "edge", fmt.Sprintf("%s.%d", p.net, edgeHost(i)), zone, seeds, "frontend")
 		if err != nil {
 			return nil, err
 		}
@@ -109,6 +111,15 @@
 	return p, nil
 }
 
+// edgeHost returns the last byte of the address of a frontend machine. Those of servers lie between
+// the first ones and the others.
+func edgeHost(i int) int {
+	if i < 60 {
+		return 40 + i
+	}
+	return 130 + i - 60
+}
+
 // program is the program that the deploy file runs.
 const program = "target/snipenode"
 
@@ -248,6 +259,7 @@
 	go func() {
 		err := cmd.Wait()
 		x.p.rec.line("platform: %s has ended: %v", x.name, err)
+		x.endedAt = time.Now()
 		close(ended)
 	}()
 	x.p.rec.line("platform: %s started", x.name)
--- a/review/stand/soak.go
+++ b/review/stand/soak.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -22,10 +23,17 @@
 	soakLength = 40 * time.Second
 	// recovery is the time after which all instances serve again.
 	recovery = 15 * time.Second
+	// ownEndSlack is the time after a start within which an end doesn't count as one by itself.
+	ownEndSlack = time.Second
 	// watchInterval is the time between two looks at the processes.
-	watchInterval  = 200 * time.Millisecond
-	callersPerEdge = 8
-	soakSlots      = 40
+	watchInterval = 200 * time.Millisecond
+	// callersPerEdge is the number of clients for each edge, up to mostCallers in all.
+	callersPerEdge = 12
+	mostCallers    = 300
+	// mostEdges is the number of edges for which there are addresses.
+	mostEdges = 180
+	// soakSlots is the number of requests that a server runs at once.
+	soakSlots = 40
 )
 
 // options are those of a soak.
@@ -47,7 +55,7 @@
 	if err != nil {
 		length = soakLength
 	}
-	return options{seed: number("SEED", 1), length: length, edges: int(number("EDGES", 9))}
+	return options{seed: number("SEED", 1), length: length, edges: int(min(number("EDGES", 9), mostEdges))}
 }
 
 // disruption is what a soak did to a process. A planned one begins with SIGTERM.
@@ -132,7 +140,7 @@
 	defer stopAsking()
 	var clients, others sync.WaitGroup
 	long := 2 + int(s.seed%10)
-	for n := range callersPerEdge * s.options.edges {
+	for n := range min(callersPerEdge*s.options.edges, mostCallers) {
 		c := &caller{p: s.p, tries: &s.tries, r: rand.New(rand.NewPCG(s.seed, uint64(n))), zone: n % len(s.p.zones),
 			patient: n%3 == 0, keeps: n%8 < 4, pipes: n%8 > 5, long: long}
 		clients.Go(func() { c.run(asking) })
@@ -168,7 +176,7 @@
 func (s *soakRun) look(ctx context.Context, x *process) {
 	select {
 	case <-x.ended:
-		s.finding("ENDS", "%s has ended by itself before %.3f", x.name, s.rec.seconds(time.Now()))
+		s.endedByItself(x)
 		d := s.begin("ended by itself", false, x)
 		if err := x.start(ctx); err != nil {
 			s.rec.line("platform: %v", err)
@@ -184,6 +192,20 @@
 	}
 }
 
+// endedByItself reports a process that has ended by itself, unless it had only just started.
+func (s *soakRun) endedByItself(x *process) {
+	s.mu.Lock()
+	started := slices.ContainsFunc(s.disruptions, func(d *disruption) bool {
+		return d.x == x && !d.to.IsZero() && x.endedAt.Sub(d.to) < ownEndSlack
+	})
+	s.mu.Unlock()
+	if started {
+		s.did("end at a start")
+		return
+	}
+	s.finding("ENDS", "%s has ended by itself at %.3f: %v", x.name, s.rec.seconds(x.endedAt), x.cmd.ProcessState)
+}
+
 // kill kills x and starts it again.
 func (s *soakRun) kill(ctx context.Context, x *process) {
 	x.signal(syscall.SIGKILL)
--- a/review/stand/soakcheck.go
+++ b/review/stand/soakcheck.go
@@ -166,12 +166,12 @@
 // plannedAround returns the planned work within which the connection of e ended: a stop, or a
 // SIGHUP.
 func (c *checker) plannedAround(e exchange) *disruption {
-	for _, d := range c.disruptions {
+	for _, d := range slices.Backward(c.disruptions) {
 		if d.x.ip == e.to && d.planned && !e.ended.Before(d.from) && e.ended.Sub(d.from) <= grace+time.Second {
 			return d
 		}
 	}
-	for _, d := range c.hups {
+	for _, d := range slices.Backward(c.hups) {
 		if d.x.ip == e.to && !e.ended.Before(d.from) && e.sent.Sub(d.from) <= applyTime {
 			return &d
 		}
--- a/review/stand/soakfault.go
+++ b/review/stand/soakfault.go
@@ -138,7 +138,7 @@
 	w, ok := x.cmd.ProcessState.Sys().(syscall.WaitStatus)
 	switch {
 	case ok && w.Signaled() && w.Signal() == syscall.SIGHUP:
-		s.finding("ENDS", "%s was ended by SIGHUP before %.3f", x.name, s.rec.seconds(time.Now()))
+		s.endedByItself(x)
 	case ok && w.Signaled():
 		s.did("stop ended by " + w.Signal().String())
 	}
