--- a/review/stand/soakcheck.go
+++ b/review/stand/soakcheck.go
@@ -141,7 +141,7 @@
 		return "and not passed on", nil
 	}
 	for _, a := range arrivals {
-		if a.broke || during(a.server.trouble.outages, a.at.Add(-cutTime), e.ended) {
+		if a.broke || a.server.trouble.brokeOff(a.at.Add(-cutTime), e.ended) {
 			return "by the server", nil
 		}
 		if planned != nil && planned.planned && a.ran && e.sent.Sub(planned.from) <= lastSend && a.until.Sub(planned.from) >= grace*5/6 {
@@ -203,17 +203,9 @@
 				c.report("UNASKED", e, fmt.Sprintf("%s got %s %s %s", a.server.name, a.got.method, a.got.host, a.got.uri))
 			case c.isOut(a.server.zone, a.at) && !c.isDisrupted(e.to, a.at.Add(-connectWindow), a.at):
 				c.report("EVAC", e, a.server.zone+" was out of service")
-			case c.isDrained(a) && c.inTouch(e.to, a.at):
+			case a.server.trouble.wasLeaving(a.at) && c.inTouch(e.to, a.at):
 				c.report("DRAIN", e, a.server.name+" was leaving")
 			}
 		}
 	}
 }
-
-// isDrained reports whether a reached a server later than drainTime after the acknowledgement that it
-// leaves.
-func (c *checker) isDrained(a arrival) bool {
-	t := a.server.trouble
-	return slices.ContainsFunc(t.drains, func(d span) bool { return a.at.After(d.from.Add(drainTime)) && a.at.Before(d.to) }) ||
-		!t.left.IsZero() && a.at.After(t.left.Add(drainTime))
-}
--- a/review/stand/soakserver.go
+++ b/review/stand/soakserver.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -133,14 +134,22 @@
 	t.outages = append(t.outages, span{time.Now(), until})
 }
 
-// during reports whether one of the spans overlaps the given one.
-func during(list []span, from, to time.Time) bool {
-	for _, v := range list {
-		if v.from.Before(to) && v.to.After(from) {
-			return true
-		}
+// brokeOff reports whether the server or its connections broke off between the two times.
+func (t *trouble) brokeOff(from, to time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.ContainsFunc(t.outages, func(v span) bool { return v.from.Before(to) && v.to.After(from) })
+}
+
+// wasLeaving reports whether the server had been acknowledged to leave drainTime before the given
+// time, and had not started again.
+func (t *trouble) wasLeaving(at time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.left.IsZero() && at.After(t.left.Add(drainTime)) {
+		return true
 	}
-	return false
+	return slices.ContainsFunc(t.drains, func(v span) bool { return at.After(v.from.Add(drainTime)) && at.Before(v.to) })
 }
 
 // serveTroubled serves r as the trouble of s has it. The path tells how long s works and how
