--- a/review/stand/pipeline.go
+++ b/review/stand/pipeline.go
@@ -118,8 +118,26 @@
 			return
 		}
 	}
-	for _, e := range open {
+	for _, e := range c.readRest(rec, tries, open) {
 		e.status, e.err = 0, err
 		tries.add(e.finish(rec, e.asked))
 	}
 }
+
+// readRest reads the answers that came before a write failed, for a client of a soak, and returns the
+// requests that have none.
+func (c *connection) readRest(rec *record, tries *attempts, open []exchange) []exchange {
+	for len(open) > 0 && open[0].asked.limit > 0 {
+		closes, err := c.readAnswer(&open[0])
+		if err != nil {
+			return open
+		}
+		tries.add(open[0].finish(rec, open[0].asked))
+		open = open[1:]
+		if closes {
+			tries.skip(open)
+			return nil
+		}
+	}
+	return open
+}
