review/stand: more clients of a soak come over new connections, and keep addresses longer

Lost requests on new connections need clients that hold an address for three times as long as they are told; the first mix had few, and found mostly pipelined ones.

--- a/review/stand/soak.go
+++ b/review/stand/soak.go
@@ -28,12 +28,12 @@
 	// watchInterval is the time between two looks at the processes.
 	watchInterval = 200 * time.Millisecond
 	// callersPerEdge is the number of clients for each edge, up to mostCallers in all.
-	callersPerEdge = 12
+	callersPerEdge = 16
 	mostCallers    = 300
 	// mostEdges is the number of edges for which there are addresses.
 	mostEdges = 180
 	// soakSlots is the number of requests that a server runs at once.
-	soakSlots = 40
+	soakSlots = 60
 )
 
 // options are those of a soak.
@@ -142,7 +142,7 @@
 	long := 2 + int(s.seed%10)
 	for n := range min(callersPerEdge*s.options.edges, mostCallers) {
 		c := &caller{p: s.p, tries: &s.tries, r: rand.New(rand.NewPCG(s.seed, uint64(n))), zone: n % len(s.p.zones),
-			patient: n%3 == 0, keeps: n%8 < 4, pipes: n%8 > 5, long: long}
+			patient: n%2 == 0, keeps: n%16 < 5, pipes: n%16 > 12, long: long}
 		clients.Go(func() { c.run(asking) })
 	}
 	others.Go(func() { s.watch(asking) })
