pipe: a stop doesn't take a connection for idle as soon as it is accepted

What callers could see: a connection that was opened to a stopping instance just before its listener closed was accepted, and closed as idle within 20 ms, before the request for which its caller had opened it was read.

Cause: a connection without a request counted as idle, however new. So the time in which a closing listener still accepts connections was of no use to most callers.

Evidence: TestNewConnectionIsNotIdle failed before ('0 connections are busy', 'closed pipe'). A connection on which nothing has come yet counts as idle 100 ms after it was accepted.

--- a/internal/entry/pipe/conn.go
+++ b/internal/entry/pipe/conn.go
@@ -7,12 +7,15 @@
 	"net"
 	"slices"
 	"sync"
+	"time"
 )
 
 // conn is a connection from a caller.
 type conn struct {
 	net.Conn
 	server *Server
+	// opened is when the connection was accepted.
+	opened time.Time
 	// source keeps the error of the last read.
 	source source
 	// limited bounds the bytes that reader reads for the header of a request.
@@ -32,6 +35,8 @@
 	staysOpen bool
 	// reading is true from the first byte of a request until it is admitted or dropped.
 	reading bool
+	// used is true from the first byte of the first request.
+	used bool
 	// stopped is true once no further request is read.
 	stopped bool
 }
@@ -146,11 +151,12 @@
 
 // closeIfIdle closes the connection if it has no pending request and none is being read,
 // and reports whether it did. A connection that closes after its last answer does so by
-// itself.
+// itself. One that has just been accepted isn't idle: its caller opened it for a request.
 func (c *conn) closeIfIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.pending) > 0 || c.closing || c.reading {
+	isNew := !c.used && time.Since(c.opened) < acceptTime
+	if len(c.pending) > 0 || c.closing || c.reading || isNew {
 		return false
 	}
 	c.closing = true
--- a/internal/entry/pipe/pipe.go
+++ b/internal/entry/pipe/pipe.go
@@ -35,7 +35,8 @@
 	// Server.WriteTimeout, in bytes.
 	writeChunkBytes = 64 << 10
 	// acceptTime is how long a listener that closes still accepts connections, so that
-	// none is reset that callers have opened before.
+	// none is reset that callers have opened before, and how long the first request of a
+	// connection may take to come before that counts as idle.
 	acceptTime = 100 * time.Millisecond
 	// stopRetryAfter is the Retry-After value, in seconds, of a request that isn't read
 	// since the instance stops.
@@ -238,7 +239,7 @@
 }
 
 func (s *Server) serveConn(ctx context.Context, nc net.Conn) {
-	c := &conn{Conn: nc, server: s}
+	c := &conn{Conn: nc, server: s, opened: time.Now()}
 	s.mu.Lock()
 	if s.conns == nil {
 		s.conns = map[*conn]bool{}
--- a/internal/entry/pipe/read.go
+++ b/internal/entry/pipe/read.go
@@ -99,7 +99,7 @@
 func (c *conn) beginReading() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reading = true
+	c.reading, c.used = true, true
 	return !c.stopped
 }
 
--- a/internal/entry/pipe/stop_test.go
+++ b/internal/entry/pipe/stop_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/snipefront/snipefront"
@@ -352,3 +353,32 @@
 		t.Errorf("got the answer of %s (close %v), want that of /2 (close true)", r.Header.Get("Path"), r.Close)
 	}
 }
+
+// TestNewConnectionIsNotIdle guards against a stop that closes a connection as idle as soon as
+// it is accepted, while the request for which its caller has opened it is on its way.
+func TestNewConnectionIsNotIdle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, far := serveOnPipe(t, handler(echo))
+		synctest.Wait()
+		s.Drain()
+		if n := s.CloseIdle(); n != 1 {
+			t.Errorf("%d connections are busy, want the new one", n)
+		}
+		ask(t, far, "/1")
+		if r, _ := read(t, bufio.NewReader(far)); r.Header.Get("Path") != "/1" || !r.Close {
+			t.Errorf("got the answer of %s (close %v), want that of /1 (close true)", r.Header.Get("Path"), r.Close)
+		}
+	})
+}
+
+// TestUnusedConnectionIsIdleSoon guards against a stop that waits for a connection on which no
+// request comes.
+func TestUnusedConnectionIsIdleSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, _ := serveOnPipe(t, handler(echo))
+		time.Sleep(time.Second)
+		if n := s.CloseIdle(); n != 0 {
+			t.Errorf("%d connections are busy, want none", n)
+		}
+	})
+}
