pipe, edge: a stop waits for the connections that its listener still accepts

What callers could see: a planned stop of an instance without other connections cut off the requests that came over a connection which its listener accepted last: a reset, or, where the request had been sent on already, an answer of the instance's own in place of the server's.

Cause: the listener accepts for 100 ms more once it closes, but the stop asked only whether a connection was left. If none was at that moment, it went on at once to the end of requests and connections. Class: a connection closed with a request on it.

Found by review. The stop asks for connections once none is accepted any more; each one is registered before that.

--- a/internal/daemon/edge/edge.go
+++ b/internal/daemon/edge/edge.go
@@ -242,9 +242,10 @@
 	e.awaitIdle(at(cutOffShare))
 }
 
-// awaitIdle closes idle connections until there is none left, or until the given time.
+// awaitIdle closes idle connections until there is none left and none comes, or until the
+// given time.
 func (e *Edge) awaitIdle(until time.Time) {
-	for e.server.CloseIdle() > 0 && time.Now().Before(until) {
+	for (e.server.Accepting() || e.server.CloseIdle() > 0) && time.Now().Before(until) {
 		time.Sleep(drainPollInterval)
 	}
 }
--- a/internal/entry/pipe/pipe.go
+++ b/internal/entry/pipe/pipe.go
@@ -107,6 +107,8 @@
 	listener net.Listener
 	// listenerCloses is true once CloseListener was called.
 	listenerCloses bool
+	// accepting is true while Serve accepts connections.
+	accepting bool
 	// cancel cancels all requests.
 	cancel context.CancelFunc
 	conns  map[*conn]bool
@@ -120,7 +122,7 @@
 	requests, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	s.mu.Lock()
-	s.listener, s.cancel = l, cancel
+	s.listener, s.cancel, s.accepting = l, cancel, true
 	s.mu.Unlock()
 	stop := context.AfterFunc(ctx, func() {
 		l.Close()
@@ -129,6 +131,7 @@
 	})
 	defer stop()
 	defer s.active.Wait()
+	defer s.stopAccepting()
 	for {
 		c, err := l.Accept()
 		switch {
@@ -136,7 +139,7 @@
 			s.serveConn(requests, c)
 		case errors.Is(err, net.ErrClosed):
 			return nil
-		case s.stopsAccepting(err):
+		case s.isEndOfAccepting(err):
 			l.Close()
 			return nil
 		case isTemporary(err):
@@ -169,9 +172,22 @@
 	}
 }
 
-// stopsAccepting reports whether err, of Accept, is the end of the time that CloseListener
+// Accepting reports whether Serve still accepts connections.
+func (s *Server) Accepting() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.accepting
+}
+
+func (s *Server) stopAccepting() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.accepting = false
+}
+
+// isEndOfAccepting reports whether err, of Accept, is the end of the time that CloseListener
 // has set.
-func (s *Server) stopsAccepting(err error) bool {
+func (s *Server) isEndOfAccepting(err error) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.listenerCloses && errors.Is(err, os.ErrDeadlineExceeded)
