bound: a body that its instance can't hold is refused as not run, not as too big

Cause: a body that is over what Memory can ever hold failed with ErrTooBig, as one over the limit of its sender does. It fails with ErrNoMemory now, which is a 503 of reason memory.

Evidence: TestBodyOverMemoryIsNotTooBig failed before. Found by review.

--- a/internal/rpc/bound/bound.go
+++ b/internal/rpc/bound/bound.go
@@ -24,12 +24,11 @@
 )
 
 // ReadBody reads a body of the given length, or up to its end if length is negative. It
-// fails with ErrTooBig as soon as there are more than most bytes, or more than Memory can
-// ever hold.
+// fails with ErrTooBig as soon as there are more than most bytes.
 //
 // It takes the memory for a known length before it reads, and else for what has arrived.
-// A long body waits for memory, and fails with ErrNoMemory if there is none in time. A
-// short one is not counted here.
+// A long body waits for memory, and fails with ErrNoMemory if there is none in time, or if
+// it is more than Memory can ever hold. A short one is not counted here.
 func (m *Memory) ReadBody(ctx context.Context, r io.Reader, length, most int64) ([]byte, error) {
 	if length > most {
 		return nil, ErrTooBig
@@ -97,7 +96,7 @@
 		larger = min(larger, m.Limit-size)
 	}
 	if larger <= size {
-		return nil, ErrTooBig
+		return nil, ErrNoMemory
 	}
 	return m.allocate(ctx, larger)
 }
--- a/internal/rpc/bound/bound_test.go
+++ b/internal/rpc/bound/bound_test.go
@@ -64,7 +64,7 @@
 	m := &bound.Memory{Limit: 4 << 20, Wait: time.Second}
 	for range 3 {
 		e := &endless{}
-		if _, err := m.ReadBody(t.Context(), e, -1, 16<<20); !errors.Is(err, bound.ErrTooBig) || e.read > 4<<20 {
+		if _, err := m.ReadBody(t.Context(), e, -1, 16<<20); !errors.Is(err, bound.ErrNoMemory) || e.read > 4<<20 {
 			t.Errorf("a body without an end: %v after %d bytes", err, e.read)
 		}
 	}
@@ -176,3 +176,15 @@
 	}
 	runtime.KeepAlive(long)
 }
+
+// TestBodyOverMemoryIsNotTooBig guards against a body within the limit of its sender that is
+// called too big, after which nobody sends it again, since this instance can't hold it.
+func TestBodyOverMemoryIsNotTooBig(t *testing.T) {
+	m := &bound.Memory{Limit: 1 << 20}
+	for _, length := range []int64{2 << 20, -1} {
+		_, err := m.ReadBody(t.Context(), bytes.NewReader(make([]byte, 2<<20)), length, 4<<20)
+		if !errors.Is(err, bound.ErrNoMemory) {
+			t.Errorf("a body of 2 MiB with length %d and 1 MiB of memory: %v, want %v", length, err, bound.ErrNoMemory)
+		}
+	}
+}
--- a/internal/rpc/bound/memory.go
+++ b/internal/rpc/bound/memory.go
@@ -132,7 +132,7 @@
 		return make([]byte, 0, size), nil
 	}
 	if size > m.Limit {
-		return nil, ErrTooBig
+		return nil, ErrNoMemory
 	}
 	if !m.take(ctx, &waiter{size: size, granted: make(chan struct{})}) {
 		return nil, ErrNoMemory
