pipe: a caller that reads slowly keeps no memory that other answers wait for

What callers could see: 504 for requests that had run, on an instance one of whose callers takes a part of a long answer every ten seconds. The deadline for an answer is one on progress since, so such a caller kept the memory for as long as it liked, and all other long answers waited for it up to their deadlines.

Evidence: TestSlowCallerHoldsNoMemoryThatOthersNeed failed before. While others wait, a long answer has WriteTimeout in all, as every answer had before. Found by review.

--- a/internal/entry/pipe/memory_test.go
+++ b/internal/entry/pipe/memory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -297,3 +298,42 @@
 		t.Errorf("%d bytes are still held", m.Used())
 	}
 }
+
+// TestSlowCallerHoldsNoMemoryThatOthersNeed guards against one caller that reads a long answer
+// slowly, while all others wait for the memory that the answer takes, up to their deadlines.
+func TestSlowCallerHoldsNoMemoryThatOthersNeed(t *testing.T) {
+	const length = 1 << 20
+	m := &bound.Memory{Limit: length}
+	h := handler(func(ctx context.Context, _ *pipe.Request) pipe.Answer {
+		body, err := m.ReadBody(ctx, bytes.NewReader(make([]byte, length)), length, length)
+		if err != nil {
+			t.Error(err)
+		}
+		return pipe.Answer{Status: http.StatusOK, Body: body}
+	})
+	_, far := serveServerOnPipe(t, &pipe.Server{Handler: h, Answers: m, WriteTimeout: 100 * time.Millisecond})
+	ask(t, far, "/1")
+	r, err := http.ReadResponse(bufio.NewReaderSize(far, 1), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Body.Close()
+	granted := make(chan error, 1)
+	go func() {
+		_, err := m.ReadBody(t.Context(), bytes.NewReader(make([]byte, length)), length, length)
+		granted <- err
+	}()
+	// The caller takes a part within each timeout, and all of it in over a second.
+	read := 0
+	for p := make([]byte, 32<<10); err == nil; time.Sleep(40 * time.Millisecond) {
+		var n int
+		n, err = io.ReadFull(r.Body, p)
+		read += n
+	}
+	if read == length {
+		t.Error("the slow caller got its whole answer while another waited for memory")
+	}
+	if err := <-granted; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/entry/pipe/write.go
+++ b/internal/entry/pipe/write.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/snipefront/snipefront/internal/rpc/bound"
 )
 
 // writeAnswers writes the answers in the order of exchanges until one of them closes
@@ -43,13 +45,22 @@
 	return true
 }
 
+// errSlowCaller is the error of an answer whose caller takes long for it while others wait
+// for the memory.
+var errSlowCaller = errors.New("caller reads too slowly while other answers wait for memory")
+
 // write writes the head and the body of an answer. It fails if the caller takes no further
-// part of it in time.
+// part of it in time or, while other answers wait for memory, not all of it.
 func (c *conn) write(head, body []byte) error {
 	c.writing.Lock()
 	defer c.writing.Unlock()
+	isLong := len(body) > bound.ShortBytes
+	begun := time.Now()
 	b := net.Buffers{head}
 	for {
+		if isLong && time.Since(begun) > c.server.writeTimeout() && c.server.Answers.Scarce() {
+			return errSlowCaller
+		}
 		n := min(len(body), writeChunkBytes)
 		if n > 0 {
 			b = append(b, body[:n])
