edge: a stop records only requests that get no answer as such

The lines and the count named all that was in flight when the stop ended, though most of these are answered a moment later since, and some twice. The number in flight stays on a line of its own; what is left without an answer afterwards is recorded. Found by review.

--- a/internal/daemon/edge/edge.go
+++ b/internal/daemon/edge/edge.go
@@ -237,9 +237,7 @@
 	time.Sleep(time.Until(at(closeListenerShare)))
 	e.server.CloseListener()
 	e.awaitIdle(at(drainShare))
-	e.reportCutOff()
-	e.server.CutOff()
-	e.awaitIdle(at(cutOffShare))
+	e.cutOff(at(cutOffShare))
 }
 
 // awaitIdle closes idle connections until there is none left and none comes, or until the
@@ -250,11 +248,13 @@
 	}
 }
 
-// reportCutOff records the requests that the stop leaves without an answer.
-func (e *Edge) reportCutOff() {
-	pending := e.server.Pending()
-	for _, r := range pending {
+// cutOff ends the requests that are still in flight, and waits for their answers until the
+// given time. It records those that get none.
+func (e *Edge) cutOff(until time.Time) {
+	e.logger.Info("requests in flight at the end of the stop", "instance", e.settings.Self.Name, "count", len(e.server.Pending()))
+	e.server.CutOff()
+	e.awaitIdle(until)
+	for _, r := range e.server.Pending() {
 		e.proxy.CutOff(r)
 	}
-	e.logger.Info("requests in flight at the end of the stop", "instance", e.settings.Self.Name, "count", len(pending))
 }
--- a/internal/entry/pipe/pipe.go
+++ b/internal/entry/pipe/pipe.go
@@ -103,6 +103,8 @@
 
 	uploads  uploads
 	draining atomic.Bool
+	// ended is true once all connections were closed with the end of Serve's context.
+	ended    atomic.Bool
 	mu       sync.Mutex
 	listener net.Listener
 	// listenerCloses is true once CloseListener was called.
@@ -232,8 +234,10 @@
 	return list
 }
 
+// unanswered tells the Observer of r, unless Serve has closed all connections: what was
+// pending then is known from Pending.
 func (s *Server) unanswered(r *Request, err error) {
-	if s.Observer != nil {
+	if s.Observer != nil && !s.ended.Load() {
 		s.Observer.Unanswered(r, err)
 	}
 }
@@ -247,6 +251,7 @@
 
 // closeAll closes all connections.
 func (s *Server) closeAll() {
+	s.ended.Store(true)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
