bound, pipe: names that say what is counted, one interface for the handler of callers

TakeShort, AddShort and ReturnShort in place of Hold, Add and Drop; RefuseForMemory joins Handler, since every handler refuses; the states of a connection, and what counts long bodies, are told where they begin. No change of behaviour.

--- a/internal/control/keeper/takeover.go
+++ b/internal/control/keeper/takeover.go
@@ -119,6 +119,8 @@
 	}
 	var ranks []fleet.Rank
 	for _, v := range list {
+		// An earlier heartbeat of n's own incarnation is replaced as usual, but for what it
+		// said of draining.
 		isOwn := v.Name == n.Name && v.Incarnation == n.Incarnation && v.Sequence < n.Sequence
 		if !isOwn && (v.Keeper != k.Self.Name || now.Sub(k.lastHeartbeat(now, v.Name)) < takeoverTime) {
 			return nil, false
--- a/internal/daemon/edge/build.go
+++ b/internal/daemon/edge/build.go
@@ -73,7 +73,7 @@
 }
 
 func newServer(bodies bound.Bodies, px *proxy.Proxy, logger *slog.Logger) *pipe.Server {
-	return &pipe.Server{Handler: px, Observer: px, Refuser: px, Bodies: bodies.Requests, Answers: bodies.Answers, Limits: px.Limits, Logger: logger}
+	return &pipe.Server{Handler: px, Observer: px, Bodies: bodies.Requests, Answers: bodies.Answers, Limits: px.Limits, Logger: logger}
 }
 
 // parts are the components of an Edge that fx builds.
--- a/internal/entry/calls/calls.go
+++ b/internal/entry/calls/calls.go
@@ -72,11 +72,11 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	arrived := time.Now()
 	held := heldBytes(req)
-	if h.Bodies.Answers.Full() || !h.Bodies.Requests.Hold(held) {
+	if h.Bodies.Answers.Full() || !h.Bodies.Requests.TakeShort(held) {
 		h.refuse(w, "unknown", h.noMemory(w, req))
 		return
 	}
-	defer h.Bodies.Requests.Drop(held)
+	defer h.Bodies.Requests.ReturnShort(held)
 	r, err := h.read(w, arrived, req)
 	if err != nil {
 		h.refuse(w, "unknown", err)
@@ -116,8 +116,8 @@
 // write sends a response and holds it until then.
 func (h *Handler) write(w http.ResponseWriter, method string, resp *snipefront.Response) {
 	if n := int64(cap(resp.Body)); n <= bound.ShortBytes {
-		h.Bodies.Answers.Add(n)
-		defer h.Bodies.Answers.Drop(n)
+		h.Bodies.Answers.AddShort(n)
+		defer h.Bodies.Answers.ReturnShort(n)
 	}
 	write(w, method, resp)
 	h.Bodies.Answers.Collect()
--- a/internal/entry/pipe/body.go
+++ b/internal/entry/pipe/body.go
@@ -16,19 +16,9 @@
 // goroutines and their buffers.
 const requestBytes = 8 << 10
 
-// Refuser answers requests that are refused before their bodies are read.
-type Refuser interface {
-	// RefuseUnread returns the answer to r, for which there is no memory.
-	RefuseUnread(r *http.Request) Answer
-}
-
 // noMemory returns the error of r, for which there is no memory, or none for its answer.
 func (s *Server) noMemory(r *http.Request) error {
-	a := Answer{Status: http.StatusServiceUnavailable}
-	if s.Refuser != nil {
-		a = s.Refuser.RefuseUnread(r)
-	}
-	return &refusal{request: r, answer: a}
+	return &refusal{request: r, answer: s.Handler.RefuseForMemory(r)}
 }
 
 // readContent reads the body of r, whose header has headerBytes, and returns the complete
@@ -37,7 +27,7 @@
 	if r.ContentLength > l.BodyBytes {
 		return nil, errBodyTooLarge
 	}
-	whole := &Request{Request: r, held: requestBytes + headerBytes + shortPart(r.ContentLength)}
+	whole := &Request{Request: r, taken: requestBytes + headerBytes + shortPart(r.ContentLength)}
 	if c.server.Answers.Full() || !c.server.hold(whole) {
 		return nil, c.server.noMemory(r)
 	}
@@ -54,7 +44,7 @@
 // hold takes what r holds beside a long body, and reports whether that is left. If it is not,
 // hold ends the uploads that are behind.
 func (s *Server) hold(r *Request) bool {
-	if s.Bodies.Hold(r.held) {
+	if s.Bodies.TakeShort(r.taken) {
 		return true
 	}
 	s.uploads.endBehind(time.Now())
@@ -106,8 +96,8 @@
 	r.Content = nil
 	s.Bodies.Collect()
 	if n := int64(cap(a.Body)); n <= bound.ShortBytes {
-		r.answerHeld = n
-		s.Answers.Add(n)
+		r.answerTaken = n
+		s.Answers.AddShort(n)
 	}
 	return a
 }
@@ -115,7 +105,7 @@
 // release returns what r and its answer hold.
 func (s *Server) release(r *Request) {
 	r.Content = nil
-	s.Bodies.Drop(r.held)
-	s.Answers.Drop(r.answerHeld)
+	s.Bodies.ReturnShort(r.taken)
+	s.Answers.ReturnShort(r.answerTaken)
 	s.Answers.Collect()
 }
--- a/internal/entry/pipe/conn.go
+++ b/internal/entry/pipe/conn.go
@@ -10,7 +10,10 @@
 	"time"
 )
 
-// conn is a connection from a caller.
+// conn is a connection from a caller. It is idle, or a request on it is being read, or requests
+// are pending: read, and not answered completely. While it is closing, it admits no further
+// request, and closes behind the answer to the last pending one. Then it is read on until the
+// caller closes it, too.
 type conn struct {
 	net.Conn
 	server *Server
--- a/internal/entry/pipe/pipe.go
+++ b/internal/entry/pipe/pipe.go
@@ -53,9 +53,9 @@
 	// Read is when the last byte of the request was read.
 	Read time.Time
 
-	// held is what the request takes of Server.Bodies, and answerHeld what its answer
+	// taken is what the request takes of Server.Bodies, and answerTaken what its answer
 	// takes of Server.Answers, in bytes.
-	held, answerHeld int64
+	taken, answerTaken int64
 }
 
 // Answer is the response to a request.
@@ -72,6 +72,8 @@
 	// Refuse returns the answer to a request that is refused before its body is read, and
 	// reports whether it is.
 	Refuse(r *http.Request) (Answer, bool)
+	// RefuseForMemory returns the answer to r, for which there is no memory.
+	RefuseForMemory(r *http.Request) Answer
 	// Handle returns the answer to a request that was read. It returns soon once ctx ends.
 	Handle(ctx context.Context, r *Request) Answer
 }
@@ -88,9 +90,6 @@
 	Handler Handler
 	// Observer may be nil.
 	Observer Observer
-	// Refuser answers requests that are refused unread. If it is nil, they get status 503
-	// alone.
-	Refuser Refuser
 	// Bodies bounds the requests of all connections, and Answers the answers until they are
 	// written. Nil sets no bound.
 	Bodies, Answers *bound.Memory
--- a/internal/entry/pipe/pipe_test.go
+++ b/internal/entry/pipe/pipe_test.go
@@ -24,6 +24,11 @@
 // Refuse implements pipe.Handler.
 func (h handler) Refuse(*http.Request) (pipe.Answer, bool) { return pipe.Answer{}, false }
 
+// RefuseForMemory implements pipe.Handler.
+func (h handler) RefuseForMemory(*http.Request) pipe.Answer {
+	return pipe.Answer{Status: http.StatusServiceUnavailable}
+}
+
 // Handle implements pipe.Handler.
 func (h handler) Handle(ctx context.Context, r *pipe.Request) pipe.Answer { return h(ctx, r) }
 
--- a/internal/entry/proxy/memory.go
+++ b/internal/entry/proxy/memory.go
@@ -9,8 +9,8 @@
 	"github.com/snipefront/snipefront/internal/rpc/bound"
 )
 
-// RefuseUnread implements pipe.Refuser.
-func (p *Proxy) RefuseUnread(r *http.Request) pipe.Answer {
+// RefuseForMemory implements pipe.Handler.
+func (p *Proxy) RefuseForMemory(r *http.Request) pipe.Answer {
 	id := r.Header.Get(p.Fields.RequestID)
 	p.Logger.Info("no memory for the request; answering with 503 and closing the connection", "request", id, "host", r.Host,
 		"path", r.URL.EscapedPath(), "bytes", r.ContentLength)
--- a/internal/entry/proxy/memory_test.go
+++ b/internal/entry/proxy/memory_test.go
@@ -36,7 +36,7 @@
 	p := newProxy(t, nil)
 	var log bytes.Buffer
 	p.Logger = slog.New(slog.NewTextHandler(&log, nil))
-	if a := p.RefuseUnread(request(t, "/p/1").Request); !isMemoryRefusal(t, a) {
+	if a := p.RefuseForMemory(request(t, "/p/1").Request); !isMemoryRefusal(t, a) {
 		t.Errorf("the refusal is %+v", a)
 	}
 	if !strings.Contains(log.String(), "request=7") {
--- a/internal/rpc/bound/bound_test.go
+++ b/internal/rpc/bound/bound_test.go
@@ -163,15 +163,15 @@
 		t.Fatal(err)
 	}
 	for n := range 2 {
-		if !m.Hold(bound.ShortBytes) {
+		if !m.TakeShort(bound.ShortBytes) {
 			t.Errorf("short body %d is refused beside a long one", n)
 		}
 	}
-	if !m.Full() || m.Hold(1) {
+	if !m.Full() || m.TakeShort(1) {
 		t.Error("short bodies take more than their reserve")
 	}
-	m.Drop(bound.ShortBytes)
-	if m.Full() || !m.Hold(bound.ShortBytes) {
+	m.ReturnShort(bound.ShortBytes)
+	if m.Full() || !m.TakeShort(bound.ShortBytes) {
 		t.Error("the memory of a short body is not free after its end")
 	}
 	runtime.KeepAlive(long)
--- a/internal/rpc/bound/memory.go
+++ b/internal/rpc/bound/memory.go
@@ -19,7 +19,9 @@
 // Nil sets no bound.
 //
 // A long body counts from before its buffer is allocated until the garbage collector has
-// freed it, since until then it takes memory, whoever has used it last.
+// freed it, since until then it takes memory, whoever has used it last: ReadBody takes the
+// memory, and nobody returns it. Short bodies are many, so their users count them: TakeShort
+// or AddShort, then ReturnShort.
 type Memory struct {
 	// Limit is what the buffers of all long bodies may take, in bytes.
 	Limit int64
@@ -56,8 +58,9 @@
 	wake chan struct{}
 }
 
-// Hold takes n bytes for a short body and reports whether they are left. Drop returns them.
-func (m *Memory) Hold(n int64) bool {
+// TakeShort takes n bytes for a short body and reports whether they are left. ReturnShort
+// returns them.
+func (m *Memory) TakeShort(n int64) bool {
 	if m == nil {
 		return true
 	}
@@ -70,9 +73,9 @@
 	return true
 }
 
-// Add takes n bytes for a short body that exists already, even if they are not left. Drop
-// returns them.
-func (m *Memory) Add(n int64) {
+// AddShort takes n bytes for a short body that exists already, even if they are not left.
+// ReturnShort returns them.
+func (m *Memory) AddShort(n int64) {
 	if m == nil {
 		return
 	}
@@ -81,8 +84,8 @@
 	m.short += n
 }
 
-// Drop returns n bytes of short bodies.
-func (m *Memory) Drop(n int64) {
+// ReturnShort returns n bytes of short bodies.
+func (m *Memory) ReturnShort(n int64) {
 	if m == nil {
 		return
 	}
@@ -163,7 +166,8 @@
 	return buf
 }
 
-// Collect has the memory of bodies that are done with collected, if others wait for it.
+// Collect runs the garbage collector soon, if bodies wait for memory. Users call it when
+// they are done with a long body.
 func (m *Memory) Collect() {
 	if m == nil {
 		return
