--- a/internal/entry/pipe/pipe.go
+++ b/internal/entry/pipe/pipe.go
@@ -38,9 +38,6 @@
 	// none is reset that callers have opened before, and how long the first request of a
 	// connection may take to come before that counts as idle.
 	acceptTime = 100 * time.Millisecond
-	// stopRetryAfter is the Retry-After value, in seconds, of a request that isn't read
-	// since the instance stops.
-	stopRetryAfter = "0.02"
 	// defaultWriteTimeout is the WriteTimeout of a Server that sets none.
 	defaultWriteTimeout = 10 * time.Second
 )
--- a/internal/entry/pipe/read.go
+++ b/internal/entry/pipe/read.go
@@ -6,9 +6,12 @@
 	"math"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/snipefront/snipefront/internal/entry/drain"
 )
 
 const (
@@ -171,7 +174,7 @@
 	switch {
 	case errors.Is(err, errStopping), c.isStopped():
 		a.Status = http.StatusServiceUnavailable
-		a.Header = http.Header{"Retry-After": {stopRetryAfter}}
+		a.Header = http.Header{"Retry-After": {strconv.FormatFloat(drain.RetryAfter.Seconds(), 'f', 3, 64)}}
 	case errors.Is(err, errHeaderTooLarge):
 		a.Status = http.StatusRequestHeaderFieldsTooLarge
 	case errors.Is(err, errBodyTooLarge):
