alive, keeper: an order is proposed only if its caller certainly waits

What callers saw: two data centres out of service got requests again, for good. The order to end their evacuation had been held up on its way for 4 s, its caller had left after a second, had got the acknowledgement from another instance and had evacuated them again; then the held order was applied.

Cause: a control instance took the caller of an order for gone if its connection was closed within 20 ms of the read, or the process had stalled. An order whose bytes come late to a process that ran all the while, and whose close comes later still, looks new. That is a fixed time in place of certainty.

Change: before it proposes an order, an instance sends the interim response 100 and waits until the caller's machine has acknowledged it, as the system tells. The machine of a caller that has closed its connection resets it instead, whatever happened to the close. The index that makes an order stale is taken before that, so whatever the caller orders after it waited goes before. For the first order of a connection its second counts from when it was accepted. The 20 ms remain, for an intermediary that acknowledges in its caller's place, as does the stall detector, for systems that don't tell.

What is left is a relay that dials late, takes the interim response for a caller that has left, and keeps the connection open: nothing that reaches the instance tells that from a caller that waits.

Tests, seen failing without the mend: with the 20 ms alone TestCloseThatIsHeldUpIsNoticed; with the time from the read alone TestFirstCallCountsFromConnection and, over real connections, TestOrderHeldUpOnItsWayIsNotAcknowledged (200 in place of 503); without the question TestOrderThatArrivesLateIsNotProposed, TestOvertakenOrderIsConfirmedAgain; with the index taken after the answer TestOrdersDuringConfirmationMakeOrderStale; without the 20 ms TestOrderWithoutCallerIsNotProposed, which asks as much as before and has one more row.

--- a/internal/control/keeper/keeper_test.go
+++ b/internal/control/keeper/keeper_test.go
@@ -271,7 +271,7 @@
 func TestUncommittedChangeReturnsError(t *testing.T) {
 	k, _ := newKeeper()
 	k.Submit = unreachable{}
-	if err := k.Serve(t.Context(), fleet.Serve{DataCentre: "dc1", Out: true}); !errors.Is(err, keeper.ErrUncommitted) {
+	if err := k.Serve(t.Context(), fleet.Serve{DataCentre: "dc1", Out: true}, patient()); !errors.Is(err, keeper.ErrUncommitted) {
 		t.Errorf("the error is %v, want ErrUncommitted", err)
 	}
 	if err := k.Heartbeat(t.Context(), server(1)); !errors.Is(err, keeper.ErrUncommitted) {
--- a/internal/daemon/serve/serve.go
+++ b/internal/daemon/serve/serve.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/snipefront/snipefront/internal/rpc/alive"
 )
 
 const (
@@ -58,6 +60,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnContext:       alive.Context,
 		ErrorLog:          slog.NewLogLogger(g.Logger.Handler(), slog.LevelDebug),
 	}
 	g.Go(ctx, name, func(ctx context.Context) error {
--- /dev/null
+++ b/internal/rpc/alive/alive.go
@@ -0,0 +1,124 @@
+// Package alive finds out whether the caller of an HTTP call still waits for its answer. A
+// call may reach its handler long after its caller has given up and made other calls: the
+// process has read it late, or its bytes were held up on their way. The end of the connection
+// may be held up for longer, so no time without it shows that the caller waits.
+//
+// An interim response does: the machine of a caller that has closed its connection resets it,
+// and that of a caller that waits acknowledges the bytes.
+package alive
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/snipefront/snipefront/internal/clock/timer"
+)
+
+// pollInterval is the time between two looks at a connection.
+const pollInterval = 2 * time.Millisecond
+
+// ErrUncertain means that the caller has closed its connection, or that its machine hasn't
+// acknowledged the interim response.
+var ErrUncertain = errors.New("the caller may have left")
+
+// connKey is the key of a connection in the context of its calls.
+type connKey struct{}
+
+// conn is a connection from callers.
+type conn struct {
+	net.Conn
+	accepted time.Time
+	// used is true from the first call on the connection.
+	used atomic.Bool
+}
+
+// Context is the ConnContext of an http.Server whose handlers use Of.
+func Context(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, &conn{Conn: c, accepted: time.Now()})
+}
+
+// Caller is the caller of one call.
+type Caller struct {
+	// conn is nil if nothing is known of the connection.
+	conn     *conn
+	response http.ResponseWriter
+	since    time.Time
+	// interim is true if the caller takes interim responses.
+	interim bool
+}
+
+// Of returns the caller of r, which is answered with w. It must be called once for each call.
+func Of(w http.ResponseWriter, r *http.Request) *Caller {
+	c := &Caller{response: w, since: time.Now(), interim: r.ProtoAtLeast(1, 1)}
+	c.conn, _ = r.Context().Value(connKey{}).(*conn)
+	if c.conn != nil && !c.conn.used.Swap(true) {
+		c.since = c.conn.accepted
+	}
+	return c
+}
+
+// Since returns an instant since which the caller has waited, at least. A caller opens a
+// connection for its first call, so that counts from there.
+func (c *Caller) Since() time.Time { return c.since }
+
+// Confirm returns nil once it is certain that the caller has waited for its answer at some
+// instant since Confirm was called. It returns ErrUncertain if the caller has left or ctx ends
+// before. The caller gets an interim response, which HTTP/1.1 has it ignore. Nothing is known of
+// a caller that takes none, or if the system doesn't tell the state of a connection: Confirm then
+// returns nil at once.
+func (c *Caller) Confirm(ctx context.Context) error {
+	if !c.interim {
+		return nil
+	}
+	c.response.WriteHeader(http.StatusContinue)
+	for ctx.Err() == nil {
+		s, err := c.conn.state()
+		switch {
+		case err != nil:
+			return nil
+		case s.closed:
+			return ErrUncertain
+		case s.acknowledged:
+			return nil
+		}
+		timer.Sleep(ctx, pollInterval)
+	}
+	return ErrUncertain
+}
+
+// state is what the system knows of a connection.
+type state struct {
+	// closed is true if either end has closed or reset the connection.
+	closed bool
+	// acknowledged is true if the other end has acknowledged all bytes that were written.
+	acknowledged bool
+}
+
+var errUnknownState = errors.New("the system doesn't tell the state of the connection")
+
+// state returns the state of c, or an error if the system doesn't tell it.
+func (c *conn) state() (state, error) {
+	if c == nil {
+		return state{}, errUnknownState
+	}
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return state{}, errUnknownState
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return state{closed: true}, nil
+	}
+	var s state
+	var stateErr error
+	if err := raw.Control(func(fd uintptr) { s, stateErr = socketState(int(fd)) }); err != nil {
+		return state{closed: true}, nil
+	}
+	return s, stateErr
+}
--- a/internal/stand/relay/relay.go
+++ b/internal/stand/relay/relay.go
@@ -8,6 +8,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -20,6 +21,8 @@
 type Relay struct {
 	net.Listener
 	address string
+	// hold is how long the first bytes of a client are held up.
+	hold time.Duration
 
 	mu sync.Mutex
 	// halfOpen has a flag for each connection since the start.
@@ -30,13 +33,17 @@
 
 // Start returns a relay that listens on a free loopback port and forwards to address.
 // After Close, it accepts no new connections; open ones continue.
-func Start(address string) (*Relay, error) {
+func Start(address string) (*Relay, error) { return StartSlow(address, 0) }
+
+// StartSlow returns a relay as Start does. It opens the connection to address at once, and
+// holds up what the client sends, and the end of its connection, for the given time.
+func StartSlow(address string, hold time.Duration) (*Relay, error) {
 	var c net.ListenConfig
 	l, err := c.Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for relay")
 	}
-	r := &Relay{Listener: l, address: address}
+	r := &Relay{Listener: l, address: address, hold: hold}
 	go r.serve()
 	return r, nil
 }
@@ -89,6 +96,7 @@
 	r.halfOpen = append(r.halfOpen, halfOpen)
 	r.mu.Unlock()
 	go func() {
+		time.Sleep(r.hold)
 		copyBytes(server, client, halfOpen)
 		r.mu.Lock()
 		defer r.mu.Unlock()
