drain: late in a long stop, no request is taken by an estimate

Cause: for half of the stop a request whose deadline is later than its end is taken if twice the slowest recent answer of its route fits. A request that takes longer than the recent ones is cut off at the end.

Change: estimates count for 3 s at most. By then most callers have newer addresses, so few requests are refused for it, and these find another instance.

--- a/internal/entry/drain/drain.go
+++ b/internal/entry/drain/drain.go
@@ -2,9 +2,8 @@
 // that are answered before it ends. All others are refused, so that their callers send them
 // to another instance at once.
 //
-// A request is over at its deadline at the latest. In the first half of a stop, in which most
-// callers still hold the address of the instance, the slowest recent answer of its workload
-// counts, too: most deadlines are far longer than what the work takes.
+// A request is over at its deadline at the latest. While most callers still hold the
+// address of the instance, the slowest recent answer of its workload counts, too: most deadlines are far longer than what the work takes.
 package drain
 
 import (
@@ -19,6 +18,9 @@
 	// slowestFactor is the multiple of the slowest answer of its workload that a request may
 	// take.
 	slowestFactor = 2
+	// estimateTime is the time from the begin of a stop in which the slowest answer of a
+	// workload counts, at most: by then most callers have newer addresses.
+	estimateTime = 3 * time.Second
 )
 
 // Gate admits requests. Its zero value admits all until Stop.
@@ -37,7 +39,7 @@
 
 // Stop begins a planned stop that ends at the given time.
 func (g *Gate) Stop(now, end time.Time) {
-	g.stop.Store(&stop{certain: now.Add(end.Sub(now) / 2), end: end})
+	g.stop.Store(&stop{certain: now.Add(min(end.Sub(now)/2, estimateTime)), end: end})
 }
 
 // Admits reports whether a request of a workload, with its deadline, is answered before a
