drain, proxy, calls: a stop takes a request that may run only once only if that is certainly over in time

What callers saw: bookings sent in the first 2.8 s after SIGTERM, with a deadline later than the end of the stop, got 504 at that end while their backend server worked: they couldn't know whether they had been made.

Cause: in the first half of a stop, any request is taken if twice the slowest recent answer of its route fits. That is an estimate. If it is wrong, the caller of an idempotent request sends it again; that of another one can't.

Change: what may run only once is taken only if its deadline is before the end of the stop. All others of its kind are refused at once, truly, and find another instance. With cells an idempotency key makes a request idempotent here.

TestStopTakesNothingLateThatMayOutlastIt/may_run_only_once,_at_the_begin and TestStoppingInstanceRefusesWhatOutlastsIt (calls) fail without it. TestScripts/stop passes.

--- a/internal/entry/calls/calls_test.go
+++ b/internal/entry/calls/calls_test.go
@@ -286,33 +286,40 @@
 
 // TestStoppingInstanceRefusesWhatOutlastsIt guards against requests that an instance takes
 // during its planned stop although they may last longer than the rest of it, and against
-// refusing those of a service that answers soon, whatever timeout their callers set.
+// refusing those of a service that answers soon, whatever timeout their callers set, unless one
+// may run only once.
 func TestStoppingInstanceRefusesWhatOutlastsIt(t *testing.T) {
 	c := &snipefront.Config{Services: map[string]snipefront.Service{"quick": {Deadline: time.Hour}, "unknown": {Deadline: time.Hour}}}
 	rec := &recorder{response: &snipefront.Response{Status: http.StatusOK}}
 	h := &calls.Handler{Next: rec, Config: func() *snipefront.Config { return c }, Ready: func() bool { return true }, MaxBodyBytes: 100, Counter: discardCounter{}}
-	ask := func(service, timeout string) *httptest.ResponseRecorder {
-		r := httptest.NewRequest(http.MethodGet, "/"+service+"/1", nil)
+	ask := func(method, service, timeout, key string) *httptest.ResponseRecorder {
+		r := httptest.NewRequest(method, "/"+service+"/1", nil)
 		if timeout != "" {
 			r.Header.Set(calls.TimeoutHeader, timeout)
 		}
+		if key != "" {
+			r.Header.Set(calls.IdempotencyKeyHeader, key)
+		}
 		w := httptest.NewRecorder()
 		h.ServeHTTP(w, r)
 		return w
 	}
-	ask("quick", "")
+	ask(http.MethodGet, "quick", "", "")
 	h.Stop(time.Now(), time.Now().Add(time.Minute))
 	for _, c := range []struct {
-		service, timeout string
-		want             int
+		method, service, timeout, key string
+		want                          int
 	}{
-		{"unknown", "", http.StatusServiceUnavailable},
-		{"unknown", "120000", http.StatusServiceUnavailable},
-		{"unknown", "10", http.StatusOK},
-		{"quick", "", http.StatusOK},
+		{http.MethodGet, "unknown", "", "", http.StatusServiceUnavailable},
+		{http.MethodGet, "unknown", "120000", "", http.StatusServiceUnavailable},
+		{http.MethodGet, "unknown", "10", "", http.StatusOK},
+		{http.MethodGet, "quick", "", "", http.StatusOK},
+		{http.MethodPost, "quick", "", "", http.StatusServiceUnavailable},
+		{http.MethodPost, "quick", "10", "", http.StatusOK},
+		{http.MethodPost, "quick", "", "key", http.StatusOK},
 	} {
 		forwarded := len(rec.requests())
-		w := ask(c.service, c.timeout)
+		w := ask(c.method, c.service, c.timeout, c.key)
 		if sent := len(rec.requests()) > forwarded; w.Code != c.want || sent != (c.want == http.StatusOK) {
 			t.Errorf("%s, timeout %q: status %d, forwarded: %v; want status %d", c.service, c.timeout, w.Code, sent, c.want)
 		}
--- a/internal/entry/drain/drain.go
+++ b/internal/entry/drain/drain.go
@@ -2,8 +2,10 @@
 // that are answered before it ends. All others are refused, so that their callers send them
 // to another instance at once.
 //
-// A request is over at its deadline at the latest. While most callers still hold the
-// address of the instance, the slowest recent answer of its workload counts, too: most deadlines are far longer than what the work takes.
+// A request is over at its deadline at the latest. While most callers still hold the address of
+// the instance, the slowest recent answer of its workload counts, too, if the request is
+// idempotent: most deadlines are far longer than what the work takes, and a caller sends again
+// what takes longer. Of a request that may run only once, it couldn't know whether it has.
 package drain
 
 import (
@@ -23,6 +25,15 @@
 	estimateTime = 3 * time.Second
 )
 
+// Work is a request as a Gate sees it.
+type Work struct {
+	// Workload names the requests that take similarly long.
+	Workload string
+	// Deadline is when the request is over at the latest.
+	Deadline   time.Time
+	Idempotent bool
+}
+
 // Gate admits requests. Its zero value admits all until Stop.
 type Gate struct {
 	stop    atomic.Pointer[stop]
@@ -42,17 +53,16 @@
 	g.stop.Store(&stop{certain: now.Add(min(end.Sub(now)/2, estimateTime)), end: end})
 }
 
-// Admits reports whether a request of a workload, with its deadline, is answered before a
-// planned stop ends.
-func (g *Gate) Admits(now time.Time, workload string, deadline time.Time) bool {
+// Admits reports whether w is answered before a planned stop ends, if it begins now.
+func (g *Gate) Admits(now time.Time, w Work) bool {
 	s := g.stop.Load()
-	if s == nil || !deadline.After(s.end) {
+	if s == nil || !w.Deadline.After(s.end) {
 		return true
 	}
-	if !now.Before(s.certain) {
+	if !w.Idempotent || !now.Before(s.certain) {
 		return false
 	}
-	taken := g.slowest.of(now, workload)
+	taken := g.slowest.of(now, w.Workload)
 	return taken > 0 && !now.Add(slowestFactor*taken).After(s.end)
 }
 
--- a/internal/entry/proxy/proxy.go
+++ b/internal/entry/proxy/proxy.go
@@ -164,12 +164,11 @@
 	h.Del(p.Fields.Remaining)
 	h.Del(p.Fields.Expected)
 	h["Host"] = []string{r.Host}
-	timeout := rt.Timeout
 	var waited time.Duration
 	if remaining, ok := parseRemaining(r.Header.Get(p.Fields.Remaining)); ok {
 		waited = p.waits.waited(rt.Name, remaining)
-		timeout = min(timeout, remaining)
 	}
+	deadline := r.Read.Add(p.timeout(r.Request, rt))
 	c := &direct.Call{
 		ID:       id,
 		Route:    rt.Name,
@@ -182,7 +181,7 @@
 			Target:     r.RequestURI,
 			Header:     h,
 			Body:       r.Content,
-			Deadline:   r.Read.Add(timeout),
+			Deadline:   deadline,
 			Idempotent: rt.Idempotent,
 		},
 	}
--- a/internal/entry/proxy/stop.go
+++ b/internal/entry/proxy/stop.go
@@ -24,15 +24,28 @@
 	if !ok {
 		return pipe.Answer{}, false
 	}
-	now := time.Now()
-	timeout := rt.Timeout
+	id := r.Header.Get(p.Fields.RequestID)
+	if e := p.stopping(id, rt, time.Now().Add(p.timeout(r, rt))); e != nil {
+		return p.refuse("", id, e), true
+	}
+	return pipe.Answer{}, false
+}
+
+// timeout returns the time that the caller of r, whose route is rt, waits for the answer.
+func (p *Proxy) timeout(r *http.Request, rt *snipefront.Route) time.Duration {
 	if remaining, ok := parseRemaining(r.Header.Get(p.Fields.Remaining)); ok {
-		timeout = min(timeout, remaining)
+		return min(rt.Timeout, remaining)
 	}
-	if p.gate.Admits(now, rt.Name, now.Add(timeout)) {
-		return pipe.Answer{}, false
+	return rt.Timeout
+}
+
+// stopping returns the refusal of a request that may not be over before the planned stop of this
+// instance is, if it is sent now, or nil.
+func (p *Proxy) stopping(id string, rt *snipefront.Route, deadline time.Time) *snipefront.Error {
+	now := time.Now()
+	if p.gate.Admits(now, drain.Work{Workload: rt.Name, Deadline: deadline, Idempotent: rt.Idempotent}) {
+		return nil
 	}
-	id := r.Header.Get(p.Fields.RequestID)
-	p.Logger.Info("request refused; it may last longer than the planned stop", "request", id, "route", rt.Name, "timeout", timeout)
-	return p.refuse("", id, snipefront.Refused(snipefront.ReasonStopping, drain.RetryAfter, "this instance stops")), true
+	p.Logger.Info("request refused; it may last longer than the planned stop", "request", id, "route", rt.Name, "left", deadline.Sub(now))
+	return snipefront.Refused(snipefront.ReasonStopping, drain.RetryAfter, "this instance stops")
 }
