direct, proxy: no attempt begins in a planned stop that may outlast it

What callers saw: requests that an instance took just before SIGTERM, with 8 s left, waited there for room, were sent on up to 5 s after it, and got 504 at the end of the stop while their backend server worked.

Cause: the gate of a planned stop is asked when a request is read. A request may wait in the instance for room, and retries and hedges begin later; none of them asked again.

Change: a call carries the question, and the dispatcher asks before each choice of a target, so while a request waits, before retries and before a hedge. What hasn't run is refused at once, and its caller goes to another instance; what may have run ends with its last attempt.

--- a/internal/dispatch/direct/choose.go
+++ b/internal/dispatch/direct/choose.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/snipefront/snipefront"
 	"github.com/snipefront/snipefront/internal/clock/timer"
 	"github.com/snipefront/snipefront/internal/dispatch/health"
 )
@@ -53,6 +54,8 @@
 	// quotaWait is the time after which the call may come back if it was refused for the
 	// rate limits of all targets, and zero otherwise.
 	quotaWait time.Duration
+	// refusal is set if the call may begin no further attempt.
+	refusal *snipefront.Error
 }
 
 // choose chooses the target with the lowest expected latency and reserves c there. As
@@ -60,10 +63,13 @@
 // choose waits and tries again. Two kinds of requests that may miss their goal are sent
 // if mayMissGoal allows it: those that have waited and would meet the goal without the
 // safety margin of the estimate, and those that can't meet the goal any more. choose
-// returns false if no target can accept c in time.
+// returns false if no target can accept c in time, or if c may begin no further attempt.
 func (d *Dispatcher) choose(ctx context.Context, c *Call, avoid map[string]bool) (choice, bool) {
 	base := d.estimator.baseLatency(c)
 	for n := 1; len(d.Targets.Candidates(c.Service)) > 0; n++ {
+		if e := c.refusal(); e != nil {
+			return choice{refusal: e}, false
+		}
 		best, ok := d.bestTarget(ctx, c, base, avoid)
 		best.choices = n
 		waited := n > 1
--- a/internal/dispatch/direct/direct.go
+++ b/internal/dispatch/direct/direct.go
@@ -76,6 +76,17 @@
 	Attempts int
 	// Rank is the place in the order of importance. 0 is the most important.
 	Rank int
+	// Refuse returns the refusal of an attempt that begins now, or nil if it may begin: during
+	// a planned stop, it has to be over before the stop is. Nil refuses none.
+	Refuse func() *snipefront.Error
+}
+
+// refusal returns the refusal of an attempt that begins now, or nil if it may begin.
+func (c *Call) refusal() *snipefront.Error {
+	if c.Refuse == nil {
+		return nil
+	}
+	return c.Refuse()
 }
 
 // Attempt is the result of sending a call to one target.
--- a/internal/dispatch/direct/errors.go
+++ b/internal/dispatch/direct/errors.go
@@ -59,6 +59,9 @@
 	case len(d.Targets.Candidates(c.Service)) == 0:
 		return snipefront.Refused(snipefront.ReasonNoBackendServer, retryAfter, "no backend server takes requests")
 	}
+	if last.refusal != nil {
+		return last.refusal
+	}
 	if last.pauseWait > 0 {
 		return snipefront.Refused(snipefront.ReasonPaused, last.pauseWait, "all backend servers are paused or unreachable")
 	}
--- a/internal/dispatch/direct/run.go
+++ b/internal/dispatch/direct/run.go
@@ -104,7 +104,7 @@
 // hedge sends c to a second target if that target may answer before the deadline and
 // stays within busyShare. It returns that target and reports whether it did.
 func (d *Dispatcher) hedge(ctx context.Context, c *Call, p *progress, first choice, results chan<- attemptResult) (choice, bool) {
-	if !c.Idempotent || d.Answers.Scarce() || d.quarantined(c, first.target) != nil {
+	if !c.Idempotent || c.refusal() != nil || d.Answers.Scarce() || d.quarantined(c, first.target) != nil {
 		return choice{}, false
 	}
 	avoid := map[string]bool{first.target.Server.Name: true}
--- a/internal/entry/proxy/stop_test.go
+++ b/internal/entry/proxy/stop_test.go
@@ -67,3 +67,19 @@
 		t.Errorf("got status %d, header %v and body %s, want a refusal with the id and Retry-After", a.Status, a.Header, a.Body)
 	}
 }
+
+// TestTakenRequestBeginsNoAttemptThatOutlastsStop guards against a request that an instance took
+// before its planned stop and sends to a backend server when it may outlast the rest of it.
+func TestTakenRequestBeginsNoAttemptThatOutlastsStop(t *testing.T) {
+	s := &sender{response: &snipefront.Response{Status: http.StatusOK}}
+	p := newProxy(t, s)
+	p.Handle(t.Context(), request(t, "/p/1"))
+	if e := s.call.Refuse(); e != nil {
+		t.Errorf("refused without a stop: %v", e)
+	}
+	now := time.Now()
+	p.Stop(now.Add(-5*time.Second), now.Add(100*time.Millisecond))
+	if e := s.call.Refuse(); e == nil || e.Verdict != snipefront.NotRun || e.Reason != snipefront.ReasonStopping || e.RetryAfter == 0 {
+		t.Errorf("the refusal is %v, want one with the reason stopping, verdict not-run and a time", e)
+	}
+}
