alive: an order on a connection that has carried other calls isn't taken for late

What callers would see (by reading, no run showed it): an operator that sends configurations and orders over one kept connection gets 503 for its first order if the connection is older than a second, since only calls whose caller was asked for counted as calls. It takes another instance, and loses a moment.

Change: each call on a connection is counted before its handler begins (alive.Watch). One test for both kinds of closes takes the place of two that were alike, and asks the same.

TestFirstCallCountsFromConnection fails if the calls before aren't counted.

--- a/internal/control/fleet/command.go
+++ b/internal/control/fleet/command.go
@@ -42,8 +42,8 @@
 	DataCentre string
 	Out        bool
 	// Basis is the index of the last such change that was known before the caller of the
-	// order was last known to wait. A later one makes the command stale, and it changes nothing. It is nil in
-	// commands of earlier builds, which are never stale.
+	// order was last known to wait. A later one makes the command stale, and it changes
+	// nothing. It is nil in commands of earlier builds, which are never stale.
 	Basis *uint64 `json:",omitempty"`
 }
 
--- a/internal/daemon/serve/serve.go
+++ b/internal/daemon/serve/serve.go
@@ -60,9 +60,9 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		ConnContext:       alive.Context,
 		ErrorLog:          slog.NewLogLogger(g.Logger.Handler(), slog.LevelDebug),
 	}
+	alive.Watch(s)
 	g.Go(ctx, name, func(ctx context.Context) error {
 		ended := make(chan struct{})
 		stop := context.AfterFunc(ctx, func() {
--- a/internal/rpc/alive/alive.go
+++ b/internal/rpc/alive/alive.go
@@ -34,13 +34,28 @@
 type conn struct {
 	net.Conn
 	accepted time.Time
-	// used is true from the first call on the connection.
-	used atomic.Bool
+	// calls counts the calls on the connection.
+	calls atomic.Int64
 }
 
-// Context is the ConnContext of an http.Server whose handlers use Of.
-func Context(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, &conn{Conn: c, accepted: time.Now()})
+// Watch makes s know the callers of its calls, for Of. It must be called before s serves.
+func Watch(s *http.Server) {
+	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, &conn{Conn: c, accepted: time.Now()})
+	}
+	next := s.Handler
+	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c := connOf(r); c != nil {
+			c.calls.Add(1)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// connOf returns the connection of r, or nil if nothing is known of it.
+func connOf(r *http.Request) *conn {
+	c, _ := r.Context().Value(connKey{}).(*conn)
+	return c
 }
 
 // Caller is the caller of one call.
@@ -53,11 +68,10 @@
 	interim bool
 }
 
-// Of returns the caller of r, which is answered with w. It must be called once for each call.
+// Of returns the caller of r, which is answered with w.
 func Of(w http.ResponseWriter, r *http.Request) *Caller {
-	c := &Caller{response: w, since: time.Now(), interim: r.ProtoAtLeast(1, 1)}
-	c.conn, _ = r.Context().Value(connKey{}).(*conn)
-	if c.conn != nil && !c.conn.used.Swap(true) {
+	c := &Caller{conn: connOf(r), response: w, since: time.Now(), interim: r.ProtoAtLeast(1, 1)}
+	if c.conn != nil && c.conn.calls.Load() == 1 {
 		c.since = c.conn.accepted
 	}
 	return c
--- a/internal/rpc/alive/alive_test.go
+++ b/internal/rpc/alive/alive_test.go
@@ -38,11 +38,13 @@
 		t.Fatal(err)
 	}
 	connections := make(chan struct{}, 1)
-	s := &http.Server{Handler: h, ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-		ctx = alive.Context(ctx, c)
-		connections <- struct{}{}
-		return ctx
-	}}
+	s := &http.Server{Handler: h}
+	alive.Watch(s)
+	watch := s.ConnContext
+	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		defer func() { connections <- struct{}{} }()
+		return watch(ctx, c)
+	}
 	ended := make(chan error, 1)
 	go func() { ended <- s.Serve(l) }()
 	t.Cleanup(func() {
@@ -89,45 +91,31 @@
 	}
 }
 
-// TestCloseThatIsHeldUpIsNoticed guards against an order that is taken for one whose caller
-// waits, since the close of its connection is held up on the way.
-func TestCloseThatIsHeldUpIsNoticed(t *testing.T) {
-	left := make(chan struct{})
-	result := make(chan error, 1)
-	address, _ := serve(t, func(w http.ResponseWriter, r *http.Request) {
-		caller := alive.Of(w, r)
-		<-left
-		if err := r.Context().Err(); err != nil {
-			t.Errorf("the close of the connection has come, want it held up: %v", err)
+// TestCloseIsNoticed guards against an order that is taken for one whose caller waits, although
+// that has closed its connection: before the instance reads the order, or with the close held up
+// on the way.
+func TestCloseIsNoticed(t *testing.T) {
+	for _, heldUp := range []bool{false, true} {
+		left := make(chan struct{})
+		result := make(chan error, 1)
+		address, _ := serve(t, func(w http.ResponseWriter, r *http.Request) {
+			caller := alive.Of(w, r)
+			<-left
+			if err := r.Context().Err(); err != nil && heldUp {
+				t.Errorf("the close of the connection has come, want it held up: %v", err)
+			}
+			result <- caller.Confirm(context.WithoutCancel(r.Context()))
+		})
+		c := dial(t, address)
+		send(t, c)
+		if heldUp {
+			fill(t, c)
+		}
+		c.Close()
+		close(left)
+		if err := <-result; !errors.Is(err, alive.ErrUncertain) {
+			t.Errorf("held up: %v, the error is %v, want ErrUncertain", heldUp, err)
 		}
-		result <- caller.Confirm(r.Context())
-	})
-	c := dial(t, address)
-	send(t, c)
-	fill(t, c)
-	c.Close()
-	close(left)
-	if err := <-result; !errors.Is(err, alive.ErrUncertain) {
-		t.Errorf("the error is %v, want ErrUncertain", err)
-	}
-}
-
-// TestClosedConnectionIsNoticed guards against an order that is taken for one whose caller waits,
-// since the instance has read it after its connection was closed.
-func TestClosedConnectionIsNoticed(t *testing.T) {
-	left := make(chan struct{})
-	result := make(chan error, 1)
-	address, _ := serve(t, func(w http.ResponseWriter, r *http.Request) {
-		caller := alive.Of(w, r)
-		<-left
-		result <- caller.Confirm(context.WithoutCancel(r.Context()))
-	})
-	c := dial(t, address)
-	send(t, c)
-	c.Close()
-	close(left)
-	if err := <-result; !errors.Is(err, alive.ErrUncertain) {
-		t.Errorf("the error is %v, want ErrUncertain", err)
 	}
 }
 
@@ -179,17 +167,39 @@
 }
 
 // TestFirstCallCountsFromConnection guards against an order whose bytes were held up, so that it
-// counts as new although its caller has waited since it opened the connection.
+// counts as new although its caller has waited since it opened the connection, and against one that
+// counts as old since its connection has carried other calls.
 func TestFirstCallCountsFromConnection(t *testing.T) {
 	since := make(chan time.Time, 1)
-	address, accepted := serve(t, func(w http.ResponseWriter, r *http.Request) { since <- alive.Of(w, r).Since() })
-	c := dial(t, address)
-	<-accepted
-	for i, isFirst := range []bool{true, false} {
+	asked := true
+	address, accepted := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		if !asked {
+			since <- time.Time{}
+			return
+		}
+		since <- alive.Of(w, r).Since()
+	})
+	for _, c := range []struct {
+		name string
+		// before is the number of calls on the connection whose caller nobody asks for.
+		before  int
+		isFirst bool
+	}{
+		{name: "first call", isFirst: true},
+		{name: "second call", before: 1},
+	} {
+		connection := dial(t, address)
+		<-accepted
+		asked = false
+		for range c.before {
+			send(t, connection)
+			<-since
+		}
+		asked = true
 		sent := time.Now()
-		send(t, c)
-		if early := (<-since).Before(sent); early != isFirst {
-			t.Errorf("call %d counts from before it was sent: %v, want %v", i, early, isFirst)
+		send(t, connection)
+		if early := (<-since).Before(sent); early != c.isFirst {
+			t.Errorf("%s: it counts from before it was sent: %v, want %v", c.name, early, c.isFirst)
 		}
 	}
 }
--- a/internal/stand/relay/relay.go
+++ b/internal/stand/relay/relay.go
@@ -21,7 +21,7 @@
 type Relay struct {
 	net.Listener
 	address string
-	// hold is how long the first bytes of a client are held up.
+	// hold is how long the first bytes of each client are held up.
 	hold time.Duration
 
 	mu sync.Mutex
