proxy, drain: a hedge that a stop doesn't allow leaves no line that its request was refused

The line was written wherever the gate was asked, so also for a request that only gets no second attempt. It is written now where the request itself is refused when it is read; one that waits or would be sent again has the line `request failed` with the reason stopping.

--- a/internal/entry/calls/read.go
+++ b/internal/entry/calls/read.go
@@ -37,7 +37,8 @@
 		return nil, err
 	}
 	deadline := arrived.Add(timeout)
-	if !h.gate.Admits(time.Now(), drain.Work{Workload: name, Deadline: deadline, Idempotent: key != "" || isIdempotent(req.Method)}) {
+	work := drain.Work{Workload: name, Deadline: deadline, Idempotent: key != "" || isIdempotent(req.Method)}
+	if !h.gate.Admits(time.Now(), work) {
 		return nil, unclaimed(req, snipefront.Refused(snipefront.ReasonStopping, drain.RetryAfter, "this instance stops"))
 	}
 	body, err := h.readBody(w, req, deadline)
--- a/internal/entry/drain/drain.go
+++ b/internal/entry/drain/drain.go
@@ -20,7 +20,7 @@
 	// slowestFactor is the multiple of the slowest answer of its workload that a request may
 	// take.
 	slowestFactor = 2
-	// estimateTime is the time from the begin of a stop in which the slowest answer of a
+	// estimateTime is the time from the start of a stop in which the slowest answer of a
 	// workload counts, at most: by then most callers have newer addresses.
 	estimateTime = 3 * time.Second
 )
--- a/internal/entry/proxy/proxy.go
+++ b/internal/entry/proxy/proxy.go
@@ -184,7 +184,7 @@
 			Deadline:   deadline,
 			Idempotent: rt.Idempotent,
 		},
-		Refuse: func() *snipefront.Error { return p.stopping(id, rt, deadline) },
+		Refuse: func() *snipefront.Error { return p.stopping(rt, deadline) },
 	}
 	c.Fingerprint = c.ContentFingerprint()
 	return c
--- a/internal/entry/proxy/stop.go
+++ b/internal/entry/proxy/stop.go
@@ -24,11 +24,14 @@
 	if !ok {
 		return pipe.Answer{}, false
 	}
-	id := r.Header.Get(p.Fields.RequestID)
-	if e := p.stopping(id, rt, time.Now().Add(p.timeout(r, rt))); e != nil {
-		return p.refuse("", id, e), true
+	timeout := p.timeout(r, rt)
+	e := p.stopping(rt, time.Now().Add(timeout))
+	if e == nil {
+		return pipe.Answer{}, false
 	}
-	return pipe.Answer{}, false
+	id := r.Header.Get(p.Fields.RequestID)
+	p.Logger.Info("request refused; it may last longer than the planned stop", "request", id, "route", rt.Name, "timeout", timeout)
+	return p.refuse("", id, e), true
 }
 
 // timeout returns the time that the caller of r, whose route is rt, waits for the answer.
@@ -41,11 +44,9 @@
 
 // stopping returns the refusal of a request that may not be over before the planned stop of this
 // instance is, if it is sent now, or nil.
-func (p *Proxy) stopping(id string, rt *snipefront.Route, deadline time.Time) *snipefront.Error {
-	now := time.Now()
-	if p.gate.Admits(now, drain.Work{Workload: rt.Name, Deadline: deadline, Idempotent: rt.Idempotent}) {
+func (p *Proxy) stopping(rt *snipefront.Route, deadline time.Time) *snipefront.Error {
+	if p.gate.Admits(time.Now(), drain.Work{Workload: rt.Name, Deadline: deadline, Idempotent: rt.Idempotent}) {
 		return nil
 	}
-	p.Logger.Info("request refused; it may last longer than the planned stop", "request", id, "route", rt.Name, "left", deadline.Sub(now))
 	return snipefront.Refused(snipefront.ReasonStopping, drain.RetryAfter, "this instance stops")
 }
