module: what is in flight at the end of a planned stop is answered

What callers saw: `snipefront serve` stopped for a minute; a request that was in flight then got no answer, its connection was closed with the process.

Cause: the server of callers is shut down until the end of the stop, which waits for requests and doesn't end them. Edges cancel and answer them; with cells nothing did.

Each gets its answer: that it may have run, or that it hasn't.

TestRequestsInFlightAtEndOfStopAreAnswered fails without it: the stop isn't over in its time and the request has no answer. With it the answer says may-have-run, and the stop is over.

--- a/internal/daemon/module/bench_test.go
+++ b/internal/daemon/module/bench_test.go
@@ -38,8 +38,20 @@
 // addresses are the listen addresses of one instance.
 type addresses struct{ callers, operators, peers string }
 
-// start starts an instance that is the only member of its control quorum.
+// start starts an instance that is the only member of its control quorum, until the test ends.
 func start(b testing.TB) addresses {
+	a, stop := startUntil(b)
+	b.Cleanup(func() {
+		if err := stop(context.Background()); err != nil {
+			b.Error(err)
+		}
+	})
+	return a
+}
+
+// startUntil starts an instance that is the only member of its control quorum. It returns a
+// function that stops it as planned.
+func startUntil(b testing.TB) (a addresses, stop func(context.Context) error) {
 	s := setup.Settings{
 		Instance:        "a",
 		DataCentre:      "dc1",
@@ -61,16 +73,11 @@
 	if err := app.Start(context.Background()); err != nil {
 		b.Fatal(err)
 	}
-	b.Cleanup(func() {
-		if err := app.Stop(context.Background()); err != nil {
-			b.Error(err)
-		}
-	})
 	return addresses{
 		callers:   sock.Caller.Addr().String(),
 		operators: sock.Operator.Addr().String(),
 		peers:     sock.Peer.Addr().String(),
-	}
+	}, app.Stop
 }
 
 // fleet starts one instance and one backend server with 64 slots. It returns the URLs
--- a/internal/daemon/module/lifecycle.go
+++ b/internal/daemon/module/lifecycle.go
@@ -44,6 +44,8 @@
 	loops    backgroundLoops
 	callers  *calls.Handler
 
+	// cutOff cancels the requests of callers.
+	cutOff context.CancelFunc
 	// cancel stops the background loops. Each sends its error, or nil, to loopErrs when
 	// it returns.
 	cancel   context.CancelFunc
@@ -81,6 +83,9 @@
 	for _, f := range lc.loops {
 		lc.run(ctx, f)
 	}
+	requests, cutOff := context.WithCancel(context.WithoutCancel(ctx))
+	lc.cutOff = cutOff
+	lc.servers.caller.BaseContext = func(net.Listener) context.Context { return requests }
 	lc.serve(lc.servers.caller, lc.sockets.Caller)
 	lc.logger.Info("started", "instance", lc.settings.Instance, "callers", lc.sockets.Caller.Addr(), "operators", lc.sockets.Operator.Addr())
 	return nil
@@ -89,11 +94,15 @@
 // Stop stops the instance as planned. The instance leaves the fleet, so that its cells
 // get other owners, serves callers until the addresses that they cache have expired,
 // completes the requests in flight and then releases its lease. ctx bounds the waits for
-// callers and requests; a request that may last longer is refused.
+// callers and requests; a request that may last longer is refused, and one that does is
+// canceled and answered.
 func (lc *Lifecycle) Stop(ctx context.Context) error {
 	lc.logger.Info("stopping", "instance", lc.settings.Instance)
+	defer lc.cutOff()
 	if end, ok := ctx.Deadline(); ok {
-		lc.callers.Stop(time.Now(), end.Add(-stopMargin))
+		end = end.Add(-stopMargin)
+		lc.callers.Stop(time.Now(), end)
+		defer time.AfterFunc(time.Until(end), lc.cutOff).Stop()
 	}
 	lc.member.Leave()
 	lc.awaitAddressExpiry(ctx)
--- a/internal/daemon/module/stop_test.go
+++ b/internal/daemon/module/stop_test.go
@@ -7,13 +7,16 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	"go.uber.org/fx"
 
+	"github.com/snipefront/snipefront"
 	"github.com/snipefront/snipefront/internal/config/setup"
 	"github.com/snipefront/snipefront/internal/daemon/module"
+	"github.com/snipefront/snipefront/internal/entry/calls"
 )
 
 // hangLimit bounds waits, so that the test can't hang.
@@ -60,6 +63,60 @@
 	}
 }
 
+// TestRequestsInFlightAtEndOfStopAreAnswered guards against callers that get no answer, since
+// their requests last longer than a planned stop: the connections were closed at its end.
+func TestRequestsInFlightAtEndOfStopAreAnswered(t *testing.T) {
+	a, stop := startUntil(t)
+	began, over := make(chan struct{}, 1), make(chan struct{})
+	back := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet {
+			return
+		}
+		began <- struct{}{}
+		<-over
+	}))
+	defer back.Close()
+	defer close(over)
+	configure(t, a)
+	await(t, func() bool { return announce(t, a, newAnnouncement("b", back.Listener.Addr().String())) })
+	await(t, func() bool { return get(t, "http://"+a.callers+"/balance/17") == nil })
+	verdict := make(chan string, 1)
+	go func() { verdict <- longCall(t, "http://"+a.callers+"/balance/17") }()
+	<-began
+	// The instance leaves the fleet within 10 s, and the addresses that callers hold expire 3.5 s
+	// later.
+	const stopTime = 17 * time.Second
+	ctx, cancel := context.WithTimeout(context.Background(), stopTime)
+	defer cancel()
+	if err := stop(ctx); err != nil {
+		t.Errorf("the stop isn't over in its time: %v", err)
+	}
+	select {
+	case v := <-verdict:
+		if v != snipefront.MayHaveRun.String() {
+			t.Errorf("the verdict is %q, want may-have-run", v)
+		}
+	case <-time.After(stopTime):
+		t.Error("after the stop, the request has no answer")
+	}
+}
+
+// longCall sends a request that may last for minutes, and returns the verdict of its answer, or
+// the error.
+func longCall(t *testing.T, url string) string {
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url, nil)
+	if err != nil {
+		return err.Error()
+	}
+	r.Header.Set(calls.TimeoutHeader, "600000")
+	w, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return err.Error()
+	}
+	w.Body.Close()
+	return w.Header.Get(calls.VerdictHeader)
+}
+
 // roundTrip sends a request on c and reads the answer.
 func roundTrip(t *testing.T, c net.Conn) *http.Response {
 	t.Helper()
