--- a/internal/dispatch/direct/direct_test.go
+++ b/internal/dispatch/direct/direct_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"log/slog"
 	"net/http"
-	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -147,65 +146,6 @@
 	})
 }
 
-// TestRetries guards against running a request twice that is not idempotent: it is
-// retried only after an attempt that certainly did not run. An idempotent request is
-// also retried after a broken connection. A retry goes to another target.
-func TestRetries(t *testing.T) {
-	for name, c := range map[string]struct {
-		idempotent bool
-		first      direct.Attempt
-		sent       int
-		verdict    snipefront.Verdict
-		ok         bool
-	}{
-		"idempotent, broken":          {idempotent: true, first: broken, sent: 2, ok: true},
-		"not idempotent, broken":      {first: broken, sent: 1, verdict: snipefront.MayHaveRun},
-		"not idempotent, not run":     {first: shed, sent: 2, ok: true},
-		"not idempotent, unreachable": {first: direct.Attempt{Verdict: snipefront.NotRun, Outcome: health.Unreachable}, sent: 2, ok: true},
-		"not idempotent, answered":    {first: answered, sent: 1, ok: true},
-	} {
-		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				s := &fakeLink{}
-				s.send = func(context.Context, string) direct.Attempt {
-					if len(s.sent) == 1 {
-						return c.first
-					}
-					return answered
-				}
-				_, err := newDispatcher(3, s).Serve(t.Context(), newCall(c.idempotent))
-				if len(s.sent) != c.sent || slices.Contains(s.sent[1:], s.sent[0]) {
-					t.Errorf("sent to %v, want %d different", s.sent, c.sent)
-				}
-				if (err == nil) != c.ok {
-					t.Fatalf("error %v, want one only if the request may have run and is not idempotent", err)
-				}
-				if err == nil {
-					return
-				}
-				if e := errorOf(t, err); e.Verdict != c.verdict {
-					t.Errorf("the verdict is %v, want %v", e.Verdict, c.verdict)
-				}
-			})
-		})
-	}
-}
-
-// TestAttemptsAreBounded checks that a request is sent to no more targets than its
-// route allows, even if each of them refuses it.
-func TestAttemptsAreBounded(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		s := &fakeLink{send: func(context.Context, string) direct.Attempt { return shed }}
-		_, err := newDispatcher(5, s).Serve(t.Context(), newCall(true))
-		if e := errorOf(t, err); e.Verdict != snipefront.NotRun || e.RetryAfter == 0 {
-			t.Errorf("ended with %v, want a refusal with verdict not-run and a retry delay", e)
-		}
-		if len(s.sent) != 2 {
-			t.Errorf("sent to %v, want two targets", s.sent)
-		}
-	})
-}
-
 // TestRequestWithoutServerIsRefusedImmediately guards against letting a request wait
 // although its service has no backend server.
 func TestRequestWithoutServerIsRefusedImmediately(t *testing.T) {
@@ -236,33 +176,6 @@
 	})
 }
 
-// TestOverdueIdempotentRequestIsHedged guards against spending the whole deadline of
-// a request on a backend server that does not answer. An idempotent request is sent
-// to a second one beside it; any other is not, since both might run it.
-func TestOverdueIdempotentRequestIsHedged(t *testing.T) {
-	for _, idempotent := range []bool{true, false} {
-		synctest.Test(t, func(t *testing.T) {
-			s := &fakeLink{}
-			s.send = func(ctx context.Context, name string) direct.Attempt {
-				if name == s.sent[0] {
-					<-ctx.Done()
-					return broken
-				}
-				return answered
-			}
-			begun := time.Now()
-			_, err := newDispatcher(3, s).Serve(t.Context(), newCall(idempotent))
-			taken := time.Since(begun)
-			if idempotent && (err != nil || taken > 500*time.Millisecond || len(s.sent) != 2) {
-				t.Errorf("idempotent: error %v after %v, sent to %v; want an answer within 500ms after two attempts", err, taken, s.sent)
-			}
-			if !idempotent && (err == nil || len(s.sent) != 1) {
-				t.Errorf("not idempotent: error %v after %v, sent to %v; want an error after one attempt", err, taken, s.sent)
-			}
-		})
-	}
-}
-
 // TestShortDeadlineIsNoFaultOfServer guards against counting faults of a backend
 // server if the caller allowed too little time. A backend server that leaves a
 // request unanswered for long is at fault.
@@ -298,103 +211,3 @@
 		})
 	}
 }
-
-// TestWaitingRequestTakesTargetThatLikelyMeetsGoal guards against waiting until the
-// latency goal is missed. Estimates include a safety margin, so that a request that
-// has waited goes to a target that meets the goal without the margin.
-func TestWaitingRequestTakesTargetThatLikelyMeetsGoal(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		begun := time.Now()
-		var sent time.Duration
-		s := &fakeLink{running: 3, send: func(context.Context, string) direct.Attempt {
-			sent = time.Since(begun)
-			return answered
-		}}
-		d := newDispatcher(3, s)
-		time.AfterFunc(110*time.Millisecond, func() {
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			s.running = 1
-		})
-		c := newCall(true)
-		c.Goal = begun.Add(320 * time.Millisecond)
-		if _, err := d.Serve(t.Context(), c); err != nil {
-			t.Fatal(err)
-		}
-		if sent < 110*time.Millisecond || sent > 150*time.Millisecond {
-			t.Errorf("sent after %v, want soon after 110ms", sent)
-		}
-	})
-}
-
-// TestTypicalLatencyIsRobustToSlowAnswers guards against refusals by idle backend
-// servers because a few slow answers raised the typical latency above the latency
-// goal. As with a noisy neighbour, one answer in five takes eight times as long as
-// the load report promised.
-func TestTypicalLatencyIsRobustToSlowAnswers(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		n := 0
-		s := &fakeLink{send: func(context.Context, string) direct.Attempt {
-			n++
-			time.Sleep(100 * time.Millisecond)
-			if n%5 == 0 {
-				time.Sleep(700 * time.Millisecond)
-			}
-			return answered
-		}}
-		d := newDispatcher(3, s)
-		refused := 0
-		for range 200 {
-			if _, err := d.Serve(t.Context(), newCall(false)); err != nil {
-				refused++
-			}
-		}
-		if refused > 0 {
-			t.Errorf("%d of 200 requests were refused by idle backend servers", refused)
-		}
-	})
-}
-
-// TestTypicalLatencyIsPerRoute guards against estimating the requests of a route by
-// the latency of another route with a much longer latency goal at the same service.
-func TestTypicalLatencyIsPerRoute(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		s := &fakeLink{running: 1, send: func(context.Context, string) direct.Attempt { return answered }}
-		d := newDispatcher(3, s)
-		slow := newCall(true)
-		slow.Route, slow.Goal = "slow", time.Now().Add(5*time.Second)
-		for _, c := range []*direct.Call{slow, newCall(true)} {
-			if _, err := d.Serve(t.Context(), c); err != nil {
-				t.Errorf("route %q: %v", c.Route, err)
-			}
-		}
-	})
-}
-
-// TestServiceWithoutLoadReportsIsServed checks that backend servers whose answers to
-// load probes carry no load receive requests, balanced by what this instance itself
-// has in flight at each.
-func TestServiceWithoutLoadReportsIsServed(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		s := &fakeLink{noLoad: true, send: func(context.Context, string) direct.Attempt {
-			time.Sleep(100 * time.Millisecond)
-			return answered
-		}}
-		d := newDispatcher(3, s)
-		var all sync.WaitGroup
-		for range 3 {
-			all.Go(func() {
-				begun := time.Now()
-				if _, err := d.Serve(t.Context(), newCall(true)); err != nil || time.Since(begun) > 200*time.Millisecond {
-					t.Errorf("error %v after %v, want an answer within 200ms", err, time.Since(begun))
-				}
-			})
-			time.Sleep(10 * time.Millisecond)
-		}
-		all.Wait()
-		slices.Sort(s.sent)
-		if len(slices.Compact(s.sent)) != 3 {
-			t.Errorf("three requests at once went to %v, want three different targets", s.sent)
-		}
-	})
-}
--- a/internal/entry/pipe/stop_test.go
+++ b/internal/entry/pipe/stop_test.go
@@ -10,7 +10,6 @@
 	"net"
 	"net/http"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/snipefront/snipefront"
@@ -184,50 +183,6 @@
 	}
 }
 
-// TestSlowCallerGetsLastAnswer guards against a connection that is closed behind its last
-// answer before its caller has read that: bytes that the caller sends meanwhile turn the
-// close into a reset, which drops what it has not read.
-func TestSlowCallerGetsLastAnswer(t *testing.T) {
-	const length = 1 << 20
-	s, c := serve(t, func(context.Context, *pipe.Request) pipe.Answer {
-		return pipe.Answer{Status: http.StatusOK, Body: make([]byte, length)}
-	})
-	s.Drain()
-	ask(t, c, "/1")
-	b := bufio.NewReader(c)
-	if _, err := b.Peek(1); err != nil {
-		t.Fatal(err)
-	}
-	time.Sleep(600 * time.Millisecond)
-	ask(t, c, "/2")
-	time.Sleep(10 * time.Millisecond)
-	if r, text := read(t, b); len(text) != length || !r.Close {
-		t.Errorf("the answer has %d bytes (close %v), want %d (close true)", len(text), r.Close, length)
-	}
-}
-
-// TestSteadyCallerGetsLongAnswer guards against an answer that is cut off although its caller
-// reads it, since all of it took longer than the timeout for a write.
-func TestSteadyCallerGetsLongAnswer(t *testing.T) {
-	const length = 1 << 20
-	h := handler(func(context.Context, *pipe.Request) pipe.Answer {
-		return pipe.Answer{Status: http.StatusOK, Body: make([]byte, length)}
-	})
-	_, far := serveServerOnPipe(t, &pipe.Server{Handler: h, WriteTimeout: 300 * time.Millisecond})
-	ask(t, far, "/1")
-	r, err := http.ReadResponse(bufio.NewReaderSize(far, 1), nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer r.Body.Close()
-	for n := int64(0); n < length; n += 64 << 10 {
-		time.Sleep(50 * time.Millisecond)
-		if _, err := io.CopyN(io.Discard, r.Body, 64<<10); err != nil {
-			t.Fatalf("the answer was cut off after %d bytes: %v", n, err)
-		}
-	}
-}
-
 // TestCutOffAnswersRequests guards against a stop that ends with requests in flight and gives
 // their callers no answer at all: one that runs, and one that is still being read.
 func TestCutOffAnswersRequests(t *testing.T) {
@@ -278,59 +233,6 @@
 	}
 }
 
-// gatedListener accepts nothing until open is closed.
-type gatedListener struct {
-	*net.TCPListener
-	open chan struct{}
-}
-
-// Accept implements net.Listener.
-func (l gatedListener) Accept() (net.Conn, error) {
-	<-l.open
-	return l.TCPListener.Accept()
-}
-
-// TestOpenedConnectionsAreServedAfterListenerCloses guards against requests on connections
-// that callers have opened, and that this instance has not accepted yet when it closes its
-// listener: the kernel resets them.
-func TestOpenedConnectionsAreServedAfterListenerCloses(t *testing.T) {
-	tcp, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	l := gatedListener{TCPListener: tcp.(*net.TCPListener), open: make(chan struct{})}
-	s := &pipe.Server{Handler: handler(echo), Limits: func() snipefront.CallerLimits { return limits }, Logger: slog.New(slog.NewTextHandler(io.Discard, nil))}
-	ended := make(chan error, 1)
-	go func() { ended <- s.Serve(t.Context(), l) }()
-	var conns []net.Conn
-	for range 5 {
-		c, err := net.Dial("tcp", l.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer c.Close()
-		ask(t, c, "/1")
-		conns = append(conns, c)
-	}
-	s.CloseListener()
-	close(l.open)
-	for _, c := range conns {
-		r, err := http.ReadResponse(bufio.NewReader(c), nil)
-		if err != nil {
-			t.Errorf("no answer: %v", err)
-			continue
-		}
-		r.Body.Close()
-	}
-	awaitClosed(t, l.Addr())
-	for _, c := range conns {
-		c.Close()
-	}
-	if err := <-ended; err != nil {
-		t.Error(err)
-	}
-}
-
 // TestRequestAfterAnswerThatStaysOpenIsAnswered guards against a request that gets no answer
 // although its caller has sent it after the whole answer before, which didn't close the
 // connection: the server had begun to drain before it recorded that this was written.
@@ -353,32 +255,3 @@
 		t.Errorf("got the answer of %s (close %v), want that of /2 (close true)", r.Header.Get("Path"), r.Close)
 	}
 }
-
-// TestNewConnectionIsNotIdle guards against a stop that closes a connection as idle as soon as
-// it is accepted, while the request for which its caller has opened it is on its way.
-func TestNewConnectionIsNotIdle(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		s, far := serveOnPipe(t, handler(echo))
-		synctest.Wait()
-		s.Drain()
-		if n := s.CloseIdle(); n != 1 {
-			t.Errorf("%d connections are busy, want the new one", n)
-		}
-		ask(t, far, "/1")
-		if r, _ := read(t, bufio.NewReader(far)); r.Header.Get("Path") != "/1" || !r.Close {
-			t.Errorf("got the answer of %s (close %v), want that of /1 (close true)", r.Header.Get("Path"), r.Close)
-		}
-	})
-}
-
-// TestUnusedConnectionIsIdleSoon guards against a stop that waits for a connection on which no
-// request comes.
-func TestUnusedConnectionIsIdleSoon(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		s, _ := serveOnPipe(t, handler(echo))
-		time.Sleep(time.Second)
-		if n := s.CloseIdle(); n != 0 {
-			t.Errorf("%d connections are busy, want none", n)
-		}
-	})
-}
