review: rig passes the linter

Seen: exit status 1 at the linter, before any test ran: call in review/rig always gets the same time-out (unparam), and target.end is unused.

--- a/review/rig/deploy.go
+++ b/review/rig/deploy.go
@@ -233,13 +233,16 @@
 }
 
 func isReady(m *machine) bool {
-	status, _, err := call(http.MethodGet, "http://"+address(m.ip, portReady)+"/v1/readiness", "", time.Second)
+	status, _, err := call(http.MethodGet, "http://"+address(m.ip, portReady)+"/v1/readiness", "")
 	return err == nil && status == http.StatusOK
 }
 
+// callTime is the time after which callers of control machines go to another one.
+const callTime = time.Second
+
 // call makes one HTTP call on a new connection.
-func call(method, url, body string, timeout time.Duration) (status int, text string, err error) {
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+func call(method, url, body string) (status int, text string, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTime)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
 	if err != nil {
@@ -263,7 +266,7 @@
 	deadline := time.Now().Add(timeout)
 	for i := rand.IntN(len(d.cores)); time.Now().Before(deadline); i++ {
 		m := d.cores[i%len(d.cores)]
-		status, text, err := call(method, "http://"+address(m.ip, portControl)+path, body, time.Second)
+		status, text, err := call(method, "http://"+address(m.ip, portControl)+path, body)
 		d.rec.line("operator %s %s at %s: %d %v %.80s", method, path, m.name, status, err, text)
 		if err == nil && status/100 == 2 {
 			return nil
--- a/review/rig/replaced.go
+++ b/review/rig/replaced.go
@@ -66,7 +66,7 @@
 func (d *deployment) readConfiguration(limit time.Duration) bool {
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(250 * time.Millisecond) {
 		for _, m := range d.cores {
-			status, text, err := call(http.MethodGet, "http://"+address(m.ip, portControl)+"/v1/configuration/read", "", time.Second)
+			status, text, err := call(http.MethodGet, "http://"+address(m.ip, portControl)+"/v1/configuration/read", "")
 			d.rec.line("operator reads at %s: %d %v %.60s", m.name, status, err, strings.TrimSpace(text))
 			if err == nil && status == http.StatusOK {
 				return true
--- a/review/rig/target.go
+++ b/review/rig/target.go
@@ -13,6 +13,9 @@
 	"time"
 )
 
+// heartbeatInterval is the time between two heartbeats of a target.
+const heartbeatInterval = 1500 * time.Millisecond
+
 // reply is what a target sends for a request that it runs.
 type reply struct {
 	status int
@@ -38,19 +41,17 @@
 	// answer changes the answer to a request that has run. It may be nil.
 	answer func(t *target, r *http.Request, body string) reply
 
-	seq      atomic.Int64
-	state    atomic.Value
-	running  atomic.Int64
-	listener net.Listener
-	stop     chan struct{}
-	mu       sync.Mutex
+	seq     atomic.Int64
+	state   atomic.Value
+	running atomic.Int64
+	mu      sync.Mutex
 	// runs counts the runs of each request.
 	runs map[string]int
 	next string
 }
 
 func (d *deployment) newTarget(id, service, zone string) *target {
-	t := &target{d: d, id: id, service: service, zone: zone, ip: d.newIP(), slots: 2, work: 30 * time.Millisecond, runs: map[string]int{}, stop: make(chan struct{})}
+	t := &target{d: d, id: id, service: service, zone: zone, ip: d.newIP(), slots: 2, work: 30 * time.Millisecond, runs: map[string]int{}}
 	t.born = bornNow()
 	t.state.Store("ready")
 	return t
@@ -62,7 +63,6 @@
 	if err != nil {
 		return err
 	}
-	t.listener = l
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -76,12 +76,6 @@
 	return nil
 }
 
-// end ends the target as a crash does.
-func (t *target) end() {
-	close(t.stop)
-	t.listener.Close()
-}
-
 func (t *target) serve(c net.Conn) {
 	defer c.Close()
 	b := bufio.NewReader(c)
@@ -166,11 +160,7 @@
 func (t *target) heartbeats() {
 	for {
 		t.beat()
-		select {
-		case <-t.stop:
-			return
-		case <-time.After(1500 * time.Millisecond):
-		}
+		time.Sleep(heartbeatInterval)
 	}
 }
 
@@ -206,7 +196,7 @@
 	}
 	t.mu.Unlock()
 	for _, a := range list {
-		status, text, err := call(http.MethodPost, "http://"+a+"/v1/instances/"+t.id+"/heartbeat", string(b), time.Second)
+		status, text, err := call(http.MethodPost, "http://"+a+"/v1/instances/"+t.id+"/heartbeat", string(b))
 		if err != nil || status/100 != 2 {
 			continue
 		}
