--- a/review/rig/refused.go
+++ b/review/rig/refused.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -11,9 +12,9 @@
 	// faultyPerTen of ten answers of the faulty target are failures, as the default x of srv_grey.
 	faultyPerTen   = 4
 	targetsPerZone = 3
-	refusedSends   = 400
-	// refusedPause is the time between two requests.
-	refusedPause = 25 * time.Millisecond
+	refusedClients = 9
+	// refusedSends is the number of requests of each client.
+	refusedSends = 60
 )
 
 // playRefused sends requests that may run once. One of nine targets answers some of them, which
@@ -37,19 +38,32 @@
 	if err := d.begin("unsafe", targets); err != nil {
 		return verdict{}, err
 	}
-	broken := 0
-	for i := range refusedSends {
-		id := newAttempt()
-		o := d.send(d.edges[i%len(d.edges)], http.MethodPost, host, servicePath+"book", id, "one chair", 2*time.Second)
-		runs := 0
-		for _, t := range targets {
-			runs += t.hasRun(id)
-		}
-		if o.status == http.StatusServiceUnavailable && runs > 0 {
-			broken++
-			d.rec.line("REFUSED: %s was answered 503 and has run %d times", id, runs)
-		}
-		time.Sleep(refusedPause)
+	var broken atomic.Int64
+	var clients sync.WaitGroup
+	for client := range refusedClients {
+		clients.Go(func() {
+			for range refusedSends {
+				if d.isRefusedAfterRun(targets, d.edges[client%len(d.edges)]) {
+					broken.Add(1)
+				}
+			}
+		})
+	}
+	clients.Wait()
+	return verdict{broken: broken.Load() > 0, text: fmt.Sprintf("%d of %d requests were answered 503 and had run", broken.Load(), refusedClients*refusedSends)}, nil
+}
+
+// isRefusedAfterRun sends a request to m and reports whether it was answered with 503 and has run.
+func (d *deployment) isRefusedAfterRun(targets []*target, m *machine) bool {
+	id := newAttempt()
+	o := d.send(m, http.MethodPost, host, servicePath+"book", id, "one chair", 2*time.Second)
+	runs := 0
+	for _, t := range targets {
+		runs += t.hasRun(id)
+	}
+	if o.status != http.StatusServiceUnavailable || runs == 0 {
+		return false
 	}
-	return verdict{broken: broken > 0, text: fmt.Sprintf("%d of %d requests were answered 503 and had run", broken, refusedSends)}, nil
+	d.rec.line("REFUSED: %s was answered 503 and has run %d times", id, runs)
+	return true
 }
