quorum: log who counts, who answers and what is needed

Three lines now carry the voters and the size of a quorum: a change of leader or term, a change of the members that don't answer the leader, and each pre-vote or election that too few have granted, with those that did.

--- a/internal/quorum/driver/loop.go
+++ b/internal/quorum/driver/loop.go
@@ -32,6 +32,7 @@
 		}
 		l.gather(first)
 		l.replica.Tick(time.Now())
+		l.logLostRound()
 		if err := l.processReady(); err != nil {
 			return err
 		}
@@ -236,7 +237,24 @@
 		return
 	}
 	l.view.Store(&next)
+	l.logChange(old, next)
+}
+
+// logChange logs in what next differs from old, which is nil at first.
+func (l *Log) logChange(old *view, next view) {
 	if old == nil || old.leader != next.leader || old.term != next.term {
-		l.Logger.Info("log leader or term changed", "leader", next.leader, "term", next.term)
+		q := l.replica.Quorum()
+		l.Logger.Info("log leader or term changed", "leader", next.leader, "term", next.term, "voters", q.Voters, "needed", q.Needed)
+	}
+	if old != nil && old.unresponsive != next.unresponsive && l.replica.Leads() {
+		q := l.replica.Quorum()
+		l.Logger.Info("unresponsive log members changed", "unresponsive", splitNames(next.unresponsive), "voters", q.Voters, "needed", q.Needed)
+	}
+}
+
+// logLostRound logs the last pre-vote or election of this replica that too few have granted.
+func (l *Log) logLostRound() {
+	if q := l.replica.TakeLostRound(); q != nil {
+		l.Logger.Info("log election without quorum", "term", l.replica.Term(), "granted", q.Granted, "voters", q.Voters, "needed", q.Needed)
 	}
 }
--- a/internal/quorum/raft/elect.go
+++ b/internal/quorum/raft/elect.go
@@ -102,6 +102,10 @@
 // startPreVote asks the voters whether they would vote for this replica in the
 // next term. Only a voter does so.
 func (r *Replica) startPreVote(now time.Time) {
+	if r.role == preCandidate || r.role == candidate {
+		q := r.Quorum()
+		r.lostRound = &q
+	}
 	r.setElectionDeadline(now, r.roundTimeout())
 	r.rounds++
 	r.deferred = false
--- a/internal/quorum/raft/raft.go
+++ b/internal/quorum/raft/raft.go
@@ -145,6 +145,8 @@
 	rounds    int
 	elections int
 	deferred  bool
+	// lostRound is what the next TakeLostRound returns.
+	lostRound *Quorum
 	// votes holds the identities that granted the current pre-vote or vote.
 	votes map[string]bool
 	// blankReplicas holds the blank replicas that answered a Join, by name.
