raft: a learner becomes a voter also while entries are committed all the time

What callers lose: a successor that never counts, so that the next loss of a machine may stop the control quorum. Cause: a learner was promoted only if it had the last committed entry when the leader looked. The leader looks at each commit and a heartbeat interval after the last one; with an order each 100 ms it looks at commits only, when a learner that is farther than a majority of the voters has never the last entry. It is ready now with what was committed a heartbeat interval ago; what it lacks then is on its way, and a voter that lags endangers nothing (a leader has all that is committed).

--- a/internal/quorum/raft/elect.go
+++ b/internal/quorum/raft/elect.go
@@ -234,6 +234,7 @@
 	r.leader = r.Identity
 	r.hadLeader = true
 	r.electedAt = now
+	r.earlierCommit, r.notedCommit, r.notedAt = r.commit, r.commit, now
 	r.peers = map[string]*peer{}
 	r.firstIndex = r.log.last() + 1
 	r.updatePeers()
--- a/internal/quorum/raft/fleet_test.go
+++ b/internal/quorum/raft/fleet_test.go
@@ -47,6 +47,9 @@
 	// steps that would let it propose.
 	proposeOneIn int
 	proposed     int
+	// compactAfter is the number of entries after which a log is compacted, and retained that
+	// of the entries before a snapshot that stay in memory.
+	compactAfter, retained uint64
 	// configure sets further fields of each replica before it starts. It may be nil.
 	configure func(r *raft.Replica)
 	// late holds the messages that runFor delays, in the order of their arrival.
@@ -65,6 +68,7 @@
 	f := &fleet{
 		Rand: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), nodes: map[string]*node{},
 		cutLinks: map[[2]string]bool{}, leaders: map[string]string{}, votes: map[string]string{}, committed: map[uint64]raft.Entry{},
+		compactAfter: 20, retained: 5,
 	}
 	f.mayLoseQuorum = f.IntN(4) == 0
 	f.proposeOneIn = 1 + f.IntN(2)*100
@@ -131,8 +135,8 @@
 		f.apply(n, &d)
 	}
 	f.updateLease(n)
-	if n.applied > n.snapshot.Index+20 {
-		n.hard, n.snapshot, n.log = n.Compact(n.applied, joinState(n.state), 5)
+	if n.applied > n.snapshot.Index+f.compactAfter {
+		n.hard, n.snapshot, n.log = n.Compact(n.applied, joinState(n.state), f.retained)
 	}
 }
 
--- a/internal/quorum/raft/lead.go
+++ b/internal/quorum/raft/lead.go
@@ -18,6 +18,7 @@
 		r.resetElectionDeadline(now)
 		return
 	}
+	r.noteCommit(now)
 	r.promoteLearner(now)
 	r.removeUnresponsiveLearner(now)
 	r.sendHeartbeats(now)
--- a/internal/quorum/raft/members.go
+++ b/internal/quorum/raft/members.go
@@ -179,7 +179,21 @@
 	return rest
 }
 
-// promoteLearner makes a learner that has the committed log a voter. If the group has
+// noteCommit keeps the commit index for isReady.
+func (r *Replica) noteCommit(now time.Time) {
+	if now.Sub(r.notedAt) < r.Heartbeat {
+		return
+	}
+	r.earlierCommit, r.notedCommit, r.notedAt = r.notedCommit, r.commit, now
+}
+
+// isReady reports whether p answers and has what was committed a heartbeat interval ago. While
+// entries are committed all the time, it may never have the last one.
+func (r *Replica) isReady(now time.Time, p *peer) bool {
+	return p.matchKnown && p.match >= r.earlierCommit && r.sinceContact(now, p) <= r.Election
+}
+
+// promoteLearner makes a learner that is ready a voter. If the group has
 // MaxVoters voters, it only removes an unresponsive voter, if there is one, and a later
 // call promotes the learner.
 func (r *Replica) promoteLearner(now time.Time) {
@@ -190,8 +204,7 @@
 		if m.Voter {
 			continue
 		}
-		p := r.peers[m.Identity]
-		if p.match < r.commit || r.sinceContact(now, p) > r.Election {
+		if !r.isReady(now, r.peers[m.Identity]) {
 			continue
 		}
 		if r.MaxVoters > 0 && r.voterCount() >= r.MaxVoters {
--- a/internal/quorum/raft/raft.go
+++ b/internal/quorum/raft/raft.go
@@ -156,6 +156,11 @@
 	// firstIndex is the index of the first entry of this leader's term.
 	firstIndex    uint64
 	nextHeartbeat time.Time
+	// earlierCommit was the commit index of this leader at least a heartbeat interval ago,
+	// notedCommit at notedAt, which is later.
+	earlierCommit uint64
+	notedCommit   uint64
+	notedAt       time.Time
 	// peers holds the other members, by identity. It is set only on a leader.
 	peers map[string]*peer
 
