--- a/internal/quorum/raft/join_test.go
+++ b/internal/quorum/raft/join_test.go
@@ -3,6 +3,9 @@
 import (
 	"slices"
 	"testing"
+	"time"
+
+	"github.com/snipefront/snipefront/internal/quorum/raft"
 )
 
 // TestLearnerIsPromotedWhileOrdersCome guards against a successor that never counts: while entries
@@ -19,3 +22,24 @@
 		}
 	}
 }
+
+// TestLostSnapshotIsSentAgain guards against a successor that gets its first snapshot only after
+// catchUp, since the message with it was lost: the next loss would find one voter less.
+func TestLostSnapshotIsSentAgain(t *testing.T) {
+	for seed := range uint64(20) {
+		s := newSite(seed, 3, 1, true)
+		s.advance(30 * time.Second)
+		lost := 0
+		s.drop = func(m raft.Message) bool {
+			if m.Kind == raft.InstallSnapshot {
+				lost++
+			}
+			return m.Kind == raft.InstallSnapshot && lost == 1
+		}
+		name := s.addNext()
+		s.advance(catchUp)
+		if v := s.voters(); lost < 2 || !slices.Contains(v, name) {
+			t.Errorf("seed %d: %d snapshots were sent, and the voters are %v %v after the start of %s", seed, lost, v, catchUp, name)
+		}
+	}
+}
--- a/internal/quorum/raft/lead.go
+++ b/internal/quorum/raft/lead.go
@@ -85,14 +85,22 @@
 		r.sendEntries(p)
 		return
 	}
-	if now.Before(p.nextSnapshot) {
+	if now.Before(p.nextSnapshot) && !r.isSnapshotLost(p) {
 		return
 	}
 	p.nextSnapshot = now.Add(snapshotResendHeartbeats * r.Heartbeat)
+	p.snapshotSent = now.Sub(r.start)
 	s := r.snapshot
 	r.send(Message{Kind: InstallSnapshot, To: p.Identity, ToName: p.Name, Term: r.hard.Term, Snapshot: &s}, false)
 }
 
+// isSnapshotLost reports whether p, which lacks the snapshot that it was sent, has answered a
+// heartbeat that was sent an election timeout later. Messages to a peer are delivered in order, and
+// the answer to a snapshot comes before those to what was sent after it.
+func (r *Replica) isSnapshotLost(p *peer) bool {
+	return p.lastContact > p.snapshotSent+r.Election
+}
+
 func (r *Replica) sendEntries(p *peer) {
 	t, ok := r.log.term(p.next - 1)
 	if !ok {
--- a/internal/quorum/raft/raft.go
+++ b/internal/quorum/raft/raft.go
@@ -52,7 +52,7 @@
 	// The rest allows for clocks that run at different rates.
 	leaseTenths = 9
 	// snapshotResendHeartbeats is the least time between two sends of a snapshot to
-	// a peer, in heartbeat intervals.
+	// a peer, in heartbeat intervals, if it isn't known to be lost.
 	snapshotResendHeartbeats = 20
 	// replaceVoterTimeouts is the number of election timeouts without an answer after
 	// which a voter is removed in favour of a waiting learner.
@@ -208,8 +208,10 @@
 	lastContact time.Duration
 	// resent is when entries were last resent, counted from Replica.start.
 	resent time.Duration
-	// nextSnapshot is the earliest time to send a snapshot again.
+	// nextSnapshot is the earliest time to send a snapshot again. snapshotSent is when the
+	// last one was sent, counted from Replica.start.
 	nextSnapshot time.Time
+	snapshotSent time.Duration
 }
 
 // Start initializes the replica at the time now with the saved hard state,
