raft: a replica that was removed joins again within two election timeouts, also without its seeds

What callers lose: a machine that was replaced in the group while it was down, frozen or cut off, and that the others count on from catchUpS (4 s) after its return, was a member again after 8 s, or never if none of the machines that its settings name was left. Cause: Joins began after ten election timeouts without a leader, and went to the configured instances only, never to the members that the replica knows from its log. A group that has a quorum elects a leader within two election timeouts, so that one who has heard none for longer is cut off or removed; while there is no leader, a replica sends one more message to each member in a heartbeat interval.

--- a/internal/quorum/raft/join_test.go
+++ b/internal/quorum/raft/join_test.go
@@ -43,3 +43,31 @@
 		}
 	}
 }
+
+// TestRemovedReplicaJoinsAgain guards against a machine that was replaced in the group while it was
+// down, and that is no member again catchUp after its return, or never, since none of the machines
+// that its settings name is left.
+func TestRemovedReplicaJoinsAgain(t *testing.T) {
+	for _, seedsLeft := range []bool{true, false} {
+		for seed := range uint64(20) {
+			s := newSite(seed, 7, 1, true)
+			name := s.voters()[0]
+			s.kill(name)
+			s.advance(2 * catchUp)
+			if v := s.voters(); slices.Contains(v, name) || len(v) != siteVoters {
+				t.Fatalf("seed %d: the voters are %v after the loss of %s, want another one in its place", seed, v, name)
+			}
+			if configure := s.configure; !seedsLeft {
+				s.configure = func(r *raft.Replica) {
+					configure(r)
+					r.Names = []string{name}
+				}
+			}
+			s.start(name)
+			s.advance(catchUp)
+			if m := s.leading().MemberNames(); !slices.Contains(m, name) {
+				t.Errorf("seed %d, seeds left %v: the members are %v %v after the return of %s", seed, seedsLeft, m, catchUp, name)
+			}
+		}
+	}
+}
--- a/internal/quorum/raft/members.go
+++ b/internal/quorum/raft/members.go
@@ -100,10 +100,12 @@
 	return len(r.members()) == 0 || now.Sub(r.lastContact) > rejoinTimeouts*r.Election
 }
 
-// sendJoins sends a Join to all other configured instances, and starts a group if it
-// can.
+// sendJoins sends a Join to all other configured instances and to the members that it knows, and
+// starts a group if it can. None of the configured instances may be left.
 func (r *Replica) sendJoins(now time.Time) {
-	for _, n := range r.Names {
+	names := slices.Concat(r.Names, r.MemberNames())
+	slices.Sort(names)
+	for _, n := range slices.Compact(names) {
 		if n != r.Name {
 			r.send(Message{Kind: Join, ToName: n, Sent: now.Sub(r.start)}, true)
 		}
--- a/internal/quorum/raft/raft.go
+++ b/internal/quorum/raft/raft.go
@@ -73,9 +73,9 @@
 	// startRounds is the number of pre-votes after which the time between them doubles,
 	// so that a replica that reaches no other doesn't keep sending them at that rate.
 	startRounds = 8
-	// rejoinTimeouts is the number of election timeouts without a leader after
-	// which a replica sends Joins.
-	rejoinTimeouts = 10
+	// rejoinTimeouts is the number of election timeouts without a leader after which a
+	// replica sends Joins. A group that has a quorum has a leader again by then.
+	rejoinTimeouts = 2
 )
 
 type role uint8
