raft: a voter that is gone stops counting also below MaxVoters

Cause: a voter that doesn't answer was removed only while a learner waited and the group had MaxVoters (5) voters. With three seeds the successor became a fourth voter and the one that was gone stayed. Why this works: a voter that is gone still adds to the quorum that the others need. From an even number it is removed at once (2.4 s of silence), which never costs: one answer less is needed, and on its return it joins again. Of an odd number it is removed if another one is gone, too. At least 2*faultTolerance.machines+1 voters stay, so that a quorum holds one disk more than may be lost. What a former leader was silent for before an election counts.

--- a/internal/daemon/core/core.go
+++ b/internal/daemon/core/core.go
@@ -59,6 +59,8 @@
 	// control quorum and never starts one.
 	JoinOnly   bool
 	DataFolder string
+	// Tolerance is the number of control instances that may be lost at the same time.
+	Tolerance int
 	// MetricsAddress is the address (host:port) of the metrics and the status report.
 	MetricsAddress string
 	// Rollouts bound what versions that turn out to be bad may receive.
@@ -93,6 +95,7 @@
 		Name:      s.Self.Name,
 		Control:   access.InstancesAt(s.Seeds),
 		MaxVoters: maxVoters,
+		MinVoters: min(2*s.Tolerance+1, maxVoters),
 		JoinOnly:  s.JoinOnly,
 		Leaseless: true,
 		Machine:   state,
--- a/internal/quorum/driver/driver.go
+++ b/internal/quorum/driver/driver.go
@@ -98,6 +98,9 @@
 	// MaxVoters, if not zero, lets any instance join the group and is the maximum
 	// number of voters. Zero limits the group to Control.
 	MaxVoters int
+	// MinVoters is the number of voters of an open group that a removal leaves at least, if
+	// no other member takes the place. Zero is MaxVoters.
+	MinVoters int
 	// JoinOnly is true if this replica may join a group but must not start one.
 	JoinOnly bool
 	// Leaseless is true if nothing requires that Leadership.Self holds for at most one
@@ -356,6 +359,7 @@
 		Election:  l.Lease / electionsPerLease,
 		Random:    l.Random,
 		MaxVoters: l.MaxVoters,
+		MinVoters: l.MinVoters,
 		JoinOnly:  l.JoinOnly,
 		Leaseless: l.Leaseless,
 
--- a/internal/quorum/raft/lead.go
+++ b/internal/quorum/raft/lead.go
@@ -19,8 +19,7 @@
 		return
 	}
 	r.noteCommit(now)
-	r.promoteLearner(now)
-	r.removeUnresponsiveLearner(now)
+	r.changeMembersIfDue(now)
 	r.sendHeartbeats(now)
 }
 
--- a/internal/quorum/raft/members.go
+++ b/internal/quorum/raft/members.go
@@ -47,6 +47,10 @@
 
 func (r *Replica) quorum() int { return r.voterCount()/2 + 1 }
 
+func (r *Replica) isMember(identity string) bool {
+	return slices.ContainsFunc(r.members(), func(m Member) bool { return m.Identity == identity })
+}
+
 func (r *Replica) isVoter(identity string) bool {
 	for _, m := range r.members() {
 		if m.Identity == identity {
@@ -181,63 +185,9 @@
 	return rest
 }
 
-// noteCommit keeps the commit index for isReady.
-func (r *Replica) noteCommit(now time.Time) {
-	if now.Sub(r.notedAt) < r.Heartbeat {
-		return
-	}
-	r.earlierCommit, r.notedCommit, r.notedAt = r.notedCommit, r.commit, now
-}
-
-// isReady reports whether p answers and has what was committed a heartbeat interval ago. While
-// entries are committed all the time, it may never have the last one.
-func (r *Replica) isReady(now time.Time, p *peer) bool {
-	return p.matchKnown && p.match >= r.earlierCommit && r.sinceContact(now, p) <= r.Election
-}
-
-// promoteLearner makes a learner that is ready a voter. If the group has
-// MaxVoters voters, it only removes an unresponsive voter, if there is one, and a later
-// call promotes the learner.
-func (r *Replica) promoteLearner(now time.Time) {
-	if !r.canChangeMembers() {
-		return
-	}
-	for i, m := range r.members() {
-		if m.Voter {
-			continue
-		}
-		if !r.isReady(now, r.peers[m.Identity]) {
-			continue
-		}
-		if r.MaxVoters > 0 && r.voterCount() >= r.MaxVoters {
-			r.removeUnresponsiveVoter(now)
-			return
-		}
-		next := slices.Clone(r.members())
-		next[i].Voter = true
-		r.changeMembers(next)
-		return
-	}
-}
-
-// removeUnresponsiveVoter removes a voter that has not answered for
-// replaceVoterTimeouts election timeouts.
-func (r *Replica) removeUnresponsiveVoter(now time.Time) {
-	for _, m := range r.members() {
-		p := r.peers[m.Identity]
-		if m.Voter && p != nil && r.sinceContact(now, p) > replaceVoterTimeouts*r.Election {
-			r.changeMembers(withoutMember(r.members(), m.Name))
-			return
-		}
-	}
-}
-
 // removeUnresponsiveLearner removes a learner of an open group that has not answered
 // for removeLearnerTimeouts election timeouts.
 func (r *Replica) removeUnresponsiveLearner(now time.Time) {
-	if r.MaxVoters == 0 || !r.canChangeMembers() {
-		return
-	}
 	for _, m := range r.members() {
 		p := r.peers[m.Identity]
 		if !m.Voter && p != nil && r.sinceContact(now, p) > removeLearnerTimeouts*r.Election {
--- a/internal/quorum/raft/raft.go
+++ b/internal/quorum/raft/raft.go
@@ -55,7 +55,7 @@
 	// a peer, in heartbeat intervals, if it isn't known to be lost.
 	snapshotResendHeartbeats = 20
 	// replaceVoterTimeouts is the number of election timeouts without an answer after
-	// which a voter is removed in favour of a waiting learner.
+	// which a voter is gone.
 	replaceVoterTimeouts = 3
 	// removeLearnerTimeouts is the number of election timeouts without an answer after
 	// which a learner of an open group is removed.
@@ -99,6 +99,10 @@
 	// MaxVoters, if not zero, opens the group to instances outside of Names and
 	// limits the number of voters. Zero restricts the group to Names.
 	MaxVoters int
+	// MinVoters is the number of voters of an open group that a removal leaves at least, if no
+	// learner takes the place: with a quorum of them, an entry outlives the loss of as many disks as
+	// the group must tolerate. Zero is MaxVoters.
+	MinVoters int
 	// JoinOnly forbids this replica to start a group.
 	JoinOnly bool
 	// Leaseless states that nothing relies on Lease, so that a replica may vote as
@@ -147,6 +151,8 @@
 	deferred  bool
 	// lostRound is what the next TakeLostRound returns.
 	lostRound *Quorum
+	// leaders holds when the last message of each leader arrived, by identity.
+	leaders map[string]time.Time
 	// votes holds the identities that granted the current pre-vote or vote.
 	votes map[string]bool
 	// blankReplicas holds the blank replicas that answered a Join, by name.
@@ -230,6 +236,7 @@
 	r.configurations = []configuration{{index: s.Index, members: s.Members}}
 	r.recordConfigurations(entries)
 	r.blankReplicas = map[string]blankReplica{}
+	r.leaders = map[string]time.Time{}
 	r.resetElectionDeadline(now)
 	if r.Leaseless {
 		r.lastContact = now.Add(-r.Election)
--- a/internal/quorum/raft/site_test.go
+++ b/internal/quorum/raft/site_test.go
@@ -101,7 +101,7 @@
 			r.Names = s.someMachines()
 		}
 		if open {
-			r.Leaseless, r.MaxVoters = true, siteVoters
+			r.Leaseless, r.MaxVoters, r.MinVoters = true, siteVoters, 2*tolerance+1
 		}
 	}
 	for _, n := range names {
--- a/internal/quorum/raft/step.go
+++ b/internal/quorum/raft/step.go
@@ -97,7 +97,7 @@
 		return
 	}
 	r.becomeFollower(m.Term, m.From)
-	r.lastContact = now
+	r.noteLeaderContact(now, m.From)
 	r.hadLeader = true
 	r.resetElectionDeadline(now)
 	switch m.Kind {
--- /dev/null
+++ b/internal/quorum/raft/voters.go
@@ -0,0 +1,100 @@
+package raft
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// changeMembersIfDue starts the next change of the members that is due, if there is one: it
+// promotes a learner, removes a voter that is not to count any longer, or removes a learner.
+func (r *Replica) changeMembersIfDue(now time.Time) {
+	if !r.canChangeMembers() {
+		return
+	}
+	i := r.readyLearner(now)
+	if i >= 0 && (r.MaxVoters == 0 || r.voterCount() < r.MaxVoters) {
+		next := slices.Clone(r.members())
+		next[i].Voter = true
+		r.changeMembers(next)
+		return
+	}
+	if r.MaxVoters == 0 {
+		return
+	}
+	if m, ok := r.voterToRemove(now, i >= 0); ok {
+		r.changeMembers(withoutMember(r.members(), m.Name))
+		return
+	}
+	r.removeUnresponsiveLearner(now)
+}
+
+// readyLearner returns the position of a learner that is ready to be a voter, or -1. It answers and
+// has what was committed a heartbeat interval ago: while entries are committed all the time, it may
+// never have the last one.
+func (r *Replica) readyLearner(now time.Time) int {
+	return slices.IndexFunc(r.members(), func(m Member) bool {
+		p := r.peers[m.Identity]
+		return !m.Voter && p.matchKnown && p.match >= r.earlierCommit && r.sinceContact(now, p) <= r.Election
+	})
+}
+
+// noteCommit keeps the commit index for readyLearner.
+func (r *Replica) noteCommit(now time.Time) {
+	if now.Sub(r.notedAt) < r.Heartbeat {
+		return
+	}
+	r.earlierCommit, r.notedCommit, r.notedAt = r.notedCommit, r.commit, now
+}
+
+// voterToRemove returns a voter of an open group that is gone, if the group tolerates as many losses
+// without it, or more: it still adds to the quorum that the others need. Two that are gone are
+// removed one after the other; one alone is removed from an even number of voters, since a majority
+// of an odd number is no larger without it. No removal leaves less than MinVoters, unless a learner
+// waits to take the place.
+func (r *Replica) voterToRemove(now time.Time, learnerWaits bool) (Member, bool) {
+	var gone []Member
+	for _, m := range r.members() {
+		if m.Voter && r.isGone(now, m) {
+			gone = append(gone, m)
+		}
+	}
+	if len(gone) == 0 {
+		return Member{}, false
+	}
+	shrinks := r.voterCount() > r.minVoters() && (r.voterCount()%2 == 0 || len(gone) > 1)
+	return gone[0], learnerWaits || shrinks
+}
+
+// minVoters returns the number of voters that a removal without a learner leaves at least.
+func (r *Replica) minVoters() int {
+	if r.MinVoters == 0 {
+		return r.MaxVoters
+	}
+	return min(r.MinVoters, r.MaxVoters)
+}
+
+// isGone reports whether the peer m has not answered for replaceVoterTimeouts election timeouts. That
+// of a former leader counts from its last message, once it has had an election timeout to answer this
+// leader.
+func (r *Replica) isGone(now time.Time, m Member) bool {
+	p := r.peers[m.Identity]
+	if p == nil {
+		return false
+	}
+	silence := r.sinceContact(now, p)
+	if last, ok := r.leaders[m.Identity]; ok && silence > r.Election {
+		silence = min(now.Sub(last), now.Sub(r.start)-p.lastContact)
+	}
+	return silence > replaceVoterTimeouts*r.Election
+}
+
+// noteLeaderContact notes a message of the leader with identity. Leaders that aren't members any
+// longer are forgotten.
+func (r *Replica) noteLeaderContact(now time.Time, identity string) {
+	r.lastContact = now
+	if _, ok := r.leaders[identity]; !ok {
+		maps.DeleteFunc(r.leaders, func(id string, _ time.Time) bool { return !r.isMember(id) })
+	}
+	r.leaders[identity] = now
+}
