raft, driver, core: a voter whose process ends as planned leaves the group first

What callers lose: a loss right behind a planned replacement, within the 2.4 s after which a silent voter is removed, stops the control quorum, for good if it takes a disk. Cause: nothing told the group. Among four voters of which any one may be the one that goes, no majority survives two losses, so it must be told. A control instance that stops asks the leader to remove it (Leave) and waits for the answer, for 4 s and two thirds of the grace at most; a leader removes itself, commits that without its own vote and ends its term. It is removed if 2*faultTolerance.machines+1 voters stay; a learner takes its place first; else it is refused at once and restarts as the voter that it was. A leader that leaves waits until it knows which silent voters are gone, since the next one counts their silence anew. An old leader doesn't know Leave and doesn't answer; the process then ends after 4 s.

--- a/internal/daemon/core/core.go
+++ b/internal/daemon/core/core.go
@@ -40,6 +40,9 @@
 	// snapshots: what a replica replays after a start while the whole fleet registers again.
 	snapshotEntries = 1024
 	snapshotBytes   = 256 << 10
+	// leaveTimeout bounds the time for which an instance that stops waits until the control
+	// quorum does without it. An election fits into it.
+	leaveTimeout = lease
 	// exitFailure is the exit status of a process whose replica of the log has failed.
 	exitFailure = 1
 	// checkInterval is the time between checks of the folder of a replica that has failed.
@@ -156,6 +159,20 @@
 	return nil
 }
 
+// leave has the control quorum go on without this instance, if that takes no more than
+// leaveTimeout and two thirds of the time until the end of stop.
+func leave(stop context.Context, replica *driver.Log, logger *slog.Logger) {
+	limit := leaveTimeout
+	if end, ok := stop.Deadline(); ok {
+		limit = min(limit, time.Until(end)*2/3)
+	}
+	ctx, cancel := context.WithTimeout(stop, limit)
+	defer cancel()
+	if err := replica.Leave(ctx); err != nil {
+		logger.Warn("the control quorum goes on counting this instance", "error", err)
+	}
+}
+
 // registerHooks starts and stops the control instance with the fx application.
 func registerHooks(f fx.Lifecycle, process fx.Shutdowner, s Settings, folder *disk.Folder, replica *driver.Log, k *keeper.Keeper, rollouts *shift.Driver, server *peers.Server, client *peers.Client, counters *stats.Stats, logger *slog.Logger) {
 	g := &serve.Group{Logger: logger}
@@ -185,8 +202,9 @@
 			logger.Info("started", "instance", s.Self.Name, "dataCentre", s.Self.DataCentre, "seeds", s.Seeds, "joinOnly", s.JoinOnly)
 			return nil
 		},
-		OnStop: func(context.Context) error {
+		OnStop: func(stop context.Context) error {
 			logger.Info("stopping", "instance", s.Self.Name)
+			leave(stop, replica, logger)
 			cancel()
 			err := g.Wait()
 			logger.Info("stopped", "instance", s.Self.Name)
--- a/internal/quorum/driver/driver.go
+++ b/internal/quorum/driver/driver.go
@@ -129,7 +129,11 @@
 	inbox     chan *delivery
 	// stopped is closed once the replica handles no more proposals and deliveries.
 	stopped chan struct{}
-	view    atomic.Pointer[view]
+	// leave is closed by the first call of Leave, and left once that is answered.
+	leave     chan struct{}
+	leaveOnce sync.Once
+	left      chan struct{}
+	view      atomic.Pointer[view]
 
 	replica *raft.Replica
 	hard    raft.HardState
@@ -335,6 +339,8 @@
 		l.proposals = make(chan proposal, queueLength)
 		l.inbox = make(chan *delivery, queueLength)
 		l.stopped = make(chan struct{})
+		l.leave = make(chan struct{})
+		l.left = make(chan struct{})
 		l.pending = map[uint64]pendingProposal{}
 		l.staged = make(chan stagedSnapshot, 1)
 	})
@@ -372,30 +378,3 @@
 	l.Logger.Info("log opened", "identity", s.Identity, "term", s.Hard.Term, "snapshot", s.Snapshot.Index, "entries", len(s.Entries), "commit", s.Commit, "tornBytes", s.Cut)
 	return nil
 }
-
-// openLinks starts a goroutine for each other replica. Each sends a token on
-// linkClosed when it ends.
-func (l *Log) openLinks(ctx context.Context) {
-	l.sendContext = ctx
-	l.linkClosed = make(chan struct{})
-	l.links = map[string]*link{}
-	for _, c := range l.Control {
-		if c.Name != l.Name {
-			l.openLink(c)
-		}
-	}
-}
-
-// openLink starts the goroutine that sends messages to c.
-func (l *Log) openLink(c snipefront.Instance) *link {
-	k := &link{
-		address: c.PeerAddress, caller: l.Caller, enqueueReplies: l.enqueue,
-		timeout: l.Lease / electionsPerLease, ready: make(chan struct{}, 1),
-	}
-	l.links[c.Name] = k
-	go func() {
-		k.run(l.sendContext)
-		l.linkClosed <- struct{}{}
-	}()
-	return k
-}
--- a/internal/quorum/driver/fleet_test.go
+++ b/internal/quorum/driver/fleet_test.go
@@ -145,6 +145,8 @@
 	diskCount int
 	// event is called with the name of a replica at each of its saves and calls.
 	event atomic.Pointer[func(name string)]
+	// open lets replicas of other names join, as leaseless voters, up to five.
+	open bool
 
 	mu      sync.Mutex
 	running map[string]*replica
@@ -178,6 +180,9 @@
 		Name: name, Machine: r.state, Storage: m, Saved: m.saved, Caller: caller{g, name}, Lease: 2 * time.Second,
 		Random: rand.New(rand.NewPCG(uint64(g.diskCount), uint64(name[0]))).Int64N, SnapshotEntries: 16, SnapshotBytes: 1, Logger: slog.New(slog.DiscardHandler),
 	}
+	if g.open {
+		r.MaxVoters, r.MinVoters, r.Leaseless = 5, 3, true
+	}
 	for _, n := range g.names {
 		r.Control = append(r.Control, snipefront.Instance{Name: n, PeerAddress: n})
 	}
--- a/internal/quorum/driver/link.go
+++ b/internal/quorum/driver/link.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/snipefront/snipefront"
 	"github.com/snipefront/snipefront/internal/quorum/raft"
 )
 
@@ -31,6 +32,33 @@
 	queue []raft.Message
 }
 
+// openLinks starts a goroutine for each other replica. Each sends a token on
+// linkClosed when it ends.
+func (l *Log) openLinks(ctx context.Context) {
+	l.sendContext = ctx
+	l.linkClosed = make(chan struct{})
+	l.links = map[string]*link{}
+	for _, c := range l.Control {
+		if c.Name != l.Name {
+			l.openLink(c)
+		}
+	}
+}
+
+// openLink starts the goroutine that sends messages to c.
+func (l *Log) openLink(c snipefront.Instance) *link {
+	k := &link{
+		address: c.PeerAddress, caller: l.Caller, enqueueReplies: l.enqueue,
+		timeout: l.Lease / electionsPerLease, ready: make(chan struct{}, 1),
+	}
+	l.links[c.Name] = k
+	go func() {
+		k.run(l.sendContext)
+		l.linkClosed <- struct{}{}
+	}()
+	return k
+}
+
 // enqueue adds m to the queue, or drops it if the queue is full.
 func (k *link) enqueue(m raft.Message) {
 	k.mu.Lock()
--- a/internal/quorum/driver/loop.go
+++ b/internal/quorum/driver/loop.go
@@ -15,11 +15,15 @@
 func (l *Log) loop(ctx context.Context) error {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	leave := l.leave
 	for {
 		var first []proposal
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-leave:
+			leave = nil
+			l.replica.Leave(time.Now())
 		case <-timer.C:
 		case st := <-l.staged:
 			if err := l.promote(st); err != nil {
@@ -37,6 +41,7 @@
 			return err
 		}
 		l.answerCalls()
+		l.reportLeft()
 		timer.Reset(time.Until(l.replica.Due()))
 	}
 }
--- a/internal/quorum/raft/elect.go
+++ b/internal/quorum/raft/elect.go
@@ -15,10 +15,14 @@
 	if rejoin := r.lastContact.Add(rejoinTimeouts*r.Election + 1); len(r.members()) > 0 && rejoin.After(join) {
 		join = rejoin
 	}
-	if join.Before(r.electionDeadline) {
-		return join
+	due := r.electionDeadline
+	if join.Before(due) {
+		due = join
 	}
-	return r.electionDeadline
+	if r.mustLeave() && r.nextLeave.Before(due) {
+		due = r.nextLeave
+	}
+	return due
 }
 
 // Tick does what is due at the time now. It must be called at Due and may be called
@@ -33,6 +37,9 @@
 		r.nextJoinRequest = now.Add(r.Heartbeat)
 		r.sendJoins(now)
 	}
+	if r.mustLeave() && !now.Before(r.nextLeave) {
+		r.sendLeave(now)
+	}
 	if !now.Before(r.electionDeadline) {
 		r.startPreVote(now)
 	}
@@ -236,6 +243,10 @@
 	r.electedAt = now
 	r.earlierCommit, r.notedCommit, r.notedAt = r.commit, r.commit, now
 	r.peers = map[string]*peer{}
+	r.leaving = map[string]string{}
+	if r.leaves {
+		r.leaving[r.Identity] = r.Name
+	}
 	r.firstIndex = r.log.last() + 1
 	r.updatePeers()
 	r.appendEntries([]Entry{{Kind: NoOp}})
--- a/internal/quorum/raft/lead.go
+++ b/internal/quorum/raft/lead.go
@@ -19,6 +19,10 @@
 		return
 	}
 	r.noteCommit(now)
+	r.answerLeaving(now)
+	if r.endTermIfRemoved(now); r.role != leader {
+		return
+	}
 	r.changeMembersIfDue(now)
 	r.sendHeartbeats(now)
 }
--- a/internal/quorum/raft/message.go
+++ b/internal/quorum/raft/message.go
@@ -28,12 +28,16 @@
 	HeartbeatReply
 	// InstallSnapshot carries a snapshot. An AppendReply answers it.
 	InstallSnapshot
+	// Leave tells the leader of an open group that the process of a voter is about to end.
+	// A LeaveReply answers it once the voter is removed, or can't be.
+	Leave
+	LeaveReply
 )
 
 // IsReply reports whether a message of kind k answers another one.
 func (k Kind) IsReply() bool {
 	switch k {
-	case JoinReply, PreVoteReply, VoteReply, AppendReply, HeartbeatReply:
+	case JoinReply, PreVoteReply, VoteReply, AppendReply, HeartbeatReply, LeaveReply:
 		return true
 	default:
 		return false
@@ -67,7 +71,7 @@
 	// started. The reply echoes it.
 	Sent time.Duration
 	// Reject is set in a reply that refuses a vote, entries that do not match the
-	// log, or a message of an earlier term.
+	// log, a message of an earlier term, or the removal of a voter that leaves.
 	Reject   bool
 	Entries  []Entry
 	Snapshot *Snapshot
--- a/internal/quorum/raft/raft.go
+++ b/internal/quorum/raft/raft.go
@@ -27,6 +27,14 @@
 // it a voter once it has the log. Each of these is a configuration change of its
 // own, which starts after the one before has committed.
 //
+// # Open groups
+//
+// In an open group, instances of any name may join as learners and become voters, up to
+// MaxVoters. An instance that is removed for good and replaced by one of another name must not
+// go on counting: a voter whose process ends as planned asks the leader to remove it first, and
+// one that is gone is removed by the leader, both only if the group tolerates as many losses
+// without it. An instance that was removed and comes back joins again.
+//
 // # Leases
 //
 // A replica that received a message of a leader, or started, within the minimum
@@ -170,6 +178,16 @@
 	// peers holds the other members, by identity. It is set only on a leader.
 	peers map[string]*peer
 
+	// leaving holds the names of the members that have asked this leader to be removed, by
+	// identity.
+	leaving map[string]string
+	// leaves is set once Leave was called, hasLeft once that was answered, and leaveRefused
+	// if the replica stays. nextLeave is when the leader is asked again.
+	leaves       bool
+	hasLeft      bool
+	leaveRefused bool
+	nextLeave    time.Time
+
 	// announceCommit makes the next Tick send heartbeats, so that followers receive
 	// a new commit index without waiting for the interval. Only open groups set it.
 	announceCommit bool
--- a/internal/quorum/raft/step.go
+++ b/internal/quorum/raft/step.go
@@ -42,6 +42,10 @@
 		r.stepFromLeader(now, m)
 	case AppendReply, HeartbeatReply:
 		r.stepReply(now, m)
+	case Leave:
+		r.stepLeave(now, m)
+	case LeaveReply:
+		r.hasLeft, r.leaveRefused = r.leaves, m.Reject
 	}
 }
 
@@ -88,6 +92,7 @@
 	r.role = follower
 	r.leader = leader
 	r.peers = nil
+	r.leaving = nil
 	r.votes = nil
 }
 
--- a/internal/quorum/raft/voters.go
+++ b/internal/quorum/raft/voters.go
@@ -13,7 +13,7 @@
 		return
 	}
 	i := r.readyLearner(now)
-	if i >= 0 && (r.MaxVoters == 0 || r.voterCount() < r.MaxVoters) {
+	if i >= 0 && (r.MaxVoters == 0 || r.voterCount()-r.leavingVoters() < r.MaxVoters) {
 		next := slices.Clone(r.members())
 		next[i].Voter = true
 		r.changeMembers(next)
@@ -47,23 +47,36 @@
 	r.earlierCommit, r.notedCommit, r.notedAt = r.notedCommit, r.commit, now
 }
 
-// voterToRemove returns a voter of an open group that is gone, if the group tolerates as many losses
-// without it, or more: it still adds to the quorum that the others need. Two that are gone are
-// removed one after the other; one alone is removed from an even number of voters, since a majority
-// of an odd number is no larger without it. No removal leaves less than MinVoters, unless a learner
-// waits to take the place.
+// voterToRemove returns a voter of an open group that is gone or leaves, if the group tolerates as
+// many losses without it, or more: it still adds to the quorum that the others need. Two are removed
+// one after the other; one alone that is gone is removed from an even number of voters, since a
+// majority of an odd number is no larger without it. No removal leaves less than MinVoters, unless a
+// learner waits to take the place. This leader leaves last, when it knows which others are gone,
+// since the next one has to find that out anew.
 func (r *Replica) voterToRemove(now time.Time, learnerWaits bool) (Member, bool) {
-	var gone []Member
+	var gone, leaving []Member
+	unsure := false
 	for _, m := range r.members() {
-		if m.Voter && r.isGone(now, m) {
+		switch {
+		case !m.Voter:
+		case r.isLeaving(m.Identity):
+			leaving = append(leaving, m)
+		case r.isGone(now, m):
 			gone = append(gone, m)
+		case m.Identity != r.Identity && r.sinceContact(now, r.peers[m.Identity]) > 2*r.Heartbeat:
+			unsure = true
 		}
 	}
-	if len(gone) == 0 {
-		return Member{}, false
+	mayShrink := r.voterCount() > r.minVoters()
+	if len(gone) > 0 && (learnerWaits || mayShrink && (r.voterCount()%2 == 0 || len(gone)+len(leaving) > 1)) {
+		return gone[0], true
 	}
-	shrinks := r.voterCount() > r.minVoters() && (r.voterCount()%2 == 0 || len(gone) > 1)
-	return gone[0], learnerWaits || shrinks
+	for _, m := range leaving {
+		if mayShrink && (m.Identity != r.Identity || len(leaving) == 1 && !unsure) {
+			return m, true
+		}
+	}
+	return Member{}, false
 }
 
 // minVoters returns the number of voters that a removal without a learner leaves at least.
