raft, disk, core: a first start that is interrupted is finished

Cause: a process that is started again may start no group (bootstrap=false), and nothing on its disk says that it was there at the first start. Change: a disk of the first start keeps the list of seeds until it belongs to a group, and a blank replica of the first start names them in its answers, by which a first seed whose disk has kept nothing learns that all the others were there.

--- a/internal/daemon/core/core.go
+++ b/internal/daemon/core/core.go
@@ -87,7 +87,13 @@
 
 func newClient() *peers.Client { return &peers.Client{} }
 
-func newFolder(s Settings) *disk.Folder { return &disk.Folder{Path: s.DataFolder} }
+func newFolder(s Settings) *disk.Folder {
+	f := &disk.Folder{Path: s.DataFolder}
+	if !s.JoinOnly {
+		f.FirstStart = s.Seeds
+	}
+	return f
+}
 
 func newLog(s Settings, folder *disk.Folder, state *fleet.State, client *peers.Client, logger *slog.Logger) (*driver.Log, error) {
 	saved, err := folder.Open()
--- a/internal/quorum/disk/disk.go
+++ b/internal/quorum/disk/disk.go
@@ -13,6 +13,9 @@
 // Stage writes such a file while Save appends to the current one. Promote adds the
 // entries after its snapshot and makes it the current file.
 //
+// An empty folder of the first start also gets a file with the instances of that start. It counts
+// until the replica belongs to a group.
+//
 // Each Save also stores the commit index that was known before it, in the same frame as the
 // entries. It needs no sync of its own: a torn or lost frame takes its index with it, and the
 // index of an earlier frame only is lower. Earlier builds skip the field, and a file of theirs
@@ -26,7 +29,6 @@
 package disk
 
 import (
-	"crypto/rand"
 	"fmt"
 	"io"
 	"os"
@@ -77,6 +79,9 @@
 	Commit uint64
 	// Cut is the length of the torn last frame that Open removed, or zero.
 	Cut int64
+	// FirstStart are the instances of the first start of the group, if this disk was there and
+	// has belonged to no group since. It is empty otherwise.
+	FirstStart []string
 }
 
 // Folder stores the state of one replica. Set the exported fields before Open. Once a
@@ -85,6 +90,10 @@
 	Path string
 	// Create creates the file at path, opened for appending. Nil creates an *os.File.
 	Create func(path string) (File, error)
+	// FirstStart are the instances that start the group now for the first time, or empty if
+	// it has been started before. An empty folder keeps them, so that a process that ends before
+	// there is a group leaves to the next one what it knew.
+	FirstStart []string
 
 	identity string
 	number   uint64
@@ -126,9 +135,7 @@
 		return Saved{}, err
 	}
 	if len(numbers) == 0 {
-		s := Saved{Identity: rand.Text()}
-		f.identity = s.Identity
-		return s, f.rewrite(s.Hard, s.Snapshot, nil)
+		return f.begin()
 	}
 	f.number = numbers[len(numbers)-1]
 	s, err := f.read(f.logPath(f.number))
@@ -141,7 +148,13 @@
 		}
 	}
 	f.file, err = os.OpenFile(f.logPath(f.number), os.O_WRONLY|os.O_APPEND, fileMode)
-	return s, errors.Wrap(err, "open log")
+	if err != nil {
+		return Saved{}, errors.Wrap(err, "open log")
+	}
+	if s.Hard.Group == "" {
+		s.FirstStart, err = f.readFirstStart()
+	}
+	return s, err
 }
 
 // Save appends to the log and returns once the data is durable. If h is nil, the saved
--- a/internal/quorum/driver/driver.go
+++ b/internal/quorum/driver/driver.go
@@ -366,7 +366,8 @@
 		Random:    l.Random,
 		MaxVoters: l.MaxVoters,
 		MinVoters: l.MinVoters,
-		JoinOnly:  l.JoinOnly,
+		Seeds:     s.FirstStart,
+		JoinOnly:  l.JoinOnly && len(s.FirstStart) == 0,
 		Leaseless: l.Leaseless,
 
 		SavedCommit: s.Commit,
@@ -375,6 +376,6 @@
 		l.replica.Names = append(l.replica.Names, c.Name)
 	}
 	l.replica.Start(time.Now(), s.Hard, s.Snapshot, s.Entries)
-	l.Logger.Info("log opened", "identity", s.Identity, "term", s.Hard.Term, "snapshot", s.Snapshot.Index, "entries", len(s.Entries), "commit", s.Commit, "tornBytes", s.Cut)
+	l.Logger.Info("log opened", "identity", s.Identity, "term", s.Hard.Term, "snapshot", s.Snapshot.Index, "entries", len(s.Entries), "commit", s.Commit, "tornBytes", s.Cut, "firstStart", s.FirstStart)
 	return nil
 }
--- a/internal/quorum/raft/members.go
+++ b/internal/quorum/raft/members.go
@@ -107,7 +107,7 @@
 // sendJoins sends a Join to all other configured instances and to the members that it knows, and
 // starts a group if it can. None of the configured instances may be left.
 func (r *Replica) sendJoins(now time.Time) {
-	names := slices.Concat(r.Names, r.MemberNames())
+	names := slices.Concat(r.Names, r.Seeds, r.MemberNames())
 	slices.Sort(names)
 	for _, n := range slices.Compact(names) {
 		if n != r.Name {
@@ -122,7 +122,7 @@
 // sender if its instance may join.
 func (r *Replica) stepJoin(m Message) {
 	if r.hard.Group == "" {
-		r.send(Message{Kind: JoinReply, To: m.From, ToName: m.FromName, Sent: m.Sent}, true)
+		r.send(Message{Kind: JoinReply, To: m.From, ToName: m.FromName, Sent: m.Sent, Entries: r.replySeeds()}, true)
 		return
 	}
 	otherGroup := m.Group != "" && m.Group != r.hard.Group
@@ -217,26 +217,65 @@
 	if r.MaxVoters > 0 && (r.hard.Group == "" || r.hard.Group == m.Group) {
 		r.addNames(m.Entries)
 	}
-	if r.hard.Group != "" || m.Group != "" {
+	if m.Group != "" {
+		r.groupFound = true
+	}
+	if r.hard.Group != "" || r.groupFound {
 		return
 	}
-	r.blankReplicas[m.FromName] = blankReplica{identity: m.From, joinSent: m.Sent}
+	r.blankReplicas[m.FromName] = blankReplica{identity: m.From, seeds: namesOf(m.Entries), joinSent: m.Sent}
 	r.bootstrap(now)
 }
 
-// bootstrap starts a group if this is the first configured instance and all
-// configured instances have been blank within the last election timeout.
+// replySeeds returns the seeds as the entries of a JoinReply, or none if the disk of this replica
+// wasn't there at the first start.
+func (r *Replica) replySeeds() []Entry {
+	if r.JoinOnly {
+		return nil
+	}
+	var members []Member
+	for _, n := range r.Seeds {
+		members = append(members, Member{Name: n})
+	}
+	return []Entry{{Kind: ConfigChange, Members: members}}
+}
+
+// namesOf returns the names of the members that a JoinReply lists.
+func namesOf(entries []Entry) []string {
+	var list []string
+	for _, e := range entries {
+		for _, m := range e.Members {
+			list = append(list, m.Name)
+		}
+	}
+	return list
+}
+
+// knownSeeds returns the seeds of the first start, as its own disk keeps them, or as another
+// replica that was there has told, or none.
+func (r *Replica) knownSeeds() []string {
+	if !r.JoinOnly {
+		return r.Seeds
+	}
+	for _, b := range r.blankReplicas {
+		if len(b.seeds) > 1 {
+			return b.seeds
+		}
+	}
+	return nil
+}
+
+// bootstrap starts a group if this is the first seed, all seeds have been blank within the last
+// election timeout, and this one, or each of the others, was there at the first start.
 func (r *Replica) bootstrap(now time.Time) {
-	if r.hard.Group != "" || r.JoinOnly || len(r.Names) == 0 || r.Name != r.Names[0] {
+	seeds := r.knownSeeds()
+	if r.hard.Group != "" || r.groupFound || len(seeds) == 0 || r.Name != seeds[0] {
 		return
 	}
-	var members []Member
-	for _, n := range r.Names {
+	members := []Member{{Name: r.Name, Identity: r.Identity, Voter: true}}
+	for _, n := range seeds[1:] {
 		b, ok := r.blankReplicas[n]
-		if n == r.Name {
-			b, ok = blankReplica{identity: r.Identity, joinSent: now.Sub(r.start)}, true
-		}
-		if !ok || now.Sub(r.start)-b.joinSent > r.Election {
+		if !ok || now.Sub(r.start)-b.joinSent > r.Election || r.JoinOnly && !slices.Equal(b.seeds, seeds) {
 			return
 		}
 		members = append(members, Member{Name: n, Identity: b.identity, Voter: true})
--- a/internal/quorum/raft/message.go
+++ b/internal/quorum/raft/message.go
@@ -12,7 +12,8 @@
 	Join Kind = iota + 1
 	// JoinReply is the answer of a replica that belongs to no group either, or, in an
 	// open group, of a member that does not lead. Such a member lists all members
-	// in Entries.
+	// in Entries, and a replica without a group the seeds of the first start, if its disk
+	// was there.
 	JoinReply
 	// PreVote asks whether a Vote would be granted.
 	PreVote
--- a/internal/quorum/raft/raft.go
+++ b/internal/quorum/raft/raft.go
@@ -12,7 +12,7 @@
 // # First start
 //
 // A blank replica sends a Join to all configured instances. Another blank replica
-// replies with its identity. When the first configured instance is blank and has
+// replies with its identity. When the first of the seeds is blank and has
 // such a reply, no older than an election timeout, from every other one, it writes
 // the configuration of all these identities as the first entry and leads term 1.
 // Its own identity becomes the name of the group. A replica durably adopts the
@@ -20,6 +20,11 @@
 // first instance can start a group, and never while any other holds state, so a
 // second group cannot gather a majority of the first.
 //
+// The first start may be interrupted. A disk that was there keeps the list of seeds, and
+// a blank replica with such a disk says so in its replies. A first seed whose disk was not
+// there, or no longer is, starts the group only if all others were: then no majority of
+// an earlier group can hold state.
+//
 // # Replaced disk
 //
 // A leader that receives a Join from an unknown identity removes the old identity
@@ -45,6 +50,7 @@
 package raft
 
 import (
+	"slices"
 	"time"
 )
 
@@ -111,7 +117,11 @@
 	// learner takes the place: with a quorum of them, an entry outlives the loss of as many disks as
 	// the group must tolerate. Zero is MaxVoters.
 	MinVoters int
-	// JoinOnly forbids this replica to start a group.
+	// Seeds are the instances that start the group together, the same list at each; the first
+	// one starts it. Empty means Names.
+	Seeds []string
+	// JoinOnly states that the disk of this replica wasn't there at the first start of the
+	// group. It then starts a group only with others that were.
 	JoinOnly bool
 	// Leaseless states that nothing relies on Lease, so that a replica may vote as
 	// soon as it has started.
@@ -165,6 +175,8 @@
 	votes map[string]bool
 	// blankReplicas holds the blank replicas that answered a Join, by name.
 	blankReplicas map[string]blankReplica
+	// groupFound is true once a member of a group has answered a Join.
+	groupFound bool
 
 	electedAt time.Time
 	// firstIndex is the index of the first entry of this leader's term.
@@ -209,6 +221,8 @@
 // blankReplica is a replica without a group that answered a Join.
 type blankReplica struct {
 	identity string
+	// seeds are the instances of the first start, if the replica was there.
+	seeds []string
 	// joinSent is when the answered Join was sent, counted from Replica.start.
 	joinSent time.Duration
 }
@@ -254,6 +268,9 @@
 	r.configurations = []configuration{{index: s.Index, members: s.Members}}
 	r.recordConfigurations(entries)
 	r.blankReplicas = map[string]blankReplica{}
+	if len(r.Seeds) == 0 {
+		r.Seeds = slices.Clone(r.Names)
+	}
 	r.leaders = map[string]time.Time{}
 	r.resetElectionDeadline(now)
 	if r.Leaseless {
--- a/internal/quorum/raft/random_test.go
+++ b/internal/quorum/raft/random_test.go
@@ -91,10 +91,6 @@
 	return lost+d.chosen.losses <= d.tolerance
 }
 
-func (d *disturber) upTo(limit time.Duration) time.Duration {
-	return time.Duration(d.Int64N(int64(limit)))
-}
-
 // pick returns a machine that isn't lost: the leader every third time, or any.
 func (d *disturber) pick() string {
 	sound := slices.DeleteFunc(slices.Clone(d.machines), func(n string) bool {
--- a/internal/quorum/raft/site_test.go
+++ b/internal/quorum/raft/site_test.go
@@ -44,6 +44,10 @@
 	// seeds are the names that each replica is configured with at the first start, and later in
 	// a closed group. Later, a replica of an open group gets three of the machines.
 	seeds []string
+	// started is true once the first start is over. kept tells which disks were there and keep
+	// the seeds.
+	started bool
+	kept    map[string]bool
 	// machines are those of the site, without those that were removed.
 	machines []string
 	frozen   map[string]bool
@@ -86,36 +90,46 @@
 // newSite returns a site of size machines, of which the losses of tolerance machines must be borne.
 // open tells whether machines of other names may join. It runs until all machines have joined.
 func newSite(seed uint64, size, tolerance int, open bool) *site {
-	s := &site{fleet: newFleet(seed, 0), tolerance: tolerance, frozen: map[string]bool{}, lost: map[string]time.Time{}, fresh: map[string]time.Time{}, ending: map[string]bool{}, orders: map[uint64]uint64{}}
+	s := newSiteWithout(seed, size, tolerance, open)
+	for i := range size {
+		s.add(fmt.Sprint("m", i+1))
+	}
+	s.started = true
+	s.advance(2 * stable)
+	for _, n := range s.machines {
+		if l := s.leading(); l == nil || s.nodes[n].applied < l.applied-10 {
+			s.fail("%s hasn't joined after the first start", n)
+		}
+	}
+	return s
+}
+
+// newSiteWithout returns a site to which size machines can be added before its first start ends.
+func newSiteWithout(seed uint64, size, tolerance int, open bool) *site {
+	s := &site{
+		fleet: newFleet(seed, 0), tolerance: tolerance, kept: map[string]bool{}, frozen: map[string]bool{}, lost: map[string]time.Time{},
+		fresh: map[string]time.Time{}, ending: map[string]bool{}, orders: map[uint64]uint64{},
+	}
 	s.compactAfter, s.retained = siteLog, siteLog
-	started := false
 	for i := range size {
 		s.seeds = append(s.seeds, fmt.Sprint("m", i+1))
 	}
-	names := slices.Clone(s.seeds)
 	if open {
 		s.seeds = s.seeds[:3]
 	}
 	s.configure = func(r *raft.Replica) {
-		r.Names, r.Heartbeat, r.Election, r.JoinOnly = slices.Clone(s.seeds), siteHeartbeat, siteElection, started
-		if open && started {
+		r.Names, r.Heartbeat, r.Election, r.JoinOnly = slices.Clone(s.seeds), siteHeartbeat, siteElection, s.started && !s.kept[r.Name]
+		if s.kept[r.Name] {
+			r.Seeds = slices.Clone(s.seeds)
+		}
+		if open && s.started {
 			r.Names = s.someMachines()
 		}
 		if open {
 			r.Leaseless, r.MaxVoters, r.MinVoters = true, siteVoters, 2*tolerance+1
 		}
 	}
-	for _, n := range names {
-		s.add(n)
-	}
-	started = true
 	s.acknowledged, s.disturbed = s.now, s.now
-	s.advance(2 * stable)
-	for _, n := range s.machines {
-		if l := s.leading(); l == nil || s.nodes[n].applied < l.applied-10 {
-			s.fail("%s hasn't joined after the first start", n)
-		}
-	}
 	return s
 }
 
@@ -129,6 +143,7 @@
 // add adds a machine with an empty disk.
 func (s *site) add(name string) {
 	s.names, s.machines = append(s.names, name), append(s.machines, name)
+	s.kept[name] = !s.started
 	s.replace(name)
 }
 
@@ -167,6 +182,7 @@
 // wipe has a machine that is down come back with an empty disk.
 func (s *site) wipe(name string) {
 	s.note("%s starts with an empty disk", name)
+	s.kept[name] = false
 	s.replace(name)
 	s.lost[name] = s.now.Add(catchUp)
 }
