pipe: an idle connection keeps no request

Cause: the array behind conn.pending kept the last requests, with their parsed headers, after their answers.

--- a/internal/entry/pipe/conn.go
+++ b/internal/entry/pipe/conn.go
@@ -140,6 +140,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.server.release(c.pending[0])
+	c.pending[0] = nil // an idle connection keeps the array, but no request
 	c.pending = c.pending[1:]
 	c.staysOpen = false
 	return c.closing && len(c.pending) == 0
--- a/internal/entry/pipe/memory_test.go
+++ b/internal/entry/pipe/memory_test.go
@@ -27,12 +27,17 @@
 
 // startBounded starts a server with a bound on requests, and returns its address.
 func startBounded(t *testing.T, h handler, bodies *bound.Memory) string {
+	t.Helper()
+	return startWithLimits(t, h, bodies, snipefront.CallerLimits{HeaderBytes: 2 << 10, BodyBytes: maxBody, HeaderTimeout: testTimeout, IdleTimeout: testTimeout})
+}
+
+// startWithLimits is startBounded with the limits of callers.
+func startWithLimits(t *testing.T, h handler, bodies *bound.Memory, callerLimits snipefront.CallerLimits) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	callerLimits := snipefront.CallerLimits{HeaderBytes: 2 << 10, BodyBytes: maxBody, HeaderTimeout: testTimeout, IdleTimeout: testTimeout}
 	s := &pipe.Server{
 		Handler: h, Bodies: bodies, Limits: func() snipefront.CallerLimits { return callerLimits },
 		Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
