raft, core: the voters of the control quorum are spread over data centres

What callers lose: a zone that is lost, which faultTolerance.zones lets happen, takes most of the voters with it: while it is down no configuration and no order is acknowledged, and targets that leave aren't known to (DRAIN). Cause: the seeds are in zones of their own, but the fourth and the fifth voter were whoever joined first, and a learner that took a place was the first in the list. Change: of the learners that are ready one in the data centre with the fewest voters is promoted, and with MaxVoters voters one that improves the spread is promoted as well, whereupon a voter of the fullest data centre becomes a learner. One voter changes at a time, and at least MaxVoters count at every moment. The data centre comes from the fleet's state.

--- a/internal/daemon/core/core.go
+++ b/internal/daemon/core/core.go
@@ -105,6 +105,10 @@
 		Control:   access.InstancesAt(s.Seeds),
 		MaxVoters: maxVoters,
 		MinVoters: min(2*s.Tolerance+1, maxVoters),
+		Place: func(name string) string {
+			n, _ := state.Instance(name)
+			return n.DataCentre
+		},
 		JoinOnly:  s.JoinOnly,
 		Leaseless: true,
 		Machine:   state,
--- a/internal/quorum/driver/driver.go
+++ b/internal/quorum/driver/driver.go
@@ -101,6 +101,9 @@
 	// MinVoters is the number of voters of an open group that a removal leaves at least, if
 	// no other member takes the place. Zero is MaxVoters.
 	MinVoters int
+	// Place returns the data centre of the instance with a name, or "" if it isn't known, by
+	// which the voters of an open group are spread. Nil knows none.
+	Place func(name string) string
 	// JoinOnly is true if this replica may join a group but must not start one.
 	JoinOnly bool
 	// Leaseless is true if nothing requires that Leadership.Self holds for at most one
@@ -366,6 +369,7 @@
 		Random:    l.Random,
 		MaxVoters: l.MaxVoters,
 		MinVoters: l.MinVoters,
+		Place:     l.Place,
 		Seeds:     s.FirstStart,
 		JoinOnly:  l.JoinOnly && len(s.FirstStart) == 0,
 		Leaseless: l.Leaseless,
--- a/internal/quorum/raft/raft.go
+++ b/internal/quorum/raft/raft.go
@@ -38,7 +38,8 @@
 // MaxVoters. An instance that is removed for good and replaced by one of another name must not
 // go on counting: a voter whose process ends as planned asks the leader to remove it first, and
 // one that is gone is removed by the leader, both only if the group tolerates as many losses
-// without it. An instance that was removed and comes back joins again.
+// without it. An instance that was removed and comes back joins again. With MaxVoters voters,
+// a learner takes the place of a voter if the voters are spread over more places then.
 //
 // # Leases
 //
@@ -120,6 +121,10 @@
 	// Seeds are the instances that start the group together, the same list at each; the first
 	// one starts it. Empty means Names.
 	Seeds []string
+	// Place returns where the instance with a name is, such as its data centre, or "" if that
+	// isn't known. The voters of an open group are spread over places, so that the loss of one
+	// costs few of them. Nil knows no place.
+	Place func(name string) string
 	// JoinOnly states that the disk of this replica wasn't there at the first start of the
 	// group. It then starts a group only with others that were.
 	JoinOnly bool
--- a/internal/quorum/raft/random_test.go
+++ b/internal/quorum/raft/random_test.go
@@ -28,7 +28,8 @@
 	planned int
 }
 
-// siteEvent is a kind of event. losses is the number of further machines that are lost with it.
+// siteEvent is a kind of event. losses is the number of further machines that are lost with it. With
+// none, it begins once nothing else is lost.
 type siteEvent struct {
 	losses int
 	begin  func(d *disturber)
@@ -53,10 +54,16 @@
 	{2, func(d *disturber) { d.replaceLost(); d.replaceAsPlanned() }},
 })
 
+// placeEvents are the further ones of a site whose machines are spread over places.
+var placeEvents = slices.Concat(openEvents, []siteEvent{{0, (*disturber).losePlace}, {0, (*disturber).losePlace}})
+
 // run disturbs the site for the duration d, and lets it recover.
 func (d *disturber) run(length time.Duration) {
 	events := closedEvents
-	if d.open {
+	switch {
+	case d.places > 0:
+		events = placeEvents
+	case d.open:
 		events = openEvents
 	}
 	for end := d.now.Add(length); d.now.Before(end) && d.failure == nil; d.advance(step) {
@@ -80,7 +87,7 @@
 func (d *disturber) mayBegin() bool {
 	lost := d.lostMachines() + d.freshMachines()
 	switch {
-	case d.now.Before(d.next) || d.suspended || d.now.Before(d.recoverUntil):
+	case d.now.Before(d.next) || d.placeLost || d.suspended || d.now.Before(d.recoverUntil):
 		return false
 	case d.chosen.losses == 0:
 		return lost == 0 && d.planned == 0
@@ -213,6 +220,19 @@
 	})
 }
 
+// losePlace has all machines of one place lose power for a while.
+func (d *disturber) losePlace() {
+	place, back := d.IntN(d.places), time.Second+d.upTo(maxGap)
+	for _, name := range slices.Clone(d.machines) {
+		if d.place[name] == place {
+			d.kill(name)
+			d.after(back, func() { d.start(name) })
+			d.placeLost = true
+		}
+	}
+	d.after(back+catchUp, func() { d.placeLost = false })
+}
+
 // restartAll kills all processes at once. They are back within a second.
 func (d *disturber) restartAll() {
 	for _, name := range slices.Clone(d.machines) {
@@ -235,8 +255,10 @@
 	if d.open {
 		want = min(want, siteVoters)
 	}
-	switch {
+	switch _, most := d.mostVoters(); {
 	case d.failure != nil:
+	case d.places > 2 && most > siteVoters/2:
+		d.fail("a place has %d of the voters %v at the end", most, voters)
 	case len(members)-len(gone) != len(d.machines):
 		d.fail("the members are %v at the end, want %v among them", members, d.machines)
 	case len(gone) == 1 && len(voters) == want+1 && len(voters)%2 == 1 && slices.Contains(voters, gone[0]):
@@ -249,18 +271,19 @@
 // TestSitesUnderRandomEvents guards against a control quorum that doesn't take orders though no
 // more is lost than it must bear, against the loss of acknowledged orders, and against two leaders
 // and hasty changes of the members, under random events two at a time: processes killed, frozen,
-// cut off and restarted, disks lost, machines replaced with and without notice, splits in halves
-// and restarts of all.
+// cut off and restarted, disks lost, machines replaced with and without notice, places lost, splits
+// in halves and restarts of all.
 func TestSitesUnderRandomEvents(t *testing.T) {
 	for _, k := range []struct {
-		machines, tolerance int
-		open                bool
-	}{{3, 1, true}, {4, 1, true}, {5, 1, true}, {5, 2, true}, {7, 2, true}, {3, 1, false}, {5, 2, false}} {
-		name := fmt.Sprintf("%d machines, tolerance %d, open %v", k.machines, k.tolerance, k.open)
+		machines, tolerance, places int
+		open                        bool
+	}{{3, 1, 0, true}, {4, 1, 0, true}, {5, 1, 0, true}, {5, 2, 0, true}, {7, 2, 0, true}, {12, 2, 4, true}, {3, 1, 0, false}, {5, 2, 0, false}} {
+		name := fmt.Sprintf("%d machines, tolerance %d, places %d, open %v", k.machines, k.tolerance, k.places, k.open)
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			for seed := range uint64(*siteSeeds) {
 				d := &disturber{site: newSite(seed, k.machines, k.tolerance, k.open), open: k.open}
+				d.spreadOver(k.places)
 				d.run(*siteLength)
 				d.report(t, fmt.Sprintf("seed %d", seed))
 			}
--- a/internal/quorum/raft/site_test.go
+++ b/internal/quorum/raft/site_test.go
@@ -48,9 +48,15 @@
 	// the seeds.
 	started bool
 	kept    map[string]bool
+	// places is the number of places over which the machines are spread, in turn by their
+	// numbers unless place says otherwise, or zero.
+	places int
+	place  map[string]int
 	// machines are those of the site, without those that were removed.
 	machines []string
 	frozen   map[string]bool
+	// placeLost is true while the machines that are lost are those of one place.
+	placeLost bool
 	// lost holds the machines that count as lost, with the time at which each stops to count. It
 	// is zero while the machine is down, frozen or cut off.
 	lost map[string]time.Time
@@ -107,7 +113,7 @@
 // newSiteWithout returns a site to which size machines can be added before its first start ends.
 func newSiteWithout(seed uint64, size, tolerance int, open bool) *site {
 	s := &site{
-		fleet: newFleet(seed, 0), tolerance: tolerance, kept: map[string]bool{}, frozen: map[string]bool{}, lost: map[string]time.Time{},
+		fleet: newFleet(seed, 0), tolerance: tolerance, kept: map[string]bool{}, place: map[string]int{}, frozen: map[string]bool{}, lost: map[string]time.Time{},
 		fresh: map[string]time.Time{}, ending: map[string]bool{}, orders: map[uint64]uint64{},
 	}
 	s.compactAfter, s.retained = siteLog, siteLog
@@ -126,13 +132,29 @@
 			r.Names = s.someMachines()
 		}
 		if open {
-			r.Leaseless, r.MaxVoters, r.MinVoters = true, siteVoters, 2*tolerance+1
+			r.Leaseless, r.MaxVoters, r.MinVoters, r.Place = true, siteVoters, 2*tolerance+1, s.placeOf
 		}
 	}
 	s.acknowledged, s.disturbed = s.now, s.now
 	return s
 }
 
+// placeOf returns the place of a machine, or "" if the site has none.
+func (s *site) placeOf(name string) string {
+	if s.places == 0 {
+		return ""
+	}
+	return fmt.Sprint("p", s.place[name])
+}
+
+// spreadOver tells that the machines are in places, in turn.
+func (s *site) spreadOver(places int) {
+	s.places = places
+	for i, n := range s.machines {
+		s.place[n] = i % max(places, 1)
+	}
+}
+
 // someMachines returns as many machines as there are seeds.
 func (s *site) someMachines() []string {
 	list := slices.Clone(s.machines)
@@ -144,6 +166,9 @@
 func (s *site) add(name string) {
 	s.names, s.machines = append(s.names, name), append(s.machines, name)
 	s.kept[name] = !s.started
+	if _, ok := s.place[name]; !ok && s.places > 0 {
+		s.place[name] = len(s.names) % s.places
+	}
 	s.replace(name)
 }
 
@@ -284,7 +309,7 @@
 	s.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	for _, m := range list {
 		switch {
-		case s.drop != nil && s.drop(m):
+		case s.nodes[m.ToName] == nil || s.drop != nil && s.drop(m):
 		case s.IntN(dropOneIn) == 0 || s.frozen[m.ToName] || s.cutLinks[[2]string{m.FromName, m.ToName}]:
 		case s.IntN(delayOneIn) == 0:
 			s.network = append(s.network, m)
--- a/internal/quorum/raft/sitecheck_test.go
+++ b/internal/quorum/raft/sitecheck_test.go
@@ -13,7 +13,7 @@
 func (s *site) check() {
 	s.checkLeaders()
 	s.checkLeaderLogs()
-	if s.split || s.lostMachines() > s.tolerance {
+	if s.split || s.lostMachines() > s.tolerance && !s.placeLost {
 		s.suspended = true
 	}
 	if s.suspended && s.allBack() {
--- a/internal/quorum/raft/voters.go
+++ b/internal/quorum/raft/voters.go
@@ -7,16 +7,15 @@
 )
 
 // changeMembersIfDue starts the next change of the members that is due, if there is one: it
-// promotes a learner, removes a voter that is not to count any longer, or removes a learner.
+// promotes a learner, removes a voter that is not to count any longer, spreads the voters over
+// places, or removes a learner.
 func (r *Replica) changeMembersIfDue(now time.Time) {
 	if !r.canChangeMembers() {
 		return
 	}
 	i := r.readyLearner(now)
 	if i >= 0 && (r.MaxVoters == 0 || r.voterCount()-r.leavingVoters() < r.MaxVoters) {
-		next := slices.Clone(r.members())
-		next[i].Voter = true
-		r.changeMembers(next)
+		r.setVoter(i, true)
 		return
 	}
 	if r.MaxVoters == 0 {
@@ -26,17 +25,39 @@
 		r.changeMembers(withoutMember(r.members(), m.Name))
 		return
 	}
+	if surplus := r.surplusVoter(now); surplus >= 0 {
+		r.setVoter(surplus, false)
+		return
+	}
+	if i >= 0 && r.voterCount() == r.MaxVoters && r.improvesSpread(now, r.members()[i]) {
+		r.setVoter(i, true)
+		return
+	}
 	r.removeUnresponsiveLearner(now)
 }
 
-// readyLearner returns the position of a learner that is ready to be a voter, or -1. It answers and
-// has what was committed a heartbeat interval ago: while entries are committed all the time, it may
-// never have the last one.
+// setVoter makes the member at position i a voter, or a learner.
+func (r *Replica) setVoter(i int, voter bool) {
+	next := slices.Clone(r.members())
+	next[i].Voter = voter
+	r.changeMembers(next)
+}
+
+// readyLearner returns the position of a learner that is ready to be a voter, or -1: one in a place
+// with as few voters as any. A learner is ready if it answers and has what was committed a heartbeat
+// interval ago: while entries are committed all the time, it may never have the last one.
 func (r *Replica) readyLearner(now time.Time) int {
-	return slices.IndexFunc(r.members(), func(m Member) bool {
+	s, position, least := r.voterSpread(now), -1, 0
+	for i, m := range r.members() {
 		p := r.peers[m.Identity]
-		return !m.Voter && p.matchKnown && p.match >= r.earlierCommit && r.sinceContact(now, p) <= r.Election
-	})
+		if m.Voter || !p.matchKnown || p.match < r.earlierCommit || r.sinceContact(now, p) > r.Election {
+			continue
+		}
+		if n := s[r.place(m)]; position < 0 || n < least {
+			position, least = i, n
+		}
+	}
+	return position
 }
 
 // noteCommit keeps the commit index for readyLearner.
