--- a/internal/quorum/raft/lead.go
+++ b/internal/quorum/raft/lead.go
@@ -5,6 +5,31 @@
 	"time"
 )
 
+// peer is a leader's record of the progress of another replica.
+type peer struct {
+	Member
+	// match is the last entry that the peer is known to have saved, next the first
+	// one to send to it.
+	match uint64
+	next  uint64
+	// matchKnown is set once the peer has accepted an Append or a snapshot. Until then
+	// match is zero and next is only an estimate.
+	matchKnown bool
+	// added is when this leader began to send to the peer, counted from Replica.start.
+	added time.Duration
+	// heartbeatMatch is the value of match at the last heartbeat.
+	heartbeatMatch uint64
+	// lastContact is when the latest heartbeat that the peer answered was sent,
+	// counted from Replica.start.
+	lastContact time.Duration
+	// resent is when entries were last resent, counted from Replica.start.
+	resent time.Duration
+	// nextSnapshot is the earliest time to send a snapshot again. snapshotSent is when the
+	// last one was sent, counted from Replica.start.
+	nextSnapshot time.Time
+	snapshotSent time.Duration
+}
+
 // tickLeader sends heartbeats and changes the members as needed. The leader steps down
 // if no quorum has answered a heartbeat sent within the last election timeout.
 func (r *Replica) tickLeader(now time.Time) {
--- a/internal/quorum/raft/raft.go
+++ b/internal/quorum/raft/raft.go
@@ -217,46 +217,6 @@
 	afterSave        []Message
 }
 
-// configuration holds the members of the group from the entry at index on.
-type configuration struct {
-	index   uint64
-	members []Member
-}
-
-// blankReplica is a replica without a group that answered a Join.
-type blankReplica struct {
-	identity string
-	// seeds are the instances of the first start, if the replica was there.
-	seeds []string
-	// joinSent is when the answered Join was sent, counted from Replica.start.
-	joinSent time.Duration
-}
-
-// peer is a leader's record of the progress of another replica.
-type peer struct {
-	Member
-	// match is the last entry that the peer is known to have saved, next the first
-	// one to send to it.
-	match uint64
-	next  uint64
-	// matchKnown is set once the peer has accepted an Append or a snapshot. Until then
-	// match is zero and next is only an estimate.
-	matchKnown bool
-	// added is when this leader began to send to the peer, counted from Replica.start.
-	added time.Duration
-	// heartbeatMatch is the value of match at the last heartbeat.
-	heartbeatMatch uint64
-	// lastContact is when the latest heartbeat that the peer answered was sent,
-	// counted from Replica.start.
-	lastContact time.Duration
-	// resent is when entries were last resent, counted from Replica.start.
-	resent time.Duration
-	// nextSnapshot is the earliest time to send a snapshot again. snapshotSent is when the
-	// last one was sent, counted from Replica.start.
-	nextSnapshot time.Time
-	snapshotSent time.Duration
-}
-
 // Start initializes the replica at the time now with the saved hard state,
 // snapshot and entries, which are all zero on a blank disk.
 func (r *Replica) Start(now time.Time, h HardState, s Snapshot, entries []Entry) {
