core: as many voters as the loss of more than two machines needs

The control quorum had five voters at most, so that a deployment which must bear the loss of three machines with a disk (faultTolerance.machines) could lose it with the third. No site has that, the settings allow it. MaxVoters is 2*faultTolerance.machines+1 now if that is more than five.

--- a/internal/daemon/core/core.go
+++ b/internal/daemon/core/core.go
@@ -31,7 +31,8 @@
 )
 
 const (
-	// maxVoters bounds the voters of the control quorum. Further members are learners.
+	// maxVoters bounds the voters of the control quorum, unless it must tolerate the loss of more
+	// than two. Further members are learners.
 	maxVoters = 5
 	// lease is the time base of the log: the heartbeat interval is a 15th of it and the
 	// election timeout a 5th. No instance of such a fleet holds a lease.
@@ -103,8 +104,8 @@
 	return &driver.Log{
 		Name:      s.Self.Name,
 		Control:   access.InstancesAt(s.Seeds),
-		MaxVoters: maxVoters,
-		MinVoters: min(2*s.Tolerance+1, maxVoters),
+		MaxVoters: max(maxVoters, minVoters(s)),
+		MinVoters: minVoters(s),
 		Place: func(name string) string {
 			n, _ := state.Instance(name)
 			return n.DataCentre
@@ -125,6 +126,9 @@
 	}, nil
 }
 
+// minVoters returns the number of voters of which as many may be lost as the settings say.
+func minVoters(s Settings) int { return 2*s.Tolerance + 1 }
+
 func newControlClient(s Settings, replica *driver.Log, client *peers.Client) *access.Client {
 	return &access.Client{
 		Control: func() []snipefront.Instance {
