direct: TestWaitingRequestFollowsRollout lets a moment pass between the new state and free room

Traced: the test freed all backend servers and applied the new state of the rollout at the same instant of virtual time, at which the waiting request, too, looks again. A choice that had begun by the old state then found room at the new version: 222, 238 and 146 of 300 runs with the race detector, 7 of 300 without, and always with a pause between the two. That is no fault: a choice is made by what was known when it began, microseconds before. The state is applied first now, and a millisecond later there is room: 0 of 1,500 runs. As strict as before: with the news taken out of chooseOnSide 300 of 300 runs fail, as they did; with only the end of the wait taken out (166 of 300 failed) the request was served by the old version 42 ms later, which a bound on the time now finds in 500 of 500.

--- a/internal/dispatch/direct/version_test.go
+++ b/internal/dispatch/direct/version_test.go
@@ -107,14 +107,23 @@
 // TestWaitingRequestFollowsRollout guards against a request that waits for a full version until
 // its goal has passed, though its rollout gives the requests to the old one meanwhile.
 func TestWaitingRequestFollowsRollout(t *testing.T) {
+	const (
+		newsAfter = 100 * time.Millisecond
+		// sentBy is the time by which the request must be sent: one look after the news, and
+		// long before its goal.
+		sentBy = newsAfter + 60*time.Millisecond
+	)
 	synctest.Test(t, func(t *testing.T) {
 		s := &fakeLink{send: func(context.Context, string) direct.Attempt { return answered }, running: 50}
 		d, apply := newRollout(s, fleet.RolloutFinishing, 1)
-		time.AfterFunc(100*time.Millisecond, func() {
+		begun := time.Now()
+		time.AfterFunc(newsAfter, func() {
+			apply(fleet.RolloutWithdrawing, 0)
+			// A choice that began before the state came ends by what it knew.
+			time.Sleep(time.Millisecond)
 			s.mu.Lock()
 			s.running = 0
 			s.mu.Unlock()
-			apply(fleet.RolloutWithdrawing, 0)
 		})
 		if _, err := d.Serve(t.Context(), newCall(false)); err != nil {
 			t.Error(err)
@@ -122,5 +131,8 @@
 		if len(s.sent) != 1 || isNew(s.sent[0]) {
 			t.Errorf("the request was sent to %v, want an old backend server", s.sent)
 		}
+		if taken := time.Since(begun); taken > sentBy {
+			t.Errorf("the request was sent after %v, want %v at most", taken, sentBy)
+		}
 	})
 }
