direct: simulations read their counts once all probes have ended

The two are in the stacks of the report: site_test.go, run, and model.Probe; nothing orders them. It is the test's own: the counts are read after synctest.Wait now, which orders it behind all that has ended.

--- a/internal/dispatch/direct/short_test.go
+++ b/internal/dispatch/direct/short_test.go
@@ -230,6 +230,7 @@
 		for _, k := range kinds {
 			t.Logf("%s: %s", k.route, m.outcomes[k.route])
 		}
+		synctest.Wait() // a probe may have ended since the last request
 		t.Logf("%d load probes, %d retries and hedges", m.servers.Probes, m.retries)
 		outcomes = m.outcomes
 	})
--- a/internal/dispatch/direct/site_test.go
+++ b/internal/dispatch/direct/site_test.go
@@ -162,6 +162,7 @@
 	all.Wait()
 	cancel()
 	time.Sleep(settleTime)
+	synctest.Wait() // a probe may have ended since the last request
 	s.result.probes, s.result.maxColdRate = s.servers.Probes, s.servers.MaxColdRate
 	return s.result
 }
