--- a/internal/daemon/core/core.go
+++ b/internal/daemon/core/core.go
@@ -60,7 +60,7 @@
 	// time, the list must be the same on each instance.
 	Seeds []string
 	// JoinOnly is true if the fleet has started before. The instance then joins the
-	// control quorum and never starts one.
+	// control quorum, and starts one only to finish a first start that was interrupted.
 	JoinOnly   bool
 	DataFolder string
 	// Tolerance is the number of control instances that may be lost at the same time.
--- a/internal/dispatch/direct/version_test.go
+++ b/internal/dispatch/direct/version_test.go
@@ -109,9 +109,12 @@
 func TestWaitingRequestFollowsRollout(t *testing.T) {
 	const (
 		newsAfter = 100 * time.Millisecond
-		// sentBy is the time by which the request must be sent: one look after the news, and
-		// long before its goal.
-		sentBy = newsAfter + 60*time.Millisecond
+		// roomAfter is the time from the news until there is room, and look that between two
+		// choices of a waiting request.
+		roomAfter, look = time.Millisecond, 25 * time.Millisecond
+		// sentBy is the time by which the request must be sent: the look that sees the news, and
+		// the one that sees the room.
+		sentBy = newsAfter + roomAfter + 2*look
 	)
 	synctest.Test(t, func(t *testing.T) {
 		s := &fakeLink{send: func(context.Context, string) direct.Attempt { return answered }, running: 50}
@@ -120,7 +123,7 @@
 		time.AfterFunc(newsAfter, func() {
 			apply(fleet.RolloutWithdrawing, 0)
 			// A choice that began before the state came ends by what it knew.
-			time.Sleep(time.Millisecond)
+			time.Sleep(roomAfter)
 			s.mu.Lock()
 			s.running = 0
 			s.mu.Unlock()
--- a/internal/quorum/driver/driver.go
+++ b/internal/quorum/driver/driver.go
@@ -104,7 +104,8 @@
 	// Place returns the data centre of the instance with a name, or "" if it isn't known, by
 	// which the voters of an open group are spread. Nil knows none.
 	Place func(name string) string
-	// JoinOnly is true if this replica may join a group but must not start one.
+	// JoinOnly is true if the group has been started before. The replica then starts one only to
+	// finish a first start that was interrupted.
 	JoinOnly bool
 	// Leaseless is true if nothing requires that Leadership.Self holds for at most one
 	// replica at a time. A replica may then vote as soon as it has started.
