heads, pool, sender, conns: an answer with an invalid status is no answer

What callers saw: of a backend server that answers with the status 000 and keeps its connection, nothing until the timeout: 504 after all of it. So with +20, 099 and 101, which nobody asked for. With 600 and 999 they got that status. Where a whole 200 followed a bare 000 on the connection, they got the 200, and the connection was used again.

Cause: net/http parses any three characters that Atoi takes as a status. pool took everything below 200 for an interim answer and read on, and everything above for an answer. In sender, requests checked for 1xx only once the head had been heard; probes checked nothing, and a probe that was answered by 101 with an upgrade had no end at all, since its body is the bare connection.

Why this works: heads.Check is asked for each parsed head, interim or final, before anything is taken from it: in pool where a head is read, and for net/http's transports in heads.Transport, which sender and the probes of conns use. It takes 100 to 599 (RFC 9110, section 15) but for 101, which answers a request to switch the protocol, and none is ever sent. An error there takes the way of all other answers that are none: at once, may-have-run, the connection closed, counted against the backend server. A transport puts the connection of an answer without a body back before it returns, so Transport also closes the idle ones. Since it looks at interim answers, the transport no longer bounds their size, so Transport does.

--- a/internal/dispatch/pool/head.go
+++ b/internal/dispatch/pool/head.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/snipefront/snipefront/internal/rpc/heads"
 )
 
 const (
@@ -89,6 +91,9 @@
 		// The deadline is set, or will be soon.
 		return nil, ErrHeadTooSlow
 	}
+	if err := heads.Check(resp); err != nil {
+		return nil, headError(err)
+	}
 	return resp, nil
 }
 
--- a/internal/dispatch/sender/sender.go
+++ b/internal/dispatch/sender/sender.go
@@ -35,6 +35,7 @@
 	"github.com/snipefront/snipefront/internal/dispatch/notice"
 	"github.com/snipefront/snipefront/internal/rpc/bound"
 	"github.com/snipefront/snipefront/internal/rpc/conns"
+	"github.com/snipefront/snipefront/internal/rpc/heads"
 	"github.com/snipefront/snipefront/internal/rpc/writes"
 )
 
@@ -175,7 +176,7 @@
 
 // roundTrip sends req and reads the complete answer.
 func (s *Sender) roundTrip(ctx context.Context, t *writes.Tracker, c *call, req *http.Request) Attempt {
-	resp, err := c.transport.RoundTrip(req)
+	resp, err := heads.Transport{Base: c.transport}.RoundTrip(req)
 	if err == nil {
 		defer resp.Body.Close()
 		s.hear(c.server, resp.StatusCode, resp.Header)
@@ -275,7 +276,6 @@
 
 var (
 	errNoLength   = errors.New("answer without a length cannot be known to be whole")
-	errSwitch     = errors.New("answer switches the protocol")
 	errMismatched = errors.New("answer to another request")
 	errUncertain  = errors.New("refusal without the id of the attempt, which may be that of an earlier request")
 )
@@ -292,9 +292,6 @@
 }
 
 func (s *Sender) readBody(ctx context.Context, resp *http.Response) ([]byte, error) {
-	if resp.StatusCode < http.StatusOK {
-		return nil, errSwitch
-	}
 	if resp.Request.Method == http.MethodHead {
 		return nil, nil
 	}
--- a/internal/rpc/conns/conns.go
+++ b/internal/rpc/conns/conns.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/snipefront/snipefront/internal/rpc/heads"
 )
 
 const (
@@ -138,7 +140,7 @@
 	if err != nil {
 		return false
 	}
-	t := &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxProbeBytes}
+	t := heads.Transport{Base: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxProbeBytes}}
 	resp, err := t.RoundTrip(req)
 	if err != nil {
 		return false
--- /dev/null
+++ b/internal/rpc/heads/transport.go
@@ -0,0 +1,86 @@
+package heads
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+
+	"github.com/pkg/errors"
+)
+
+// maxInterimBytes bounds the heads of the interim answers (status 1xx) before an answer, in
+// bytes. A transport bounds them itself only if nobody looks at them.
+const maxInterimBytes = 64 << 10
+
+// lineBytes is what a status line takes at least, in bytes, and fieldBytes what a field takes
+// beside its name and its value.
+const (
+	lineBytes  = len("HTTP/1.1 100\r\n\r\n")
+	fieldBytes = len(":\r\n")
+)
+
+// ErrInterim means that the interim answers before an answer are over the size limit.
+var ErrInterim = errors.New("interim answers over the size limit")
+
+// Transport is an http.RoundTripper that fails if the head of an answer is not that of an answer.
+// It then closes the connection, so that no other request uses it, and the idle ones of Base, which
+// may hand it to the next request otherwise.
+type Transport struct {
+	Base *http.Transport
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t Transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	x := exchange{base: t.Base}
+	resp, err := t.Base.RoundTrip(req.WithContext(x.trace(req.Context())))
+	if err != nil {
+		return nil, err
+	}
+	if err := Check(resp); err != nil {
+		x.close()
+		_ = resp.Body.Close() // the connection is closed
+		return nil, err
+	}
+	return resp, nil
+}
+
+// exchange is a request and its answers on one connection.
+type exchange struct {
+	base *http.Transport
+	conn net.Conn
+	// interim is the size of the heads of the interim answers, in bytes.
+	interim int
+}
+
+// trace returns a context for the request of x.
+func (x *exchange) trace(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn:        func(i httptrace.GotConnInfo) { x.conn = i.Conn },
+		Got1xxResponse: x.checkInterim,
+	})
+}
+
+// checkInterim checks the head of an interim answer. An error ends the exchange.
+func (x *exchange) checkInterim(status int, h textproto.MIMEHeader) error {
+	x.interim += lineBytes
+	for name, values := range h {
+		for _, v := range values {
+			x.interim += len(name) + len(v) + fieldBytes
+		}
+	}
+	if x.interim > maxInterimBytes {
+		return ErrInterim
+	}
+	return checkHead(status)
+}
+
+// close closes the connection. If the answer has no body, it is idle by now, or carries the next
+// request already.
+func (x *exchange) close() {
+	if x.conn != nil {
+		_ = x.conn.Close() // fails only if it is closed
+	}
+	x.base.CloseIdleConnections()
+}
