heads, pool, sender, conns: an answer with an invalid field is no answer

What callers saw: of a backend server that writes "Content-Length : 11" or "Transfer-Encoding : chunked", a signed 200 whose body was all that came until the connection closed, the lines of the chunks included: "2\r\nok\r\n0\r\n\r\n" in place of "ok". Where the connection stayed open, 504 after the whole timeout. With a blank in another name, also of a trailer or of an interim answer, a good 200 without that line, and the connection was used again. A control byte in a name or a value reached no caller before either (502): those cases stay in the tests, and nothing else changed for them.

Cause: net/textproto takes names with a blank and leaves them as they are, so that net/http finds no Content-Length or Transfer-Encoding and takes the body to end with the connection.

Weighed: a folded value (RFC 9112, 5.2: a gateway may put a blank in its place, as net/http does), lines ended by LF alone (2.2: may be taken), a length beside chunks (6.3: the chunks override, and the length isn't passed on), any reason (4: to be ignored), a higher minor version (RFC 9110, 2.5). All stay accepted: the RFCs allow it, the body is framed without doubt, and sound servers would lose answers.

--- a/internal/dispatch/link/broken_test.go
+++ b/internal/dispatch/link/broken_test.go
@@ -24,8 +24,8 @@
 const reportFields = "Server: s\r\nLoad: 1,0,2,100\r\nLeaving: 1\r\nLimit: 0.5\r\n"
 
 // checkFaulty checks that each of the answers counts against the backend server as one that is no
-// answer, and that nothing is taken from its head.
-func checkFaulty(t *testing.T, answers func(field string) map[string]string) {
+// answer, and that no notice is taken from its head unless hears is true.
+func checkFaulty(t *testing.T, answers func(field string) map[string]string, hears bool) {
 	for name := range answers("") {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -47,11 +47,16 @@
 			if err := probeBegun(t, l, target, &begun); err == nil || errors.Is(err, health.ErrProbeTimeout) {
 				t.Errorf("the load probe ended with %v, want a failure of the backend server", err)
 			}
-			if target.Draining() {
+			if target.Draining() && !hears {
 				t.Error("the backend server counts as leaving")
 			}
-			if c, err := l.Pool.Get(t.Context(), target.Server.Address, false); err != nil || c.Reused {
-				t.Errorf("a connection is used again after a broken answer, or none opens: %v", err)
+			c, err := l.Pool.Get(t.Context(), target.Server.Address, false)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			if c.Reused {
+				t.Error("a connection is used again after a broken answer")
 			}
 		})
 	}
@@ -61,5 +66,18 @@
 // with the status 000 or another one that doesn't exist, and counts as healthy or as silent, or whose
 // request is said not to have run.
 func TestInvalidStatusIsFaulty(t *testing.T) {
-	checkFaulty(t, rawtcp.InvalidStatuses)
+	checkFaulty(t, rawtcp.InvalidStatuses, false)
+}
+
+// TestInvalidFieldIsFaulty guards against a backend server that answers requests or load probes with
+// a blank or a control byte in the name of a field, and counts as healthy, or whose load, notice or
+// refusal is believed.
+func TestInvalidFieldIsFaulty(t *testing.T) {
+	checkFaulty(t, rawtcp.InvalidFields, false)
+}
+
+// TestInvalidTrailerIsFaulty guards against the same in the trailer behind a body. The head is that
+// of an answer.
+func TestInvalidTrailerIsFaulty(t *testing.T) {
+	checkFaulty(t, rawtcp.InvalidTrailers, true)
 }
--- a/internal/dispatch/pool/broken_test.go
+++ b/internal/dispatch/pool/broken_test.go
@@ -42,8 +42,8 @@
 }
 
 // checkBroken checks that none of the answers is taken, or held until the deadline, and that
-// their connections aren't used again.
-func checkBroken(t *testing.T, answers map[string]string) {
+// their connections aren't used again. most is the number of heads that may be heard.
+func checkBroken(t *testing.T, answers map[string]string, most int) {
 	for name, text := range answers {
 		for _, closes := range []bool{true, false} {
 			t.Run(fmt.Sprintf("%s, closed %v", name, closes), func(t *testing.T) {
@@ -58,8 +58,8 @@
 				if reusable {
 					t.Error("the connection is used again")
 				}
-				if heard > 0 {
-					t.Errorf("%d heads were heard, want none", heard)
+				if heard > most {
+					t.Errorf("%d heads were heard, want %d", heard, most)
 				}
 			})
 		}
@@ -70,7 +70,20 @@
 // or another one that doesn't exist: it was passed on, or read over like an interim answer, so
 // that its request waited until the deadline or got the bytes behind it.
 func TestInvalidStatusIsNoAnswer(t *testing.T) {
-	checkBroken(t, rawtcp.InvalidStatuses(brokenFields))
+	checkBroken(t, rawtcp.InvalidStatuses(brokenFields), 0)
+}
+
+// TestInvalidFieldIsNoAnswer guards against a backend server that answers with a blank or a
+// control byte in the name of a field: where that field is the length or the coding of the body,
+// callers got a body that isn't that of the backend server.
+func TestInvalidFieldIsNoAnswer(t *testing.T) {
+	checkBroken(t, rawtcp.InvalidFields(brokenFields), 0)
+}
+
+// TestInvalidTrailerIsNoAnswer guards against the same in the trailer behind a body. The head is that
+// of an answer.
+func TestInvalidTrailerIsNoAnswer(t *testing.T) {
+	checkBroken(t, rawtcp.InvalidTrailers(brokenFields), 1)
 }
 
 // TestUnusualAnswerIsTaken guards against an answer of a sound backend server that is lost since
--- a/internal/dispatch/pool/exchange.go
+++ b/internal/dispatch/pool/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/snipefront/snipefront/internal/rpc/bound"
+	"github.com/snipefront/snipefront/internal/rpc/heads"
 	"github.com/snipefront/snipefront/internal/rpc/pace"
 )
 
@@ -157,6 +158,9 @@
 		return false, errors.Wrap(err, "read body of answer")
 	}
 	_ = resp.Body.Close()
+	if err := heads.CheckFields(resp.Trailer); err != nil {
+		return false, errors.Wrap(err, "read trailer of answer")
+	}
 	e.Response = resp
 	e.Answer = body
 	c.heard = time.Now()
--- a/internal/dispatch/pool/head.go
+++ b/internal/dispatch/pool/head.go
@@ -91,7 +91,7 @@
 		// The deadline is set, or will be soon.
 		return nil, ErrHeadTooSlow
 	}
-	if err := heads.Check(resp); err != nil {
+	if err := heads.Check(resp.StatusCode, resp.Header); err != nil {
 		return nil, headError(err)
 	}
 	return resp, nil
--- a/internal/dispatch/sender/broken_test.go
+++ b/internal/dispatch/sender/broken_test.go
@@ -20,8 +20,8 @@
 
 // checkBroken checks that none of the answers is taken by a request or a probe, or held until
 // the deadline, and that no connection is used again after one. answers returns them with the
-// given fields.
-func checkBroken(t *testing.T, answers func(field string) map[string]string) {
+// given fields. Their notices are heard if hears is true.
+func checkBroken(t *testing.T, answers func(field string) map[string]string, hears bool) {
 	for name := range answers("") {
 		for _, closes := range []bool{true, false} {
 			t.Run(fmt.Sprintf("%s, closed %v", name, closes), func(t *testing.T) {
@@ -29,7 +29,7 @@
 				f := serve(t, func(_ int, r *http.Request, _ []byte) (string, bool) {
 					return answers(brokenFields(r))[name], !closes
 				})
-				testBroken(t, f)
+				testBroken(t, f, hears)
 			})
 		}
 	}
@@ -41,7 +41,7 @@
 }
 
 // testBroken sends three requests and a probe to a backend server whose answers are broken.
-func testBroken(t *testing.T, f *fake) {
+func testBroken(t *testing.T, f *fake, hears bool) {
 	s := newSender()
 	var heard atomic.Int64
 	s.Heard = func(snipefront.BackendServer, notice.Notice, error) { heard.Add(1) }
@@ -68,7 +68,7 @@
 	case <-time.After(brokenTimeout):
 		t.Error("the probe has not ended")
 	}
-	if n := heard.Load(); n > 0 {
+	if n := heard.Load(); n > 0 && !hears {
 		t.Errorf("%d notices were heard, want none", n)
 	}
 }
@@ -76,7 +76,19 @@
 // TestInvalidStatusIsNoAnswer guards against a backend server that answers with the status 000
 // or another one that doesn't exist, and whose answer is passed on, or whose probe succeeds.
 func TestInvalidStatusIsNoAnswer(t *testing.T) {
-	checkBroken(t, rawtcp.InvalidStatuses)
+	checkBroken(t, rawtcp.InvalidStatuses, false)
+}
+
+// TestInvalidFieldIsNoAnswer guards against a backend server that answers with a blank or a
+// control byte in the name of a field, and whose answer is passed on, or whose probe succeeds.
+func TestInvalidFieldIsNoAnswer(t *testing.T) {
+	checkBroken(t, rawtcp.InvalidFields, false)
+}
+
+// TestInvalidTrailerIsNoAnswer guards against the same in the trailer behind a body. The head is that
+// of an answer.
+func TestInvalidTrailerIsNoAnswer(t *testing.T) {
+	checkBroken(t, rawtcp.InvalidTrailers, true)
 }
 
 // TestUnusualAnswerIsTaken guards against an answer of a sound backend server that is lost since
--- a/internal/rpc/heads/transport.go
+++ b/internal/rpc/heads/transport.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -24,8 +25,8 @@
 // ErrInterim means that the interim answers before an answer are over the size limit.
 var ErrInterim = errors.New("interim answers over the size limit")
 
-// Transport is an http.RoundTripper that fails if the head of an answer is not that of an answer.
-// It then closes the connection, so that no other request uses it, and the idle ones of Base, which
+// Transport is an http.RoundTripper that fails if the head of an answer is not that of an answer,
+// and whose bodies fail at their end if the trailer is invalid. It then closes the connection, so that no other request uses it, and the idle ones of Base, which
 // may hand it to the next request otherwise.
 type Transport struct {
 	Base *http.Transport
@@ -33,16 +34,19 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t Transport) RoundTrip(req *http.Request) (*http.Response, error) {
-	x := exchange{base: t.Base}
+	x := &exchange{base: t.Base}
 	resp, err := t.Base.RoundTrip(req.WithContext(x.trace(req.Context())))
 	if err != nil {
 		return nil, err
 	}
-	if err := Check(resp); err != nil {
+	if err := Check(resp.StatusCode, resp.Header); err != nil {
 		x.close()
 		_ = resp.Body.Close() // the connection is closed
 		return nil, err
 	}
+	if len(resp.TransferEncoding) > 0 {
+		resp.Body = &chunks{ReadCloser: resp.Body, exchange: x, answer: resp}
+	}
 	return resp, nil
 }
 
@@ -73,7 +77,7 @@
 	if x.interim > maxInterimBytes {
 		return ErrInterim
 	}
-	return checkHead(status)
+	return Check(status, http.Header(h))
 }
 
 // close closes the connection. If the answer has no body, it is idle by now, or carries the next
@@ -84,3 +88,23 @@
 	}
 	x.base.CloseIdleConnections()
 }
+
+// chunks is the body of an answer that may have a trailer.
+type chunks struct {
+	io.ReadCloser
+	exchange *exchange
+	answer   *http.Response
+}
+
+// Read implements io.Reader.
+func (c *chunks) Read(b []byte) (int, error) {
+	n, err := c.ReadCloser.Read(b)
+	if err != io.EOF {
+		return n, err
+	}
+	if invalid := CheckFields(c.answer.Trailer); invalid != nil {
+		c.exchange.close()
+		return n, invalid
+	}
+	return n, err
+}
--- a/internal/stand/rawtcp/broken.go
+++ b/internal/stand/rawtcp/broken.go
@@ -1,6 +1,9 @@
 package rawtcp
 
-import "net/http"
+import (
+	"net/http"
+	"strings"
+)
 
 // InvalidStatuses returns by name answers to a GET whose status is no status of HTTP, or is one
 // that answers no request. Field holds additional header fields, each with its line end.
@@ -26,6 +29,48 @@
 	}
 }
 
+// InvalidFields returns by name answers to a GET with a field whose name or value is not valid.
+// Field holds additional header fields, each with its line end.
+func InvalidFields(field string) map[string]string {
+	const (
+		short  = "Content-Length: 2\r\n\r\nok"
+		chunks = "2\r\nok\r\n0\r\n"
+	)
+	head := "HTTP/1.1 200 OK\r\n" + field
+	return map[string]string{
+		"blank within a name":                head + "X Y: z\r\n" + short,
+		"blank before the colon":             head + "X-Y : z\r\n" + short,
+		"tab before the colon":               head + "X-Y\t: z\r\n" + short,
+		"blank before the length's colon":    head + "Content-Length : 2\r\n\r\nok and more",
+		"blank before the coding's colon":    head + "Transfer-Encoding : chunked\r\n\r\n" + chunks + "\r\n",
+		"the same beside a length":           head + "Transfer-Encoding : chunked\r\nContent-Length: 2\r\n\r\n" + chunks + "\r\n",
+		"the same beside a length of 0":      head + "Transfer-Encoding : chunked\r\nContent-Length: 0\r\n\r\n" + chunks + "\r\n",
+		"blank within a name, no body":       head + "X Y: z\r\nContent-Length: 0\r\n\r\n",
+		"blank in an interim answer":         "HTTP/1.1 103 Early Hints\r\nX Y: z\r\n\r\n" + head + short,
+		"blank in the second interim answer": "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nX-Y : z\r\n\r\n" + head + short,
+		"control byte in a name":             head + "X\x01Y: z\r\n" + short,
+		"NUL in a name":                      head + "X\x00Y: z\r\n" + short,
+		"DEL in a name":                      head + "X\x7fY: z\r\n" + short,
+		"8-bit byte in a name":               head + "X\xe9Y: z\r\n" + short,
+		"empty name":                         head + ": z\r\n" + short,
+		"no colon":                           head + "XY\r\n" + short,
+		"control byte in a value":            head + "X-Y: a\x01z\r\n" + short,
+		"NUL in a value":                     head + "X-Y: a\x00z\r\n" + short,
+	}
+}
+
+// InvalidTrailers is InvalidFields for the trailer behind a body.
+func InvalidTrailers(field string) map[string]string {
+	body := "HTTP/1.1 200 OK\r\n" + field + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"
+	return map[string]string{
+		"blank within a trailer's name":     body + "X Y: z\r\n\r\n",
+		"blank before the colon, trailer":   body + "X-Y : z\r\n\r\n",
+		"blank in a trailer, announced":     strings.Replace(body, "\r\n\r\n", "\r\nTrailer: X Y\r\n\r\n", 1) + "X Y: z\r\n\r\n",
+		"control byte in a trailer's name":  body + "X\x01Y: z\r\n\r\n",
+		"control byte in a trailer's value": body + "X-Y: a\x01z\r\n\r\n",
+	}
+}
+
 // UnusualAnswers returns by name whole answers that few backend servers send, but that are
 // valid or that a recipient may accept. Field holds additional header fields, each with its line
 // end.
