peers, heads: a forwarded answer is checked once more

What callers saw: an instance of an earlier version forwards what it takes for an answer of its backend server. The status 0 ended the caller's connection without an answer (WriteHeader panics), 101 and 103 became other answers, 600 and 999 were passed on, and so was a header with a control byte.

Cause: Forward took status and fields of the message as they were.

Why this works: what the owner forwards, an answer or a refusal, passes the check of a final answer before it becomes one.

--- a/internal/rpc/heads/heads.go
+++ b/internal/rpc/heads/heads.go
@@ -8,44 +8,55 @@
 package heads
 
 import (
+	"fmt"
 	"net/http"
 
-	"github.com/pkg/errors"
 	"golang.org/x/net/http/httpguts"
 )
 
 // maxStatus is the highest status of HTTP (RFC 9110, section 15).
 const maxStatus = 599
 
-// Errors of a head.
-var (
-	// ErrStatus means that the status is no status of HTTP, or that it switches the protocol,
-	// which no request asks for.
-	ErrStatus = errors.New("answer with an invalid status")
-	// ErrField means that the name of a field is no token or that its value holds a control
-	// byte.
-	ErrField = errors.New("answer with an invalid field")
-)
+// maxNameBytes bounds how much of the name of a field an Error holds, in bytes.
+const maxNameBytes = 64
+
+// Error is the error of a head or a trailer that is not that of an answer.
+type Error struct {
+	// Detail says what is invalid.
+	Detail string
+}
+
+// Error implements error.
+func (e *Error) Error() string { return "broken answer: " + e.Detail }
 
 // Check returns an error if a status and a header are not those of an answer, final or interim.
-// The connection of such an answer must be closed.
+// The status 101 answers a request to switch the protocol, which no request is. The connection of
+// an answer with an error must be closed.
 func Check(status int, h http.Header) error {
 	if status < http.StatusContinue || status > maxStatus || status == http.StatusSwitchingProtocols {
-		return errors.WithMessagef(ErrStatus, "status %d", status)
+		return &Error{Detail: fmt.Sprintf("status %d", status)}
 	}
 	return CheckFields(h)
 }
 
+// CheckFinal is Check for a final answer.
+func CheckFinal(status int, h http.Header) error {
+	if status < http.StatusOK {
+		return &Error{Detail: fmt.Sprintf("status %d", status)}
+	}
+	return Check(status, h)
+}
+
 // CheckFields returns an error if a field of a header or of a trailer is invalid. Those without
 // values are not sent.
 func CheckFields(h http.Header) error {
 	for name, values := range h {
 		if len(values) > 0 && !httpguts.ValidHeaderFieldName(name) {
-			return errors.WithMessagef(ErrField, "name %q", name)
+			return &Error{Detail: fmt.Sprintf("name of a field %.*q", maxNameBytes, name)}
 		}
 		for _, v := range values {
 			if !httpguts.ValidHeaderFieldValue(v) {
-				return errors.WithMessagef(ErrField, "value of %s", name)
+				return &Error{Detail: fmt.Sprintf("value of the field %.*q", maxNameBytes, name)}
 			}
 		}
 	}
--- a/internal/rpc/heads/transport.go
+++ b/internal/rpc/heads/transport.go
@@ -7,8 +7,6 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
-
-	"github.com/pkg/errors"
 )
 
 // maxInterimBytes bounds the heads of the interim answers (status 1xx) before an answer, in
@@ -22,12 +20,10 @@
 	fieldBytes = len(":\r\n")
 )
 
-// ErrInterim means that the interim answers before an answer are over the size limit.
-var ErrInterim = errors.New("interim answers over the size limit")
-
 // Transport is an http.RoundTripper that fails if the head of an answer is not that of an answer,
-// and whose bodies fail at their end if the trailer is invalid. It then closes the connection, so that no other request uses it, and the idle ones of Base, which
-// may hand it to the next request otherwise.
+// and whose bodies fail at their end if the trailer is invalid. It then closes the connection, so
+// that no other request uses it, and the idle ones of Base, which may hand it to the next request
+// otherwise.
 type Transport struct {
 	Base *http.Transport
 }
@@ -50,6 +46,9 @@
 	return resp, nil
 }
 
+// CloseIdleConnections closes the idle connections, for http.Client.
+func (t Transport) CloseIdleConnections() { t.Base.CloseIdleConnections() }
+
 // exchange is a request and its answers on one connection.
 type exchange struct {
 	base *http.Transport
@@ -75,7 +74,7 @@
 		}
 	}
 	if x.interim > maxInterimBytes {
-		return ErrInterim
+		return &Error{Detail: "interim answers over the size limit"}
 	}
 	return Check(status, http.Header(h))
 }
--- a/internal/rpc/peers/forward.go
+++ b/internal/rpc/peers/forward.go
@@ -9,6 +9,7 @@
 
 	"github.com/snipefront/snipefront"
 	"github.com/snipefront/snipefront/internal/rpc/conns"
+	"github.com/snipefront/snipefront/internal/rpc/heads"
 	"github.com/snipefront/snipefront/internal/rpc/wire"
 )
 
@@ -87,7 +88,7 @@
 	if err != nil {
 		return Answer{}, h.noAnswerError(ctx, &k, err, cause), errors.Is(cause, conns.ErrHalfOpen)
 	}
-	a, refusal := answerOf(f)
+	a, refusal := answerOf(h.request, f)
 	return a, refusal, false
 }
 
@@ -119,16 +120,34 @@
 	return e
 }
 
-func answerOf(f *wire.ForwardResponse) (Answer, *snipefront.Error) {
+// answerOf returns what the owner answered to r. An answer or a refusal that can't be given to a
+// caller, which an instance of an earlier version may forward, is a broken answer.
+func answerOf(r *snipefront.Request, f *wire.ForwardResponse) (Answer, *snipefront.Error) {
 	a := Answer{Free: int(f.Free), Queued: int(f.Queued), Counted: true}
 	if f.Refusal != nil {
+		if err := heads.CheckFinal(int(f.Refusal.Status), nil); err != nil {
+			return a, brokenError(r, err)
+		}
 		return a, refusalError(f.Refusal)
 	}
-	a.Response = &snipefront.Response{
+	response := &snipefront.Response{
 		Status:        int(f.Status),
 		Header:        headerOf(f.Header),
 		Body:          f.Body,
 		BackendServer: f.BackendServer,
 	}
+	if err := heads.CheckFinal(response.Status, response.Header); err != nil {
+		return a, brokenError(r, err)
+	}
+	a.Response = response
 	return a, nil
 }
+
+// brokenError returns the error for a broken answer to r, which may have run.
+func brokenError(r *snipefront.Request, err error) *snipefront.Error {
+	e := &snipefront.Error{Verdict: snipefront.MayHaveRun, Reason: snipefront.ReasonBrokenAnswer, Status: http.StatusBadGateway, Detail: err.Error()}
+	if r.Idempotent || r.IdempotencyKey != "" {
+		e.RetryAfter = time.Second
+	}
+	return e
+}
