pipe, calls: an answer that is none in HTTP can't be written

What callers saw, had anything passed such an answer on: "HTTP/1.1 0 Status", "HTTP/1.1 600 Status", an interim status with a body behind it, values with control bytes; through calls a connection that ends without an answer (status 0), or other statuses than were meant (101, 103).

Cause: formatHead and net/http's server write what they are given, but for names, which they drop without a word.

Why this works: both writers ask heads.CheckFinal before the first byte. In place of such an answer callers get 502, which promises nothing, as the request may have run. pipe logs it as an error, since all that reads answers should have noticed before.

--- a/internal/entry/calls/calls.go
+++ b/internal/entry/calls/calls.go
@@ -19,6 +19,7 @@
 	"github.com/snipefront/snipefront/internal/entry/drain"
 	"github.com/snipefront/snipefront/internal/entry/header"
 	"github.com/snipefront/snipefront/internal/rpc/bound"
+	"github.com/snipefront/snipefront/internal/rpc/heads"
 )
 
 // The header fields of requests and responses.
@@ -94,10 +95,18 @@
 	h.write(w, req.Method, resp)
 }
 
+// serve returns the response to r. One that can't be written is a broken answer.
 func (h *Handler) serve(ctx context.Context, r *snipefront.Request) (*snipefront.Response, error) {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
-	return h.Next.Serve(ctx, r)
+	resp, err := h.Next.Serve(ctx, r)
+	if err != nil {
+		return nil, err
+	}
+	if err := heads.CheckFinal(resp.Status, resp.Header); err != nil {
+		return nil, &snipefront.Error{Verdict: snipefront.MayHaveRun, Reason: snipefront.ReasonBrokenAnswer, Status: http.StatusBadGateway, Detail: err.Error()}
+	}
+	return resp, nil
 }
 
 // endToEnd returns the header fields of h that are sent to a backend server.
--- a/internal/entry/pipe/write.go
+++ b/internal/entry/pipe/write.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/snipefront/snipefront/internal/rpc/bound"
+	"github.com/snipefront/snipefront/internal/rpc/heads"
 )
 
 // writeAnswers writes the answers in the order of exchanges until one of them closes
@@ -32,8 +33,13 @@
 	}
 }
 
-// writeAnswer writes one answer and reports whether the connection is still open.
+// writeAnswer writes one answer and reports whether the connection is still open. In place of an
+// answer that would be none in HTTP, it writes the status 502, which promises nothing.
 func (c *conn) writeAnswer(ctx context.Context, r *Request, a Answer) bool {
+	if err := heads.CheckFinal(a.Status, a.Header); err != nil {
+		c.server.Logger.Error("answer can't be written; answering with 502", "error", err, "caller", c.RemoteAddr())
+		a = Answer{Status: http.StatusBadGateway, Close: a.Close}
+	}
 	body := a.Body
 	if r.Method == http.MethodHead {
 		body = nil
