client: a broken response is not the final one of a call

What operators saw: a call that an address answers with the status 000, +20, 099 or 101 failed as refused, though the next address would have answered it, and a change sent again could have been accepted. A response with a blank in the name of a field was taken.

Cause: each status that is neither 200, 409 nor a server error counted as a refusal.

Why this works: the client reads through heads.Transport, whose errors make a call try the next address, like those of a response that is cut off.

--- a/internal/config/client/client.go
+++ b/internal/config/client/client.go
@@ -24,6 +24,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/snipefront/snipefront/internal/clock/timer"
+	"github.com/snipefront/snipefront/internal/rpc/heads"
 )
 
 // Limits of a call.
@@ -143,7 +144,7 @@
 	if body != nil {
 		r.Header.Set("Content-Type", "application/json")
 	}
-	transport := &http.Transport{DisableKeepAlives: true}
+	transport := heads.Transport{Base: &http.Transport{DisableKeepAlives: true}}
 	response, err := transport.RoundTrip(r)
 	if err != nil {
 		return &retryableError{cause: err}
