caller, timing, server: the load tools notice a broken answer

What they showed: an answer with a blank in the name of a field, of its interim answer or of its trailer counted as OK if its body was right, and one with the status 000 or 600 as refused, so that no run that asks for no faulty answers failed.

Why this works: they read through heads.Transport. The caller counts a broken answer as cut short, which is faulty; the latency measurement counts it as failed; a stand-in backend server announces itself to the next instance.

--- a/internal/stand/caller/caller.go
+++ b/internal/stand/caller/caller.go
@@ -24,6 +24,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/snipefront/snipefront/internal/clock/timer"
+	"github.com/snipefront/snipefront/internal/rpc/heads"
 )
 
 const (
@@ -193,16 +194,16 @@
 		log:           c.Log,
 		id:            fmt.Sprintf("%x", rand.Uint64()),
 		jobs:          make(chan job, maxWaiting),
-		addressClient: &http.Client{Transport: &http.Transport{MaxConnsPerHost: len(c.Services), MaxIdleConnsPerHost: 1}},
+		addressClient: &http.Client{Transport: heads.Transport{Base: &http.Transport{MaxConnsPerHost: len(c.Services), MaxIdleConnsPerHost: 1}}},
 		client: &http.Client{
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-			Transport: &http.Transport{
+			Transport: heads.Transport{Base: &http.Transport{
 				DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 				MaxIdleConns:        n,
 				MaxIdleConnsPerHost: n,
 				MaxConnsPerHost:     n,
 				DisableCompression:  true,
-			},
+			}},
 		},
 	}
 	if r.log == nil {
--- a/internal/stand/caller/result.go
+++ b/internal/stand/caller/result.go
@@ -59,7 +59,8 @@
 	Advised int
 	// Crossed counts the successful responses with the answer to another request.
 	Crossed int
-	// CutShort counts the successful responses with an incomplete or damaged answer.
+	// CutShort counts the successful responses with an incomplete or damaged answer, and all
+	// responses whose head is that of none.
 	CutShort int
 	// Resent counts the resends.
 	Resent int
@@ -218,7 +219,7 @@
 	return c
 }
 
-// Faulty returns the number of successful responses that were crossed or cut short.
+// Faulty returns the number of responses that were crossed or cut short.
 func (r *Result) Faulty() int {
 	n := 0
 	for i := range r.Services {
--- a/internal/stand/caller/send.go
+++ b/internal/stand/caller/send.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/snipefront/snipefront"
+	"github.com/snipefront/snipefront/internal/rpc/heads"
 	"github.com/snipefront/snipefront/internal/stand/answer"
 )
 
@@ -131,6 +132,11 @@
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	resp, err := r.client.Do(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
+	var broken *heads.Error
+	if errors.As(err, &broken) {
+		r.log.Warn("received a broken answer; counting it as cut short", "request", q.RequestID, "address", hostPort, "error", broken)
+		return outcome{kind: cutShort}, true
+	}
 	if err != nil {
 		return errorOutcome(ctx, connected.Load())
 	}
--- a/internal/stand/server/announce.go
+++ b/internal/stand/server/announce.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/snipefront/snipefront/internal/clock/timer"
+	"github.com/snipefront/snipefront/internal/rpc/heads"
 )
 
 const (
@@ -46,7 +47,7 @@
 	a := &announcer{
 		server:  s,
 		address: address,
-		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, MaxIdleConns: 2}},
+		client:  &http.Client{Transport: heads.Transport{Base: &http.Transport{MaxIdleConnsPerHost: 1, MaxIdleConns: 2}}},
 	}
 	go func() {
 		defer close(done)
--- a/internal/stand/timing/timing.go
+++ b/internal/stand/timing/timing.go
@@ -22,6 +22,8 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/pkg/errors"
+
+	"github.com/snipefront/snipefront/internal/rpc/heads"
 )
 
 const (
@@ -68,7 +70,7 @@
 	for _, a := range m.Addresses {
 		list = append(list, &Target{Latencies: hdrhistogram.New(1, maxMicroseconds, significantFigures), address: a})
 	}
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConnections, DisableCompression: true}}
+	client := &http.Client{Transport: heads.Transport{Base: &http.Transport{MaxIdleConnsPerHost: maxIdleConnections, DisableCompression: true}}}
 	defer client.CloseIdleConnections()
 	random := rand.New(rand.NewPCG(1, 2))
 	var calls sync.WaitGroup
