pool, resets: a connection that was reset during the upload has no proper end

Callers saw: a part of an answer as a whole one, with a Content-Length of ours. The backend server had answered a long upload early, without a length, and reset the connection while the upload was still being written. So for 200, 500, HTTP/1.0, with 1 MiB and 8 MiB, half read or not at all.

Cause: the kernel reports the reset of a connection to one call only. The goroutine that writes the upload took it; the read then returned io.EOF, as after a proper close, and the end of the connection is what ends an answer without a length. The result of the write only decided whether the connection was used again. A short request on a new connection that is reset before it is written took the error, too, and the read went on: so did load probes, whose answers need no id.

Why this works: the connection itself now tells a reset from an end (rpc/resets). At io.EOF its Read ends the write, waits for its result, and returns the failure of the connection if the write took it. EPIPE is none: the kernel gives it for a reset behind a proper end, or once another call has the failure. A write that waits for a reader is ended at once, so no answer waits for the upload. Framed answers never come to io.EOF, so a length or a last chunk still counts whatever follows. The attempt ends like each broken answer: at once, may-have-run, the connection closed, faulty.

--- a/internal/dispatch/pool/exchange.go
+++ b/internal/dispatch/pool/exchange.go
@@ -102,7 +102,7 @@
 		if len(e.Body) > 0 {
 			b = append(b, e.Body)
 		}
-		_, err := b.WriteTo(c.Conn)
+		err := c.WriteBuffers(b)
 		done <- err
 		if err != nil && c.Reused {
 			return nil, errors.Wrap(err, "write")
@@ -110,9 +110,7 @@
 		return done, nil
 	}
 	go func() {
-		b := net.Buffers{e.Head, e.Body}
-		_, err := b.WriteTo(c.Conn)
-		done <- err
+		done <- c.WriteBuffers(net.Buffers{e.Head, e.Body})
 	}()
 	return done, nil
 }
--- a/internal/dispatch/pool/pool.go
+++ b/internal/dispatch/pool/pool.go
@@ -5,6 +5,7 @@
 // further byte has arrived on it, and well before the backend server would close it.
 // It carries no request twice, so that a copy of an answer to the first sending, above all of
 // a refusal, can't be taken for the answer to the second. The ids of requests tell them apart.
+// An answer without a length is complete only if the backend server has ended its connection.
 // A request counts as not run only if no byte of it was sent.
 package pool
 
@@ -19,6 +20,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/snipefront/snipefront/internal/rpc/resets"
 )
 
 const (
@@ -50,7 +53,7 @@
 
 // Conn is a connection that carries one request at a time.
 type Conn struct {
-	net.Conn
+	*resets.Conn
 	// Reused is true if the connection has carried a request before.
 	Reused  bool
 	address string
@@ -177,9 +180,10 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "dial")
 	}
-	limit := &headLimit{r: c, left: -1}
+	conn := &resets.Conn{Conn: c}
+	limit := &headLimit{r: conn, left: -1}
 	return &Conn{
-		Conn: c, address: address, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes),
+		Conn: conn, address: address, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes),
 		heard: time.Now(), idleTimeout: defaultIdleTimeout,
 	}, nil
 }
@@ -190,11 +194,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	s, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := s.SyscallConn()
+	raw, err := c.SyscallConn()
 	if err != nil {
 		return false
 	}
