conns, resets: a probe that was reset before it was written is not answered

What was seen: with `snipefront serve` a backend server counted as working, though it reset the connection of a probe behind a part of an answer without a length. Its probes and its checks of half-open connections are concerned (dispatch/sender). No caller got such an answer.

The transport closes the connection after a failed write, but the body may have been read by then.

Why this works: the connections of the transport tell a reset from an end themselves, as those of dispatch/pool do.

--- a/internal/rpc/conns/conns.go
+++ b/internal/rpc/conns/conns.go
@@ -18,6 +18,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/snipefront/snipefront/internal/rpc/heads"
+	"github.com/snipefront/snipefront/internal/rpc/resets"
 )
 
 const (
@@ -140,7 +141,7 @@
 	if err != nil {
 		return false
 	}
-	t := heads.Transport{Base: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxProbeBytes}}
+	t := heads.Transport{Base: &http.Transport{DialContext: resets.Dialer(0), DisableKeepAlives: true, MaxResponseHeaderBytes: maxProbeBytes}}
 	resp, err := t.RoundTrip(req)
 	if err != nil {
 		return false
--- a/internal/rpc/resets/resets.go
+++ b/internal/rpc/resets/resets.go
@@ -20,6 +20,12 @@
 // Dial is the type of a function that opens a connection.
 type Dial = func(ctx context.Context, network, address string) (net.Conn, error)
 
+// Dialer returns a dial function for an http.Transport whose connections are of type Conn. The timeout
+// bounds opening a connection. Zero sets no bound.
+func Dialer(timeout time.Duration) Dial {
+	return Wrap((&net.Dialer{Timeout: timeout}).DialContext)
+}
+
 // Wrap wraps dial, so that it opens connections of type Conn.
 func Wrap(dial Dial) Dial {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
--- a/internal/stand/rawtcp/early.go
+++ b/internal/stand/rawtcp/early.go
@@ -26,3 +26,12 @@
 		}
 	}
 }
+
+// ResetAtOnce returns a function for Serve that writes text before it has read anything, and resets the
+// connection.
+func ResetAtOnce(text string) func(c net.Conn) {
+	return func(c net.Conn) {
+		_, _ = io.WriteString(c, text)
+		_ = c.(*net.TCPConn).SetLinger(0)
+	}
+}
