sender: a refusal that breaks off is a broken answer

What was seen: with `snipefront serve`, a refusal counted by its head, whatever became of its body. One that the backend server broke off, by a close or a reset, counted as not run: its caller was promised that, and its backend server stayed as it was.

Cause: the error of reading the body of a refusal was dropped, and without a length a reset that a write had taken looked like the end of the refusal.

Why this works: the error counts, and the connections of the sender tell a reset from an end (resets.Dialer). Such a refusal ends like each broken answer, as with direct dispatch.

--- a/internal/dispatch/sender/sender.go
+++ b/internal/dispatch/sender/sender.go
@@ -5,7 +5,8 @@
 // if no connection was established, if the connection was sealed before the first
 // byte was written, or if the answer has one of the refusal statuses of the service. The
 // refusal of a request that is not idempotent must echo the id of the attempt or be the
-// first answer on its connection: another may be a copy of an earlier refusal.
+// first answer on its connection: another may be a copy of an earlier refusal. A refusal
+// that breaks off is none.
 // The standard transport retries some requests by itself when a reused connection
 // fails. Every request therefore has a body that cannot be rewound, which prevents
 // such a retry.
@@ -199,7 +200,7 @@
 		c.upstream.Retire(c.shared)
 		return Attempt{Reason: snipefront.ReasonBrokenAnswer, Err: errUncertain}
 	}
-	return refusedAttempt(c.server, resp)
+	return refusedAttempt(ctx, c.server, resp)
 }
 
 // hear passes the notice of an answer of b to Heard.
@@ -252,9 +253,13 @@
 	return snipefront.ReasonConnect
 }
 
-// refusedAttempt returns the attempt that b refused with resp without running the request.
-func refusedAttempt(b snipefront.BackendServer, resp *http.Response) Attempt {
-	_, _ = io.CopyN(io.Discard, resp.Body, maxHeaderBytes)
+// refusedAttempt returns the attempt that b refused with resp without running the request. A refusal
+// that breaks off is a broken answer, but not one that ctx ends.
+func refusedAttempt(ctx context.Context, b snipefront.BackendServer, resp *http.Response) Attempt {
+	_, err := io.CopyN(io.Discard, resp.Body, maxHeaderBytes)
+	if err != nil && !errors.Is(err, io.EOF) && ctx.Err() == nil {
+		return Attempt{Reason: snipefront.ReasonBrokenAnswer, Err: err}
+	}
 	return Attempt{
 		Verdict: snipefront.NotRun,
 		Reason:  snipefront.ReasonShed,
--- a/internal/rpc/writes/writes.go
+++ b/internal/rpc/writes/writes.go
@@ -22,15 +22,17 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/snipefront/snipefront/internal/rpc/resets"
 )
 
 // Dial is the type of a function that opens a connection.
 type Dial = func(ctx context.Context, network, address string) (net.Conn, error)
 
 // Dialer returns a dial function for an http.Transport whose connections carry one
-// request at a time. The timeout bounds opening a connection.
+// request at a time and tell a reset from an end. The timeout bounds opening a connection.
 func Dialer(timeout time.Duration) Dial {
-	return Wrap((&net.Dialer{Timeout: timeout}).DialContext)
+	return Wrap(resets.Dialer(timeout))
 }
 
 // Wrap wraps dial, so that a Tracker can track the connections that it opens.
