client: a response that was reset before the request was written is not final

What operators saw: a part of a response without a length as the final one, though the instance, or what stood before it, had reset the connection: refused with half of a sentence, or accepted. The next address was not tried.

Cause: as in the transport of conns.Probe, the write of the request takes the error of the reset, and the read of the body returns io.EOF.

Why this works: the connections of the client tell a reset from an end (resets.Dialer), so the body fails and the next address is tried.

--- a/internal/config/client/client.go
+++ b/internal/config/client/client.go
@@ -25,6 +25,7 @@
 
 	"github.com/snipefront/snipefront/internal/clock/timer"
 	"github.com/snipefront/snipefront/internal/rpc/heads"
+	"github.com/snipefront/snipefront/internal/rpc/resets"
 )
 
 // Limits of a call.
@@ -144,7 +145,7 @@
 	if body != nil {
 		r.Header.Set("Content-Type", "application/json")
 	}
-	transport := heads.Transport{Base: &http.Transport{DisableKeepAlives: true}}
+	transport := heads.Transport{Base: &http.Transport{DialContext: resets.Dialer(0), DisableKeepAlives: true}}
 	response, err := transport.RoundTrip(r)
 	if err != nil {
 		return &retryableError{cause: err}
