caller: an answer that ends early is cut short, whatever its status

What was seen: the load tools passed over an answer other than a success that ended early. It counted as refused, with the verdict and the reason of its head, and the run as free of faults.

Cause: the status was looked at before the error of reading the body.

Why this works: the error counts first, so the answer is cut short and faulty, as a success that ends early.

--- a/internal/stand/caller/result.go
+++ b/internal/stand/caller/result.go
@@ -59,8 +59,8 @@
 	Advised int
 	// Crossed counts the successful responses with the answer to another request.
 	Crossed int
-	// CutShort counts the successful responses with an incomplete or damaged answer, and all
-	// responses whose head is that of none.
+	// CutShort counts the responses that ended early, the successful ones with a damaged answer
+	// and those whose head is that of none.
 	CutShort int
 	// Resent counts the resends.
 	Resent int
--- a/internal/stand/caller/send.go
+++ b/internal/stand/caller/send.go
@@ -145,12 +145,12 @@
 	if ctx.Err() != nil && err != nil {
 		return outcome{kind: late}, true
 	}
-	if resp.StatusCode/100 != 2 {
-		return r.refusalOutcome(resp), true
-	}
 	if err != nil {
 		return outcome{kind: cutShort}, true
 	}
+	if resp.StatusCode/100 != 2 {
+		return r.refusalOutcome(resp), true
+	}
 	switch q.Check(b) {
 	case answer.CutShort:
 		return outcome{kind: cutShort}, true
