caller, timing: the load tools tell a reset from an end

What was seen: the load tools took a part of an answer without a length for a whole one, though its connection was reset: as a refusal with what its head promised, or as a call that was answered.

Cause: as in the transport of conns.Probe, the write of the request takes the error of the reset, and the read of the body returns io.EOF.

Why this works: their connections tell a reset from an end (resets.Dialer). The lists of addresses and the announcements of the stand-ins stay as they are: a part of their JSON doesn't decode.

--- a/internal/stand/caller/caller.go
+++ b/internal/stand/caller/caller.go
@@ -16,7 +16,6 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -25,6 +24,7 @@
 
 	"github.com/snipefront/snipefront/internal/clock/timer"
 	"github.com/snipefront/snipefront/internal/rpc/heads"
+	"github.com/snipefront/snipefront/internal/rpc/resets"
 )
 
 const (
@@ -198,7 +198,7 @@
 		client: &http.Client{
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 			Transport: heads.Transport{Base: &http.Transport{
-				DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+				DialContext:         resets.Dialer(dialTimeout),
 				MaxIdleConns:        n,
 				MaxIdleConnsPerHost: n,
 				MaxConnsPerHost:     n,
--- a/internal/stand/caller/early_test.go
+++ b/internal/stand/caller/early_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"testing"
 
+	"github.com/snipefront/snipefront"
 	"github.com/snipefront/snipefront/internal/stand/caller"
 	"github.com/snipefront/snipefront/internal/stand/rawtcp"
 )
@@ -33,3 +34,23 @@
 		})
 	}
 }
+
+// TestResetBeforeRequestIsNoRefusal guards against a caller that takes a part of a refusal without a
+// length for a whole one: the connection was reset before the request was written, whose write then took
+// the error. Which call takes it is chance.
+func TestResetBeforeRequestIsNoRefusal(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go rawtcp.Serve(l, rawtcp.ResetAtOnce("HTTP/1.1 503 Full\r\nRetry-After: 1\r\n\r\npart"))
+	for range 10 {
+		_, s := runCaller(t, &caller.Caller{Direct: []string{l.Addr().String()}}, http.MethodGet)
+		for _, r := range s.Refused {
+			if r.Reason == snipefront.ReasonShed {
+				t.Errorf("%d of %d answers count as refused, want them cut short", r.Count, s.Arrived)
+			}
+		}
+	}
+}
--- a/internal/stand/timing/timing.go
+++ b/internal/stand/timing/timing.go
@@ -24,6 +24,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/snipefront/snipefront/internal/rpc/heads"
+	"github.com/snipefront/snipefront/internal/rpc/resets"
 )
 
 const (
@@ -70,7 +71,11 @@
 	for _, a := range m.Addresses {
 		list = append(list, &Target{Latencies: hdrhistogram.New(1, maxMicroseconds, significantFigures), address: a})
 	}
-	client := &http.Client{Transport: heads.Transport{Base: &http.Transport{MaxIdleConnsPerHost: maxIdleConnections, DisableCompression: true}}}
+	client := &http.Client{Transport: heads.Transport{Base: &http.Transport{
+		DialContext:         resets.Dialer(0),
+		MaxIdleConnsPerHost: maxIdleConnections,
+		DisableCompression:  true,
+	}}}
 	defer client.CloseIdleConnections()
 	random := rand.New(rand.NewPCG(1, 2))
 	var calls sync.WaitGroup
